--- /dev/null
+++ b/src/cli/serve.cpp
@@ -0,0 +1,110 @@
+#include "cli/serve.h"
+
+#include <csignal>
+
+#include "core/core.h"
+#include "feed/feed.h"
+#include "front_platform/front.h"
+#include "net/log.h"
+#include "upstream/pool.h"
+
+namespace sumackeel::cli {
+
+using core::Micros;
+
+namespace {
+
+// After SIGTERM connections still come for 0.4 s and requests for a further 0.2 s.
+constexpr Micros kKeepAccepting = 1'000'000;
+constexpr Micros kLookForEnd = 20'000;
+constexpr Micros kLongestEnd = 8'000'000;
+
+// Clients may hold a third; the log file, the loop's own and the change log are in the reserve.
+constexpr int kReserve = 24;
+
+}  // namespace
+
+struct Daemon::Parts {
+    const config::Config& config;
+    net::Loop loop;
+    net::Budget sockets;
+    core::Core core;
+    upstream::Pool pool;
+    front_platform::Front front;
+    std::unique_ptr<feed::Feed> feed;
+    uv_signal_t term{};
+    Micros told_to_end = 0;
+
+    explicit Parts(const config::Config& c)
+        : config(c),
+          sockets(c.sockets - c.sockets / 3 - kReserve),
+          core(c.site.settings, c.seed, loop.clock(), loop.deadlines()),
+          pool(loop, sockets, core,
+               {.streams_per_conn = c.site.streams_per_conn,
+                .connect_timeout = c.site.settings.connect_timeout,
+                .idle_close = c.site.keepalive}),
+          front(loop, core, c.site, c.listen,
+                {.connections = c.sockets / 3 + kReserve / 2,
+                 .unsent_bytes = static_cast<std::size_t>(c.memory_mb) * 1024 * 1024 / 3}) {
+        core.attach(pool);
+        bool first = true;
+        for (const config::Change& change : c.known) change_heard(change, std::exchange(first, false));
+        core.run();
+        if (!c.changelog.empty())
+            feed = std::make_unique<feed::Feed>(loop, sockets, c.changelog, c.site, c.known_seq,
+                                                [this](const auto& change) { change_heard(change, false); });
+        loop.each_turn([this] { core.run(); });
+        uv_signal_init(loop.raw(), &term);
+        term.data = this;
+        uv_signal_start(
+            &term, [](uv_signal_t* handle, int) { static_cast<Parts*>(handle->data)->end(); }, SIGTERM);
+    }
+
+    void change_heard(const config::Change& change, bool saved) {
+        if (change.has_fleet) {
+            nettlethread::ListNews news;
+            news.version = change.version;
+            news.kind = saved          ? nettlethread::ListKind::saved
+                        : change.whole ? nettlethread::ListKind::full
+                                       : nettlethread::ListKind::changes;
+            for (const config::Placed& member : change.members) {
+                if (!member.address.empty()) pool.place(member.entry.cache, member.address);
+                news.entries.push_back(member.entry);
+            }
+            core.tell(std::move(news));
+        }
+        if (change.has_purge)
+            core.tell(nettlethread::Purge{.group = change.group,
+                                          .age = std::max<Micros>(0, loop.clock().now() - change.purged_at),
+                                          .object = change.object});
+    }
+
+    void end() {
+        if (told_to_end) return;
+        told_to_end = loop.clock().now();
+        log::info("told to end: {} requests open", core.open_requests());
+        look_for_end();
+    }
+
+    void look_for_end() {
+        const Micros now = loop.clock().now(), since = now - told_to_end;
+        if (since >= kKeepAccepting) front.stop_listening();
+        const bool done = core.open_requests() == 0 && !front.unsent();
+        if ((since >= kKeepAccepting && done) || since > kLongestEnd) return loop.stop();
+        loop.deadlines().set(now + kLookForEnd, [this] { look_for_end(); });
+    }
+};
+
+Daemon::Daemon(const config::Config& config) : parts_(std::make_unique<Parts>(config)) {}
+Daemon::~Daemon() = default;
+void Daemon::run() {
+    parts_->loop.run();
+}
+void Daemon::end() {
+    parts_->end();
+}
+int Daemon::port() const {
+    return parts_->front.port();
+}
+
+}  // namespace sumackeel::cli
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,333 @@
+#include "config/config.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <sstream>
+
+namespace sumackeel::config {
+
+using Json::Value;
+using nettlethread::ClassSettings;
+using nettlethread::Micros;
+using nettlethread::Settings;
+
+namespace {
+
+[[noreturn]] void bad(const std::string& where, const std::string& what) {
+    throw ConfigError(where + ": " + what);
+}
+
+void read_as(const Value& value, bool& into, const std::string& where) {
+    if (!value.isBool()) bad(where, "not true or false");
+    into = value.asBool();
+}
+void read_as(const Value& value, double& into, const std::string& where) {
+    if (!value.isNumeric() || !std::isfinite(value.asDouble())) bad(where, "not a number");
+    into = value.asDouble();
+}
+void read_as(const Value& value, std::int64_t& into, const std::string& where) {
+    if (value.isInt64())
+        into = value.asInt64();
+    else if (value.isDouble() && std::abs(value.asDouble()) < 9e18)
+        into = std::llround(value.asDouble());
+    else
+        bad(where, "not a whole number");
+}
+void read_as(const Value& value, int& into, const std::string& where) {
+    if (!value.isInt()) bad(where, "not a whole number");
+    into = value.asInt();
+}
+void read_as(const Value& value, std::string& into, const std::string& where) {
+    if (!value.isString()) bad(where, "not text");
+    into = value.asString();
+}
+template <typename T>
+void read_as(const Value& value, std::vector<T>& into, const std::string& where) {
+    if (!value.isArray()) bad(where, "not a list");
+    into.clear();
+    for (const Value& item : value) {
+        T one{};
+        read_as(item, one, where);
+        into.push_back(one);
+    }
+}
+
+// A value that may be absent; unknown ones are never looked at.
+template <typename T>
+void take(const Value& object, const char* key, T& into, const std::string& where) {
+    if (!object.isObject()) bad(where, "not an object");
+    const Value& value = object[key];
+    if (!value.isNull()) read_as(value, into, where + '.' + key);
+}
+
+template <typename T>
+T need(const Value& object, const char* key, const std::string& where) {
+    if (!object.isObject() || object[key].isNull()) bad(where, std::string(key) + " is missing");
+    T value{};
+    take(object, key, value, where);
+    return value;
+}
+
+const Value& section(const Value& object, const char* key) {
+    static const Value empty(Json::objectValue);
+    const Value& value = object[key];
+    return value.isNull() ? empty : value;
+}
+
+template <typename T>
+T take_word(const Value& object, const char* key, const std::string& otherwise, const std::string& where,
+            std::initializer_list<std::pair<const char*, T>> words) {
+    std::string text = otherwise;
+    take(object, key, text, where);
+    for (const auto& [word, value] : words)
+        if (text == word) return value;
+    bad(where + '.' + key, "unknown word '" + text + "'");
+}
+
+int place_of(const std::vector<std::string>& names, const std::string& name) {
+    const auto found = std::find(names.begin(), names.end(), name);
+    return found == names.end() ? -1 : static_cast<int>(found - names.begin());
+}
+
+template <typename T>
+T nth_or(const std::vector<T>& list, std::size_t n, T otherwise) {
+    return n < list.size() ? list[n] : otherwise;
+}
+
+void read_classes(const Value& params, Site& site) {
+    using nettlethread::Scope;
+    using nettlethread::Semantics;
+    const std::string family_at = "params.family_info";
+    const Value& family = section(params, "family_info");
+    std::vector<Micros> fresh, grace;
+    std::vector<double> stale_worth;
+    std::vector<bool> pieces, uncached;
+    take(family, "good_for", fresh, family_at);
+    take(family, "grace_for", grace, family_at);
+    take(family, "class_stale_worth", stale_worth, family_at);
+    take(family, "in_pieces", pieces, family_at);
+    take(family, "uncached", uncached, family_at);
+    if (!params["classes"].isArray()) bad("params.classes", "missing or not a list");
+    for (Json::ArrayIndex i = 0; i < params["classes"].size(); ++i) {
+        const Value& item = params["classes"][i];
+        const std::string where = "params.classes[" + std::to_string(i) + "]";
+        ClassSettings service;
+        const auto name = need<std::string>(item, "name", where);
+        if (name.empty()) bad(where, "no name");
+        take(item, "aim", service.aim, where);
+        take(item, "aim_stretch", service.aim_stretch, where);
+        take(item, "give_up", service.give_up, where);
+        take(item, "late_value", service.late_value, where);
+        take(item, "points", service.points, where);
+        take(item, "window", service.window, where);
+        take(item, "stream", service.stream, where);
+        service.semantics = take_word<Semantics>(
+            item, "semantics", "retryable", where,
+            {{"retryable", Semantics::safe}, {"dedup", Semantics::keyed}, {"fragile", Semantics::unsafe}});
+        service.scope = take_word<Scope>(item, "group", "all", where,
+                                         {{"all", Scope::all}, {"zone", Scope::zone}, {"cell", Scope::cell}});
+        service.fresh = nth_or<Micros>(fresh, i, 0);
+        service.grace = nth_or<Micros>(grace, i, 0);
+        service.stale_worth = nth_or(stale_worth, i, 1.0);
+        service.in_pieces = i < pieces.size() && pieces[i];
+        service.uncached = i < uncached.size() && uncached[i];
+        site.classes.push_back(name);
+        site.settings.classes.push_back(service);
+    }
+}
+
+void read_family(const Value& params, Settings& settings) {
+    using nettlethread::Neighbours;
+    using nettlethread::Notes;
+    const Value& family = section(params, "family_info");
+    const std::string where = "params.family_info";
+    take(family, "count_by_zone", settings.zone_instances, where);
+    take(family, "zone_hub", settings.zone_hub, where);
+    take(family, "inlet_kb_per_s", settings.inlet_kb_per_s, where);
+    take(family, "upper_kind", settings.parent_kind, where);
+    take(family, "origin_kind", settings.origin_kind, where);
+    take(family, "pace_kb_per_s", settings.pace_kb_per_s, where);
+    take(family, "joins", settings.joins, where);
+    take(family, "direct", settings.direct, where);
+    settings.neighbours = take_word<Neighbours>(
+        family, "neighbours", "silent", where,
+        {{"silent", Neighbours::none}, {"location", Neighbours::own_zone}, {"any", Neighbours::any}});
+    settings.notes = take_word<Notes>(family, "notes_given", "silent", where,
+                                      {{"silent", Notes::none}, {"hit", Notes::hits}, {"all", Notes::all}});
+    take(family, "obey_after", settings.obey_after, where);
+    take(family, "cleared_within", settings.cleared_within, where);
+    take(family, "parent_cold_from", settings.parent_cold_from, where);
+    take(family, "parent_ramp", settings.parent_ramp, where);
+    take(family, "parent_breaks_at", settings.parent_breaks_at, where);
+    take(family, "origin_stops_at", settings.origin_stops_at, where);
+    take(family, "origin_over_for", settings.origin_over_for, where);
+}
+
+void read_limits(const Value& params, Site& site) {
+    Settings& settings = site.settings;
+    std::string where = "params.contract";
+    const Value& contract = section(params, "contract");
+    take(contract, "answer_slack", settings.answer_slack, where);
+    take(contract, "ask_within", settings.ask_within, where);
+    take(contract, "drain_grace", settings.drain_grace, where);
+    take(contract, "cold_share", settings.cold_share, where);
+    take(contract, "warm_after", settings.warm_after, where);
+    take(contract, "tip_multiple", settings.tip_multiple, where);
+    take(contract, "overload_for", settings.overload_for, where);
+    where = "params.limits";
+    const Value& limits = section(params, "limits");
+    take(limits, "cancel", settings.may_cancel, where);
+    take(limits, "probes", settings.may_probe, where);
+    take(limits, "peers", settings.may_tell_peers, where);
+    take(limits, "second_copies", settings.second_copies, where);
+    take(limits, "retry_after", settings.retry_advice, where);
+    take(limits, "max_retry_after", settings.longest_advice, where);
+    take(limits, "most_tries", settings.most_tries, where);
+    take(limits, "most_held", settings.most_held, where);
+    take(limits, "connect_timeout", settings.connect_timeout, where);
+    take(limits, "streams_per_conn", site.streams_per_conn, where);
+    take(limits, "keepalive", site.keepalive, where);
+    const Value& prices = section(params, "prices");
+    take(prices, "waste", settings.waste_price, "params.prices");
+    take(prices, "late_fail", settings.late_fail_price, "params.prices");
+}
+
+Placed read_member(const Value& item, const Site& site) {
+    using nettlethread::CacheState;
+    const std::string where = "fleet.hosts";
+    Placed placed;
+    nettlethread::CacheEntry& entry = placed.entry;
+    entry.cache = need<std::string>(item, "host", where);
+    const bool plain = !entry.cache.empty() && entry.cache.size() <= 128 &&
+                       entry.cache.find_first_of(" ,=\r\n") == std::string::npos;
+    if (!plain) bad(where, "a host's name can't be used");
+    take(item, "dial", placed.address, where);
+    std::string zone, kind;
+    take(item, "site", zone, where);
+    take(item, "class", kind, where);
+    entry.zone = place_of(site.zones, zone);
+    entry.kind = place_of(site.kinds, kind);
+    take(item, "block", entry.cell, where);
+    take(item, "share", entry.weight, where);
+    Micros born_ms = 0;
+    take(item, "born_ms", born_ms, where);
+    entry.since = born_ms * 1000;
+    entry.state = take_word<CacheState>(
+        item, "health", "SERVING", where,
+        {{"SERVING", CacheState::ready}, {"DRAINING", CacheState::draining}, {"DELETED", CacheState::gone}});
+    return placed;
+}
+
+}  // namespace
+
+Value parse(const std::string& text, const std::string& what) {
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["strictRoot"] = true;
+    builder["rejectDupKeys"] = false;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Value value;
+    std::string errors;
+    try {
+        if (reader->parse(text.data(), text.data() + text.size(), &value, &errors)) return value;
+    } catch (const Json::Exception& wrong) {
+        errors = wrong.what();
+    }
+    std::replace(errors.begin(), errors.end(), '\n', ' ');
+    bad(what, "not JSON: " + errors);
+}
+
+Site read_site(const Value& params) {
+    using nettlethread::Reports;
+    using nettlethread::Weights;
+    if (!params.isObject()) bad("params", "not an object");
+    Site site;
+    Settings& settings = site.settings;
+    take(params, "zones", site.zones, "params");
+    take(params, "shapes", site.kinds, "params");
+    for (const Value& tenant : section(params, "projects"))
+        site.tenants.push_back(need<std::string>(tenant, "name", "params.projects"));
+    read_classes(params, site);
+    take(params, "instances", settings.instances, "params");
+    take(params, "me", settings.me, "params");
+    take(params, "tick", settings.tick, "params");
+    std::string zone;
+    take(params, "my_zone", zone, "params");
+    settings.my_zone = place_of(site.zones, zone);
+    settings.ask_for_list =
+        take_word<bool>(params, "discovery", "pushed", "params", {{"pushed", false}, {"on_request", true}});
+    settings.weights = take_word<Weights>(params, "weights", "silent", "params",
+                                          {{"silent", Weights::none},
+                                           {"nominal", Weights::nominal},
+                                           {"rough", Weights::rough},
+                                           {"live", Weights::live}});
+    settings.reports = take_word<Reports>(
+        section(params, "report"), "via", "silent", "params.report",
+        {{"silent", Reports::none}, {"piggyback", Reports::with_answers}, {"pull", Reports::on_probe}});
+    read_family(params, settings);
+    read_limits(params, site);
+    return site;
+}
+
+Site read_site(const std::string& params) {
+    return read_site(parse(params, "params"));
+}
+
+Change read_change(const Value& event, const Site& site) {
+    Change change;
+    change.seq = need<std::int64_t>(event, "seq", "change");
+    const Value& fleet = event["fleet"];
+    if (!fleet.isNull()) {
+        change.has_fleet = true;
+        take(fleet, "seq", change.version, "fleet");
+        take(fleet, "whole", change.whole, "fleet");
+        if (!fleet["hosts"].isArray()) bad("fleet.hosts", "missing or not a list");
+        for (const Value& item : fleet["hosts"]) change.members.push_back(read_member(item, site));
+    }
+    const Value& purge = event["invalidate"];
+    if (!purge.isNull()) {
+        change.has_purge = true;
+        take(purge, "object", change.object, "invalidate");
+        take(purge, "bucket", change.group, "invalidate");
+        change.purged_at = 1000 * need<std::int64_t>(purge, "time", "invalidate");
+    }
+    return change;
+}
+
+Config read_config(const std::string& text) {
+    const Value root = parse(text, "configuration");
+    if (!root.isObject()) bad("configuration", "not an object");
+    Config config;
+    take(root, "name", config.name, "configuration");
+    config.listen = need<std::string>(root, "listen", "configuration");
+    take(root, "changelog", config.changelog, "configuration");
+    std::string seed = "0";
+    take(root, "seed", seed, "configuration");
+    const auto read = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
+    if (read.ec != std::errc{} || read.ptr != seed.data() + seed.size())
+        bad("configuration.seed", "not hex digits");
+    const Value& limits = section(root, "limits");
+    take(limits, "sockets", config.sockets, "configuration.limits");
+    take(limits, "memory_mb", config.memory_mb, "configuration.limits");
+    if (config.sockets < 32) bad("configuration.limits.sockets", "under 32");
+    if (root["settings"].isNull()) bad("configuration", "settings is missing");
+    config.site = read_site(root["settings"]);
+    const Value& known = section(root, "known");
+    take(known, "seq", config.known_seq, "configuration.known");
+    for (const Value& event : section(known, "results"))
+        config.known.push_back(read_change(event, config.site));
+    return config;
+}
+
+Config load_config(const std::string& path) {
+    std::ifstream file(path);
+    std::stringstream text;
+    if (!file || !(text << file.rdbuf())) bad(path, "can't be read");
+    return read_config(text.str());
+}
+
+}  // namespace sumackeel::config
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,63 @@
+// What the platform tells an edge proxy, read once into the values that the program uses.
+#pragma once
+
+#include <json/forwards.h>
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "nettlethread/router.h"
+
+namespace sumackeel::config {
+
+class ConfigError : public std::runtime_error {
+  public:
+    using std::runtime_error::runtime_error;
+};
+
+// The settings of an instance with the names that go with their numbers.
+struct Site {
+    nettlethread::Settings settings;
+    std::vector<std::string> classes, zones, kinds, tenants;
+    int streams_per_conn = 100;
+    nettlethread::Micros keepalive = 0;  // idle connections are closed after this
+};
+
+struct Placed {  // a member of the fleet and where it listens
+    nettlethread::CacheEntry entry;
+    std::string address;
+};
+
+// One numbered event of the change log.
+struct Change {
+    std::int64_t seq = 0;
+    bool has_fleet = false, has_purge = false;
+    bool whole = false;
+    std::int64_t version = 0;
+    std::vector<Placed> members;
+    int group = 0;
+    std::string object;
+    nettlethread::Micros purged_at = 0;
+};
+
+struct Config {
+    std::string name, listen, changelog;
+    std::uint64_t seed = 0;
+    int sockets = 1024;
+    int memory_mb = 192;
+    Site site;
+    std::int64_t known_seq = 0;
+    std::vector<Change> known;
+};
+
+// Throws ConfigError with one plain line.
+Json::Value parse(const std::string& text, const std::string& what);
+Site read_site(const Json::Value& params);
+Site read_site(const std::string& params);  // as text
+Change read_change(const Json::Value& event, const Site& site);
+Config read_config(const std::string& text);
+Config load_config(const std::string& path);
+
+}  // namespace sumackeel::config
--- /dev/null
+++ b/src/core/core.cpp
@@ -0,0 +1,252 @@
+#include "core/core.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "net/log.h"
+
+namespace sumackeel::core {
+
+using nettlethread::Outcome;
+using nettlethread::Semantics;
+using nettlethread::Verdict;
+
+namespace {
+
+constexpr Micros kGuard = 4'000;  // the core's own last word comes this long before the client gives up
+
+std::string name_of(Handle handle) {
+    return std::to_string(handle.slot) + '.' + std::to_string(handle.generation);
+}
+
+bool proves_not_run(Verdict verdict) {
+    return verdict == Verdict::full || verdict == Verdict::not_connected || verdict == Verdict::never_sent ||
+           verdict == Verdict::missing;
+}
+
+}  // namespace
+
+Core::Core(const nettlethread::Settings& settings, std::uint64_t seed, Clock& clock, Deadlines& deadlines)
+    : settings_(settings), router_(settings, seed), clock_(clock), deadlines_(deadlines) {}
+
+Handle Core::named(std::string_view name) const {
+    Handle handle;
+    const char* end = name.data() + name.size();
+    const auto slot = std::from_chars(name.data(), end, handle.slot);
+    if (slot.ec != std::errc{} || slot.ptr == end || *slot.ptr != '.') return {};
+    const auto generation = std::from_chars(slot.ptr + 1, end, handle.generation);
+    return generation.ec == std::errc{} && generation.ptr == end ? handle : Handle{};
+}
+
+Handle Core::take(Ask ask, Asker& asker, std::uint64_t cookie) {
+    nettlethread::Arrival arrival;
+    arrival.service = ask.service;
+    arrival.object = ask.object;
+    arrival.grace = ask.left;
+    arrival.size_kb = ask.size_kb;
+    arrival.group = ask.group;
+    arrival.part = ask.part;
+    arrival.write = settings_.classes[ask.service].uncached;
+    Request request;
+    request.deadline = clock_.now() + ask.left;
+    request.ask = std::move(ask);
+    request.asker = &asker;
+    request.cookie = cookie;
+    const Handle handle = requests_.add(std::move(request));
+    Request& taken = *requests_.find(handle);
+    taken.name = arrival.id = name_of(handle);
+    taken.guard = deadlines_.set(taken.deadline - kGuard, [this, handle] { time_up(handle); });
+    events_.push_back(std::move(arrival));
+    return handle;
+}
+
+void Core::leave(Handle handle) {
+    Request* request = requests_.find(handle);
+    if (!request) return;
+    events_.push_back(nettlethread::ClientLeft{request->name});
+    deadlines_.drop(request->guard);
+    requests_.remove(handle);
+}
+
+// The module answers before this falls due; this is for the case that it does not.
+void Core::time_up(Handle handle) {
+    Request* request = requests_.find(handle);
+    if (!request) return;
+    log::warn("request {} had no answer from the module at its deadline", request->ask.id);
+    events_.push_back(nettlethread::ClientLeft{request->name});
+    finish(handle, Reply{.how = Answered::out_of_time});
+    run();
+}
+
+void Core::finish(Handle handle, Reply reply) {
+    Request* request = requests_.find(handle);
+    if (!request) return;
+    deadlines_.drop(request->guard);
+    Asker* asker = request->asker;
+    const std::uint64_t cookie = request->cookie;
+    requests_.remove(handle);
+    asker->answer(cookie, std::move(reply));
+}
+
+void Core::ended(Handle handle, Ending ending) {
+    Attempt* attempt = attempts_.find(handle);
+    if (!attempt) return;
+    const Handle owner = attempt->request;
+    Request* request = requests_.find(owner);
+    const bool served = ending.verdict == Verdict::served;
+    Outcome outcome;
+    outcome.id = attempt->name;
+    outcome.attempt = attempt->number;
+    outcome.cache = attempt->target;
+    outcome.verdict = ending.verdict;
+    outcome.took = clock_.now() - attempt->sent;
+    outcome.ended = served || !request;
+    outcome.note = ending.note;
+    outcome.first_byte = ending.first_byte;
+    outcome.load = ending.load;
+    deadlines_.drop(attempt->limit);
+    attempts_.remove(handle);
+    events_.push_back(std::move(outcome));
+    if (!request) return;
+    std::erase(request->out, handle);
+    if (!proves_not_run(ending.verdict)) request->may_have_run = true;
+    if (served) {
+        finish(owner, Reply{.how = ending.same ? Answered::same : Answered::served,
+                            .body = std::move(ending.body),
+                            .tag = std::move(ending.tag)});
+    }
+}
+
+void Core::tell(nettlethread::Event event) {
+    events_.push_back(std::move(event));
+}
+
+void Core::run() {
+    if (running_) return;
+    running_ = true;
+    while (!events_.empty()) {
+        const nettlethread::Event event = std::move(events_.front());
+        events_.pop_front();
+        handle(event);
+    }
+    running_ = false;
+}
+
+void Core::handle(const nettlethread::Event& event) {
+    actions_.clear();
+    router_.handle(clock_.now(), event, actions_);
+    std::vector<nettlethread::Action> todo;
+    todo.swap(actions_);
+    for (const nettlethread::Action& action : todo) carry_out(action);
+    todo.swap(actions_);
+}
+
+void Core::carry_out(const nettlethread::Action& action) {
+    std::visit([this](const auto& a) { do_act(a); }, action);
+}
+
+void Core::do_act(const nettlethread::LookUp& a) {
+    nettlethread::Serve serve;
+    serve.id = a.id;
+    serve.cache = serve.source = a.cache;
+    serve.timeout = a.timeout;
+    attempt(serve);
+}
+
+void Core::do_act(const nettlethread::Serve& a) {
+    attempt(a);
+}
+
+void Core::attempt(const nettlethread::Serve& serve) {
+    const Handle owner = named(serve.id);
+    Request* request = requests_.find(owner);
+    const Micros now = clock_.now();
+    Attempt attempt;
+    attempt.request = owner;
+    attempt.name = serve.id;
+    attempt.target = serve.cache;
+    attempt.sent = now;
+    if (!request) {  // it ended while the module decided
+        Outcome outcome;
+        outcome.id = serve.id;
+        outcome.cache = serve.cache;
+        outcome.verdict = Verdict::never_sent;
+        outcome.ended = true;
+        events_.push_back(std::move(outcome));
+        return;
+    }
+    attempt.number = request->attempts++;
+    const Micros left = request->deadline - now;
+    const Micros limit = serve.timeout == 0 ? left : std::min(serve.timeout, left);
+    const Handle handle = attempts_.add(std::move(attempt));
+    // Danger: what must not run twice goes out again only if nothing may have run. The module keeps to that;
+    // this is the last look before the wire.
+    const bool once = settings_.classes[request->ask.service].semantics == Semantics::unsafe;
+    const bool forbidden = (once && (request->may_have_run || !request->out.empty())) ||
+                           (!settings_.second_copies && !request->out.empty());
+    if (forbidden)
+        log::error("attempt {} of {} held back: it may run twice", request->attempts, request->ask.id);
+    if (forbidden || limit <= 0 || request->attempts > settings_.most_tries)
+        return ended(handle, Ending{.verdict = limit <= 0 ? Verdict::timed_out : Verdict::never_sent});
+    request->out.push_back(handle);
+    attempts_.find(handle)->limit = deadlines_.set(now + limit, [this, handle] {
+        const bool written = upstream_->stop(handle);
+        ended(handle, Ending{.verdict = written ? Verdict::timed_out : Verdict::not_connected});
+        run();
+    });
+    Sending sending;
+    sending.attempt = handle;
+    sending.target = serve.cache;
+    sending.source = serve.source == serve.cache ? std::string{} : serve.source;
+    sending.limit = limit;
+    sending.age = serve.age;
+    sending.rank = serve.rank;
+    sending.join = serve.join;
+    sending.source_holds = serve.source_holds;
+    sending.parent_skips = serve.parent_skips;
+    sending.renew = serve.renew;
+    sending.ask = &request->ask;
+    sending.avoid = request->channels;
+    request->channels.push_back(upstream_->send(sending));
+}
+
+void Core::do_act(const nettlethread::SetTimer& a) {
+    deadlines_.set(a.at, [this, token = a.token] {
+        events_.push_back(nettlethread::TimerDue{token});
+        run();
+    });
+}
+
+void Core::do_act(const nettlethread::Refuse& a) {
+    finish(named(a.id), Reply{.how = Answered::refused, .come_back = a.come_back});
+}
+
+void Core::do_act(const nettlethread::Fail& a) {
+    const Handle handle = named(a.id);
+    const Request* request = requests_.find(handle);
+    const bool late = request && clock_.now() + 50'000 >= request->deadline;
+    finish(handle, Reply{.how = late ? Answered::out_of_time : Answered::failed});
+}
+
+void Core::do_act(const nettlethread::Cancel& a) {
+    // The request may be over already; its attempts are found by name.
+    const Handle owner = named(a.id);
+    std::vector<Handle> hit;
+    attempts_.each([&](Handle handle, const Attempt& attempt) {
+        if (attempt.request == owner && attempt.number == a.attempt) hit.push_back(handle);
+    });
+    for (const Handle handle : hit) {
+        const bool written = upstream_->stop(handle);
+        ended(handle, Ending{.verdict = written ? Verdict::called_off : Verdict::never_sent});
+    }
+}
+
+void Core::do_act(const nettlethread::CloseIdle& a) {
+    upstream_->close_idle(a.cache);
+}
+
+void Core::do_act(const nettlethread::Log& a) {
+    log::info("module: {}", a.text);
+}
+
+}  // namespace sumackeel::core
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,150 @@
+// Requests, attempts and outcomes. The core drives the decision module and sees to it that each request gets
+// exactly one final answer. It knows no wire: fronts hand it requests, upstream carries its attempts.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/deadlines.h"
+#include "core/slots.h"
+#include "nettlethread/router.h"
+
+namespace sumackeel::core {
+
+// What a client asks for.
+struct Ask {
+    std::string id;  // the client's own name for the request, passed on unchanged
+    int service = 0;
+    std::string service_name;
+    std::string object;
+    int part = 0;
+    int group = 0;
+    double size_kb = 0;
+    Micros left = 0;   // until the client gives up
+    std::string have;  // the tag of a copy that the client holds
+    std::string body;
+};
+
+enum class Answered { served, same, refused, failed, out_of_time };
+
+struct Reply {
+    Answered how = Answered::failed;
+    std::string body = {};
+    std::string tag = {};
+    Micros come_back = 0;  // refused: when to try again; 0: not said
+};
+
+// A front's side of one request.
+class Asker {
+  public:
+    virtual ~Asker() = default;
+    // Called once, never from within take().
+    virtual void answer(std::uint64_t cookie, Reply reply) = 0;
+};
+
+// One attempt as upstream is to carry it.
+struct Sending {
+    Handle attempt;
+    std::string target, source;  // source empty: no fill
+    Micros limit = 0;            // how long it will be waited for
+    Micros age = 0;
+    int rank = 0;
+    bool join = false, source_holds = false, parent_skips = false, renew = false;
+    const Ask* ask = nullptr;          // good during the call only
+    std::vector<std::uint64_t> avoid;  // channels that earlier attempts of the request used
+};
+
+struct Ending {
+    nettlethread::Verdict verdict = nettlethread::Verdict::error;
+    nettlethread::Note note = nettlethread::Note::none;
+    Micros first_byte = 0;
+    nettlethread::LoadReport load = {};
+    bool same = false;  // the client's copy is the one
+    std::string body = {};
+    std::string tag = {};
+};
+
+class Upstream {
+  public:
+    virtual ~Upstream() = default;
+    // Never ends the attempt from within the call. Returns the channel that carries it.
+    virtual std::uint64_t send(const Sending& sending) = 0;
+    // Gives the attempt up. False: not a byte of it had been written, so it never ran.
+    virtual bool stop(Handle attempt) = 0;
+    virtual void close_idle(const std::string& target) = 0;
+};
+
+class Core {
+  public:
+    Core(const nettlethread::Settings& settings, std::uint64_t seed, Clock& clock, Deadlines& deadlines);
+
+    void attach(Upstream& upstream) { upstream_ = &upstream; }
+
+    // Takes a request; its one answer goes to `asker`. The front calls run() when its turn is over.
+    Handle take(Ask ask, Asker& asker, std::uint64_t cookie);
+    void leave(Handle request);  // the client no longer waits: no answer is owed
+    void ended(Handle attempt, Ending ending);
+    void tell(nettlethread::Event event);  // news of the fleet and purges
+    void run();                            // works off what has come in
+
+    std::size_t open_requests() const { return requests_.size(); }
+    const nettlethread::Settings& settings() const { return settings_; }
+
+  private:
+    struct Request {
+        Ask ask;
+        Asker* asker = nullptr;
+        std::uint64_t cookie = 0;
+        std::string name;  // what the module calls it
+        Micros deadline = 0;
+        Deadlines::Key guard;
+        std::vector<Handle> out;
+        int attempts = 0;
+        bool may_have_run = false;
+        std::vector<std::uint64_t> channels;
+    };
+    struct Attempt {
+        Handle request;
+        std::string name, target;
+        int number = 0;
+        Micros sent = 0;
+        Deadlines::Key limit;
+    };
+
+    void handle(const nettlethread::Event& event);
+    void carry_out(const nettlethread::Action& action);
+    void do_act(const nettlethread::LookUp& a);
+    void do_act(const nettlethread::Serve& a);
+    void do_act(const nettlethread::SetTimer& a);
+    void do_act(const nettlethread::Refuse& a);
+    void do_act(const nettlethread::Fail& a);
+    void do_act(const nettlethread::Cancel& a);
+    void do_act(const nettlethread::CloseIdle& a);
+    void do_act(const nettlethread::Log& a);
+    void do_act(const nettlethread::WatchList&) {}  // the change log is always followed
+    void do_act(const nettlethread::FetchList&) {}
+    void do_act(const nettlethread::Probe&) {}  // neither is permitted here
+    void do_act(const nettlethread::TellPeer&) {}
+    void attempt(const nettlethread::Serve& serve);
+    void finish(Handle request, Reply reply);
+    void time_up(Handle request);
+    Handle named(std::string_view name) const;
+
+    nettlethread::Settings settings_;
+    nettlethread::Router router_;
+    Clock& clock_;
+    Deadlines& deadlines_;
+    Upstream* upstream_ = nullptr;
+    Slots<Request> requests_;
+    Slots<Attempt> attempts_;
+    std::deque<nettlethread::Event> events_;
+    std::vector<nettlethread::Action> actions_;
+    bool running_ = false;
+};
+
+}  // namespace sumackeel::core
--- /dev/null
+++ b/src/core/slots.h
@@ -0,0 +1,69 @@
+// A table of numbered slots. A handle names a slot and the generation that it was given out in, so that a
+// handle kept for too long finds nothing instead of somebody else's entry.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace sumackeel::core {
+
+struct Handle {
+    std::uint32_t slot = UINT32_MAX;
+    std::uint32_t generation = 0;
+
+    bool operator==(const Handle&) const = default;
+};
+
+template <typename T>
+class Slots {
+  public:
+    Handle add(T value) {
+        if (free_.empty()) {
+            free_.push_back(static_cast<std::uint32_t>(slots_.size()));
+            slots_.emplace_back();
+        }
+        const std::uint32_t place = free_.back();
+        free_.pop_back();
+        slots_[place].value.emplace(std::move(value));
+        ++used_;
+        return {place, slots_[place].generation};
+    }
+
+    // The pointer is good until the next add().
+    T* find(Handle handle) {
+        if (handle.slot >= slots_.size()) return nullptr;
+        Slot& slot = slots_[handle.slot];
+        return slot.value && slot.generation == handle.generation ? &*slot.value : nullptr;
+    }
+
+    void remove(Handle handle) {
+        if (!find(handle)) return;
+        Slot& slot = slots_[handle.slot];
+        slot.value.reset();
+        ++slot.generation;
+        free_.push_back(handle.slot);
+        --used_;
+    }
+
+    template <typename Each>
+    void each(Each visit) const {
+        for (std::uint32_t i = 0; i < slots_.size(); ++i)
+            if (slots_[i].value) visit(Handle{i, slots_[i].generation}, *slots_[i].value);
+    }
+
+    std::size_t size() const { return used_; }
+
+  private:
+    struct Slot {
+        std::optional<T> value;
+        std::uint32_t generation = 0;
+    };
+    std::vector<Slot> slots_;
+    std::vector<std::uint32_t> free_;
+    std::size_t used_ = 0;
+};
+
+}  // namespace sumackeel::core
--- /dev/null
+++ b/src/front_platform/thrift.h
@@ -0,0 +1,46 @@
+// The platform's Thrift messages: frames of the strict binary protocol to calls, answers to frames.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "core/core.h"
+
+namespace sumackeel::front_platform {
+
+class FrameError : public std::runtime_error {
+  public:
+    using std::runtime_error::runtime_error;
+};
+
+enum class Verb { dispatch, cancel, alive, unknown };
+
+struct Call {
+    Verb verb = Verb::unknown;
+    std::string name;
+    std::int32_t seqid = 0;
+    std::map<std::string, std::string> fields;
+    std::string body;
+    std::int32_t cancelled = 0;  // the seqid that cancelRequest names
+};
+
+// Bytes in, whole frames out.
+class FrameReader {
+  public:
+    void add(std::string_view bytes);
+    bool next(std::string& frame);  // throws FrameError on a length that can't be
+
+  private:
+    std::string buffer_;
+    std::size_t at_ = 0;
+};
+
+Call read_call(const std::string& frame);  // throws FrameError
+std::string write_answer(std::int32_t seqid, const core::Reply& reply);
+std::string write_alive(std::int32_t seqid, bool good);
+std::string write_unknown(const std::string& name, std::int32_t seqid);
+
+}  // namespace sumackeel::front_platform
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,63 @@
+#include "net/loop.h"
+
+#include <algorithm>
+#include <charconv>
+#include <stdexcept>
+
+namespace sumackeel::net {
+
+Loop::Loop() {
+    if (uv_loop_init(&loop_) != 0) throw std::runtime_error("no event loop can be made");
+    uv_timer_init(&loop_, &timer_);
+    uv_prepare_init(&loop_, &prepare_);
+    uv_check_init(&loop_, &check_);
+    timer_.data = prepare_.data = check_.data = this;
+    uv_prepare_start(&prepare_, [](uv_prepare_t* handle) { static_cast<Loop*>(handle->data)->arm(); });
+    uv_check_start(&check_, [](uv_check_t* handle) { static_cast<Loop*>(handle->data)->turn(); });
+    uv_unref(reinterpret_cast<uv_handle_t*>(&prepare_));
+    uv_unref(reinterpret_cast<uv_handle_t*>(&check_));
+}
+
+Loop::~Loop() {
+    uv_walk(
+        &loop_,
+        [](uv_handle_t* handle, void*) {
+            if (!uv_is_closing(handle)) uv_close(handle, nullptr);
+        },
+        nullptr);
+    uv_run(&loop_, UV_RUN_DEFAULT);
+    uv_loop_close(&loop_);
+}
+
+void Loop::run() {
+    uv_run(&loop_, UV_RUN_DEFAULT);
+}
+
+void Loop::turn() {
+    deadlines_.sweep(clock_.now());
+    for (const auto& what : turns_) what();
+}
+
+void Loop::arm() {
+    const auto next = deadlines_.next();
+    if (!next) {
+        uv_timer_stop(&timer_);
+        return;
+    }
+    uv_update_time(&loop_);
+    const Micros wait = std::max<Micros>(0, *next - clock_.now());
+    uv_timer_start(
+        &timer_, [](uv_timer_t*) {}, static_cast<std::uint64_t>((wait + 999) / 1000), 0);
+}
+
+bool read_address(const std::string& text, sockaddr_in& address) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) return false;
+    int port = -1;
+    const char* end = text.data() + text.size();
+    const auto read = std::from_chars(text.data() + colon + 1, end, port);
+    if (read.ec != std::errc{} || read.ptr != end || port < 0 || port > 65535) return false;
+    return uv_ip4_addr(text.substr(0, colon).c_str(), port, &address) == 0;
+}
+
+}  // namespace sumackeel::net
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,61 @@
+// The libuv loop with the deadlines swept each turn, and the budget of descriptors.
+#pragma once
+
+#include <uv.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/deadlines.h"
+
+namespace sumackeel::net {
+
+using core::Micros;
+
+class Loop {
+  public:
+    Loop();
+    ~Loop();
+    Loop(const Loop&) = delete;
+    Loop& operator=(const Loop&) = delete;
+
+    void run();
+    void stop() { uv_stop(&loop_); }
+    uv_loop_t* raw() { return &loop_; }
+    core::Clock& clock() { return clock_; }
+    core::Deadlines& deadlines() { return deadlines_; }
+    // Called at the end of each turn, after the deadlines.
+    void each_turn(std::function<void()> what) { turns_.push_back(std::move(what)); }
+
+  private:
+    void turn();
+    void arm();
+
+    uv_loop_t loop_;
+    uv_timer_t timer_;
+    uv_prepare_t prepare_;
+    uv_check_t check_;
+    core::Clock clock_;
+    core::Deadlines deadlines_;
+    std::vector<std::function<void()>> turns_;
+};
+
+// Sockets that may still be opened. At its end things are refused, never broken.
+class Budget {
+  public:
+    explicit Budget(int most) : most_(most) {}
+    bool take() { return used_ < most_ ? ++used_, true : false; }
+    void give_back() { --used_; }
+    int used() const { return used_; }
+
+  private:
+    int most_;
+    int used_ = 0;
+};
+
+// "10.0.0.4:9090" as a socket address; false: it is none.
+bool read_address(const std::string& text, sockaddr_in& address);
+
+}  // namespace sumackeel::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,172 @@
+#include "net/stream.h"
+
+#include <array>
+#include <exception>
+#include <stdexcept>
+
+#include "net/log.h"
+
+namespace sumackeel::net {
+
+namespace {
+
+constexpr int kBacklog = 1024;
+
+struct Write {
+    uv_write_t request;
+    std::string bytes;
+};
+
+}  // namespace
+
+Stream::Stream(Loop& loop, Budget& budget, Owner& owner) : budget_(budget), owner_(&owner) {
+    uv_tcp_init(loop.raw(), &tcp_);
+    tcp_.data = this;
+    connecting_.data = this;
+}
+
+Stream* Stream::connect(Loop& loop, Budget& budget, const sockaddr_in& to, Owner& owner) {
+    if (!budget.take()) return nullptr;
+    auto* stream = new Stream(loop, budget, owner);
+    const int failed =
+        uv_tcp_connect(&stream->connecting_, &stream->tcp_, reinterpret_cast<const sockaddr*>(&to),
+                       [](uv_connect_t* request, int status) {
+                           auto* self = static_cast<Stream*>(request->data);
+                           if (self->closing_) return;
+                           if (status != 0) return self->lose(Gone::refused);
+                           self->start();
+                           self->owner_->opened(*self);
+                       });
+    if (failed == 0) return stream;
+    stream->close();
+    return nullptr;
+}
+
+Stream* Stream::accept(Loop& loop, Budget& budget, uv_stream_t* listener, Owner& owner) {
+    if (!budget.take()) return nullptr;
+    auto* stream = new Stream(loop, budget, owner);
+    if (uv_accept(listener, stream->as_stream()) != 0) {
+        stream->close();
+        return nullptr;
+    }
+    stream->start();
+    return stream;
+}
+
+void Stream::start() {
+    open_ = true;
+    uv_tcp_nodelay(&tcp_, 1);
+    pause(false);
+}
+
+void Stream::pause(bool on) {
+    if (!open_ || closing_ || reading_ == !on) return;
+    reading_ = !on;
+    if (on) {
+        uv_read_stop(as_stream());
+        return;
+    }
+    uv_read_start(
+        as_stream(),
+        [](uv_handle_t*, std::size_t, uv_buf_t* buffer) {
+            static std::array<char, 256 * 1024> room;  // one loop, one thread: used up before the next read
+            *buffer = uv_buf_init(room.data(), room.size());
+        },
+        [](uv_stream_t* handle, ssize_t count, const uv_buf_t* buffer) {
+            auto* self = static_cast<Stream*>(handle->data);
+            if (self->closing_ || count == 0) return;
+            if (count < 0) return self->lose(count == UV_EOF ? Gone::ended : Gone::broken);
+            try {
+                self->owner_->received(*self, {buffer->base, static_cast<std::size_t>(count)});
+            } catch (const std::exception& wrong) {
+                log::warn("connection dropped: {}", wrong.what());
+                if (!self->closing_) self->lose(Gone::broken);
+            }
+        });
+}
+
+void Stream::write(std::string bytes) {
+    if (!open_ || closing_) return;
+    auto* write = new Write{{}, std::move(bytes)};
+    write->request.data = this;
+    const uv_buf_t buffer = uv_buf_init(write->bytes.data(), static_cast<unsigned>(write->bytes.size()));
+    ++writes_;
+    const int failed =
+        uv_write(&write->request, as_stream(), &buffer, 1, [](uv_write_t* request, int status) {
+            auto* self = static_cast<Stream*>(request->data);
+            delete reinterpret_cast<Write*>(request);
+            --self->writes_;
+            if (self->closing_) return;
+            if (status != 0) return self->lose(Gone::broken);
+            if (self->writes_ == 0 && self->last_write_) return self->close();
+            self->owner_->drained(*self);
+        });
+    if (failed != 0) {
+        delete write;
+        --writes_;
+        // The read side tells of the broken connection; from here it would come in the middle of a call.
+    }
+}
+
+void Stream::lose(Gone how) {
+    Owner* owner = owner_;
+    close();
+    owner->gone(*this, how);
+}
+
+void Stream::close() {
+    if (closing_) return;
+    closing_ = true;
+    open_ = false;
+    uv_close(reinterpret_cast<uv_handle_t*>(&tcp_), [](uv_handle_t* handle) {
+        auto* self = static_cast<Stream*>(handle->data);
+        self->budget_.give_back();
+        delete self;
+    });
+}
+
+void Stream::close_when_sent() {
+    if (closing_) return;
+    if (writes_ == 0) return close();
+    last_write_ = true;
+}
+
+Listener::Listener(Loop& loop, const std::string& address, std::function<void(uv_stream_t*)> on_connection)
+    : tcp_(new uv_tcp_t), on_connection_(std::move(on_connection)) {
+    sockaddr_in at{};
+    const bool good = read_address(address, at);
+    uv_tcp_init(loop.raw(), tcp_);
+    tcp_->data = this;
+    int failed = good ? uv_tcp_bind(tcp_, reinterpret_cast<const sockaddr*>(&at), 0) : UV_EINVAL;
+    if (failed == 0)
+        failed =
+            uv_listen(reinterpret_cast<uv_stream_t*>(tcp_), kBacklog, [](uv_stream_t* server, int status) {
+                auto* self = static_cast<Listener*>(server->data);
+                if (status == 0 && self) self->on_connection_(server);
+            });
+    if (failed != 0) {
+        close();
+        throw std::runtime_error("can't listen on " + address + ": " + uv_strerror(failed));
+    }
+}
+
+Listener::~Listener() {
+    close();
+}
+
+int Listener::port() const {
+    sockaddr_in at{};
+    int length = sizeof at;
+    if (!tcp_ || uv_tcp_getsockname(tcp_, reinterpret_cast<sockaddr*>(&at), &length) != 0) return -1;
+    return ntohs(at.sin_port);
+}
+
+void Listener::close() {
+    if (!tcp_) return;
+    tcp_->data = nullptr;
+    uv_close(reinterpret_cast<uv_handle_t*>(tcp_),
+             [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
+    tcp_ = nullptr;
+}
+
+}  // namespace sumackeel::net
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,70 @@
+// One TCP connection, and a listener for them.
+#pragma once
+
+#include <uv.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/loop.h"
+
+namespace sumackeel::net {
+
+enum class Gone { refused, ended, broken };  // never came up; closed by the other side; reset or failed
+
+// Lives until its socket is closed. After close(), or once gone() was told, nothing more is heard of it and
+// the pointer is not to be used again.
+class Stream {
+  public:
+    class Owner {
+      public:
+        virtual ~Owner() = default;
+        virtual void opened(Stream&) {}
+        virtual void received(Stream& stream, std::string_view bytes) = 0;
+        virtual void drained(Stream&) {}
+        virtual void gone(Stream& stream, Gone how) = 0;
+    };
+
+    // Null: no descriptor is left. A failure to connect is told from the loop, never from within the call.
+    static Stream* connect(Loop& loop, Budget& budget, const sockaddr_in& to, Owner& owner);
+    static Stream* accept(Loop& loop, Budget& budget, uv_stream_t* listener, Owner& owner);
+
+    void write(std::string bytes);
+    std::size_t unsent() const { return uv_stream_get_write_queue_size(as_stream()); }
+    void pause(bool on);
+    void close();            // at once; what is unsent is dropped
+    void close_when_sent();  // after what is unsent
+    bool open() const { return open_; }
+
+  private:
+    Stream(Loop& loop, Budget& budget, Owner& owner);
+    const uv_stream_t* as_stream() const { return reinterpret_cast<const uv_stream_t*>(&tcp_); }
+    uv_stream_t* as_stream() { return reinterpret_cast<uv_stream_t*>(&tcp_); }
+    void start();
+    void lose(Gone how);
+
+    uv_tcp_t tcp_;
+    uv_connect_t connecting_;
+    Budget& budget_;
+    Owner* owner_;
+    bool open_ = false, closing_ = false, last_write_ = false, reading_ = false;
+    std::size_t writes_ = 0;
+};
+
+class Listener {
+  public:
+    Listener(Loop& loop, const std::string& address, std::function<void(uv_stream_t*)> on_connection);
+    ~Listener();
+    Listener(const Listener&) = delete;
+    Listener& operator=(const Listener&) = delete;
+    int port() const;
+    void close();
+
+  private:
+    uv_tcp_t* tcp_;
+    std::function<void(uv_stream_t*)> on_connection_;
+};
+
+}  // namespace sumackeel::net
--- /dev/null
+++ b/src/upstream/lines.cpp
@@ -0,0 +1,154 @@
+#include "upstream/lines.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <vector>
+
+namespace sumackeel::upstream {
+
+using nettlethread::Note;
+using nettlethread::Verdict;
+
+namespace {
+
+constexpr std::size_t kLongestHead = 2048;
+constexpr std::size_t kLongestBody = 240'000;
+constexpr std::size_t kCompactAt = 64 * 1024;
+
+// In the order of the notes; the first stands for Note::hit.
+constexpr std::array<std::string_view, 10> kNotes{"local",    "pulled",      "pulled_far", "rode",
+                                                  "expired",  "turned_away", "cut_off",    "not_there",
+                                                  "no_place", "far_fault"};
+
+core::Micros whole_ms(core::Micros time, core::Micros least) {
+    return std::max(least, time / 1000);
+}
+
+double number(std::string_view text) {
+    double value = -1;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (read.ec != std::errc{} || read.ptr != text.data() + text.size() || !std::isfinite(value)) return -1;
+    return value;
+}
+
+// Calls `each` with the parts of `text` between separators.
+template <typename Each>
+void split(std::string_view text, char separator, Each each) {
+    while (!text.empty()) {
+        const auto end = std::min(text.find(separator), text.size());
+        each(text.substr(0, end));
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+}
+
+void read_meter(std::string_view text, nettlethread::LoadReport& load) {
+    split(text, ';', [&](std::string_view part) {
+        const auto colon = part.find(':');
+        if (colon == std::string_view::npos) return;
+        const std::string_view name = part.substr(0, colon);
+        const double value = number(part.substr(colon + 1));
+        if (value < 0) return;
+        if (name == "inflight" || name == "outstanding") load.held = value;
+        if (name == "x1") load.link = value;
+    });
+}
+
+void read_field(std::string_view field, core::Ending& ending) {
+    const auto equals = field.find('=');
+    if (equals == std::string_view::npos) throw LineError("an answer's field has no value");
+    const std::string_view name = field.substr(0, equals), value = field.substr(equals + 1);
+    if (name == "tell") {
+        const auto place = std::find(kNotes.begin(), kNotes.end(), value);
+        if (place != kNotes.end()) ending.note = static_cast<Note>(1 + (place - kNotes.begin()));
+    } else if (name == "first") {
+        ending.first_byte = static_cast<core::Micros>(std::clamp(number(value), 0.0, 1e7) * 1000);
+    } else if (name == "meter") {
+        read_meter(value, ending.load);
+    } else if (name == "digest") {
+        ending.tag = value;
+    }
+}
+
+Verdict read_word(std::string_view word) {
+    if (word == "DONE" || word == "KEEP") return Verdict::served;
+    if (word == "LACK") return Verdict::missing;
+    if (word == "WAIT") return Verdict::full;
+    if (word == "BROKE") return Verdict::error;
+    if (word == "PAST") return Verdict::never_sent;
+    throw LineError("an answer begins with no known word");
+}
+
+}  // namespace
+
+std::string write_request(const core::Sending& sending) {
+    const core::Ask& ask = *sending.ask;
+    std::string text = "REQ " + ask.id + " cls=" + ask.service_name;
+    if (!ask.object.empty()) text += ",item=" + ask.object + ",chunk=" + std::to_string(ask.part);
+    text += ",limit=" + std::to_string(whole_ms(sending.limit, 1));
+    if (!sending.source.empty()) text += ",parent=" + sending.source;
+    if (sending.rank > 0) text += ",shelf=" + std::to_string(sending.rank);
+    // Rounded down: a copy that is a part of a millisecond too old must not pass.
+    if (sending.age > 0) text += ",accept=" + std::to_string(whole_ms(sending.age, 1));
+    std::string hints;
+    const auto hint = [&](bool on, const char* word) {
+        if (on) hints += (hints.empty() ? "" : "+") + std::string(word);
+    };
+    hint(sending.join, "coalesce");
+    hint(sending.source_holds, "shallow");
+    hint(sending.parent_skips, "transit");
+    hint(sending.renew, "freshen");
+    if (!hints.empty()) text += ",hints=" + hints;
+    if (!ask.have.empty()) text += ",got=" + ask.have;
+    return text + ' ' + std::to_string(ask.body.size()) + "\r\n" + ask.body + "\r\n";
+}
+
+std::string write_stop(const std::string& id) {
+    return "STOP " + id + "\r\n";
+}
+
+void AnswerReader::add(std::string_view bytes) {
+    if (at_ > kCompactAt || at_ == buffer_.size()) {
+        buffer_.erase(0, at_);
+        at_ = 0;
+    }
+    buffer_ += bytes;
+}
+
+bool AnswerReader::read_head() {
+    const auto end = buffer_.find("\r\n", at_);
+    if (end == std::string::npos) {
+        if (buffer_.size() - at_ > kLongestHead) throw LineError("an answer's line has no end");
+        return false;
+    }
+    if (end - at_ > kLongestHead) throw LineError("an answer's line is too long");
+    std::vector<std::string_view> words;
+    split(std::string_view(buffer_).substr(at_, end - at_), ' ', [&](auto word) { words.push_back(word); });
+    if (words.size() != 4) throw LineError("an answer has not four words");
+    answer_ = {};
+    answer_.id = words[0];
+    answer_.ending.verdict = read_word(words[1]);
+    answer_.ending.same = words[1] == "KEEP";
+    if (words[2] != "-") split(words[2], ',', [&](auto field) { read_field(field, answer_.ending); });
+    const char* stop = words[3].data() + words[3].size();
+    const auto read = std::from_chars(words[3].data(), stop, length_);
+    if (read.ec != std::errc{} || read.ptr != stop || length_ > kLongestBody)
+        throw LineError("an answer's length can't be");
+    at_ = end + 2;
+    in_body_ = true;
+    return true;
+}
+
+bool AnswerReader::next(Answer& answer) {
+    if (!in_body_ && !read_head()) return false;
+    if (buffer_.size() - at_ < length_ + 2) return false;
+    if (buffer_.compare(at_ + length_, 2, "\r\n") != 0) throw LineError("an answer's body has no end");
+    answer = std::move(answer_);
+    answer.ending.body = buffer_.substr(at_, length_);
+    at_ += length_ + 2;
+    in_body_ = false;
+    return true;
+}
+
+}  // namespace sumackeel::upstream
--- /dev/null
+++ b/src/upstream/pool.cpp
@@ -0,0 +1,219 @@
+#include "upstream/pool.h"
+
+#include <algorithm>
+
+#include "net/log.h"
+
+namespace sumackeel::upstream {
+
+using nettlethread::Verdict;
+
+namespace {
+
+constexpr std::size_t kMostChannels = 16;  // to one target
+constexpr std::size_t kShareUpTo = 4;      // a channel that carries fewer is shared before one is opened
+constexpr Micros kSilence = 400'000;       // open attempts and not a byte for this long: trusted no more
+constexpr Micros kIdleMargin = 1'000'000;  // idle channels close this long before the other side would
+constexpr Micros kSweep = 250'000;
+
+std::uint64_t number_of(Handle handle) {
+    return (static_cast<std::uint64_t>(handle.slot) << 32) | handle.generation;
+}
+
+}  // namespace
+
+struct Pool::Channel : net::Stream::Owner {
+    Pool& pool;
+    std::uint64_t number;
+    std::string target;
+    net::Stream* stream = nullptr;
+    bool up = false;
+    std::vector<std::pair<std::string, std::string>> waiting;  // id and text, to be written once it is up
+    std::unordered_map<std::string, Open> open;
+    AnswerReader reader;
+    Micros heard = 0;  // last byte that came, or the first sent after a pause
+    Micros used = 0;
+    core::Deadlines::Key connect_by;
+
+    Channel(Pool& owner, std::uint64_t n, std::string to) : pool(owner), number(n), target(std::move(to)) {}
+
+    void opened(net::Stream& s) override {
+        up = true;
+        heard = pool.loop_.clock().now();
+        pool.loop_.deadlines().drop(connect_by);
+        std::string all;
+        for (const auto& [id, text] : waiting) all += text;
+        waiting.clear();
+        if (!all.empty()) s.write(std::move(all));
+    }
+
+    void received(net::Stream&, std::string_view bytes) override {
+        heard = pool.loop_.clock().now();
+        reader.add(bytes);
+        Answer answer;
+        while (reader.next(answer)) {
+            const auto found = open.find(answer.id);
+            if (found == open.end()) continue;  // given up already
+            const Handle attempt = found->second.attempt;
+            open.erase(found);
+            used = heard;
+            pool.carried_.erase(number_of(attempt));
+            pool.core_.ended(attempt, std::move(answer.ending));
+        }
+    }
+
+    void gone(net::Stream&, net::Gone how) override {
+        stream = nullptr;
+        if (how == net::Gone::refused) log::debug("{} refused a connection", target);
+        pool.drop(*this, up);
+    }
+};
+
+Pool::Pool(net::Loop& loop, net::Budget& budget, core::Core& core, Limits limits)
+    : loop_(loop), budget_(budget), core_(core), limits_(limits) {
+    sweep();
+    loop_.each_turn([this] { dead_.clear(); });
+}
+
+Pool::~Pool() {
+    for (auto& [number, channel] : channels_)
+        if (channel->stream) channel->stream->close();
+}
+
+void Pool::place(const std::string& name, const std::string& address) {
+    Target& target = targets_[name];
+    if (target.address == address) return;
+    target.address = address;
+    // Connections to the old place belong to another machine.
+    std::vector<Channel*> old;
+    for (const auto& channel : target.channels) old.push_back(channel.get());
+    for (Channel* channel : old) drop(*channel, channel->up);
+}
+
+bool Pool::silent(const Channel& channel) const {
+    if (!channel.up || channel.open.empty()) return false;
+    return loop_.clock().now() - channel.heard > kSilence;
+}
+
+// The least loaded channel that works and that the request has not used before: the name of a request stands
+// for one attempt on a channel, also after a STOP.
+Pool::Channel* Pool::pick(Target& target, const core::Sending& sending) {
+    Channel* best = nullptr;
+    for (const auto& channel : target.channels) {
+        if (silent(*channel) || channel->open.size() >= static_cast<std::size_t>(limits_.streams_per_conn))
+            continue;
+        if (std::find(sending.avoid.begin(), sending.avoid.end(), channel->number) != sending.avoid.end())
+            continue;
+        if (!best || std::pair(!channel->up, channel->open.size()) < std::pair(!best->up, best->open.size()))
+            best = channel.get();
+    }
+    const bool roomy = target.channels.size() < kMostChannels;
+    if (best && (best->open.size() < kShareUpTo || !roomy)) return best;
+    if (!roomy) return best;
+    Channel* fresh = dial(sending.target, target);
+    // A channel that is up answers sooner than one that has yet to come up.
+    return best && best->up && best->open.size() < 4 * kShareUpTo ? best : fresh ? fresh : best;
+}
+
+Pool::Channel* Pool::dial(const std::string& name, Target& target) {
+    sockaddr_in address{};
+    if (!net::read_address(target.address, address)) return nullptr;
+    auto channel = std::make_unique<Channel>(*this, next_channel_++, name);
+    channel->stream = net::Stream::connect(loop_, budget_, address, *channel);
+    if (!channel->stream) return nullptr;
+    Channel* raw = channel.get();
+    raw->used = loop_.clock().now();
+    raw->connect_by =
+        loop_.deadlines().set(raw->used + limits_.connect_timeout, [this, number = raw->number] {
+            const auto found = channels_.find(number);
+            if (found == channels_.end() || found->second->up) return;
+            drop(*found->second, false);
+            core_.run();
+        });
+    channels_[raw->number] = raw;
+    target.channels.push_back(std::move(channel));
+    return raw;
+}
+
+std::uint64_t Pool::send(const core::Sending& sending) {
+    const auto place = targets_.find(sending.target);
+    Channel* channel = place == targets_.end() ? nullptr : pick(place->second, sending);
+    const Handle attempt = sending.attempt;
+    if (!channel) {
+        log::warn("no connection can be opened to {}", sending.target);
+        loop_.deadlines().set(loop_.clock().now(), [this, attempt] { end(attempt, Verdict::not_connected); });
+        return 0;
+    }
+    const Micros now = loop_.clock().now();
+    std::string text = write_request(sending);
+    if (channel->open.empty()) channel->heard = now;
+    channel->open[sending.ask->id] = {attempt, now};
+    channel->used = now;
+    carried_[number_of(attempt)] = {channel->number, sending.ask->id};
+    if (channel->up)
+        channel->stream->write(std::move(text));
+    else
+        channel->waiting.emplace_back(sending.ask->id, std::move(text));
+    return channel->number;
+}
+
+bool Pool::stop(Handle attempt) {
+    const auto found = carried_.find(number_of(attempt));
+    if (found == carried_.end()) return true;
+    const Where where = found->second;
+    carried_.erase(found);
+    const auto at = channels_.find(where.channel);
+    if (at == channels_.end()) return true;
+    Channel& channel = *at->second;
+    channel.open.erase(where.id);
+    if (channel.up) channel.stream->write(write_stop(where.id));
+    if (!channel.up) std::erase_if(channel.waiting, [&](const auto& w) { return w.first == where.id; });
+    return channel.up;
+}
+
+void Pool::end(Handle attempt, Verdict verdict) {
+    carried_.erase(number_of(attempt));
+    core_.ended(attempt, core::Ending{.verdict = verdict});
+    core_.run();
+}
+
+// All that was open on the channel is over: it may have run if the channel had come up.
+void Pool::drop(Channel& channel, bool came_up) {
+    if (!channels_.erase(channel.number)) return;
+    loop_.deadlines().drop(channel.connect_by);
+    if (channel.stream) channel.stream->close();
+    channel.stream = nullptr;
+    Target& target = targets_[channel.target];
+    const auto place = std::find_if(target.channels.begin(), target.channels.end(),
+                                    [&](const auto& c) { return c.get() == &channel; });
+    dead_.push_back(std::move(*place));
+    target.channels.erase(place);
+    std::vector<Handle> open;
+    for (const auto& [id, o] : channel.open) open.push_back(o.attempt);
+    std::sort(open.begin(), open.end(), [](Handle a, Handle b) { return number_of(a) < number_of(b); });
+    for (const Handle attempt : open) {
+        carried_.erase(number_of(attempt));
+        core_.ended(attempt, core::Ending{.verdict = came_up ? Verdict::broken_off : Verdict::not_connected});
+    }
+}
+
+void Pool::close_idle(const std::string& name) {
+    const auto found = targets_.find(name);
+    if (found == targets_.end()) return;
+    std::vector<Channel*> idle;
+    for (const auto& channel : found->second.channels)
+        if (channel->open.empty() && channel->up) idle.push_back(channel.get());
+    for (Channel* channel : idle) drop(*channel, true);
+}
+
+void Pool::sweep() {
+    const Micros now = loop_.clock().now();
+    std::vector<Channel*> idle;
+    for (const auto& [number, channel] : channels_)
+        if (channel->up && channel->open.empty() && now - channel->used > limits_.idle_close - kIdleMargin)
+            idle.push_back(channel);
+    for (Channel* channel : idle) drop(*channel, true);
+    loop_.deadlines().set(now + kSweep, [this] { sweep(); });
+}
+
+}  // namespace sumackeel::upstream
--- /dev/null
+++ b/src/upstream/pool.h
@@ -0,0 +1,70 @@
+// Connections to pop caches, parents and the origin, and the attempts that they carry.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/core.h"
+#include "net/stream.h"
+#include "upstream/lines.h"
+
+namespace sumackeel::upstream {
+
+using core::Handle;
+using core::Micros;
+
+struct Limits {
+    int streams_per_conn = 100;
+    Micros connect_timeout = 400'000;
+    Micros idle_close = 15'000'000;
+};
+
+class Pool : public core::Upstream {
+  public:
+    Pool(net::Loop& loop, net::Budget& budget, core::Core& core, Limits limits);
+    ~Pool() override;
+
+    // Where a target listens from now on. Another address than before is another machine.
+    void place(const std::string& target, const std::string& address);
+
+    std::uint64_t send(const core::Sending& sending) override;
+    bool stop(Handle attempt) override;
+    void close_idle(const std::string& target) override;
+
+  private:
+    struct Open {
+        Handle attempt;
+        Micros sent = 0;
+    };
+    struct Channel;
+    struct Target {
+        std::string address;
+        std::vector<std::unique_ptr<Channel>> channels;
+    };
+
+    Channel* pick(Target& target, const core::Sending& sending);
+    Channel* dial(const std::string& name, Target& target);
+    void end(Handle attempt, nettlethread::Verdict verdict);
+    void drop(Channel& channel, bool came_up);
+    bool silent(const Channel& channel) const;
+    void sweep();
+
+    net::Loop& loop_;
+    net::Budget& budget_;
+    core::Core& core_;
+    Limits limits_;
+    std::map<std::string, Target> targets_;
+    std::unordered_map<std::uint64_t, Channel*> channels_;  // by number
+    std::uint64_t next_channel_ = 1;
+    struct Where {
+        std::uint64_t channel;
+        std::string id;
+    };
+    std::unordered_map<std::uint64_t, Where> carried_;  // attempt to its place
+    std::vector<std::unique_ptr<Channel>> dead_;
+};
+
+}  // namespace sumackeel::upstream
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -5,9 +5,12 @@
 #include <limits>
 #include <optional>
 
+#include "config/config.h"
+
 namespace nettlethread::wire {
 
 using nlohmann::json;
+namespace config = sumackeel::config;
 
 namespace {
 
@@ -97,129 +100,11 @@
 }
 
 // A setting that may be absent; unknown ones are never looked at.
-template <typename T>
-void take(const json& object, const char* key, T& into, const std::string& where) {
-    if (!object.is_object()) bad(where, "not an object");
-    auto found = object.find(key);
-    if (found == object.end() || found->is_null()) return;
-    into = get_as<T>(*found, where + "." + key);
-}
-
-const json& section(const json& object, const char* key) {
-    static const json empty = json::object();
-    auto found = object.find(key);
-    return found == object.end() || found->is_null() ? empty : *found;
-}
-
-std::string take_word(const json& object, const char* key, const std::string& otherwise,
-                      const std::string& where) {
-    std::string value = otherwise;
-    take(object, key, value, where);
-    return value;
-}
-
 int place_of(const std::vector<std::string>& names, const std::string& name) {
     auto found = std::find(names.begin(), names.end(), name);
     return found == names.end() ? -1 : static_cast<int>(found - names.begin());
 }
 
-template <typename T>
-T nth_or(const std::vector<T>& list, std::size_t n, T otherwise) {
-    return n < list.size() ? list[n] : otherwise;
-}
-
-void read_classes(const json& params, Start& start) {
-    const json& family = section(params, "family_info");
-    std::vector<Micros> fresh, grace;
-    std::vector<double> stale_worth;
-    std::vector<bool> pieces, uncached;
-    take(family, "good_for", fresh, "params.family_info");
-    take(family, "grace_for", grace, "params.family_info");
-    take(family, "class_stale_worth", stale_worth, "params.family_info");
-    take(family, "in_pieces", pieces, "params.family_info");
-    take(family, "uncached", uncached, "params.family_info");
-    auto found = params.find("classes");
-    if (found == params.end() || !found->is_array()) bad("params.classes", "missing or not a list");
-    for (std::size_t i = 0; i < found->size(); ++i) {
-        const json& item = (*found)[i];
-        const std::string where = "params.classes[" + std::to_string(i) + "]";
-        ClassSettings service;
-        std::string name;
-        take(item, "name", name, where);
-        if (name.empty()) bad(where, "no name");
-        take(item, "aim", service.aim, where);
-        take(item, "aim_stretch", service.aim_stretch, where);
-        take(item, "give_up", service.give_up, where);
-        take(item, "late_value", service.late_value, where);
-        take(item, "points", service.points, where);
-        take(item, "window", service.window, where);
-        take(item, "stream", service.stream, where);
-        service.semantics = word<Semantics>(
-            where, take_word(item, "semantics", "retryable", where),
-            {{"retryable", Semantics::safe}, {"dedup", Semantics::keyed}, {"fragile", Semantics::unsafe}});
-        service.scope = word<Scope>(where, take_word(item, "group", "all", where),
-                                    {{"all", Scope::all}, {"zone", Scope::zone}, {"cell", Scope::cell}});
-        service.fresh = nth_or<Micros>(fresh, i, 0);
-        service.grace = nth_or<Micros>(grace, i, 0);
-        service.stale_worth = nth_or(stale_worth, i, 1.0);
-        service.in_pieces = i < pieces.size() && pieces[i];
-        service.uncached = i < uncached.size() && uncached[i];
-        start.names.classes.push_back(name);
-        start.settings.classes.push_back(service);
-    }
-}
-
-void read_family(const json& params, Settings& settings) {
-    const json& family = section(params, "family_info");
-    const std::string where = "params.family_info";
-    take(family, "count_by_zone", settings.zone_instances, where);
-    take(family, "zone_hub", settings.zone_hub, where);
-    take(family, "inlet_kb_per_s", settings.inlet_kb_per_s, where);
-    take(family, "upper_kind", settings.parent_kind, where);
-    take(family, "origin_kind", settings.origin_kind, where);
-    take(family, "pace_kb_per_s", settings.pace_kb_per_s, where);
-    take(family, "joins", settings.joins, where);
-    take(family, "direct", settings.direct, where);
-    settings.neighbours = word<Neighbours>(
-        where, take_word(family, "neighbours", "silent", where),
-        {{"silent", Neighbours::none}, {"location", Neighbours::own_zone}, {"any", Neighbours::any}});
-    settings.notes = word<Notes>(where, take_word(family, "notes_given", "silent", where),
-                                 {{"silent", Notes::none}, {"hit", Notes::hits}, {"all", Notes::all}});
-    take(family, "obey_after", settings.obey_after, where);
-    take(family, "cleared_within", settings.cleared_within, where);
-    take(family, "parent_cold_from", settings.parent_cold_from, where);
-    take(family, "parent_ramp", settings.parent_ramp, where);
-    take(family, "parent_breaks_at", settings.parent_breaks_at, where);
-    take(family, "origin_stops_at", settings.origin_stops_at, where);
-    take(family, "origin_over_for", settings.origin_over_for, where);
-}
-
-void read_limits(const json& params, Settings& settings) {
-    const json& contract = section(params, "contract");
-    std::string where = "params.contract";
-    take(contract, "answer_slack", settings.answer_slack, where);
-    take(contract, "ask_within", settings.ask_within, where);
-    take(contract, "drain_grace", settings.drain_grace, where);
-    take(contract, "cold_share", settings.cold_share, where);
-    take(contract, "warm_after", settings.warm_after, where);
-    take(contract, "tip_multiple", settings.tip_multiple, where);
-    take(contract, "overload_for", settings.overload_for, where);
-    const json& limits = section(params, "limits");
-    where = "params.limits";
-    take(limits, "cancel", settings.may_cancel, where);
-    take(limits, "probes", settings.may_probe, where);
-    take(limits, "peers", settings.may_tell_peers, where);
-    take(limits, "second_copies", settings.second_copies, where);
-    take(limits, "retry_after", settings.retry_advice, where);
-    take(limits, "max_retry_after", settings.longest_advice, where);
-    take(limits, "most_tries", settings.most_tries, where);
-    take(limits, "most_held", settings.most_held, where);
-    take(limits, "connect_timeout", settings.connect_timeout, where);
-    const json& prices = section(params, "prices");
-    take(prices, "waste", settings.waste_price, "params.prices");
-    take(prices, "late_fail", settings.late_fail_price, "params.prices");
-}
-
 Verdict read_verdict(const Fields& fields, std::size_t place) {
     return word<Verdict>(fields.where(), fields.text(place),
                          {{"completed", Verdict::served},
@@ -239,8 +124,7 @@
     const json* value = fields.at(place);
     if (!value) return load;
     if (!value->is_object()) bad(fields.where(), "load report is not an object");
-    const std::pair<const char*, double*> known[] = {
-        {"outstanding", &load.held}, {"x1", &load.link}};
+    const std::pair<const char*, double*> known[] = {{"outstanding", &load.held}, {"x1", &load.link}};
     for (const auto& [name, into] : known) {
         auto found = value->find(name);
         if (found == value->end() || !found->is_number()) continue;
@@ -391,30 +275,14 @@
     const Fields fields(message, "new_instance");
     Start start;
     start.seed = get_as<std::uint64_t>(fields.need(1), "new_instance.nonce64");
-    const json& params = fields.need(2);
-    if (!params.is_object()) bad("params", "not an object");
-    Settings& settings = start.settings;
-    take(params, "zones", start.names.zones, "params");
-    take(params, "shapes", start.names.kinds, "params");
-    for (const json& tenant : section(params, "projects"))
-        start.names.tenants.push_back(take_word(tenant, "name", "", "params.projects"));
-    read_classes(params, start);
-    take(params, "instances", settings.instances, "params");
-    take(params, "me", settings.me, "params");
-    take(params, "tick", settings.tick, "params");
-    settings.my_zone = place_of(start.names.zones, take_word(params, "my_zone", "", "params"));
-    settings.ask_for_list = word<bool>("params.discovery", take_word(params, "discovery", "pushed", "params"),
-                                       {{"pushed", false}, {"on_request", true}});
-    settings.weights = word<Weights>("params.weights", take_word(params, "weights", "silent", "params"),
-                                     {{"silent", Weights::none},
-                                      {"nominal", Weights::nominal},
-                                      {"rough", Weights::rough},
-                                      {"live", Weights::live}});
-    settings.reports = word<Reports>(
-        "params.report.via", take_word(section(params, "report"), "via", "silent", "params.report"),
-        {{"silent", Reports::none}, {"piggyback", Reports::with_answers}, {"pull", Reports::on_probe}});
-    read_family(params, settings);
-    read_limits(params, settings);
+    try {
+        config::Site site = config::read_site(fields.need(2).dump());
+        start.settings = std::move(site.settings);
+        start.names = {std::move(site.classes), std::move(site.zones), std::move(site.kinds),
+                       std::move(site.tenants)};
+    } catch (const config::ConfigError& wrong) {
+        throw WireError(wrong.what());
+    }
     return start;
 }
 
--- a/tests/install_test.sh
+++ b/tests/install_test.sh
@@ -3,7 +3,7 @@
 set -eu
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-cmake -S "$1" -B "$work/build" -DCMAKE_BUILD_TYPE=Release >/dev/null
+cmake -S "$1" -B "$work/build" -DCMAKE_BUILD_TYPE=Release -DNETTLETHREAD_DAEMON=OFF >/dev/null
 cmake --build "$work/build" >/dev/null
 cmake --install "$work/build" --prefix "$work/prefix" >/dev/null
 mkdir "$work/user"
