--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,10 +1,13 @@
 #include "cli/serve.h"
 
+#include <atomic>
 #include <csignal>
 
 #include "core/core.h"
 #include "feed/feed.h"
 #include "front_platform/front.h"
+#include "front_signed/front.h"
+#include "front_signed/one_time.h"
 #include "net/log.h"
 #include "upstream/pool.h"
 
@@ -31,13 +34,18 @@
     core::Core core;
     upstream::Pool pool;
     front_platform::Front front;
+    std::unique_ptr<front_signed::OneTime> one_time;
+    std::unique_ptr<front_signed::Front> signed_front;
     std::unique_ptr<feed::Feed> feed;
     uv_signal_t term{};
+    uv_async_t told{};
+    std::atomic<bool> end_told = false, stop_told = false;
     Micros told_to_end = 0;
 
-    explicit Parts(const config::Config& c)
+    Parts(const config::Config& c, const config::Operator& setup)
         : config(c),
-          sockets(c.sockets - c.sockets / 3 - kReserve),
+          sockets(c.sockets - c.sockets / 3 - kReserve -
+                  (setup.signed_front ? setup.signed_front->connections : 0)),
           core(c.site.settings, c.seed, loop.clock(), loop.deadlines()),
           pool(loop, sockets, core,
                {.streams_per_conn = c.site.streams_per_conn,
@@ -53,7 +61,19 @@
         if (!c.changelog.empty())
             feed = std::make_unique<feed::Feed>(loop, sockets, c.changelog, c.site, c.known_seq,
                                                 [this](const auto& change) { change_heard(change, false); });
+        if (setup.signed_front) {
+            if (setup.signed_front->one_time == "local")
+                one_time = std::make_unique<front_signed::LocalOneTime>();
+            signed_front = std::make_unique<front_signed::Front>(loop, core, c.site, *setup.signed_front,
+                                                                 one_time.get(), c.seed);
+        }
         loop.each_turn([this] { core.run(); });
+        uv_async_init(loop.raw(), &told, [](uv_async_t* handle) {
+            auto* self = static_cast<Parts*>(handle->data);
+            if (self->stop_told) return self->loop.stop();
+            if (self->end_told) self->end();
+        });
+        told.data = this;
         uv_signal_init(loop.raw(), &term);
         term.data = this;
         uv_signal_start(
@@ -83,28 +103,40 @@
         if (told_to_end) return;
         told_to_end = loop.clock().now();
         log::info("told to end: {} requests open", core.open_requests());
+        if (signed_front) signed_front->leaving();
         look_for_end();
     }
 
     void look_for_end() {
         const Micros now = loop.clock().now(), since = now - told_to_end;
         if (since >= kKeepAccepting) front.stop_listening();
-        const bool done = core.open_requests() == 0 && !front.unsent();
+        if (since >= kKeepAccepting && signed_front) signed_front->stop_listening();
+        const bool done =
+            core.open_requests() == 0 && !front.unsent() && !(signed_front && signed_front->unsent());
         if ((since >= kKeepAccepting && done) || since > kLongestEnd) return loop.stop();
         loop.deadlines().set(now + kLookForEnd, [this] { look_for_end(); });
     }
 };
 
-Daemon::Daemon(const config::Config& config) : parts_(std::make_unique<Parts>(config)) {}
+Daemon::Daemon(const config::Config& config, const config::Operator& setup)
+    : parts_(std::make_unique<Parts>(config, setup)) {}
 Daemon::~Daemon() = default;
 void Daemon::run() {
     parts_->loop.run();
 }
 void Daemon::end() {
-    parts_->end();
+    parts_->end_told = true;
+    uv_async_send(&parts_->told);
+}
+void Daemon::stop() {
+    parts_->stop_told = true;
+    uv_async_send(&parts_->told);
 }
 int Daemon::port() const {
     return parts_->front.port();
 }
+int Daemon::signed_port() const {
+    return parts_->signed_front ? parts_->signed_front->port() : -1;
+}
 
 }  // namespace sumackeel::cli
--- a/src/cli/serve.h
+++ b/src/cli/serve.h
@@ -4,16 +4,20 @@
 #include <memory>
 
 #include "config/config.h"
+#include "config/operator.h"
 
 namespace sumackeel::cli {
 
 class Daemon {
   public:
-    explicit Daemon(const config::Config& config);
+    // Both must outlive the daemon.
+    Daemon(const config::Config& config, const config::Operator& setup);
     ~Daemon();
-    void run();        // until it was told to end and all that was open is answered
-    void end();        // as on SIGTERM
-    int port() const;  // of the platform's front
+    void run();               // until it was told to end and all that was open is answered
+    void end();               // as on SIGTERM; from any thread
+    void stop();              // at once, with all that is open; from any thread
+    int port() const;         // of the platform's front
+    int signed_port() const;  // of the front for signed links; -1: it is off
 
   private:
     struct Parts;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,13 +1,12 @@
 #include "config/config.h"
 
-#include <json/json.h>
-
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <fstream>
 #include <sstream>
 
+#include "config/read.h"
+
 namespace sumackeel::config {
 
 using Json::Value;
@@ -17,77 +16,12 @@
 
 namespace {
 
-[[noreturn]] void bad(const std::string& where, const std::string& what) {
-    throw ConfigError(where + ": " + what);
-}
-
-void read_as(const Value& value, bool& into, const std::string& where) {
-    if (!value.isBool()) bad(where, "not true or false");
-    into = value.asBool();
-}
-void read_as(const Value& value, double& into, const std::string& where) {
-    if (!value.isNumeric() || !std::isfinite(value.asDouble())) bad(where, "not a number");
-    into = value.asDouble();
-}
-void read_as(const Value& value, std::int64_t& into, const std::string& where) {
-    if (value.isInt64())
-        into = value.asInt64();
-    else if (value.isDouble() && std::abs(value.asDouble()) < 9e18)
-        into = std::llround(value.asDouble());
-    else
-        bad(where, "not a whole number");
-}
-void read_as(const Value& value, int& into, const std::string& where) {
-    if (!value.isInt()) bad(where, "not a whole number");
-    into = value.asInt();
-}
-void read_as(const Value& value, std::string& into, const std::string& where) {
-    if (!value.isString()) bad(where, "not text");
-    into = value.asString();
-}
-template <typename T>
-void read_as(const Value& value, std::vector<T>& into, const std::string& where) {
-    if (!value.isArray()) bad(where, "not a list");
-    into.clear();
-    for (const Value& item : value) {
-        T one{};
-        read_as(item, one, where);
-        into.push_back(one);
-    }
-}
-
-// A value that may be absent; unknown ones are never looked at.
-template <typename T>
-void take(const Value& object, const char* key, T& into, const std::string& where) {
-    if (!object.isObject()) bad(where, "not an object");
-    const Value& value = object[key];
-    if (!value.isNull()) read_as(value, into, where + '.' + key);
-}
-
-template <typename T>
-T need(const Value& object, const char* key, const std::string& where) {
-    if (!object.isObject() || object[key].isNull()) bad(where, std::string(key) + " is missing");
-    T value{};
-    take(object, key, value, where);
-    return value;
-}
-
 const Value& section(const Value& object, const char* key) {
     static const Value empty(Json::objectValue);
     const Value& value = object[key];
     return value.isNull() ? empty : value;
 }
 
-template <typename T>
-T take_word(const Value& object, const char* key, const std::string& otherwise, const std::string& where,
-            std::initializer_list<std::pair<const char*, T>> words) {
-    std::string text = otherwise;
-    take(object, key, text, where);
-    for (const auto& [word, value] : words)
-        if (text == word) return value;
-    bad(where + '.' + key, "unknown word '" + text + "'");
-}
-
 int place_of(const std::vector<std::string>& names, const std::string& name) {
     const auto found = std::find(names.begin(), names.end(), name);
     return found == names.end() ? -1 : static_cast<int>(found - names.begin());
--- /dev/null
+++ b/src/config/operator.h
@@ -0,0 +1,41 @@
+// What an operator sets up beside the platform's configuration. Without this file the signed front is off.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+
+namespace sumackeel::config {
+
+// What a key may be used for; a key for one purpose is never tried for another.
+enum class Purpose { link, student, subject };
+
+struct KeyFile {
+    std::string kid, alg, jwk;  // jwk: the key as its JSON text
+    Purpose purpose = Purpose::link;
+    std::int64_t not_before = 0, not_after = 0;  // Unix seconds; 0: open
+};
+
+struct SignedFront {
+    std::string listen;
+    std::string scheme = "https", host;  // as the links name this service
+    std::vector<std::string> link_issuers, token_issuers;
+    std::string audience;
+    double leeway_s = 5;
+    int connections = 128;
+    int retry_after_s = 1;  // where the module names no time to come back
+    std::string one_time;   // "local", "redis" or empty: none, so one-time links and enrol are refused
+    std::vector<KeyFile> keys;
+};
+
+struct Operator {
+    std::optional<SignedFront> signed_front;
+};
+
+// Keys come from the file that "keys" names, taken from the operator's file's own folder.
+Operator load_operator(const std::string& path);
+
+}  // namespace sumackeel::config
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -15,6 +15,12 @@
     std::uint32_t generation = 0;
 
     bool operator==(const Handle&) const = default;
+
+    // As one number, for others to keep.
+    std::uint64_t number() const { return (static_cast<std::uint64_t>(slot) << 32) | generation; }
+    static Handle of(std::uint64_t number) {
+        return {static_cast<std::uint32_t>(number >> 32), static_cast<std::uint32_t>(number)};
+    }
 };
 
 template <typename T>
--- a/src/front_platform/front.cpp
+++ b/src/front_platform/front.cpp
@@ -18,13 +18,6 @@
 constexpr std::size_t kLongestBody = 48'000;
 constexpr core::Micros kLongestWait = 60'000'000;  // a time-out beyond this is no sound figure
 
-std::uint64_t number_of(Handle handle) {
-    return (static_cast<std::uint64_t>(handle.slot) << 32) | handle.generation;
-}
-Handle handle_of(std::uint64_t number) {
-    return {static_cast<std::uint32_t>(number >> 32), static_cast<std::uint32_t>(number)};
-}
-
 template <typename T>
 std::optional<T> number(const std::map<std::string, std::string>& fields, const char* name) {
     const auto found = fields.find(name);
@@ -153,12 +146,12 @@
         core_.open_requests() >= static_cast<std::size_t>(std::max(1, site_.settings.most_held));
     if (crowded) return client.stream->write(write_answer(call.seqid, {.how = core::Answered::refused}));
     const Handle ours = open_.add({client.number, call.seqid});
-    const Handle cores = core_.take(std::move(ask), *this, number_of(ours));
+    const Handle cores = core_.take(std::move(ask), *this, ours.number());
     client.open[call.seqid] = {ours, cores};
 }
 
 void Front::answer(std::uint64_t cookie, core::Reply reply) {
-    const Handle ours = handle_of(cookie);
+    const Handle ours = Handle::of(cookie);
     const Open* open = open_.find(ours);
     if (!open) return;
     const auto [number, seqid] = *open;
--- /dev/null
+++ b/src/front_signed/front.cpp
@@ -0,0 +1,385 @@
+#include "front_signed/front.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "net/log.h"
+
+namespace sumackeel::front_signed {
+
+using core::Answered;
+using core::Handle;
+using core::Micros;
+
+namespace {
+
+constexpr std::size_t kLongestHead = 24 * 1024;
+constexpr std::size_t kLongestBody = 48'000;
+constexpr std::size_t kMostAhead = 64 * 1024;  // of requests sent before the last was answered
+constexpr Micros kPatience = 15'000'000;       // for a whole request to come
+
+std::string lower(std::string text) {
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+    return text;
+}
+
+const char* title(int status) {
+    switch (status) {
+        case 200:
+            return "OK";
+        case 304:
+            return "Not Modified";
+        case 400:
+            return "Bad Request";
+        case 401:
+            return "Unauthorized";
+        case 403:
+            return "Forbidden";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 413:
+            return "Content Too Large";
+        case 431:
+            return "Request Header Fields Too Large";
+        case 503:
+            return "Service Unavailable";
+        case 504:
+            return "Gateway Timeout";
+        default:
+            return "Bad Gateway";
+    }
+}
+
+// The bare tag of an If-None-Match with one entity tag; empty for any other.
+std::string bare_tag(std::string_view value) {
+    if (value.starts_with("W/")) value.remove_prefix(2);
+    if (value.size() < 3 || value.size() > 66 || value.front() != '"' || value.back() != '"') return {};
+    value = value.substr(1, value.size() - 2);
+    const bool plain =
+        std::all_of(value.begin(), value.end(), [](unsigned char c) { return std::isalnum(c); });
+    return plain ? std::string(value) : std::string{};
+}
+
+// Prefer: wait=SECONDS (RFC 7240).
+Micros wanted_wait(std::string_view value, Micros otherwise) {
+    const auto at = value.find("wait=");
+    double seconds = 0;
+    if (at == std::string_view::npos) return otherwise;
+    const auto read = std::from_chars(value.data() + at + 5, value.data() + value.size(), seconds);
+    if (read.ec != std::errc{} || !(seconds > 0)) return otherwise;
+    return std::min(otherwise, static_cast<Micros>(std::min(seconds, 3600.0) * 1e6));
+}
+
+}  // namespace
+
+struct Front::Client : net::Stream::Owner {
+    Front& front;
+    std::uint64_t number;
+    net::Stream* stream = nullptr;
+    http_parser parser{};
+    std::string ahead;  // bytes behind the request that is being answered
+    std::string url, name, value, body;
+    std::map<std::string, std::string> headers;
+    std::size_t head = 0;
+    int too_much = 0;  // the status for a request that is over a limit
+    bool busy = false, whole = false, keep = true;
+    Handle ours, cores;
+    core::Deadlines::Key patience;
+
+    Client(Front& owner, std::uint64_t n) : front(owner), number(n) {
+        http_parser_init(&parser, HTTP_REQUEST);
+        parser.data = this;
+    }
+
+    static const http_parser_settings& calls() {
+        static const http_parser_settings settings = [] {
+            http_parser_settings s;
+            http_parser_settings_init(&s);
+            s.on_message_begin = [](http_parser* p) { return self(p).begin(); };
+            s.on_url = [](http_parser* p, const char* at, std::size_t n) {
+                return self(p).add(self(p).url, at, n);
+            };
+            s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+                if (!self(p).value.empty()) self(p).header();
+                return self(p).add(self(p).name, at, n);
+            };
+            s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+                return self(p).add(self(p).value, at, n);
+            };
+            s.on_headers_complete = [](http_parser* p) { return self(p).header(), 0; };
+            s.on_body = [](http_parser* p, const char* at, std::size_t n) { return self(p).add_body(at, n); };
+            s.on_message_complete = [](http_parser* p) {
+                self(p).whole = true;
+                self(p).keep = http_should_keep_alive(p) != 0;
+                http_parser_pause(p, 1);
+                return 0;
+            };
+            return s;
+        }();
+        return settings;
+    }
+    static Client& self(http_parser* parser) { return *static_cast<Client*>(parser->data); }
+
+    int begin() {
+        url.clear(), name.clear(), value.clear(), body.clear(), headers.clear();
+        head = 0, too_much = 0;
+        return 0;
+    }
+    int add(std::string& into, const char* at, std::size_t length) {
+        if ((head += length) > kLongestHead) return too_much = 431, -1;
+        into.append(at, length);
+        return 0;
+    }
+    // A header that comes twice counts once, as what it said first: no second Host or token slips in.
+    void header() {
+        if (!name.empty()) headers.emplace(lower(name), value);
+        name.clear(), value.clear();
+    }
+    int add_body(const char* at, std::size_t length) {
+        if (body.size() + length > kLongestBody) return too_much = 413, -1;
+        body.append(at, length);
+        return 0;
+    }
+
+    void received(net::Stream&, std::string_view bytes) override {
+        if (ahead.size() + bytes.size() > kMostAhead + sizeof(char) * kLongestBody)
+            throw std::runtime_error("a client sends ahead without end");
+        ahead += bytes;
+        work();
+    }
+
+    // Parses up to the end of one request; the rest waits until that is answered.
+    void work() {
+        while (stream && !busy && !ahead.empty()) {
+            const std::size_t read = http_parser_execute(&parser, &calls(), ahead.data(), ahead.size());
+            const auto fault = HTTP_PARSER_ERRNO(&parser);
+            if (fault != HPE_OK && fault != HPE_PAUSED) {
+                keep = false;
+                return front.problem(*this, too_much ? too_much : 400, "the request can't be read");
+            }
+            ahead.erase(0, read);
+            if (!whole) return;
+            whole = false;
+            http_parser_pause(&parser, 0);
+            busy = true;
+            front.loop_.deadlines().drop(patience);
+            front.asked(*this);
+        }
+    }
+
+    void wait_for_request() {
+        auto& deadlines = front.loop_.deadlines();
+        deadlines.drop(patience);
+        patience = deadlines.set(front.loop_.clock().now() + kPatience, [this] {
+            stream->close();
+            stream = nullptr;
+            front.lost(*this);
+        });
+    }
+
+    void gone(net::Stream&, net::Gone) override {
+        stream = nullptr;
+        front.lost(*this);
+    }
+};
+
+Front::Front(net::Loop& loop, core::Core& core, const config::Site& site, const config::SignedFront& setup,
+             OneTime* one_time, std::uint64_t seed)
+    : loop_(loop),
+      core_(core),
+      site_(site),
+      setup_(setup),
+      gate_(setup),
+      one_time_(one_time),
+      ids_(seed ^ 0x5eed5eed5eed5eedULL),
+      budget_(setup.connections),
+      listener_(loop, setup.listen, [this](uv_stream_t* listener) { accept(listener); }) {
+    loop_.each_turn([this, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired()) dead_.clear();
+    });
+}
+
+Front::~Front() {
+    for (auto& [number, client] : clients_) {
+        loop_.deadlines().drop(client->patience);
+        if (client->stream) client->stream->close();
+    }
+}
+
+bool Front::unsent() const {
+    return std::any_of(clients_.begin(), clients_.end(),
+                       [](const auto& c) { return c.second->stream && c.second->stream->unsent() > 0; });
+}
+
+double Front::now_s() const {
+    return static_cast<double>(loop_.clock().now()) / 1e6;
+}
+
+void Front::accept(uv_stream_t* listener) {
+    auto client = std::make_unique<Client>(*this, next_client_++);
+    client->stream = net::Stream::accept(loop_, budget_, listener, *client);
+    if (!client->stream) return;
+    client->wait_for_request();
+    const std::uint64_t number = client->number;
+    clients_.emplace(number, std::move(client));
+}
+
+// Empty: the request is sound; else what is wrong, with the status.
+std::string Front::read_ask(const Client& client, const Target& target, core::Ask& ask, int& status) const {
+    const auto place = std::find(site_.classes.begin(), site_.classes.end(), target.service);
+    if (place == site_.classes.end()) return status = 404, "no such class";
+    ask.service = static_cast<int>(place - site_.classes.begin());
+    const nettlethread::ClassSettings& service = site_.settings.classes[ask.service];
+    const auto method = static_cast<http_method>(client.parser.method);
+    if (method != (service.uncached ? HTTP_POST : HTTP_GET)) return status = 405, "not by this method";
+    if (!service.uncached && !client.body.empty()) return status = 400, "a read has no body";
+    // Danger: without its group a copy could not be known for purged.
+    if (!service.uncached && target.group < 0) return status = 400, "set is missing";
+    const auto header = [&](const char* name) {
+        const auto found = client.headers.find(name);
+        return found == client.headers.end() ? std::string{} : found->second;
+    };
+    ask.service_name = target.service;
+    ask.object = target.object;
+    ask.part = target.part;
+    ask.group = std::max(0, target.group);
+    ask.size_kb = target.size_kb;
+    ask.left = wanted_wait(header("prefer"), service.give_up);
+    if (!service.uncached) ask.have = bare_tag(header("if-none-match"));
+    ask.body = client.body;
+    return {};
+}
+
+void Front::asked(Client& client) {
+    const auto host = client.headers.find("host");
+    Target target;
+    if (host == client.headers.end() || lower(host->second) != lower(setup_.host) ||
+        !read_target(client.url, target))
+        return problem(client, 404, "nothing is served here under this name");
+    core::Ask ask;
+    int status = 0;
+    if (const std::string fault = read_ask(client, target, ask, status); !fault.empty())
+        return problem(client, status, fault);
+    std::string bearer;
+    if (const auto found = client.headers.find("authorization"); found != client.headers.end())
+        if (lower(found->second.substr(0, 7)) == "bearer ") bearer = found->second.substr(7);
+    const bool effect = site_.settings.classes[ask.service].uncached;
+    const Verdict verdict = gate_.check(target, bearer, effect, now_s());
+    if (verdict.status != 0) return problem(client, verdict.status, verdict.why);
+    ask.id = fmt::format("{:016x}", ids_());
+    client.ours = open_.add({client.number, {}});
+    if (verdict.once.empty()) return enter(client.ours, std::move(ask));
+    if (!one_time_) return once_known(client.ours, std::move(ask), Use::unknown);
+    open_.find(client.ours)->once = verdict.once;
+    const Micros came = loop_.clock().now();
+    one_time_->use(verdict.once, now_s(), verdict.once_until,
+                   [this, came, ours = client.ours, ask = std::move(ask),
+                    alive = std::weak_ptr<bool>(alive_)](Use use) mutable {
+                       if (alive.expired()) return;
+                       ask.left -= loop_.clock().now() - came;
+                       once_known(ours, std::move(ask), use);
+                   });
+}
+
+void Front::once_known(Handle ours, core::Ask ask, Use use) {
+    const Open* open = open_.find(ours);
+    if (!open) return;  // the client has left; the link counts as used
+    if (use == Use::first) return enter(ours, std::move(ask));
+    Client& client = *clients_.at(open->client);
+    open_.remove(ours);
+    client.ours = {};
+    if (use == Use::again) return problem(client, 403, "the link was for one use and has been used");
+    problem(client, 503, "whether the link has been used can't be told now");
+}
+
+void Front::enter(Handle ours, core::Ask ask) {
+    Client& client = *clients_.at(open_.find(ours)->client);
+    if (core_.open_requests() >= static_cast<std::size_t>(std::max(1, site_.settings.most_held)) ||
+        ask.left <= 0)
+        return answer(ours.number(), {.how = Answered::refused});
+    client.cores = core_.take(std::move(ask), *this, ours.number());
+}
+
+void Front::answer(std::uint64_t cookie, core::Reply reply_given) {
+    const Handle ours = Handle::of(cookie);
+    const Open* open = open_.find(ours);
+    if (!open) return;
+    const auto found = clients_.find(open->client);
+    if (reply_given.how == Answered::refused && !open->once.empty()) one_time_->give_back(open->once);
+    open_.remove(ours);
+    if (found == clients_.end()) return;
+    Client& client = *found->second;
+    client.ours = client.cores = {};
+    const std::string etag = reply_given.tag.empty() ? "" : "ETag: \"" + reply_given.tag + "\"\r\n";
+    switch (reply_given.how) {
+        case Answered::served:
+            return reply(client, {200, "Content-Type: application/octet-stream\r\n" + etag,
+                                  std::move(reply_given.body)});
+        case Answered::same:
+            return reply(client, {304, etag, {}});
+        case Answered::refused: {
+            const auto advised = static_cast<int>((reply_given.come_back + 999'999) / 1'000'000);
+            const int wait = reply_given.come_back > 0 ? advised : setup_.retry_after_s;
+            return reply(
+                client,
+                {503, fmt::format("Retry-After: {}\r\nContent-Type: application/problem+json\r\n", wait),
+                 R"({"status":503,"title":"Service Unavailable","detail":"refused, nothing ran"})"});
+        }
+        case Answered::out_of_time:
+            return problem(client, 504, "no answer came in time");
+        case Answered::failed:
+            return problem(client, 502, "the request failed");
+    }
+}
+
+// Details are words of this program's own, so they need no escapes.
+void Front::problem(Client& client, int status, const std::string& detail) {
+    std::string headers = "Content-Type: application/problem+json\r\n";
+    if (status == 401) headers += "WWW-Authenticate: Bearer error=\"invalid_token\"\r\n";
+    if (status == 405) headers += "Allow: GET, POST\r\n";
+    if (status == 503) headers += fmt::format("Retry-After: {}\r\n", setup_.retry_after_s);
+    reply(client,
+          {status, headers,
+           fmt::format(R"({{"status":{},"title":"{}","detail":"{}"}})", status, title(status), detail)});
+}
+
+void Front::reply(Client& client, const Answer& answer) {
+    if (!client.stream) return;
+    const bool keep = client.keep && !leaving_;
+    std::string text =
+        fmt::format("HTTP/1.1 {} {}\r\n{}", answer.status, title(answer.status), answer.headers);
+    if (answer.status != 304) text += fmt::format("Content-Length: {}\r\n", answer.body.size());
+    text += "Cache-Control: private\r\n";
+    text += keep ? "\r\n" : "Connection: close\r\n\r\n";
+    client.stream->write(text + answer.body);
+    client.busy = false;
+    if (!keep) {
+        client.busy = true;  // nothing more is read from it
+        return client.stream->close_when_sent();
+    }
+    client.wait_for_request();
+    // What was sent ahead is taken up from the loop: answers may come in the middle of the core's work.
+    if (!client.ahead.empty())
+        loop_.deadlines().set(loop_.clock().now(), [this, number = client.number] {
+            const auto found = clients_.find(number);
+            if (found == clients_.end()) return;
+            found->second->work();
+            core_.run();
+        });
+}
+
+void Front::lost(Client& client) {
+    loop_.deadlines().drop(client.patience);
+    open_.remove(client.ours);
+    core_.leave(client.cores);
+    const auto found = clients_.find(client.number);
+    dead_.push_back(std::move(found->second));
+    clients_.erase(found);
+}
+
+}  // namespace sumackeel::front_signed
--- /dev/null
+++ b/src/front_signed/front.h
@@ -0,0 +1,71 @@
+// The front for signed links: HTTP/1.1 requests, checked at the gate, to requests of the core.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "config/operator.h"
+#include "core/core.h"
+#include "core/slots.h"
+#include "front_signed/links.h"
+#include "front_signed/one_time.h"
+#include "net/stream.h"
+
+namespace sumackeel::front_signed {
+
+class Front : core::Asker {
+  public:
+    // `one_time` may be null: then nothing that holds for one use only is let in.
+    Front(net::Loop& loop, core::Core& core, const config::Site& site, const config::SignedFront& setup,
+          OneTime* one_time, std::uint64_t seed);
+    ~Front() override;
+
+    int port() const { return listener_.port(); }
+    void stop_listening() { listener_.close(); }
+    void leaving() { leaving_ = true; }
+    bool unsent() const;
+
+  private:
+    struct Client;
+    struct Open {
+        std::uint64_t client = 0;
+        std::string once;  // to be given back if the request is refused
+    };
+    struct Answer {
+        int status = 0;
+        std::string headers, body;
+    };
+
+    void accept(uv_stream_t* listener);
+    void answer(std::uint64_t cookie, core::Reply reply) override;
+    void asked(Client& client);
+    std::string read_ask(const Client& client, const Target& target, core::Ask& ask, int& status) const;
+    void enter(core::Handle ours, core::Ask ask);
+    void once_known(core::Handle ours, core::Ask ask, Use use);
+    void problem(Client& client, int status, const std::string& detail);
+    void reply(Client& client, const Answer& answer);
+    void lost(Client& client);
+    double now_s() const;
+
+    net::Loop& loop_;
+    core::Core& core_;
+    const config::Site& site_;
+    const config::SignedFront& setup_;
+    Gate gate_;
+    OneTime* one_time_;
+    std::mt19937_64 ids_;
+    net::Budget budget_;
+    std::map<std::uint64_t, std::unique_ptr<Client>> clients_;
+    std::vector<std::unique_ptr<Client>> dead_;
+    std::uint64_t next_client_ = 1;
+    core::Slots<Open> open_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // outlived by answers on one-time use
+    bool leaving_ = false;
+    net::Listener listener_;
+};
+
+}  // namespace sumackeel::front_signed
--- /dev/null
+++ b/src/front_signed/links.cpp
@@ -0,0 +1,192 @@
+#include "front_signed/links.h"
+
+#include <json/json.h>
+#include <openssl/evp.h>
+#include <regex.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace sumackeel::front_signed {
+
+using config::Purpose;
+
+namespace {
+
+constexpr std::string_view kPackage = "URISigningPackage";
+constexpr std::size_t kLongestContainer = 512;
+constexpr std::int64_t kVersion = 1;
+
+bool contains(const std::vector<std::string>& list, const std::string& one) {
+    return std::find(list.begin(), list.end(), one) != list.end();
+}
+
+// No escapes and no dot segments: such a target has one spelling only, and that is what was signed.
+bool plain_name(std::string_view text) {
+    return !text.empty() && text.size() <= 64 && text != "." && text != ".." &&
+           std::all_of(text.begin(), text.end(), [](unsigned char c) {
+               return c < 0x80 && (std::isalnum(c) || c == '-' || c == '_' || c == '.');
+           });
+}
+
+template <typename T>
+bool read_number(std::string_view text, T& into) {
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), into);
+    return read.ec == std::errc{} && read.ptr == text.data() + text.size();
+}
+
+std::string base64url(const unsigned char* bytes, std::size_t length) {
+    static constexpr char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+    std::string text;
+    for (std::size_t i = 0; i < length; i += 3) {
+        std::uint32_t group = 0;
+        const std::size_t some = std::min<std::size_t>(3, length - i);
+        for (std::size_t j = 0; j < 3; ++j) group = group << 8 | (j < some ? bytes[i + j] : 0);
+        for (std::size_t j = 0; j <= some; ++j) text += digits[group >> (18 - 6 * j) & 63];
+    }
+    return text;
+}
+
+// The segment form of RFC 6920.
+std::string hash_segment(const std::string& uri) {
+    unsigned char digest[EVP_MAX_MD_SIZE];
+    unsigned int length = 0;
+    EVP_Digest(uri.data(), uri.size(), digest, &length, EVP_sha256(), nullptr);
+    return "sha-256;" + base64url(digest, length);
+}
+
+// The whole URI must match: a pattern that fits somewhere inside would let other paths in.
+bool matches_whole(const std::string& pattern, const std::string& uri) {
+    if (pattern.size() > kLongestContainer) return false;
+    regex_t regex;
+    if (regcomp(&regex, pattern.c_str(), REG_EXTENDED) != 0) return false;
+    regmatch_t match{};
+    const bool found = regexec(&regex, uri.c_str(), 1, &match, 0) == 0;
+    regfree(&regex);
+    return found && match.rm_so == 0 && match.rm_eo == static_cast<regoff_t>(uri.size());
+}
+
+std::string to_text(const Json::Value& value) {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+}  // namespace
+
+bool read_target(std::string_view text, Target& target) {
+    const auto mark = std::min(text.find('?'), text.size());
+    std::string_view path = text.substr(0, mark), query = text.substr(std::min(mark + 1, text.size()));
+    target.path = path;
+    while (!query.empty()) {
+        const auto end = std::min(query.find('&'), query.size());
+        const std::string_view part = query.substr(0, end);
+        query.remove_prefix(std::min(end + 1, query.size()));
+        const auto equals = std::min(part.find('='), part.size());
+        const std::string_view name = part.substr(0, equals),
+                               value = part.substr(std::min(equals + 1, part.size()));
+        if (name == kPackage) {
+            if (!target.package.empty()) return false;  // which of the two would count?
+            target.package = value;
+            continue;
+        }
+        const bool known = name == "set" ? target.group < 0 && read_number(value, target.group) &&
+                                               target.group >= 0 && target.group <= 255
+                           : name == "need" ? read_number(value, target.size_kb) && target.size_kb >= 0 &&
+                                                  std::isfinite(target.size_kb)
+                                            : false;
+        if (!known) return false;
+        target.query += (target.query.empty() ? "" : "&") + std::string(part);
+    }
+    if (path.empty() || path.front() != '/') return false;
+    path.remove_prefix(1);
+    std::vector<std::string_view> names;
+    for (;;) {
+        const auto end = std::min(path.find('/'), path.size());
+        names.push_back(path.substr(0, end));
+        if (end == path.size()) break;
+        path.remove_prefix(end + 1);
+    }
+    if (names.size() < 2 || names.size() > 3 || !plain_name(names[0]) || !plain_name(names[1])) return false;
+    target.service = names[0];
+    target.object = names[1];
+    return names.size() == 2 || (read_number(names[2], target.part) && target.part >= 0);
+}
+
+std::string Gate::uri(const Target& target) const {
+    return front_.scheme + "://" + front_.host + target.path +
+           (target.query.empty() ? "" : "?" + target.query);
+}
+
+bool Gate::in_time(const Claims& claims, double now) const {
+    return claims.expires && now < *claims.expires + front_.leeway_s &&
+           (!claims.not_before || now >= *claims.not_before - front_.leeway_s);
+}
+
+bool Gate::for_us(const Claims& claims) const {
+    return contains(claims.audience, front_.audience);
+}
+
+std::string Gate::why_not_link(const Claims& link, const Target& target, double now) const {
+    if (link.version.value_or(kVersion) != kVersion) return "the link is of another version";
+    static const std::vector<std::string> understood{"iss", "sub", "aud",    "exp",
+                                                     "nbf", "jti", "cdniuc", "cdniv"};
+    for (const std::string& claim : link.critical)
+        if (!contains(understood, claim)) return "the link demands what is not supported";
+    if (link.has_address || link.renews) return "the link demands what is not supported";
+    if (!contains(front_.link_issuers, link.issuer)) return "the link is from an unknown issuer";
+    if (!for_us(link)) return "the link is for another service";
+    if (!in_time(link, now)) return "the link has expired or is not yet good";
+    const std::string full = uri(target);
+    const bool here = link.container.starts_with("hash:")    ? link.container.substr(5) == hash_segment(full)
+                      : link.container.starts_with("regex:") ? matches_whole(link.container.substr(6), full)
+                                                             : false;
+    return here ? "" : "the link is for another path";
+}
+
+Verdict Gate::check(const Target& target, std::string_view bearer, bool effect, double now) const {
+    const auto student = keys_.verify(bearer, Purpose::student, now);
+    if (!student || student->subject.empty() || !contains(front_.token_issuers, student->issuer) ||
+        !for_us(*student) || !in_time(*student, now))
+        return {401, bearer.empty() ? "a student's token is needed" : "the token does not hold", {}, 0};
+    const auto link = keys_.verify(target.package, Purpose::link, now);
+    if (!link)
+        return {403, target.package.empty() ? "a signed link is needed" : "the link does not hold", {}, 0};
+    if (const std::string why = why_not_link(*link, target, now); !why.empty()) return {403, why, {}, 0};
+    const auto subject = keys_.decrypt(link->subject, now);
+    if (!subject || !same_secret(*subject, student->subject))
+        return {403, "the link is another student's", {}, 0};
+    if (effect && link->id.empty()) return {403, "this needs a link for one use", {}, 0};
+    Verdict verdict;
+    if (!link->id.empty()) {
+        verdict.once = link->issuer + '\n' + link->id;
+        verdict.once_until = *link->expires + front_.leeway_s;
+    }
+    return verdict;
+}
+
+std::string Gate::sign(const Target& target, const std::string& link_kid, const std::string& subject_kid,
+                       const std::string& student, double expires, const std::string& jti) const {
+    Json::Value claims(Json::objectValue);
+    claims["iss"] = front_.link_issuers.empty() ? "" : front_.link_issuers.front();
+    claims["aud"] = front_.audience;
+    claims["sub"] = keys_.encrypt(subject_kid, student);
+    claims["exp"] = expires;
+    claims["cdniv"] = Json::Int64{kVersion};
+    claims["cdniuc"] = "hash:" + hash_segment(uri(target));
+    if (!jti.empty()) claims["jti"] = jti;
+    return uri(target) + (target.query.empty() ? "?" : "&") + std::string(kPackage) + '=' +
+           keys_.sign(link_kid, to_text(claims));
+}
+
+std::string Gate::student_token(const std::string& kid, const std::string& student, double expires) const {
+    Json::Value claims(Json::objectValue);
+    claims["iss"] = front_.token_issuers.empty() ? "" : front_.token_issuers.front();
+    claims["aud"] = front_.audience;
+    claims["sub"] = student;
+    claims["exp"] = expires;
+    return keys_.sign(kid, to_text(claims));
+}
+
+}  // namespace sumackeel::front_signed
--- /dev/null
+++ b/src/front_signed/one_time.cpp
@@ -0,0 +1,24 @@
+#include "front_signed/one_time.h"
+
+namespace sumackeel::front_signed {
+
+void LocalOneTime::use(const std::string& name, double now, double until, Done done) {
+    while (!by_end_.empty() && by_end_.begin()->first < now) {
+        used_.erase(by_end_.begin()->second);
+        by_end_.erase(by_end_.begin());
+    }
+    if (used_.contains(name)) return done(Use::again);
+    // Danger: forgetting one to make room would let it be used twice.
+    if (used_.size() >= most_) return done(Use::unknown);
+    used_.emplace(name, by_end_.emplace(until, name));
+    done(Use::first);
+}
+
+void LocalOneTime::give_back(const std::string& name) {
+    const auto found = used_.find(name);
+    if (found == used_.end()) return;
+    by_end_.erase(found->second);
+    used_.erase(found);
+}
+
+}  // namespace sumackeel::front_signed
--- /dev/null
+++ b/src/front_signed/one_time.h
@@ -0,0 +1,36 @@
+// Links that hold for one use: who has used which.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace sumackeel::front_signed {
+
+enum class Use { first, again, unknown };  // unknown: it can't be told now, so the use is not granted
+
+class OneTime {
+  public:
+    using Done = std::function<void(Use)>;
+    virtual ~OneTime() = default;
+    // `until` in Unix seconds: from then on the link has expired anyway. `done` is called once.
+    virtual void use(const std::string& name, double now, double until, Done done) = 0;
+    // The request was refused and never ran: the link may be used after all.
+    virtual void give_back(const std::string& name) = 0;
+};
+
+// For a single proxy: its own memory. A restart forgets, so links should be short-lived.
+class LocalOneTime : public OneTime {
+  public:
+    explicit LocalOneTime(std::size_t most = 100'000) : most_(most) {}
+    void use(const std::string& name, double now, double until, Done done) override;
+    void give_back(const std::string& name) override;
+
+  private:
+    std::size_t most_;
+    std::unordered_map<std::string, std::multimap<double, std::string>::iterator> used_;
+    std::multimap<double, std::string> by_end_;
+};
+
+}  // namespace sumackeel::front_signed
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 // The command line.
 #include <getopt.h>
 
+#include <cmath>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -8,16 +9,24 @@
 
 #include "cli/serve.h"
 #include "config/config.h"
+#include "config/operator.h"
+#include "core/clock.h"
+#include "front_signed/links.h"
 #include "net/log.h"
 
 namespace {
 
 constexpr const char* kVersion = "sumackeel 0.2.0";
 constexpr const char* kUsage =
-    "usage: sumackeel [serve] [--config FILE] [--log-level LEVEL]\n"
-    "       sumackeel check-config [--config FILE]\n"
+    "usage: sumackeel [serve] [--config FILE] [--operator FILE] [--log-level LEVEL]\n"
+    "       sumackeel check-config [--config FILE] [--operator FILE]\n"
+    "       sumackeel sign-url --operator FILE --link-key KID --subject-key KID --student NAME\n"
+    "                          [--expires-in SECONDS] [--one-time JTI] TARGET\n"
+    "       sumackeel sign-token --operator FILE --student-key KID --student NAME [--expires-in SECONDS]\n"
     "       sumackeel version\n"
-    "FILE is the configuration that the platform gives (default: $GW_CONFIG).\n"
+    "The configuration is what the platform gives (default: $GW_CONFIG); the operator's file turns the "
+    "front\n"
+    "for signed links on (default: none). TARGET is as in /video/7f3a9c21e0b4d655/3?set=17&need=412.5.\n"
     "LEVEL is debug, info, warn or error.\n";
 
 int wrong(const std::string& what) {
@@ -26,34 +35,78 @@
 }
 
 struct Flags {
-    std::string config;
+    std::string config, setup;
     std::string level = "info";
+    std::string link_key, subject_key, student_key, student, one_time, target;
+    double expires_in = 600;
     bool help = false;
 };
 
 // Empty: the flags are sound; else what is wrong with them.
 std::string read_flags(int argc, char** argv, Flags& flags) {
     static const option known[] = {{"config", required_argument, nullptr, 'c'},
+                                   {"operator", required_argument, nullptr, 'o'},
                                    {"log-level", required_argument, nullptr, 'l'},
+                                   {"link-key", required_argument, nullptr, 'k'},
+                                   {"subject-key", required_argument, nullptr, 'u'},
+                                   {"student-key", required_argument, nullptr, 't'},
+                                   {"student", required_argument, nullptr, 's'},
+                                   {"one-time", required_argument, nullptr, 'j'},
+                                   {"expires-in", required_argument, nullptr, 'e'},
                                    {"help", no_argument, nullptr, 'h'},
                                    {nullptr, 0, nullptr, 0}};
     if (const char* given = std::getenv("GW_CONFIG")) flags.config = given;
     opterr = 0;
-    for (int found; (found = getopt_long(argc, argv, "c:l:h", known, nullptr)) != -1;) {
+    for (int found; (found = getopt_long(argc, argv, "c:o:l:h", known, nullptr)) != -1;) {
         if (found == 'c')
             flags.config = optarg;
+        else if (found == 'o')
+            flags.setup = optarg;
         else if (found == 'l')
             flags.level = optarg;
+        else if (found == 'k')
+            flags.link_key = optarg;
+        else if (found == 'u')
+            flags.subject_key = optarg;
+        else if (found == 't')
+            flags.student_key = optarg;
+        else if (found == 's')
+            flags.student = optarg;
+        else if (found == 'j')
+            flags.one_time = optarg;
+        else if (found == 'e')
+            flags.expires_in = std::atof(optarg);
         else if (found == 'h')
             flags.help = true;
         else
             return std::string("unknown flag or missing value: ") + argv[optind - 1];
     }
+    if (optind < argc) flags.target = argv[optind++];
     if (optind < argc) return std::string("one word too many: ") + argv[optind];
     if (!sumackeel::log::set_level(flags.level)) return "no such log level: " + flags.level;
     return {};
 }
 
+// Prints a link, or a token, signed by the operator's keys: for course pages' own tests and for trying out.
+int sign(const std::string& command, const Flags& flags) {
+    if (flags.setup.empty()) return wrong("no operator's file: give --operator");
+    if (flags.student.empty()) return wrong("no student: give --student");
+    if (!(flags.expires_in > 0)) return wrong("--expires-in: not a number of seconds over 0");
+    const auto setup = sumackeel::config::load_operator(flags.setup);
+    if (!setup.signed_front) return wrong(flags.setup + ": signed_front is missing");
+    const sumackeel::front_signed::Gate gate(*setup.signed_front);
+    const double expires =
+        std::floor(static_cast<double>(sumackeel::core::Clock().now()) / 1e6 + flags.expires_in);
+    if (command == "sign-token")
+        return fmt::print("{}\n", gate.student_token(flags.student_key, flags.student, expires)), 0;
+    sumackeel::front_signed::Target target;
+    if (!sumackeel::front_signed::read_target(flags.target, target))
+        return wrong("no such target: " + flags.target);
+    fmt::print("{}\n",
+               gate.sign(target, flags.link_key, flags.subject_key, flags.student, expires, flags.one_time));
+    return 0;
+}
+
 int run(int argc, char** argv) {
     std::string command = "serve";
     if (argc > 1 && argv[1][0] != '-') {
@@ -64,12 +117,17 @@
     if (const std::string fault = read_flags(argc, argv, flags); !fault.empty()) return wrong(fault);
     if (flags.help || command == "help") return fmt::print("{}", kUsage), 0;
     if (command == "version") return fmt::print("{}\n", kVersion), 0;
+    if (command == "sign-url" || command == "sign-token") return sign(command, flags);
+    if (!flags.target.empty()) return wrong("one word too many: " + flags.target);
     if (command != "serve" && command != "check-config") return wrong("no such command: " + command);
     if (flags.config.empty()) return wrong("no configuration: give --config or set GW_CONFIG");
     const auto config = sumackeel::config::load_config(flags.config);
+    const auto setup =
+        flags.setup.empty() ? sumackeel::config::Operator{} : sumackeel::config::load_operator(flags.setup);
+    if (setup.signed_front) sumackeel::front_signed::Gate{*setup.signed_front};  // its keys must be usable
     if (command == "check-config") return fmt::print("{}: sound\n", flags.config), 0;
     std::signal(SIGPIPE, SIG_IGN);
-    sumackeel::cli::Daemon daemon(config);
+    sumackeel::cli::Daemon daemon(config, setup);
     daemon.run();
     return 0;
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -4,6 +4,7 @@
 #include <uv.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -45,14 +46,13 @@
 // Sockets that may still be opened. At its end things are refused, never broken.
 class Budget {
   public:
-    explicit Budget(int most) : most_(most) {}
-    bool take() { return used_ < most_ ? ++used_, true : false; }
-    void give_back() { --used_; }
-    int used() const { return used_; }
+    explicit Budget(int most) : most_(most), used_(std::make_shared<int>(0)) {}
+    bool take() { return *used_ < most_ ? ++*used_, true : false; }
+    void give_back() { --*used_; }
 
   private:
     int most_;
-    int used_ = 0;
+    std::shared_ptr<int> used_;  // shared by copies: sockets close after their holders are gone
 };
 
 // "10.0.0.4:9090" as a socket address; false: it is none.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -98,7 +98,7 @@
             --self->writes_;
             if (self->closing_) return;
             if (status != 0) return self->lose(Gone::broken);
-            if (self->writes_ == 0 && self->last_write_) return self->close();
+            if (self->writes_ == 0 && self->last_write_) return self->lose(Gone::ended);
             self->owner_->drained(*self);
         });
     if (failed != 0) {
@@ -127,7 +127,7 @@
 
 void Stream::close_when_sent() {
     if (closing_) return;
-    if (writes_ == 0) return close();
+    if (writes_ == 0) return lose(Gone::ended);
     last_write_ = true;
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -47,7 +47,7 @@
 
     uv_tcp_t tcp_;
     uv_connect_t connecting_;
-    Budget& budget_;
+    Budget budget_;
     Owner* owner_;
     bool open_ = false, closing_ = false, last_write_ = false, reading_ = false;
     std::size_t writes_ = 0;
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -13,13 +13,10 @@
 constexpr std::size_t kMostChannels = 16;  // to one target
 constexpr std::size_t kShareUpTo = 4;      // a channel that carries fewer is shared before one is opened
 constexpr Micros kSilence = 400'000;       // open attempts and not a byte for this long: trusted no more
+constexpr Micros kSuspectAfter = 200'000;  // given up after this long without a byte: the same
 constexpr Micros kIdleMargin = 1'000'000;  // idle channels close this long before the other side would
 constexpr Micros kSweep = 250'000;
 
-std::uint64_t number_of(Handle handle) {
-    return (static_cast<std::uint64_t>(handle.slot) << 32) | handle.generation;
-}
-
 }  // namespace
 
 struct Pool::Channel : net::Stream::Owner {
@@ -28,6 +25,7 @@
     std::string target;
     net::Stream* stream = nullptr;
     bool up = false;
+    bool suspect = false;  // an attempt ran out of time here without a byte in the meanwhile
     std::vector<std::pair<std::string, std::string>> waiting;  // id and text, to be written once it is up
     std::unordered_map<std::string, Open> open;
     AnswerReader reader;
@@ -49,6 +47,7 @@
 
     void received(net::Stream&, std::string_view bytes) override {
         heard = pool.loop_.clock().now();
+        suspect = false;
         reader.add(bytes);
         Answer answer;
         while (reader.next(answer)) {
@@ -57,7 +56,7 @@
             const Handle attempt = found->second.attempt;
             open.erase(found);
             used = heard;
-            pool.carried_.erase(number_of(attempt));
+            pool.carried_.erase(attempt.number());
             pool.core_.ended(attempt, std::move(answer.ending));
         }
     }
@@ -91,6 +90,7 @@
 }
 
 bool Pool::silent(const Channel& channel) const {
+    if (channel.suspect) return true;
     if (!channel.up || channel.open.empty()) return false;
     return loop_.clock().now() - channel.heard > kSilence;
 }
@@ -149,7 +149,7 @@
     if (channel->open.empty()) channel->heard = now;
     channel->open[sending.ask->id] = {attempt, now};
     channel->used = now;
-    carried_[number_of(attempt)] = {channel->number, sending.ask->id};
+    carried_[attempt.number()] = {channel->number, sending.ask->id};
     if (channel->up)
         channel->stream->write(std::move(text));
     else
@@ -158,21 +158,24 @@
 }
 
 bool Pool::stop(Handle attempt) {
-    const auto found = carried_.find(number_of(attempt));
+    const auto found = carried_.find(attempt.number());
     if (found == carried_.end()) return true;
     const Where where = found->second;
     carried_.erase(found);
     const auto at = channels_.find(where.channel);
     if (at == channels_.end()) return true;
     Channel& channel = *at->second;
+    const Micros sent = channel.open[where.id].sent;
     channel.open.erase(where.id);
+    if (channel.up && loop_.clock().now() - std::max(channel.heard, sent) > kSuspectAfter)
+        channel.suspect = true;
     if (channel.up) channel.stream->write(write_stop(where.id));
     if (!channel.up) std::erase_if(channel.waiting, [&](const auto& w) { return w.first == where.id; });
     return channel.up;
 }
 
 void Pool::end(Handle attempt, Verdict verdict) {
-    carried_.erase(number_of(attempt));
+    carried_.erase(attempt.number());
     core_.ended(attempt, core::Ending{.verdict = verdict});
     core_.run();
 }
@@ -190,9 +193,9 @@
     target.channels.erase(place);
     std::vector<Handle> open;
     for (const auto& [id, o] : channel.open) open.push_back(o.attempt);
-    std::sort(open.begin(), open.end(), [](Handle a, Handle b) { return number_of(a) < number_of(b); });
+    std::sort(open.begin(), open.end(), [](Handle a, Handle b) { return a.number() < b.number(); });
     for (const Handle attempt : open) {
-        carried_.erase(number_of(attempt));
+        carried_.erase(attempt.number());
         core_.ended(attempt, core::Ending{.verdict = came_up ? Verdict::broken_off : Verdict::not_connected});
     }
 }
@@ -210,7 +213,8 @@
     const Micros now = loop_.clock().now();
     std::vector<Channel*> idle;
     for (const auto& [number, channel] : channels_)
-        if (channel->up && channel->open.empty() && now - channel->used > limits_.idle_close - kIdleMargin)
+        if (channel->up && channel->open.empty() &&
+            (channel->suspect || now - channel->used > limits_.idle_close - kIdleMargin))
             idle.push_back(channel);
     for (Channel* channel : idle) drop(*channel, true);
     loop_.deadlines().set(now + kSweep, [this] { sweep(); });
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -471,7 +471,8 @@
             for (const auto& [at, work] : sent) window += work;
             const double age = static_cast<double>(one.now - settings.overload_for - start + kSecond);
             const double ramp = from + (1 - from) * std::max(0.0, age) / (20.0 * kSecond);
-            pressure.worst = std::max(pressure.worst, window / (multiple * weight * ramp * settings.overload_for));
+            pressure.worst =
+                std::max(pressure.worst, window / (multiple * weight * ramp * settings.overload_for));
         }
     }
     return pressure;
@@ -495,8 +496,8 @@
 }
 
 TEST(ChoiceSize, WhatOthersKeepIsNotRefusedForACrowdedLinkIn) {
-    // The zone's caches hold most of what this one never asked for. The link in fits two fills and a half; when
-    // all that came lately was answered as fast as a hit, new objects are no crowd on it.
+    // The zone's caches hold most of what this one never asked for. The link in fits two fills and a half;
+    // when all that came lately was answered as fast as a hit, new objects are no crowd on it.
     for (const bool kept : {true, false}) {
         Settings settings = plain_settings();
         settings.notes = Notes::none;
--- /dev/null
+++ b/tests/net/platform_test.cpp
@@ -0,0 +1,213 @@
+// Stories over loopback: the platform's front, the core and upstream against scripted peers.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "support.h"
+
+using namespace story;
+
+namespace {
+
+struct Fleet {
+    Peer cache, parent, origin;
+    std::vector<std::string> hosts() const {
+        return {host("s-cache", cache, "edge-1", "small"), host("s-parent", parent, "coast", "parent"),
+                host("s-origin", origin, "coast", "origin")};
+    }
+};
+
+}  // namespace
+
+TEST_CASE("a read reaches the cache as asked and its bytes come back whole") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts());
+    Wire client = Wire::to(daemon.port());
+    client.send(dispatch(1, read("sheet", "9b1f03aa5c7e2d41")));
+    Wire cache = fleet.cache.accept();
+    const Req req = read_req(cache);
+    CHECK(req.id == "9b1f03aa5c7e2d41");
+    CHECK(req.fields.at("cls") == "sheet");
+    CHECK(req.fields.at("item") == "7f3a9c21e0b4d655");
+    CHECK(req.fields.at("chunk") == "3");
+    CHECK(req.fields.at("parent") == "s-parent");
+    CHECK(std::stoi(req.fields.at("limit")) <= 3000);
+    const std::string bytes("sheet\0music\r\n", 13);
+    cache.send(req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled,meter=inflight:7;x1:0.6 13\r\n" +
+               bytes + "\r\n");
+    const Reply reply = read_reply(client);
+    CHECK(reply.seqid == 1);
+    CHECK(reply.place == 0);
+    CHECK(body(reply) == bytes);
+}
+
+// Guards: a length read off a socket and believed would take the memory or the process.
+TEST_CASE("a broken frame costs its own connection only") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts());
+    Wire good = Wire::to(daemon.port());
+    for (const std::string& broken :
+         {be(0x7fffffff, 4), frame("not thrift at all"), frame(be(0x80010001, 4) + be(0xffffffff, 4)),
+          frame(be(0x80010001, 4) + str("dispatch") + be(1, 4) + be(13, 1) + be(1, 2) + be(11, 1) +
+                be(11, 1) + be(0x7fffffff, 4))}) {
+        Wire bad = Wire::to(daemon.port());
+        bad.send(broken);
+        CHECK(bad.rest().empty());
+    }
+    good.send(alive(1));
+    CHECK(read_reply(good).place == 0);
+}
+
+// Guards: enrol must not run twice. Bytes were written before the reset, so it may have run.
+TEST_CASE("an enrol whose connection breaks is failed and goes out no second time") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts());
+    Wire client = Wire::to(daemon.port());
+    client.send(dispatch(1, read("enrol", "00000000000000e1"), "form"));
+    Wire cache = fleet.cache.accept();
+    CHECK(read_req(cache).body == "form");
+    cache.reset();
+    CHECK(read_reply(client).place == 2);
+    CHECK_FALSE(fleet.cache.called());
+    CHECK_FALSE(fleet.parent.called());
+    CHECK_FALSE(fleet.origin.called());
+}
+
+// Guards: a refused connection proves that nothing ran, so the same request may go to the next cache.
+TEST_CASE("an enrol goes on to another cache when the first refuses the connection") {
+    Peer a, b, parent, origin;
+    Daemon daemon({host("s-a", a, "edge-1", "small"), host("s-b", b, "edge-1", "small"),
+                   host("s-parent", parent, "coast", "parent"), host("s-origin", origin, "coast", "origin")});
+    Wire client = Wire::to(daemon.port());
+    a.stop();
+    Wire cache;
+    for (int seqid = 1; seqid <= 3; ++seqid) {
+        client.send(dispatch(seqid, read("enrol", "00000000000000e" + std::to_string(seqid))));
+        if (seqid == 1) cache = b.accept();
+        const Req req = read_req(cache);
+        cache.send(req.id + " DONE - 0\r\n\r\n");
+        CHECK(read_reply(client).place == 0);
+    }
+}
+
+// Guards: an answer that can't be read says nothing about those behind it, so the connection goes, and with
+// it what was open on it; a read is then asked for again.
+TEST_CASE("a malformed answer drops its connection and the read is tried again") {
+    for (const std::string& broken :
+         {std::string("x NONSENSE - 0\r\n\r\n"), std::string("x DONE - 999999999\r\n"),
+          std::string("x DONE novalue 0\r\n\r\n"), std::string("x DONE - 2\r\nabcd")}) {
+        Fleet fleet;
+        Daemon daemon(fleet.hosts());
+        Wire client = Wire::to(daemon.port());
+        client.send(dispatch(1, read("sheet", "00000000000000a1")));
+        Wire cache = fleet.cache.accept();
+        read_req(cache);
+        cache.send(broken);
+        CHECK(cache.rest().empty());
+        Wire again = fleet.cache.accept();
+        const Req req = read_req(again);
+        again.send(req.id + " DONE - 2\r\nok\r\n");
+        CHECK(body(read_reply(client)) == "ok");
+    }
+}
+
+// Guards: a machine that vanished leaves its connection open and silent. The requests behind it must not
+// wait for its end one by one.
+TEST_CASE("a second request does not follow the first on to a silent connection") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts());
+    Wire client = Wire::to(daemon.port());
+    client.send(dispatch(1, read("enrol", "00000000000000e1", 400)));
+    Wire silent = fleet.cache.accept();
+    read_req(silent);
+    CHECK(read_reply(client).place == 2);
+    CHECK(silent.line() == "STOP 00000000000000e1");
+    client.send(dispatch(2, read("video", "00000000000000a2", 6000)));
+    Wire next = fleet.cache.accept();
+    const Req req = read_req(next);
+    next.send(req.id + " DONE - 2\r\nok\r\n");
+    CHECK(body(read_reply(client)) == "ok");
+    CHECK(silent.rest().empty());
+}
+
+// Guards: what the client gave up is stopped, owed no answer, and its late answer is taken for nobody's.
+TEST_CASE("a cancelled request is stopped and its late answer is dropped") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts());
+    Wire client = Wire::to(daemon.port());
+    client.send(dispatch(1, read("sheet", "00000000000000a1")));
+    Wire cache = fleet.cache.accept();
+    read_req(cache);
+    client.send(cancel(2, 1));
+    CHECK(cache.line() == "STOP 00000000000000a1");
+    cache.send("00000000000000a1 DONE - 4\r\nlate\r\n");
+    client.send(dispatch(3, read("sheet", "00000000000000a3")));
+    const Req req = read_req(cache);
+    cache.send(req.id + " DONE - 2\r\nok\r\n");
+    const Reply reply = read_reply(client);
+    CHECK(reply.seqid == 3);
+    CHECK(body(reply) == "ok");
+}
+
+// Guards: an answer that never comes must not leave the client without one.
+TEST_CASE("a request that nobody answers gets its final answer before its client gives up") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts());
+    Wire client = Wire::to(daemon.port());
+    const auto begun = std::chrono::steady_clock::now();
+    client.send(dispatch(1, read("enrol", "00000000000000e1", 700)));
+    Wire cache = fleet.cache.accept();
+    read_req(cache);
+    CHECK(read_reply(client).place == 2);
+    CHECK(std::chrono::steady_clock::now() - begun < std::chrono::milliseconds(750));
+}
+
+// Guards: news in the change log must reach the module, in order, also over a connection taken up anew.
+TEST_CASE("a drained cache gets nothing new, and the change log is taken up where it broke off") {
+    Peer a, b, parent, origin, log;
+    Daemon daemon({host("s-a", a, "edge-1", "small"), host("s-b", b, "edge-1", "small"),
+                   host("s-parent", parent, "coast", "parent"), host("s-origin", origin, "coast", "origin")},
+                  log.address());
+    const auto follow = [&](const std::string& last, const std::string& event) {
+        Wire feed = log.accept();
+        CHECK(feed.line() == "GET /changes HTTP/1.1");
+        std::string header, seen;
+        while (!(header = feed.line()).empty())
+            if (header.starts_with("Last-Event-ID: ")) seen = header.substr(15);
+        CHECK(seen == last);
+        feed.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n" + event);
+        return feed;
+    };
+    Wire first = follow(
+        "1", "id: 2\ndata: " + fleet(2, false, {host("s-a", a, "edge-1", "small", "DRAINING")}) + "\n\n");
+    first.close();
+    Wire second = follow("2", ":\n\n");
+    Wire client = Wire::to(daemon.port()), cache;
+    for (int i = 1; i <= 4; ++i) {
+        Fields fields = read("sheet", "00000000000000b" + std::to_string(i));
+        fields["subject"] = "000000000000000" + std::to_string(i);
+        client.send(dispatch(i, fields));
+        if (i == 1) cache = b.accept();
+        const Req req = read_req(cache);
+        cache.send(req.id + " DONE - 2\r\nok\r\n");
+        CHECK(body(read_reply(client)) == "ok");
+    }
+    CHECK_FALSE(a.called());
+}
+
+// Guards: a planned restart loses nothing: requests still come for a while, and all that is open is answered.
+TEST_CASE("told to end, it answers what still comes and then ends by itself") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts());
+    Wire client = Wire::to(daemon.port());
+    client.send(dispatch(1, read("sheet", "00000000000000a1")));
+    Wire cache = fleet.cache.accept();
+    const Req open = read_req(cache);
+    daemon.end();
+    Wire late = Wire::to(daemon.port());
+    late.send(dispatch(1, read("video", "00000000000000a2")));
+    const Req req = read_req(cache);
+    cache.send(req.id + " DONE - 2\r\nok\r\n" + open.id + " DONE - 2\r\nok\r\n");
+    CHECK(body(read_reply(client)) == "ok");
+    CHECK(body(read_reply(late)) == "ok");
+    daemon.join();
+}
--- /dev/null
+++ b/tests/net/signed_test.cpp
@@ -0,0 +1,223 @@
+// Stories over loopback: signed links and students' tokens from the client to the cache and back.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "front_signed/links.h"
+#include "support.h"
+
+using namespace story;
+using sumackeel::config::Purpose;
+using sumackeel::front_signed::Gate;
+
+namespace {
+
+const std::string kVideo = "/video/7f3a9c21e0b4d655/3?set=17&need=40", kEnrol = "/enrol/00000000000000e1";
+
+std::string secret(const std::string& kid, const std::string& alg, const std::string& k) {
+    return R"({"kty":"oct","kid":")" + kid + R"(","alg":")" + alg + R"(","k":")" + k + R"("})";
+}
+
+sumackeel::config::SignedFront setup() {
+    const std::string a(43, 'A'), b = "B" + std::string(42, 'A'), c = "C" + std::string(42, 'A');
+    sumackeel::config::SignedFront front;
+    front.listen = "127.0.0.1:0";
+    front.host = front.audience = "cache.example.org";
+    front.link_issuers = {"lessons"};
+    front.token_issuers = {"school"};
+    front.leeway_s = 0;
+    front.one_time = "local";
+    front.keys = {{"link-1", "HS256", secret("link-1", "HS256", a), Purpose::link, 0, 0},
+                  {"link-old", "HS256", secret("link-old", "HS256", b), Purpose::link, 0, 1},
+                  {"student-1", "HS256", secret("student-1", "HS256", b), Purpose::student, 0, 0},
+                  {"subject-1", "dir", secret("subject-1", "dir", c), Purpose::subject, 0, 0}};
+    return front;
+}
+
+double now() {
+    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+struct Site {
+    Peer cache, parent, origin;
+    sumackeel::config::SignedFront front = setup();
+    Gate signer{front};
+    Daemon daemon{{host("s-cache", cache, "edge-1", "small"), host("s-parent", parent, "coast", "parent"),
+                   host("s-origin", origin, "coast", "origin")},
+                  "",
+                  {front}};
+
+    std::string link(const std::string& path, double good_for = 60, const std::string& jti = {},
+                     const std::string& student = "ana", const std::string& kid = "link-1") {
+        sumackeel::front_signed::Target target;
+        REQUIRE(sumackeel::front_signed::read_target(path, target));
+        const std::string uri = signer.sign(target, kid, "subject-1", student, now() + good_for, jti);
+        return uri.substr(std::string("https://cache.example.org").size());
+    }
+    std::string token(const std::string& student = "ana", double good_for = 60) {
+        return signer.student_token("student-1", student, now() + good_for);
+    }
+};
+
+std::string request(const std::string& method, const std::string& target, const std::string& token,
+                    const std::string& body = {}, const std::string& more = {}) {
+    return method + " " + target + " HTTP/1.1\r\nHost: cache.example.org\r\n" +
+           (token.empty() ? "" : "Authorization: Bearer " + token + "\r\n") + more +
+           (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
+}
+
+struct Response {
+    int status = 0;
+    std::map<std::string, std::string> headers;
+    std::string body;
+};
+
+Response read_response(Wire& wire) {
+    Response response;
+    response.status = std::stoi(wire.line().substr(9));
+    std::string line;
+    while (!(line = wire.line()).empty())
+        response.headers[line.substr(0, line.find(':'))] = line.substr(line.find(':') + 2);
+    if (response.headers.contains("Content-Length"))
+        response.body = wire.bytes(std::stoul(response.headers["Content-Length"]));
+    return response;
+}
+
+std::string tampered(std::string link) {
+    char& last = link[link.size() - 10];
+    last = last == 'A' ? 'B' : 'A';
+    return link;
+}
+
+}  // namespace
+
+// Guards: what does not hold is turned away at the gate and costs the caches nothing.
+TEST_CASE("valid, expired and forged links are replayed and their outcomes counted") {
+    Site site;
+    const std::string ana = site.token(), valid = site.link(kVideo);
+    std::string elsewhere = valid;
+    elsewhere.replace(elsewhere.find("655/3"), 5, "655/4");
+    const std::string none = "eyJhbGciOiJub25lIn0.e30.";
+    const std::vector<std::pair<std::string, std::string>> replayed{
+        {valid, ana},
+        {valid, ana},
+        {site.link(kVideo, -1), ana},                         // expired
+        {tampered(valid), ana},                               // forged
+        {kVideo + "&URISigningPackage=" + none, ana},         // unsigned
+        {kVideo + "&URISigningPackage=" + ana, ana},          // a student's token is no link
+        {site.link(kVideo, 60, "", "ana", "link-old"), ana},  // by a key out of use
+        {elsewhere, ana},                                     // another part's link
+        {kVideo, ana},                                        // no link
+        {valid, site.token("bia")},                           // another student's link
+        {valid, ""},
+        {valid, tampered(ana)},
+        {valid, site.token("ana", -1)},
+        {"/video/../enrol", ana},
+        {"/nothing/7f3a9c21e0b4d655", ana}};
+    Wire client = Wire::to(site.daemon.signed_port()), cache;
+    std::map<int, int> outcomes;
+    for (const auto& [link, token] : replayed) {
+        client.send(request("GET", link, token));
+        if (outcomes[200] < 2) {
+            if (outcomes[200] == 0) cache = site.cache.accept();
+            const Req req = read_req(cache);
+            CHECK(req.fields.at("cls") == "video");
+            CHECK(req.fields.at("item") == "7f3a9c21e0b4d655");
+            cache.send(req.id + " DONE digest=ab12 5\r\nvideo\r\n");
+        }
+        const Response response = read_response(client);
+        ++outcomes[response.status];
+        if (response.status == 200) CHECK(response.body == "video");
+        if (response.status == 401) CHECK(response.headers.contains("WWW-Authenticate"));
+        if (response.status >= 400) CHECK(response.headers.at("Content-Type") == "application/problem+json");
+    }
+    CHECK(outcomes == std::map<int, int>{{200, 2}, {401, 3}, {403, 8}, {404, 2}});
+    CHECK(cache.quiet());
+    CHECK_FALSE(site.cache.called());
+}
+
+// Guards: the gate is passed once. What has been let in ends in one answer, whatever its link does meanwhile.
+TEST_CASE("a link that expires in flight still ends in one answer") {
+    Site site;
+    const double expires_in = 0.3;
+    // Large, so that the attempt itself has time long beyond the link's.
+    const std::string link = site.link("/video/7f3a9c21e0b4d655/3?set=17&need=20000", expires_in),
+                      ana = site.token();
+    const double expired = now() + expires_in;
+    Wire client = Wire::to(site.daemon.signed_port());
+    client.send(request("GET", link, ana));
+    Wire cache = site.cache.accept();
+    const Req req = read_req(cache);
+    Wire other = Wire::to(site.daemon.signed_port());
+    int status = 0;
+    while (status != 403) {  // until the gate itself takes the link for expired
+        other.send(request("GET", link, ana, "", "Prefer: wait=0.05\r\n"));
+        status = read_response(other).status;
+    }
+    CHECK(now() >= expired);
+    cache.send(req.id + " DONE digest=ab12 5\r\nvideo\r\n");
+    const Response response = read_response(client);
+    CHECK(response.status == 200);
+    CHECK(response.body == "video");
+    CHECK(client.quiet());
+}
+
+// Guards: enrol runs at most once a link, a forged one never reaches a cache, and what may have run is not
+// let in again, while what was refused unseen may be.
+TEST_CASE("enrol by links for one use") {
+    Site site;
+    const std::string ana = site.token();
+    Wire client = Wire::to(site.daemon.signed_port());
+    const auto status_of = [&](const std::string& link) {
+        client.send(request("POST", link, ana, "form"));
+        return read_response(client).status;
+    };
+    CHECK(status_of(tampered(site.link(kEnrol, 60, "j1"))) == 403);
+    CHECK(status_of(site.link(kEnrol)) == 403);  // not for one use
+    CHECK_FALSE(site.cache.called());
+
+    const std::string first = site.link(kEnrol, 60, "j2");
+    client.send(request("POST", first, ana, "form"));
+    Wire cache = site.cache.accept();
+    const Req req = read_req(cache);
+    CHECK(req.body == "form");
+    cache.send(req.id + " DONE - 2\r\nin\r\n");
+    CHECK(read_response(client).body == "in");
+    CHECK(status_of(first) == 403);
+
+    const std::string broken = site.link(kEnrol, 60, "j3");
+    client.send(request("POST", broken, ana, "form"));
+    read_req(cache);
+    cache.reset();
+    CHECK(read_response(client).status == 502);
+    CHECK(status_of(broken) == 403);
+}
+
+// Guards: a refusal says when to come back, and the link for one use that it met is good again.
+TEST_CASE("refusals, time-outs and unmodified copies as HTTP words them") {
+    Site site;
+    const std::string ana = site.token();
+    Wire client = Wire::to(site.daemon.signed_port());
+    client.send(request("GET", site.link(kVideo), ana, "", "If-None-Match: \"ab12\"\r\n"));
+    Wire cache = site.cache.accept();
+    const Req held = read_req(cache);
+    CHECK(held.fields.at("got") == "ab12");
+    cache.send(held.id + " KEEP digest=ab12 0\r\n\r\n");
+    const Response same = read_response(client);
+    CHECK(same.status == 304);
+    CHECK(same.headers.at("ETag") == "\"ab12\"");
+
+    client.send(request("POST", site.link(kEnrol, 60, "j0"), ana, "form", "Prefer: wait=0.4\r\n"));
+    read_req(cache);
+    CHECK(read_response(client).status == 504);
+
+    site.cache.stop(), site.parent.stop(), site.origin.stop();
+    cache.reset();
+    const std::string once = site.link(kEnrol, 60, "j1");
+    for (int i = 0; i < 2; ++i) {  // refused unseen, so the same link is let in a second time
+        client.send(request("POST", once, ana, "form"));
+        const Response refused = read_response(client);
+        CHECK(refused.status == 503);
+        CHECK(refused.headers.contains("Retry-After"));
+        CHECK(refused.body.find("nothing ran") != std::string::npos);
+    }
+}
