--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -9,6 +9,8 @@
 #include "front_signed/front.h"
 #include "front_signed/one_time.h"
 #include "net/log.h"
+#include "store/member.h"
+#include "store/redis_one_time.h"
 #include "upstream/pool.h"
 
 namespace sumackeel::cli {
@@ -34,6 +36,7 @@
     core::Core core;
     upstream::Pool pool;
     front_platform::Front front;
+    std::unique_ptr<store::Member> member;
     std::unique_ptr<front_signed::OneTime> one_time;
     std::unique_ptr<front_signed::Front> signed_front;
     std::unique_ptr<feed::Feed> feed;
@@ -61,11 +64,20 @@
         if (!c.changelog.empty())
             feed = std::make_unique<feed::Feed>(loop, sockets, c.changelog, c.site, c.known_seq,
                                                 [this](const auto& change) { change_heard(change, false); });
+        if (setup.store) member = std::make_unique<store::Member>(loop, sockets, *setup.store);
         if (setup.signed_front) {
             if (setup.signed_front->one_time == "local")
                 one_time = std::make_unique<front_signed::LocalOneTime>();
+            if (setup.signed_front->one_time == "redis")
+                one_time = std::make_unique<store::RedisOneTime>(loop, setup.redis);
+            front_signed::Live live;
+            if (member)
+                live = [this](const std::string& key) {
+                    const auto entry = member->get(key);
+                    return entry ? std::optional(entry->value) : std::nullopt;
+                };
             signed_front = std::make_unique<front_signed::Front>(loop, core, c.site, *setup.signed_front,
-                                                                 one_time.get(), c.seed);
+                                                                 one_time.get(), c.seed, std::move(live));
         }
         loop.each_turn([this] { core.run(); });
         uv_async_init(loop.raw(), &told, [](uv_async_t* handle) {
--- /dev/null
+++ b/src/cli/store_command.cpp
@@ -0,0 +1,66 @@
+#include "cli/store_command.h"
+
+#include <fmt/format.h>
+
+#include "config/config.h"
+#include "net/stream.h"
+#include "store/text.h"
+
+namespace sumackeel::cli {
+
+namespace {
+
+constexpr core::Micros kPatience = 5'000'000;
+
+struct Asker : net::Stream::Owner {
+    net::Loop& loop;
+    std::string question, answer;
+
+    Asker(net::Loop& l, std::string q) : loop(l), question(std::move(q)) {}
+    void opened(net::Stream& stream) override { stream.write(question + '\n'); }
+    void received(net::Stream& stream, std::string_view bytes) override {
+        answer += bytes;
+        if (answer.find('\n') == std::string::npos) return;
+        stream.close();
+        loop.stop();
+    }
+    void gone(net::Stream&, net::Gone) override { loop.stop(); }
+};
+
+Json::Value question_of(const std::vector<std::string>& words) {
+    Json::Value question;
+    if (words.size() == 1 && words[0] == "promote") {
+        question["promote"] = true;
+    } else if (words.size() == 2 && words[0] == "get") {
+        question["get"] = words[1];
+    } else if (words.size() == 3 && words[0] == "set") {
+        question["set"] = words[1];
+        question["value"] = words[2];
+    } else {
+        throw config::ConfigError("store takes promote, get KEY or set KEY VALUE");
+    }
+    return question;
+}
+
+}  // namespace
+
+bool store_command(const std::string& address, const std::vector<std::string>& words) {
+    const std::string question = store::to_line(question_of(words));
+    net::Loop loop;
+    net::Budget budget(4);
+    Asker asker(loop, question);
+    sockaddr_in to{};
+    if (!net::read_address(address, to)) throw config::ConfigError("no address of a member: " + address);
+    if (!net::Stream::connect(loop, budget, to, asker))
+        throw config::ConfigError("no connection to " + address);
+    loop.deadlines().set(loop.clock().now() + kPatience, [&loop] { loop.stop(); });
+    loop.run();
+    const auto end = asker.answer.find('\n');
+    if (end == std::string::npos) throw config::ConfigError(address + " does not answer");
+    const std::string line = asker.answer.substr(0, end);
+    fmt::print("{}\n", line);
+    const Json::Value answer = store::from_line(line);
+    return !answer.isMember("refused") && (!answer.isMember("outcome") || answer["outcome"] == "done");
+}
+
+}  // namespace sumackeel::cli
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -65,15 +65,35 @@
     return front;
 }
 
+Store read_store(const Value& item, const std::filesystem::path& folder) {
+    const std::string where = "store";
+    Store store;
+    store.name = need<std::string>(item, "name", where);
+    store.listen = need<std::string>(item, "listen", where);
+    store.primary = need<std::string>(item, "primary", where);
+    store.folder = (folder / need<std::string>(item, "folder", where)).string();
+    if (!item["members"].isObject()) bad(where + ".members", "missing or not an object");
+    for (const std::string& name : item["members"].getMemberNames())
+        store.members.push_back({name, need<std::string>(item["members"], name.c_str(), where + ".members")});
+    for (const std::string& name : {store.name, store.primary})
+        if (!item["members"].isMember(name)) bad(where + ".members", "'" + name + "' is not among them");
+    return store;
+}
+
 }  // namespace
 
 Operator load_operator(const std::string& path) {
     const Value root = parse(file_text(path), path);
     if (!root.isObject()) bad(path, "not an object");
     Operator result;
+    take(root, "redis", result.redis, path);
+    if (!root["store"].isNull())
+        result.store = read_store(root["store"], std::filesystem::path(path).parent_path());
     if (!root["signed_front"].isNull())
         result.signed_front =
             read_signed_front(root["signed_front"], std::filesystem::path(path).parent_path());
+    if (result.signed_front && result.signed_front->one_time == "redis" && result.redis.empty())
+        bad(path, "one_time is redis, and redis is missing");
     return result;
 }
 
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -31,7 +31,19 @@
     std::vector<KeyFile> keys;
 };
 
+struct StoreMember {
+    std::string name, address;
+};
+
+// The replicated store of revoked links, key ids and live settings.
+struct Store {
+    std::string name, listen, folder, primary;  // primary: who leads until an operator promotes another
+    std::vector<StoreMember> members;           // all of them, this one too
+};
+
 struct Operator {
+    std::string redis;  // address; needed for links for one use by "redis"
+    std::optional<Store> store;
     std::optional<SignedFront> signed_front;
 };
 
--- a/src/front_signed/front.cpp
+++ b/src/front_signed/front.cpp
@@ -189,12 +189,13 @@
 };
 
 Front::Front(net::Loop& loop, core::Core& core, const config::Site& site, const config::SignedFront& setup,
-             OneTime* one_time, std::uint64_t seed)
+             OneTime* one_time, std::uint64_t seed, Live live)
     : loop_(loop),
       core_(core),
       site_(site),
       setup_(setup),
-      gate_(setup),
+      live_(std::move(live)),
+      gate_(setup, live_),
       one_time_(one_time),
       ids_(seed ^ 0x5eed5eed5eed5eedULL),
       budget_(setup.connections),
@@ -220,6 +221,13 @@
     return static_cast<double>(loop_.clock().now()) / 1e6;
 }
 
+int Front::retry_after() const {
+    const auto live = live_ ? live_("setting/retry_after_s") : std::nullopt;
+    int seconds = 0;
+    if (live) std::from_chars(live->data(), live->data() + live->size(), seconds);
+    return seconds >= 1 && seconds <= 3600 ? seconds : setup_.retry_after_s;
+}
+
 void Front::accept(uv_stream_t* listener) {
     auto client = std::make_unique<Client>(*this, next_client_++);
     client->stream = net::Stream::accept(loop_, budget_, listener, *client);
@@ -324,7 +332,7 @@
             return reply(client, {304, etag, {}});
         case Answered::refused: {
             const auto advised = static_cast<int>((reply_given.come_back + 999'999) / 1'000'000);
-            const int wait = reply_given.come_back > 0 ? advised : setup_.retry_after_s;
+            const int wait = reply_given.come_back > 0 ? advised : retry_after();
             return reply(
                 client,
                 {503, fmt::format("Retry-After: {}\r\nContent-Type: application/problem+json\r\n", wait),
@@ -342,7 +350,7 @@
     std::string headers = "Content-Type: application/problem+json\r\n";
     if (status == 401) headers += "WWW-Authenticate: Bearer error=\"invalid_token\"\r\n";
     if (status == 405) headers += "Allow: GET, POST\r\n";
-    if (status == 503) headers += fmt::format("Retry-After: {}\r\n", setup_.retry_after_s);
+    if (status == 503) headers += fmt::format("Retry-After: {}\r\n", retry_after());
     reply(client,
           {status, headers,
            fmt::format(R"({{"status":{},"title":"{}","detail":"{}"}})", status, title(status), detail)});
--- a/src/front_signed/front.h
+++ b/src/front_signed/front.h
@@ -21,7 +21,7 @@
   public:
     // `one_time` may be null: then nothing that holds for one use only is let in.
     Front(net::Loop& loop, core::Core& core, const config::Site& site, const config::SignedFront& setup,
-          OneTime* one_time, std::uint64_t seed);
+          OneTime* one_time, std::uint64_t seed, Live live = {});
     ~Front() override;
 
     int port() const { return listener_.port(); }
@@ -50,11 +50,13 @@
     void reply(Client& client, const Answer& answer);
     void lost(Client& client);
     double now_s() const;
+    int retry_after() const;
 
     net::Loop& loop_;
     core::Core& core_;
     const config::Site& site_;
     const config::SignedFront& setup_;
+    Live live_;
     Gate gate_;
     OneTime* one_time_;
     std::mt19937_64 ids_;
--- a/src/front_signed/links.cpp
+++ b/src/front_signed/links.cpp
@@ -119,9 +119,20 @@
            (target.query.empty() ? "" : "?" + target.query);
 }
 
+// A live setting may widen or narrow the leeway, within the same bounds as the operator's file.
+double Gate::leeway() const {
+    const auto live = live_ ? live_("setting/leeway_s") : std::nullopt;
+    double seconds = 0;
+    return live && read_number(*live, seconds) && seconds >= 0 && seconds <= 60 ? seconds : front_.leeway_s;
+}
+
+bool Gate::in_force(const std::optional<Claims>& claims) const {
+    return claims && !(live_ && live_("key/" + claims->kid) == "off");
+}
+
 bool Gate::in_time(const Claims& claims, double now) const {
-    return claims.expires && now < *claims.expires + front_.leeway_s &&
-           (!claims.not_before || now >= *claims.not_before - front_.leeway_s);
+    return claims.expires && now < *claims.expires + leeway() &&
+           (!claims.not_before || now >= *claims.not_before - leeway());
 }
 
 bool Gate::for_us(const Claims& claims) const {
@@ -147,21 +158,23 @@
 
 Verdict Gate::check(const Target& target, std::string_view bearer, bool effect, double now) const {
     const auto student = keys_.verify(bearer, Purpose::student, now);
-    if (!student || student->subject.empty() || !contains(front_.token_issuers, student->issuer) ||
+    if (!in_force(student) || student->subject.empty() || !contains(front_.token_issuers, student->issuer) ||
         !for_us(*student) || !in_time(*student, now))
         return {401, bearer.empty() ? "a student's token is needed" : "the token does not hold", {}, 0};
     const auto link = keys_.verify(target.package, Purpose::link, now);
-    if (!link)
+    if (!in_force(link))
         return {403, target.package.empty() ? "a signed link is needed" : "the link does not hold", {}, 0};
     if (const std::string why = why_not_link(*link, target, now); !why.empty()) return {403, why, {}, 0};
     const auto subject = keys_.decrypt(link->subject, now);
     if (!subject || !same_secret(*subject, student->subject))
         return {403, "the link is another student's", {}, 0};
+    if (live_ && !link->id.empty() && live_("revoked/" + link->id))
+        return {403, "the link was revoked", {}, 0};
     if (effect && link->id.empty()) return {403, "this needs a link for one use", {}, 0};
     Verdict verdict;
     if (!link->id.empty()) {
         verdict.once = link->issuer + '\n' + link->id;
-        verdict.once_until = *link->expires + front_.leeway_s;
+        verdict.once_until = *link->expires + leeway();
     }
     return verdict;
 }
--- a/src/front_signed/links.h
+++ b/src/front_signed/links.h
@@ -1,6 +1,8 @@
 // Signed links (RFC 9246) and the student's token that goes with them: checked once, before the core.
 #pragma once
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,9 +30,13 @@
     double once_until = 0;  // the name need not be kept longer, Unix seconds
 };
 
+// What operators have set meanwhile: revoked/JTI, key/KID (off), setting/leeway_s, setting/retry_after_s.
+using Live = std::function<std::optional<std::string>(const std::string& key)>;
+
 class Gate {
   public:
-    explicit Gate(const config::SignedFront& front) : front_(front), keys_(front.keys) {}
+    explicit Gate(const config::SignedFront& front, Live live = {})
+        : front_(front), live_(std::move(live)), keys_(front.keys) {}
 
     // `bearer` is the student's token. `effect`: the request has an effect, so its link is for one use.
     Verdict check(const Target& target, std::string_view bearer, bool effect, double now) const;
@@ -44,10 +50,13 @@
   private:
     std::string why_not_link(const Claims& link, const Target& target, double now) const;
     std::string uri(const Target& target) const;
+    bool in_force(const std::optional<Claims>& claims) const;
+    double leeway() const;
     bool in_time(const Claims& claims, double now) const;
     bool for_us(const Claims& claims) const;
 
     const config::SignedFront& front_;
+    Live live_;
     Keys keys_;
 };
 
--- a/src/front_signed/tokens.cpp
+++ b/src/front_signed/tokens.cpp
@@ -179,7 +179,9 @@
     std::uint8_t* plain = nullptr;
     std::size_t length = 0;
     if (!cjose_jws_get_plaintext(jws.get(), &plain, &length, &err)) return std::nullopt;
-    return read_claims(std::string(reinterpret_cast<const char*>(plain), length));
+    auto claims = read_claims(std::string(reinterpret_cast<const char*>(plain), length));
+    if (claims) claims->kid = key->file.kid;
+    return claims;
 }
 
 std::optional<std::string> Keys::decrypt(std::string_view token, double now) const {
--- a/src/front_signed/tokens.h
+++ b/src/front_signed/tokens.h
@@ -17,6 +17,7 @@
 // The claims that are looked at. Times are Unix seconds; absent ones are empty.
 struct Claims {
     std::string issuer, subject, id, container;
+    std::string kid;  // of the key that the signature holds under
     std::vector<std::string> audience, critical;
     std::optional<double> expires, not_before;
     std::optional<std::int64_t> version;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,12 +2,13 @@
 #include <getopt.h>
 
 #include <cmath>
-#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <string>
+#include <vector>
 
 #include "cli/serve.h"
+#include "cli/store_command.h"
 #include "config/config.h"
 #include "config/operator.h"
 #include "core/clock.h"
@@ -23,6 +24,7 @@
     "       sumackeel sign-url --operator FILE --link-key KID --subject-key KID --student NAME\n"
     "                          [--expires-in SECONDS] [--one-time JTI] TARGET\n"
     "       sumackeel sign-token --operator FILE --student-key KID --student NAME [--expires-in SECONDS]\n"
+    "       sumackeel store --at ADDRESS promote | get KEY | set KEY VALUE\n"
     "       sumackeel version\n"
     "The configuration is what the platform gives (default: $GW_CONFIG); the operator's file turns the "
     "front\n"
@@ -37,7 +39,8 @@
 struct Flags {
     std::string config, setup;
     std::string level = "info";
-    std::string link_key, subject_key, student_key, student, one_time, target;
+    std::string link_key, subject_key, student_key, student, one_time, at;
+    std::vector<std::string> words;
     double expires_in = 600;
     bool help = false;
 };
@@ -52,6 +55,7 @@
                                    {"student-key", required_argument, nullptr, 't'},
                                    {"student", required_argument, nullptr, 's'},
                                    {"one-time", required_argument, nullptr, 'j'},
+                                   {"at", required_argument, nullptr, 'a'},
                                    {"expires-in", required_argument, nullptr, 'e'},
                                    {"help", no_argument, nullptr, 'h'},
                                    {nullptr, 0, nullptr, 0}};
@@ -60,6 +64,8 @@
     for (int found; (found = getopt_long(argc, argv, "c:o:l:h", known, nullptr)) != -1;) {
         if (found == 'c')
             flags.config = optarg;
+        else if (found == 'a')
+            flags.at = optarg;
         else if (found == 'o')
             flags.setup = optarg;
         else if (found == 'l')
@@ -81,8 +87,7 @@
         else
             return std::string("unknown flag or missing value: ") + argv[optind - 1];
     }
-    if (optind < argc) flags.target = argv[optind++];
-    if (optind < argc) return std::string("one word too many: ") + argv[optind];
+    flags.words.assign(argv + optind, argv + argc);
     if (!sumackeel::log::set_level(flags.level)) return "no such log level: " + flags.level;
     return {};
 }
@@ -100,8 +105,8 @@
     if (command == "sign-token")
         return fmt::print("{}\n", gate.student_token(flags.student_key, flags.student, expires)), 0;
     sumackeel::front_signed::Target target;
-    if (!sumackeel::front_signed::read_target(flags.target, target))
-        return wrong("no such target: " + flags.target);
+    if (!sumackeel::front_signed::read_target(flags.words.empty() ? "" : flags.words.front(), target))
+        return wrong("a target is needed, as in /video/7f3a9c21e0b4d655/3?set=17");
     fmt::print("{}\n",
                gate.sign(target, flags.link_key, flags.subject_key, flags.student, expires, flags.one_time));
     return 0;
@@ -118,7 +123,11 @@
     if (flags.help || command == "help") return fmt::print("{}", kUsage), 0;
     if (command == "version") return fmt::print("{}\n", kVersion), 0;
     if (command == "sign-url" || command == "sign-token") return sign(command, flags);
-    if (!flags.target.empty()) return wrong("one word too many: " + flags.target);
+    if (command == "store") {
+        if (flags.at.empty()) return wrong("no member: give --at ADDRESS");
+        return sumackeel::cli::store_command(flags.at, flags.words) ? 0 : 1;
+    }
+    if (!flags.words.empty()) return wrong("one word too many: " + flags.words.front());
     if (command != "serve" && command != "check-config") return wrong("no such command: " + command);
     if (flags.config.empty()) return wrong("no configuration: give --config or set GW_CONFIG");
     const auto config = sumackeel::config::load_config(flags.config);
@@ -126,7 +135,6 @@
         flags.setup.empty() ? sumackeel::config::Operator{} : sumackeel::config::load_operator(flags.setup);
     if (setup.signed_front) sumackeel::front_signed::Gate{*setup.signed_front};  // its keys must be usable
     if (command == "check-config") return fmt::print("{}: sound\n", flags.config), 0;
-    std::signal(SIGPIPE, SIG_IGN);
     sumackeel::cli::Daemon daemon(config, setup);
     daemon.run();
     return 0;
--- /dev/null
+++ b/src/store/redis_one_time.h
@@ -0,0 +1,41 @@
+// Links for one use, shared by several proxies through Redis: SET NX PX. While Redis is down or late no such
+// use is granted.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "front_signed/one_time.h"
+#include "net/loop.h"
+
+struct redisAsyncContext;
+
+namespace sumackeel::store {
+
+class RedisOneTime : public front_signed::OneTime {
+  public:
+    RedisOneTime(net::Loop& loop, const std::string& address, core::Micros patience = 250'000);
+    ~RedisOneTime() override;
+    RedisOneTime(const RedisOneTime&) = delete;
+    RedisOneTime& operator=(const RedisOneTime&) = delete;
+
+    void use(const std::string& name, double now, double until, Done done) override;
+    void give_back(const std::string& name) override;
+
+  private:
+    struct Asked;
+
+    void connect();
+    void lost();
+
+    net::Loop& loop_;
+    std::string host_;
+    int port_ = 0;
+    core::Micros patience_;
+    redisAsyncContext* context_ = nullptr;
+    bool up_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace sumackeel::store
--- a/tests/net/signed_test.cpp
+++ b/tests/net/signed_test.cpp
@@ -37,6 +37,12 @@
     return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+sumackeel::config::Operator setup_of(const sumackeel::config::SignedFront& front) {
+    sumackeel::config::Operator all;
+    all.signed_front = front;
+    return all;
+}
+
 struct Site {
     Peer cache, parent, origin;
     sumackeel::config::SignedFront front = setup();
@@ -44,7 +50,7 @@
     Daemon daemon{{host("s-cache", cache, "edge-1", "small"), host("s-parent", parent, "coast", "parent"),
                    host("s-origin", origin, "coast", "origin")},
                   "",
-                  {front}};
+                  setup_of(front)};
 
     std::string link(const std::string& path, double good_for = 60, const std::string& jti = {},
                      const std::string& student = "ana", const std::string& kid = "link-1") {
@@ -221,3 +227,31 @@
         CHECK(refused.body.find("nothing ran") != std::string::npos);
     }
 }
+
+// Guards: what an operator takes back while the proxies run holds for the next request.
+TEST_CASE("a revoked link and a key that was switched off") {
+    const auto front = setup();
+    std::map<std::string, std::string> live;
+    const Gate gate(front, [&](const std::string& key) {
+        const auto found = live.find(key);
+        return found == live.end() ? std::nullopt : std::optional(found->second);
+    });
+    sumackeel::front_signed::Target target;
+    REQUIRE(sumackeel::front_signed::read_target(kEnrol, target));
+    const std::string uri = gate.sign(target, "link-1", "subject-1", "ana", now() + 60, "j1");
+    const std::string ana = gate.student_token("student-1", "ana", now() + 60);
+    sumackeel::front_signed::Target link;
+    REQUIRE(sumackeel::front_signed::read_target(uri.substr(uri.find("/enrol")), link));
+    const auto status = [&](double at) { return gate.check(link, ana, true, at).status; };
+    CHECK(status(now()) == 0);
+    CHECK(status(now() + 65) == 401);
+    live["setting/leeway_s"] = "10";
+    CHECK(status(now() + 65) == 0);
+    live["revoked/j1"] = "yes";
+    CHECK(status(now()) == 403);
+    live.erase("revoked/j1");
+    live["key/link-1"] = "off";
+    CHECK(status(now()) == 403);
+    live["key/student-1"] = "off";
+    CHECK(status(now()) == 401);
+}
