Show that a connection that never comes up proves that nothing ran

Seen: the story of the refused connection could pass without a refusal, since the hash may choose the other cache. It now learns the first choice from a first request, and has a second case in which connections hang until their time-out: the enrol goes on to the other cache after 400 ms, once. alive always says yes: a flag for a leaving proxy was never set.

--- a/src/front_platform/front.cpp
+++ b/src/front_platform/front.cpp
@@ -121,7 +121,7 @@
 void Front::call(Client& client, Call call) {
     switch (call.verb) {
         case Verb::alive:
-            return client.stream->write(write_alive(call.seqid, !leaving_));
+            return client.stream->write(write_alive(call.seqid));
         case Verb::unknown:
             return client.stream->write(write_unknown(call.name, call.seqid));
         case Verb::cancel: {
--- a/src/front_platform/front.h
+++ b/src/front_platform/front.h
@@ -28,7 +28,6 @@
 
     int port() const { return listener_.port(); }
     void stop_listening() { listener_.close(); }
-    void leaving() { leaving_ = true; }  // `alive` says no from now on
     bool unsent() const;
 
   private:
@@ -53,7 +52,6 @@
         std::int32_t seqid = 0;
     };
     core::Slots<Open> open_;
-    bool leaving_ = false;
     net::Listener listener_;
 };
 
--- a/src/front_platform/thrift.cpp
+++ b/src/front_platform/thrift.cpp
@@ -166,11 +166,11 @@
     });
 }
 
-std::string write_alive(std::int32_t seqid, bool good) {
+std::string write_alive(std::int32_t seqid) {
     return framed(128, [&](Protocol& out) {
         out.writeMessageBegin("alive", tp::T_REPLY, seqid);
         out.writeStructBegin("alive_result");
-        write_result(out, {}, {}, good);
+        write_result(out, {}, {}, true);
         out.writeFieldStop();
         out.writeMessageEnd();
     });
--- a/src/front_platform/thrift.h
+++ b/src/front_platform/thrift.h
@@ -40,7 +40,7 @@
 
 Call read_call(const std::string& frame);  // throws FrameError
 std::string write_answer(std::int32_t seqid, const core::Reply& reply);
-std::string write_alive(std::int32_t seqid, bool good);
+std::string write_alive(std::int32_t seqid);
 std::string write_unknown(const std::string& name, std::int32_t seqid);
 
 }  // namespace sumackeel::front_platform
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -16,6 +16,14 @@
     }
 };
 
+struct TwoCaches {
+    Peer a, b, parent, origin;
+    std::vector<std::string> hosts() const {
+        return {host("s-a", a, "edge-1", "small"), host("s-b", b, "edge-1", "small"),
+                host("s-parent", parent, "coast", "parent"), host("s-origin", origin, "coast", "origin")};
+    }
+};
+
 }  // namespace
 
 TEST_CASE("a read reaches the cache as asked and its bytes come back whole") {
@@ -72,21 +80,30 @@
     CHECK_FALSE(fleet.origin.called());
 }
 
-// Guards: a refused connection proves that nothing ran, so the same request may go to the next cache.
-TEST_CASE("an enrol goes on to another cache when the first refuses the connection") {
-    Peer a, b, parent, origin;
-    Daemon daemon({host("s-a", a, "edge-1", "small"), host("s-b", b, "edge-1", "small"),
-                   host("s-parent", parent, "coast", "parent"), host("s-origin", origin, "coast", "origin")});
+// Guards: a connection that is refused, or never comes up, proves that nothing ran, so what must not run
+// twice may go to the next cache.
+TEST_CASE("an enrol goes on to another cache when the first can't be reached") {
+    TwoCaches fleet;
+    Daemon daemon(fleet.hosts());
     Wire client = Wire::to(daemon.port());
-    a.stop();
-    Wire cache;
-    for (int seqid = 1; seqid <= 3; ++seqid) {
-        client.send(dispatch(seqid, read("enrol", "00000000000000e" + std::to_string(seqid))));
-        if (seqid == 1) cache = b.accept();
-        const Req req = read_req(cache);
-        cache.send(req.id + " DONE - 0\r\n\r\n");
-        CHECK(read_reply(client).place == 0);
+    client.send(dispatch(1, read("enrol", "00000000000000e1")));
+    Peer& first = first_called({&fleet.a, &fleet.b});
+    Wire cache = first.accept();
+    read_req(cache);
+    cache.send("00000000000000e1 DONE - 0\r\n\r\n");
+    CHECK(read_reply(client).place == 0);
+    cache.finish();
+    SUBCASE("refused") {
+        first.stop();
+    }
+    SUBCASE("never up") {
+        first.clog();
     }
+    client.send(dispatch(2, read("enrol", "00000000000000e2")));  // the same object, so the same first choice
+    Wire next = (&first == &fleet.a ? fleet.b : fleet.a).accept();
+    CHECK(read_req(next).id == "00000000000000e2");
+    next.send("00000000000000e2 DONE - 0\r\n\r\n");
+    CHECK(read_reply(client).place == 0);
 }
 
 // Guards: an answer that can't be read says nothing about those behind it, so the connection goes, and with
@@ -164,10 +181,9 @@
 // Guards: news in the change log must reach the module, in order, also over a connection taken up anew and
 // behind an event that can't be read.
 TEST_CASE("a drained cache gets nothing new, and the change log is taken up where it broke off") {
-    Peer a, b, parent, origin, log;
-    Daemon daemon({host("s-a", a, "edge-1", "small"), host("s-b", b, "edge-1", "small"),
-                   host("s-parent", parent, "coast", "parent"), host("s-origin", origin, "coast", "origin")},
-                  log.address());
+    TwoCaches fleet;
+    Peer log;
+    Daemon daemon(fleet.hosts(), log.address());
     const auto follow = [&](const std::string& last, const std::string& event) {
         Wire feed = log.accept();
         CHECK(feed.line() == "GET /changes HTTP/1.1");
@@ -178,8 +194,9 @@
         feed.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n" + event);
         return feed;
     };
-    Wire first = follow("1", "data: {\"seq\":2,\"fleet\":{}}\n\nid: 2\ndata: " +
-                                 fleet(2, false, {host("s-a", a, "edge-1", "small", "DRAINING")}) + "\n\n");
+    Wire first = follow(
+        "1", "data: {\"seq\":2,\"fleet\":{}}\n\nid: 2\ndata: " +
+                 story::fleet(2, false, {host("s-a", fleet.a, "edge-1", "small", "DRAINING")}) + "\n\n");
     first.close();
     Wire second = follow("2", ":\n\n");
     Wire client = Wire::to(daemon.port()), cache;
@@ -187,12 +204,12 @@
         Fields fields = read("sheet", "00000000000000b" + std::to_string(i));
         fields["subject"] = "000000000000000" + std::to_string(i);
         client.send(dispatch(i, fields));
-        if (i == 1) cache = b.accept();
+        if (i == 1) cache = fleet.b.accept();
         const Req req = read_req(cache);
         cache.send(req.id + " DONE - 2\r\nok\r\n");
         CHECK(body(read_reply(client)) == "ok");
     }
-    CHECK_FALSE(a.called());
+    CHECK_FALSE(fleet.a.called());
 }
 
 // Guards: a planned restart loses nothing: requests still come for a while, and all that is open is answered.
--- a/tests/net/support.h
+++ b/tests/net/support.h
@@ -77,6 +77,11 @@
         return std::exchange(buffer_, {});
     }
     bool quiet() const { return buffer_.empty() && !ready(fd_, 0); }
+    void finish() {  // closes, and waits until the other side has seen it
+        shutdown(fd_, SHUT_WR);
+        rest();
+        close();
+    }
     void reset() {  // as when a process dies
         const linger hard{1, 0};
         setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
@@ -135,7 +140,10 @@
             throw std::runtime_error("no listener");
         port_ = ntohs(at.sin_port);
     }
-    ~Peer() { stop(); }
+    ~Peer() {
+        stop();
+        for (const int fd : clogging_) ::close(fd);
+    }
     Peer(const Peer&) = delete;
     Peer& operator=(const Peer&) = delete;
 
@@ -148,11 +156,25 @@
         if (fd_ >= 0) ::close(fd_);
         fd_ = -1;
     }
+    // From now on connections never come up, as at a machine that vanished: the queue of those not accepted
+    // is full.
+    void clog() {
+        listen(fd_, 0);
+        for (int i = 0; i < 4; ++i) {
+            clogging_.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            sockaddr_in at{};
+            at.sin_family = AF_INET;
+            at.sin_port = htons(static_cast<std::uint16_t>(port_));
+            at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            connect(clogging_.back(), reinterpret_cast<sockaddr*>(&at), sizeof at);
+        }
+    }
     std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
     int fd() const { return fd_; }
 
   private:
     int fd_, port_ = 0;
+    std::vector<int> clogging_;
 };
 
 // The one of several that is called first.
