Show that a refusal goes out at once with the time to come back

The story stops all peers and reads holdoff, in milliseconds, out of Busy where the settings allow advice.

--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -229,3 +229,21 @@
     CHECK(body(read_reply(late)) == "ok");
     daemon.join();
 }
+
+// Guards: what the module has given up on is answered at once, and the client is told when to come back.
+TEST_CASE("a refusal goes out at once and says when to come back") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts());
+    fleet.cache.stop(), fleet.parent.stop(), fleet.origin.stop();
+    Wire client = Wire::to(daemon.port());
+    const auto begun = std::chrono::steady_clock::now();
+    client.send(dispatch(1, read("sheet", "00000000000000a1", 3000)));
+    const Reply reply = read_reply(client);
+    CHECK(reply.place == 1);
+    CHECK(std::chrono::steady_clock::now() - begun < std::chrono::milliseconds(1500));
+    const auto at = reply.rest.find("holdoff");
+    REQUIRE(at != std::string::npos);
+    const int wait = std::stoi(reply.rest.substr(at + 11));
+    CHECK(wait >= 250);
+    CHECK(wait <= 500);
+}
--- a/tests/net/support.h
+++ b/tests/net/support.h
@@ -209,7 +209,7 @@
  "grace_for":[0,0,0],"joins":true,"notes_given":"all","obey_after":300000,"origin_kind":2,"pace_kb_per_s":9100,
  "uncached":[false,false,true],"upper_kind":1,"zone_hub":[0,0]},
  "instances":1,"me":0,"my_zone":"edge-1","zones":["coast","edge-1"],"shapes":["small","parent","origin"],
- "limits":{"cancel":true,"connect_timeout":400000,"keepalive":15000000,"most_held":2000,"most_tries":8,"second_copies":true,"streams_per_conn":100},
+ "limits":{"cancel":true,"connect_timeout":400000,"keepalive":15000000,"most_held":2000,"max_retry_after":500000,"most_tries":8,"retry_after":true,"second_copies":true,"streams_per_conn":100},
  "report":{"fields":["utilization","outstanding","x0","x1"],"via":"piggyback"},"weights":"nominal"})";
 
 // The daemon with a fleet of scripted peers.
