Use the least loaded channel when all to a target are silent, not none

Seen by reading: with 16 channels to one target, each waiting over 400 ms for a slow fill, Pool::pick gave none and the attempt ended as not connected, though the cache was only slow.

--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -1,6 +1,7 @@
 #include "upstream/pool.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "net/log.h"
 
@@ -96,23 +97,21 @@
 }
 
 // The least loaded channel that works and that the request has not used before: the name of a request stands
-// for one attempt on a channel, also after a STOP.
+// for one attempt on a channel, also after a STOP. A silent one only where no other can be had.
 Pool::Channel* Pool::pick(Target& target, const core::Sending& sending) {
     Channel* best = nullptr;
+    const auto rank = [this](const Channel& c) { return std::tuple(silent(c), !c.up, c.open.size()); };
     for (const auto& channel : target.channels) {
-        if (silent(*channel) || channel->open.size() >= static_cast<std::size_t>(limits_.streams_per_conn))
-            continue;
-        if (std::find(sending.avoid.begin(), sending.avoid.end(), channel->number) != sending.avoid.end())
-            continue;
-        if (!best || std::pair(!channel->up, channel->open.size()) < std::pair(!best->up, best->open.size()))
-            best = channel.get();
+        if (channel->open.size() >= static_cast<std::size_t>(limits_.streams_per_conn)) continue;
+        const auto& avoid = sending.avoid;
+        if (std::find(avoid.begin(), avoid.end(), channel->number) != avoid.end()) continue;
+        if (!best || rank(*channel) < rank(*best)) best = channel.get();
     }
-    const bool roomy = target.channels.size() < kMostChannels;
-    if (best && (best->open.size() < kShareUpTo || !roomy)) return best;
-    if (!roomy) return best;
+    const bool trusted = best && !silent(*best);
+    if (target.channels.size() >= kMostChannels || (trusted && best->open.size() < kShareUpTo)) return best;
     Channel* fresh = dial(sending.target, target);
     // A channel that is up answers sooner than one that has yet to come up.
-    return best && best->up && best->open.size() < 4 * kShareUpTo ? best : fresh ? fresh : best;
+    return trusted && best->up && best->open.size() < 4 * kShareUpTo ? best : fresh ? fresh : best;
 }
 
 Pool::Channel* Pool::dial(const std::string& name, Target& target) {
