Read the configuration and the operator's file anew on SIGHUP

Nothing in src/cli/serve.cpp handled the signal, so its default ended the program. Ruled out: the feed itself, which takes the numbers up where they were once it knows the address.

Now Daemon::Parts::reload reads both files before it changes anything; Feed::move_to drops the old connection and asks at the new address at once, Last-Event-ID carried on; limits of sockets and memory and the signed front's keys, issuers and names follow. Without the handler both new stories end by the signal.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -27,10 +27,20 @@
 // Clients may hold a third; the log file, the loop's own and the change log are in the reserve.
 constexpr int kReserve = 24;
 
+int for_servers(int sockets, const config::Operator& setup) {
+    return sockets - sockets / 3 - kReserve - (setup.signed_front ? setup.signed_front->connections : 0);
+}
+
+front_platform::Limits front_limits(const config::Config& config) {
+    return {.connections = config.sockets / 3 + kReserve / 2,
+            .unsent_bytes = static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 3};
+}
+
 }  // namespace
 
 struct Daemon::Parts {
     const config::Config& config;
+    const Files files;
     net::Loop loop;
     net::Budget sockets;
     core::Core core;
@@ -40,23 +50,21 @@
     std::unique_ptr<front_signed::OneTime> one_time;
     std::unique_ptr<front_signed::Front> signed_front;
     std::unique_ptr<feed::Feed> feed;
-    uv_signal_t term{};
+    uv_signal_t term{}, hangup{};
     uv_async_t told{};
-    std::atomic<bool> end_told = false, stop_told = false;
+    std::atomic<bool> end_told = false, reload_told = false, stop_told = false;
     Micros told_to_end = 0;
 
-    Parts(const config::Config& c, const config::Operator& setup)
+    Parts(const config::Config& c, const config::Operator& setup, Files read_from)
         : config(c),
-          sockets(c.sockets - c.sockets / 3 - kReserve -
-                  (setup.signed_front ? setup.signed_front->connections : 0)),
+          files(std::move(read_from)),
+          sockets(for_servers(c.sockets, setup)),
           core(c.site.settings, c.seed, loop.clock(), loop.deadlines()),
           pool(loop, sockets, core,
                {.streams_per_conn = c.site.streams_per_conn,
                 .connect_timeout = c.site.settings.connect_timeout,
                 .idle_close = c.site.keepalive}),
-          front(loop, core, c.site, c.listen,
-                {.connections = c.sockets / 3 + kReserve / 2,
-                 .unsent_bytes = static_cast<std::size_t>(c.memory_mb) * 1024 * 1024 / 3}) {
+          front(loop, core, c.site, c.listen, front_limits(c)) {
         core.attach(pool);
         bool first = true;
         for (const config::Change& change : c.known) change_heard(change, std::exchange(first, false));
@@ -83,6 +91,7 @@
         uv_async_init(loop.raw(), &told, [](uv_async_t* handle) {
             auto* self = static_cast<Parts*>(handle->data);
             if (self->stop_told) return self->loop.stop();
+            if (self->reload_told.exchange(false)) self->reload();
             if (self->end_told) self->end();
         });
         told.data = this;
@@ -90,6 +99,31 @@
         term.data = this;
         uv_signal_start(
             &term, [](uv_signal_t* handle, int) { static_cast<Parts*>(handle->data)->end(); }, SIGTERM);
+        uv_signal_init(loop.raw(), &hangup);
+        hangup.data = this;
+        uv_signal_start(
+            &hangup, [](uv_signal_t* handle, int) { static_cast<Parts*>(handle->data)->reload(); }, SIGHUP);
+    }
+
+    // Both files are read before anything is changed: one that can't be used leaves all as it was. What the
+    // module was made with, the addresses listened on and the store hold until the next start.
+    void reload() try {
+        if (files.config.empty()) return log::warn("told to reload, but started without a file");
+        const config::Config fresh = config::load_config(files.config);
+        config::Operator setup;
+        if (!files.setup.empty()) setup = config::load_operator(files.setup);
+        if (setup.signed_front) front_signed::Gate{*setup.signed_front};  // its keys must be usable
+        sockets.set_most(for_servers(fresh.sockets, setup));
+        front.set_limits(front_limits(fresh));
+        if (signed_front && setup.signed_front) signed_front->renew(*setup.signed_front);
+        if (feed && !fresh.changelog.empty()) {
+            for (const config::Change& change : fresh.known) feed->heard(change);
+            feed->move_to(fresh.changelog);
+        }
+        core.run();
+        log::info("configuration read anew");
+    } catch (const std::exception& wrong) {
+        log::error("the configuration stays as it was: {}", wrong.what());
     }
 
     void change_heard(const config::Change& change, bool saved) {
@@ -130,8 +164,8 @@
     }
 };
 
-Daemon::Daemon(const config::Config& config, const config::Operator& setup)
-    : parts_(std::make_unique<Parts>(config, setup)) {}
+Daemon::Daemon(const config::Config& config, const config::Operator& setup, Files files)
+    : parts_(std::make_unique<Parts>(config, setup, std::move(files))) {}
 Daemon::~Daemon() = default;
 void Daemon::run() {
     parts_->loop.run();
@@ -140,6 +174,10 @@
     parts_->end_told = true;
     uv_async_send(&parts_->told);
 }
+void Daemon::reload() {
+    parts_->reload_told = true;
+    uv_async_send(&parts_->told);
+}
 void Daemon::stop() {
     parts_->stop_told = true;
     uv_async_send(&parts_->told);
--- a/src/cli/serve.h
+++ b/src/cli/serve.h
@@ -8,13 +8,19 @@
 
 namespace sumackeel::cli {
 
+// Where the configuration came from and is read anew from on SIGHUP; empty: there is no such file.
+struct Files {
+    std::string config, setup;
+};
+
 class Daemon {
   public:
-    // Both must outlive the daemon.
-    Daemon(const config::Config& config, const config::Operator& setup);
+    // Config and setup must outlive the daemon.
+    Daemon(const config::Config& config, const config::Operator& setup, Files files = {});
     ~Daemon();
     void run();               // until it was told to end and all that was open is answered
     void end();               // as on SIGTERM; from any thread
+    void reload();            // as on SIGHUP; from any thread
     void stop();              // at once, with all that is open; from any thread
     int port() const;         // of the platform's front
     int signed_port() const;  // of the front for signed links; -1: it is off
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -78,11 +78,11 @@
 }
 
 Feed::~Feed() {
-    if (stream_) stream_->close();
+    drop();
 }
 
 void Feed::connect() {
-    waiting_ = false;
+    next_try_.reset();
     sockaddr_in to{};
     started_ = loop_.clock().now();
     heard_ = 0;
@@ -91,8 +91,23 @@
 }
 
 void Feed::again() {
-    if (std::exchange(waiting_, true)) return;
-    loop_.deadlines().set(loop_.clock().now() + kAgainAfter, [this] { connect(); });
+    if (!next_try_)
+        next_try_ = loop_.deadlines().set(loop_.clock().now() + kAgainAfter, [this] { connect(); });
+}
+
+void Feed::drop() {
+    if (stream_) stream_->close();
+    stream_ = nullptr;
+}
+
+// The old place tells nothing more, and what the new one has to tell counts as told soon: asked at once.
+void Feed::move_to(std::string address) {
+    if (address == address_) return;
+    address_ = std::move(address);
+    log::info("change log moved to {}, taken up behind {}", address_, last_seq_);
+    drop();
+    if (next_try_) loop_.deadlines().drop(*next_try_);
+    connect();
 }
 
 void Feed::opened(net::Stream& stream) {
@@ -121,8 +136,7 @@
     const core::Micros limit = heard_ > 0 ? heard_ + kSilence : started_ + kConnectIn;
     if (stream_ && now > limit) {
         log::warn("change log silent, connecting anew");
-        stream_->close();
-        stream_ = nullptr;
+        drop();
         again();
     }
     loop_.deadlines().set(now + kWatch, [this] { watch(); });
@@ -137,6 +151,10 @@
     } catch (const config::ConfigError& wrong) {
         return log::error("an event passed over: {}", wrong.what());
     }
+    heard(change);
+}
+
+void Feed::heard(const config::Change& change) {
     if (change.seq <= last_seq_) return;
     on_change_(change);
     last_seq_ = change.seq;
--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -4,6 +4,7 @@
 #include <http_parser.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "config/config.h"
@@ -34,12 +35,16 @@
     ~Feed() override;
 
     core::Micros heard_at() const { return heard_; }
+    // From now on the change log is at this address; its numbers carry on.
+    void move_to(std::string address);
+    void heard(const config::Change& change);  // passed on unless it was heard before
 
   private:
     void opened(net::Stream& stream) override;
     void received(net::Stream& stream, std::string_view bytes) override;
     void gone(net::Stream& stream, net::Gone how) override;
     void connect();
+    void drop();
     void again();
     void event(const std::string& data);
     void watch();
@@ -56,7 +61,7 @@
     EventReader reader_;
     core::Micros heard_ = 0;    // the last byte
     core::Micros started_ = 0;  // of the present connection
-    bool waiting_ = false;
+    std::optional<core::Deadlines::Key> next_try_;
 };
 
 }  // namespace sumackeel::feed
--- a/src/front_platform/front.h
+++ b/src/front_platform/front.h
@@ -28,6 +28,7 @@
 
     int port() const { return listener_.port(); }
     void stop_listening() { listener_.close(); }
+    void set_limits(const Limits& limits) { limits_ = limits, budget_.set_most(limits.connections); }
     bool unsent() const;
 
   private:
--- a/src/front_signed/front.cpp
+++ b/src/front_signed/front.cpp
@@ -195,7 +195,7 @@
       site_(site),
       setup_(setup),
       live_(std::move(live)),
-      gate_(setup, live_),
+      gate_(std::make_unique<Gate>(setup_, live_)),
       one_time_(one_time),
       ids_(seed ^ 0x5eed5eed5eed5eedULL),
       budget_(setup.connections),
@@ -212,6 +212,12 @@
     }
 }
 
+void Front::renew(const config::SignedFront& setup) {
+    setup_ = setup;
+    gate_ = std::make_unique<Gate>(setup_, live_);
+    budget_.set_most(setup.connections);
+}
+
 bool Front::unsent() const {
     return std::any_of(clients_.begin(), clients_.end(),
                        [](const auto& c) { return c.second->stream && c.second->stream->unsent() > 0; });
@@ -277,7 +283,7 @@
     if (const auto found = client.headers.find("authorization"); found != client.headers.end())
         if (lower(found->second.substr(0, 7)) == "bearer ") bearer = found->second.substr(7);
     const bool effect = site_.settings.classes[ask.service].uncached;
-    const Verdict verdict = gate_.check(target, bearer, effect, now_s());
+    const Verdict verdict = gate_->check(target, bearer, effect, now_s());
     if (verdict.status != 0) return problem(client, verdict.status, verdict.why);
     ask.id = fmt::format("{:016x}", ids_());
     client.ours = open_.add({client.number, {}});
--- a/src/front_signed/front.h
+++ b/src/front_signed/front.h
@@ -27,6 +27,8 @@
     int port() const { return listener_.port(); }
     void stop_listening() { listener_.close(); }
     void leaving() { leaving_ = true; }
+    // Keys, issuers, names and limits from now on; what was let in before goes on.
+    void renew(const config::SignedFront& setup);
     bool unsent() const;
 
   private:
@@ -55,9 +57,9 @@
     net::Loop& loop_;
     core::Core& core_;
     const config::Site& site_;
-    const config::SignedFront& setup_;
+    config::SignedFront setup_;
     Live live_;
-    Gate gate_;
+    std::unique_ptr<Gate> gate_;
     OneTime* one_time_;
     std::mt19937_64 ids_;
     net::Budget budget_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -135,7 +135,7 @@
         flags.setup.empty() ? sumackeel::config::Operator{} : sumackeel::config::load_operator(flags.setup);
     if (setup.signed_front) sumackeel::front_signed::Gate{*setup.signed_front};  // its keys must be usable
     if (command == "check-config") return fmt::print("{}: sound\n", flags.config), 0;
-    sumackeel::cli::Daemon daemon(config, setup);
+    sumackeel::cli::Daemon daemon(config, setup, {flags.config, flags.setup});
     daemon.run();
     return 0;
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -46,13 +46,18 @@
 // Sockets that may still be opened. At its end things are refused, never broken.
 class Budget {
   public:
-    explicit Budget(int most) : most_(most), used_(std::make_shared<int>(0)) {}
-    bool take() { return *used_ < most_ ? ++*used_, true : false; }
-    void give_back() { --*used_; }
+    explicit Budget(int most) : shared_(std::make_shared<Shared>(most)) {}
+    bool take() { return shared_->used < shared_->most ? ++shared_->used, true : false; }
+    void give_back() { --shared_->used; }
+    void set_most(int most) { shared_->most = most; }
+    int left() const { return shared_->most - shared_->used; }
 
   private:
-    int most_;
-    std::shared_ptr<int> used_;  // shared by copies: sockets close after their holders are gone
+    struct Shared {
+        explicit Shared(int m) : most(m) {}
+        int most, used = 0;
+    };
+    std::shared_ptr<Shared> shared_;  // by copies: sockets close after their holders are gone
 };
 
 // "10.0.0.4:9090" as a socket address; false: it is none.
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -1,6 +1,7 @@
 // Stories over loopback: the platform's front, the core and upstream against scripted peers.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <signal.h>
 
 #include "support.h"
 
@@ -24,6 +25,16 @@
     }
 };
 
+// Takes the daemon's call at a change log, tells `events` and gives the number that it was taken up behind.
+Wire follow(Peer& log, std::string& behind, const std::string& events = {}) {
+    Wire feed = log.accept();
+    CHECK(feed.line() == "GET /changes HTTP/1.1");
+    for (std::string header; !(header = feed.line()).empty();)
+        if (header.starts_with("Last-Event-ID: ")) behind = header.substr(15);
+    feed.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n" + events);
+    return feed;
+}
+
 }  // namespace
 
 TEST_CASE("a read reaches the cache as asked and its bytes come back whole") {
@@ -184,21 +195,15 @@
     TwoCaches fleet;
     Peer log;
     Daemon daemon(fleet.hosts(), log.address());
-    const auto follow = [&](const std::string& last, const std::string& event) {
-        Wire feed = log.accept();
-        CHECK(feed.line() == "GET /changes HTTP/1.1");
-        std::string header, seen;
-        while (!(header = feed.line()).empty())
-            if (header.starts_with("Last-Event-ID: ")) seen = header.substr(15);
-        CHECK(seen == last);
-        feed.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n" + event);
-        return feed;
-    };
-    Wire first = follow(
-        "1", "data: {\"seq\":2,\"fleet\":{}}\n\nid: 2\ndata: " +
-                 story::fleet(2, false, {host("s-a", fleet.a, "edge-1", "small", "DRAINING")}) + "\n\n");
+    std::string behind;
+    Wire first =
+        follow(log, behind,
+               "data: {\"seq\":2,\"fleet\":{}}\n\nid: 2\ndata: " +
+                   story::fleet(2, false, {host("s-a", fleet.a, "edge-1", "small", "DRAINING")}) + "\n\n");
+    CHECK(behind == "1");
     first.close();
-    Wire second = follow("2", ":\n\n");
+    Wire second = follow(log, behind);
+    CHECK(behind == "2");
     Wire client = Wire::to(daemon.port()), cache;
     for (int i = 1; i <= 4; ++i) {
         Fields fields = read("sheet", "00000000000000b" + std::to_string(i));
@@ -212,6 +217,46 @@
     CHECK_FALSE(fleet.a.called());
 }
 
+// Guards: SIGHUP must not end the program, and what the change log tells at its new address must be heard at
+// once: the old one goes silent and closes only later.
+TEST_CASE("on SIGHUP the change log is followed at its new address, its numbers carried on") {
+    Fleet fleet;
+    Peer old_log, new_log;
+    const Folder folder;
+    const std::string file = folder.write("config.json", config_text(fleet.hosts(), old_log.address()));
+    Daemon daemon(fleet.hosts(), old_log.address(), {}, {file, {}});
+    std::string behind;
+    Wire first =
+        follow(old_log, behind,
+               "data: " + story::fleet(2, false, {host("s-x", fleet.cache, "edge-1", "small")}) + "\n\n");
+    CHECK(behind == "1");
+    Wire client = Wire::to(daemon.port());
+    auto told_to_reload = [&, seqid = 0]() mutable {
+        kill(getpid(), SIGHUP);
+        // Signals come last in a turn of the loop, so the second answer shows that this one was heeded.
+        for (int i = 0; i < 2; ++i) {
+            client.send(alive(++seqid));
+            CHECK(read_reply(client).place == 0);
+        }
+    };
+    SUBCASE("a sound file") {}
+    // Guards: a file half written or wrong must leave the old configuration in force.
+    SUBCASE("after a file that can't be read") {
+        folder.write("config.json", "{\"listen\":");
+        told_to_reload();
+    }
+    SUBCASE("after a file whose limits can't be") {
+        folder.write("config.json", config_text(fleet.hosts(), new_log.address(), {.sockets = 3}));
+        told_to_reload();
+    }
+    CHECK_FALSE(new_log.called());
+    folder.write("config.json", config_text(fleet.hosts(), new_log.address()));
+    told_to_reload();
+    Wire second = follow(new_log, behind);
+    CHECK(behind == "2");
+    CHECK(first.rest().empty());
+}
+
 // Guards: a planned restart loses nothing: requests still come for a while, and all that is open is answered.
 TEST_CASE("told to end, it answers what still comes and then ends by itself") {
     Fleet fleet;
--- a/tests/net/signed_test.cpp
+++ b/tests/net/signed_test.cpp
@@ -1,6 +1,7 @@
 // Stories over loopback: signed links and students' tokens from the client to the cache and back.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <signal.h>
 
 #include "front_signed/links.h"
 #include "support.h"
@@ -255,3 +256,58 @@
     live["key/student-1"] = "off";
     CHECK(status(now()) == 401);
 }
+
+// Guards: a key taken out of the operator's file must open nothing from the reload on, without a restart.
+TEST_CASE("on SIGHUP the operator's file is read anew with its keys") {
+    Peer cache, parent, origin;
+    const std::vector<std::string> hosts{host("s-cache", cache, "edge-1", "small"),
+                                         host("s-parent", parent, "coast", "parent"),
+                                         host("s-origin", origin, "coast", "origin")};
+    const Folder folder;
+    const auto write_keys = [&](const std::string& link_kid) {
+        std::string keys;
+        for (const auto& key : setup().keys) {
+            if (key.purpose == Purpose::link && key.kid != link_kid) continue;
+            const char* purpose = key.purpose == Purpose::link      ? "link"
+                                  : key.purpose == Purpose::student ? "student"
+                                                                    : "subject";
+            keys += (keys.empty() ? "" : ",") + key.jwk.substr(0, key.jwk.size() - 1) + R"(,"purpose":")" +
+                    purpose + "\"}";
+        }
+        folder.write("keys.json", R"({"keys":[)" + keys + "]}");
+    };
+    write_keys("link-1");
+    const std::string operator_file = folder.write(
+        "operator.json",
+        R"({"signed_front":{"listen":"127.0.0.1:0","host":"cache.example.org","audience":"cache.example.org",
+            "link_issuers":["lessons"],"token_issuers":["school"],"one_time":"local","keys":"keys.json"}})");
+    const std::string config_file = folder.write("config.json", config_text(hosts));
+    Daemon daemon(hosts, {}, sumackeel::config::load_operator(operator_file), {config_file, operator_file});
+    const sumackeel::config::SignedFront front = setup();
+    const Gate signer(front);
+    sumackeel::front_signed::Target target;
+    REQUIRE(sumackeel::front_signed::read_target(kVideo, target));
+    const std::string token = signer.student_token("student-1", "ana", now() + 60);
+    const auto link = [&](const std::string& kid) {
+        const std::string uri = signer.sign(target, kid, "subject-1", "ana", now() + 60, "");
+        return uri.substr(std::string("https://cache.example.org").size());
+    };
+    Wire client = Wire::to(daemon.signed_port());
+    client.send(request("GET", link("link-1"), token));
+    Wire box = cache.accept();
+    box.send(read_req(box).id + " DONE - 2\r\nok\r\n");
+    CHECK(read_response(client).status == 200);
+    write_keys("link-old");
+    kill(getpid(), SIGHUP);
+    // Signals come last in a turn of the loop, so the second answer is by the new keys.
+    for (const int status : {0, 403}) {
+        client.send(request("GET", "/nothing", token));
+        CHECK(read_response(client).status == 404);
+        if (!status) continue;
+        client.send(request("GET", link("link-1"), token));
+        CHECK(read_response(client).status == status);
+        client.send(request("GET", link("link-old"), token));
+        box.send(read_req(box).id + " DONE - 2\r\nok\r\n");
+        CHECK(read_response(client).status == 200);
+    }
+}
--- a/tests/net/support.h
+++ b/tests/net/support.h
@@ -9,6 +9,9 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <stdexcept>
@@ -212,17 +215,46 @@
  "limits":{"cancel":true,"connect_timeout":400000,"keepalive":15000000,"most_held":2000,"max_retry_after":500000,"most_tries":8,"retry_after":true,"second_copies":true,"streams_per_conn":100},
  "report":{"fields":["utilization","outstanding","x0","x1"],"via":"piggyback"},"weights":"nominal"})";
 
+struct Room {  // what the configuration gives
+    int sockets = 1024, memory_mb = 192;
+};
+
+inline std::string config_text(const std::vector<std::string>& hosts, const std::string& changelog = {},
+                               Room room = {}) {
+    return R"({"name":"n0","listen":"127.0.0.1:0","seed":"2a","limits":{"memory_mb":)" +
+           std::to_string(room.memory_mb) + R"(,"sockets":)" + std::to_string(room.sockets) +
+           R"(},"changelog":")" + changelog + R"(","known":{"seq":1,"results":[)" + fleet(1, true, hosts) +
+           R"(]},"settings":)" + kSettings + "}";
+}
+
+// A folder of its own that goes with its holder.
+class Folder {
+  public:
+    Folder() {
+        std::string name = (std::filesystem::temp_directory_path() / "sumackeel-XXXXXX").string();
+        if (!mkdtemp(name.data())) throw std::runtime_error("no folder");
+        path_ = name;
+    }
+    ~Folder() { std::filesystem::remove_all(path_); }
+    Folder(const Folder&) = delete;
+    Folder& operator=(const Folder&) = delete;
+    std::string write(const std::string& name, const std::string& text) const {
+        std::ofstream(path_ / name) << text;
+        return (path_ / name).string();
+    }
+
+  private:
+    std::filesystem::path path_;
+};
+
 // The daemon with a fleet of scripted peers.
 class Daemon {
   public:
     Daemon(const std::vector<std::string>& hosts, const std::string& changelog = {},
-           const sumackeel::config::Operator& setup = {})
-        : config_(sumackeel::config::read_config(
-              R"({"name":"n0","listen":"127.0.0.1:0","seed":"2a","limits":{"memory_mb":192,"sockets":1024},"changelog":")" +
-              changelog + R"(","known":{"seq":1,"results":[)" + fleet(1, true, hosts) + R"(]},"settings":)" +
-              kSettings + "}")),
+           const sumackeel::config::Operator& setup = {}, sumackeel::cli::Files files = {}, Room room = {})
+        : config_(sumackeel::config::read_config(config_text(hosts, changelog, room))),
           operator_(setup),
-          daemon_(config_, operator_),
+          daemon_(config_, operator_, std::move(files)),
           thread_([this] { daemon_.run(); }) {}
     ~Daemon() {
         daemon_.stop();
