Put one door before both fronts that lets idle clients go for new ones

Checked: the counts by quarters stop at the front's 97 connections; logs say 'one too many' once, then nothing: libuv keeps the connection it accepted until uv_accept is called, and Front::accept (src/front_platform/front.cpp) returned without it, so the listener was deaf for good even after places were free. Ruled out: upstream (0 failed connects), CPU.

net::Door now owns listener, places, deadlines and the order of letting go for both fronts; a place is free at once, since Stream::close gave it back a turn late. FrameReader and the front keep the part of one frame only. Fields that no cache can use, and the id of an open request, are answered as failed: before, they were clamped and sent on, and the second request under an id took the first one's place in Pool::Channel::open. Lines that clients can bring about at will are logged once a second.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -24,15 +24,16 @@
 constexpr Micros kLookForEnd = 20'000;
 constexpr Micros kLongestEnd = 8'000'000;
 
-// Clients may hold a third; the log file, the loop's own and the change log are in the reserve.
+// The platform's clients hold a third at most. They get half, for those that only connect; the log file, the
+// loop's own and the change log are in the reserve.
 constexpr int kReserve = 24;
 
 int for_servers(int sockets, const config::Operator& setup) {
-    return sockets - sockets / 3 - kReserve - (setup.signed_front ? setup.signed_front->connections : 0);
+    return sockets - sockets / 2 - kReserve - (setup.signed_front ? setup.signed_front->connections : 0);
 }
 
 front_platform::Limits front_limits(const config::Config& config) {
-    return {.connections = config.sockets / 3 + kReserve / 2,
+    return {.connections = config.sockets / 2,
             .unsent_bytes = static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 3};
 }
 
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -53,6 +53,7 @@
     request.ask = std::move(ask);
     request.asker = &asker;
     request.cookie = cookie;
+    ids_.insert(request.ask.id);
     const Handle handle = requests_.add(std::move(request));
     Request& taken = *requests_.find(handle);
     taken.name = arrival.id = name_of(handle);
@@ -66,6 +67,7 @@
     if (!request) return;
     events_.push_back(nettlethread::ClientLeft{request->name});
     deadlines_.drop(request->guard);
+    ids_.erase(request->ask.id);
     requests_.remove(handle);
 }
 
@@ -85,6 +87,7 @@
     deadlines_.drop(request->guard);
     Asker* asker = request->asker;
     const std::uint64_t cookie = request->cookie;
+    ids_.erase(request->ask.id);
     requests_.remove(handle);
     asker->answer(cookie, std::move(reply));
 }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "core/clock.h"
@@ -93,6 +94,9 @@
     void run();                            // works off what has come in
 
     std::size_t open_requests() const { return requests_.size(); }
+    // Danger: caches know a request by its client's id alone. Two open under one id would get each other's
+    // answers, so fronts turn the second away.
+    bool is_open(const std::string& id) const { return ids_.contains(id); }
     const nettlethread::Settings& settings() const { return settings_; }
 
   private:
@@ -141,6 +145,7 @@
     Deadlines& deadlines_;
     Upstream* upstream_ = nullptr;
     Slots<Request> requests_;
+    std::unordered_set<std::string> ids_;  // of the requests open, as clients name them
     Slots<Attempt> attempts_;
     std::deque<nettlethread::Event> events_;
     std::vector<nettlethread::Action> actions_;
--- a/src/front_platform/front.cpp
+++ b/src/front_platform/front.cpp
@@ -1,11 +1,8 @@
 #include "front_platform/front.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
-#include <cmath>
-#include <optional>
-
-#include "net/log.h"
 
 namespace sumackeel::front_platform {
 
@@ -16,104 +13,107 @@
 constexpr std::size_t kMostOpen = 32;         // on one connection
 constexpr std::size_t kMostUnsent = 4 << 20;  // to one client, before nothing more is read from it
 constexpr std::size_t kLongestBody = 48'000;
+// What can't be used is owed an end within 3 s of connecting; an honest request comes in one go.
+constexpr core::Micros kRequestIn = 2'000'000;
+constexpr core::Micros kIdle = 5'000'000;  // clients close after 4 s themselves
+constexpr int kMostParts = 1'000'000;
+constexpr double kMostNeed = 1e6;                  // KB; an object has a small part of this
 constexpr core::Micros kLongestWait = 60'000'000;  // a time-out beyond this is no sound figure
 
+std::string text(const std::map<std::string, std::string>& fields, const char* name) {
+    const auto found = fields.find(name);
+    return found == fields.end() ? std::string{} : found->second;
+}
+
+// A figure within its range; false: it is none. One that is absent leaves `into` as it is.
 template <typename T>
-std::optional<T> number(const std::map<std::string, std::string>& fields, const char* name) {
+bool figure(const std::map<std::string, std::string>& fields, const char* name, T least, T most, T& into) {
     const auto found = fields.find(name);
-    if (found == fields.end()) return std::nullopt;
+    if (found == fields.end()) return true;
     const std::string& text = found->second;
-    T value{};
-    const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (read.ec != std::errc{} || read.ptr != text.data() + text.size()) return std::nullopt;
-    return value;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), into);
+    return read.ec == std::errc{} && read.ptr == text.data() + text.size() && into >= least && into <= most;
 }
 
-std::string text(const std::map<std::string, std::string>& fields, const char* name) {
-    const auto found = fields.find(name);
-    return found == fields.end() ? std::string{} : found->second;
+// Names of requests and objects. They go on into the line protocol, where a space, a comma or a line's end
+// would make another request, and a cache that can't read one closes on all that is open there.
+bool hex_name(const std::string& text) {
+    return text.size() == 16 &&
+           std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isxdigit(c); });
 }
 
-// Names go on into the line protocol, where a space, a comma or a line's end would make another request.
 bool plain(const std::string& text) {
-    return text.size() <= 64 && std::all_of(text.begin(), text.end(), [](unsigned char c) {
-               return std::isalnum(c) || c == '-' || c == '_' || c == '.';
-           });
+    return text.size() <= 64 &&
+           std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isalnum(c); });
 }
 
 }  // namespace
 
-struct Front::Client : net::Stream::Owner {
+struct Front::Client : net::Guest {
     Front& front;
-    std::uint64_t number;
-    net::Stream* stream = nullptr;
     FrameReader reader;
     std::map<std::int32_t, std::pair<Handle, Handle>> open;  // seqid to our entry and the core's
     std::int32_t last_seqid = 0;
+    bool heard = false;  // a whole frame has come
 
-    Client(Front& owner, std::uint64_t n) : front(owner), number(n) {}
+    explicit Client(Front& owner) : front(owner) {}
 
     void received(net::Stream&, std::string_view bytes) override {
-        reader.add(bytes);
-        std::string frame;
-        while (stream && reader.next(frame)) front.call(*this, read_call(frame));
+        reader.read(bytes, [this](std::string_view frame) {
+            heard = true;
+            front.call(*this, read_call(frame));
+            return stream() != nullptr;
+        });
+        tell_door();
     }
-    void drained(net::Stream& s) override { s.pause(false); }
-    void gone(net::Stream&, net::Gone) override {
-        stream = nullptr;
-        front.lost(*this);
+    void drained(net::Stream& s) override {
+        s.pause(false);
+        tell_door();
+    }
+    void tell_door() {
+        if (!stream()) return;
+        front.door_.now(*this, !open.empty() || stream()->unsent() > 0 ? net::Doing::busy
+                               : !heard                                ? net::Doing::arriving
+                               : reader.partial()                      ? net::Doing::sending
+                                                                       : net::Doing::idle);
+    }
+    void left() override {
+        for (const auto& [seqid, handles] : open) {
+            front.open_.remove(handles.first);
+            front.core_.leave(handles.second);
+        }
+        open.clear();
     }
 };
 
 Front::Front(net::Loop& loop, core::Core& core, const config::Site& site, const std::string& listen,
              Limits limits)
-    : loop_(loop),
-      core_(core),
+    : core_(core),
       site_(site),
       limits_(limits),
-      budget_(limits.connections),
-      listener_(loop, listen, [this](uv_stream_t* listener) { accept(listener); }) {
-    loop_.each_turn([this] { dead_.clear(); });
-}
-
-Front::~Front() {
-    for (auto& [number, client] : clients_)
-        if (client->stream) client->stream->close();
-}
-
-bool Front::unsent() const {
-    return std::any_of(clients_.begin(), clients_.end(),
-                       [](const auto& c) { return c.second->stream && c.second->stream->unsent() > 0; });
-}
-
-void Front::accept(uv_stream_t* listener) {
-    auto client = std::make_unique<Client>(*this, next_client_++);
-    client->stream = net::Stream::accept(loop_, budget_, listener, *client);
-    if (!client->stream) {
-        log::warn("a client's connection is one too many");
-        return;
-    }
-    const std::uint64_t number = client->number;
-    clients_.emplace(number, std::move(client));
-}
+      door_(loop, listen, limits.connections, {.request = kRequestIn, .idle = kIdle},
+            [this] { return std::make_unique<Client>(*this); }) {}
 
+// What no cache could use is turned away here: sent on, it would count against the caches that can't use it.
 bool Front::read_ask(Call& call, core::Ask& ask) const {
     const auto kind = text(call.fields, "kind");
     const auto place = std::find(site_.classes.begin(), site_.classes.end(), kind);
-    const auto timeout = number<std::int64_t>(call.fields, "timeout");
+    if (place == site_.classes.end()) return false;
+    ask.service = static_cast<int>(place - site_.classes.begin());
+    ask.service_name = kind;
     ask.id = text(call.fields, "req");
     ask.object = text(call.fields, "subject");
     ask.have = text(call.fields, "seen");
-    if (place == site_.classes.end() || !timeout || *timeout < 0 || ask.id.empty()) return false;
-    if (!plain(ask.id) || !plain(ask.object) || !plain(ask.have) || call.body.size() > kLongestBody)
-        return false;
-    ask.service = static_cast<int>(place - site_.classes.begin());
-    ask.service_name = kind;
-    ask.left = std::min(kLongestWait, *timeout * 1000);
-    ask.part = std::max(0, number<int>(call.fields, "slice").value_or(0));
-    ask.group = std::clamp(number<int>(call.fields, "set").value_or(0), 0, 255);
-    ask.size_kb = number<double>(call.fields, "need").value_or(0);
-    if (!std::isfinite(ask.size_kb) || ask.size_kb < 0) ask.size_kb = 0;
+    const bool kept = !site_.settings.classes[ask.service].uncached;
+    if (!hex_name(ask.id) || !plain(ask.have) || call.body.size() > kLongestBody) return false;
+    if (!hex_name(ask.object) && (kept || !ask.object.empty())) return false;
+    std::int64_t timeout_ms = 0;
+    const bool sound = figure<std::int64_t>(call.fields, "timeout", 1, kLongestWait / 1000, timeout_ms) &&
+                       figure(call.fields, "slice", 0, kMostParts, ask.part) &&
+                       figure(call.fields, "set", 0, 255, ask.group) &&
+                       figure(call.fields, "need", 0.0, kMostNeed, ask.size_kb);
+    if (!sound || timeout_ms == 0) return false;
+    ask.left = timeout_ms * 1000;
     ask.body = std::move(call.body);
     return true;
 }
@@ -121,9 +121,9 @@
 void Front::call(Client& client, Call call) {
     switch (call.verb) {
         case Verb::alive:
-            return client.stream->write(write_alive(call.seqid));
+            return client.stream()->write(write_alive(call.seqid));
         case Verb::unknown:
-            return client.stream->write(write_unknown(call.name, call.seqid));
+            return client.stream()->write(write_unknown(call.name, call.seqid));
         case Verb::cancel: {
             const auto found = client.open.find(call.cancelled);
             if (found == client.open.end()) return;  // answered already
@@ -138,14 +138,13 @@
     if (call.seqid <= client.last_seqid) throw FrameError("sequence numbers don't rise");
     client.last_seqid = call.seqid;
     core::Ask ask;
-    if (!read_ask(call, ask)) return client.stream->write(write_answer(call.seqid, {}));
-    std::size_t unsent = 0;
-    for (const auto& [number, other] : clients_) unsent += other->stream ? other->stream->unsent() : 0;
+    if (!read_ask(call, ask) || core_.is_open(ask.id))
+        return client.stream()->write(write_answer(call.seqid, {}));
     const bool crowded =
-        client.open.size() >= kMostOpen || unsent > limits_.unsent_bytes ||
+        client.open.size() >= kMostOpen || door_.unsent() > limits_.unsent_bytes ||
         core_.open_requests() >= static_cast<std::size_t>(std::max(1, site_.settings.most_held));
-    if (crowded) return client.stream->write(write_answer(call.seqid, {.how = core::Answered::refused}));
-    const Handle ours = open_.add({client.number, call.seqid});
+    if (crowded) return client.stream()->write(write_answer(call.seqid, {.how = core::Answered::refused}));
+    const Handle ours = open_.add({client.number(), call.seqid});
     const Handle cores = core_.take(std::move(ask), *this, ours.number());
     client.open[call.seqid] = {ours, cores};
 }
@@ -156,23 +155,13 @@
     if (!open) return;
     const auto [number, seqid] = *open;
     open_.remove(ours);
-    const auto found = clients_.find(number);
-    if (found == clients_.end() || !found->second->stream) return;
-    Client& client = *found->second;
+    auto* found = static_cast<Client*>(door_.find(number));
+    if (!found) return;
+    Client& client = *found;
     client.open.erase(seqid);
-    client.stream->write(write_answer(seqid, reply));
-    if (client.stream->unsent() > kMostUnsent) client.stream->pause(true);
-}
-
-void Front::lost(Client& client) {
-    for (const auto& [seqid, handles] : client.open) {
-        open_.remove(handles.first);
-        core_.leave(handles.second);
-    }
-    client.open.clear();
-    const auto found = clients_.find(client.number);
-    dead_.push_back(std::move(found->second));
-    clients_.erase(found);
+    client.stream()->write(write_answer(seqid, reply));
+    if (client.stream()->unsent() > kMostUnsent) client.stream()->pause(true);
+    client.tell_door();
 }
 
 }  // namespace sumackeel::front_platform
--- a/src/front_platform/front.h
+++ b/src/front_platform/front.h
@@ -1,16 +1,13 @@
 // The front for the platform's clients: Thrift calls to requests of the core, replies to answers.
 #pragma once
 
-#include <map>
-#include <memory>
 #include <string>
-#include <vector>
 
 #include "config/config.h"
 #include "core/core.h"
 #include "core/slots.h"
 #include "front_platform/thrift.h"
-#include "net/stream.h"
+#include "net/door.h"
 
 namespace sumackeel::front_platform {
 
@@ -24,36 +21,28 @@
   public:
     Front(net::Loop& loop, core::Core& core, const config::Site& site, const std::string& listen,
           Limits limits);
-    ~Front() override;
 
-    int port() const { return listener_.port(); }
-    void stop_listening() { listener_.close(); }
-    void set_limits(const Limits& limits) { limits_ = limits, budget_.set_most(limits.connections); }
-    bool unsent() const;
+    int port() const { return door_.port(); }
+    void stop_listening() { door_.stop_listening(); }
+    void set_limits(const Limits& limits) { limits_ = limits, door_.set_connections(limits.connections); }
+    bool unsent() const { return door_.unsent() > 0; }
 
   private:
     struct Client;
 
-    void accept(uv_stream_t* listener);
     void answer(std::uint64_t cookie, core::Reply reply) override;
     void call(Client& client, Call call);
     bool read_ask(Call& call, core::Ask& ask) const;
-    void lost(Client& client);
 
-    net::Loop& loop_;
     core::Core& core_;
     const config::Site& site_;
     Limits limits_;
-    net::Budget budget_;
-    std::map<std::uint64_t, std::unique_ptr<Client>> clients_;
-    std::vector<std::unique_ptr<Client>> dead_;
-    std::uint64_t next_client_ = 1;
     struct Open {
         std::uint64_t client = 0;
         std::int32_t seqid = 0;
     };
     core::Slots<Open> open_;
-    net::Listener listener_;
+    net::Door door_;
 };
 
 }  // namespace sumackeel::front_platform
--- a/src/front_platform/thrift.cpp
+++ b/src/front_platform/thrift.cpp
@@ -4,8 +4,10 @@
 #include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
+#include <utility>
 
 namespace sumackeel::front_platform {
 
@@ -16,7 +18,8 @@
 
 namespace {
 
-constexpr std::size_t kLongestFrame = 96 * 1024;  // a write's 48,000 bytes and its fields
+constexpr std::size_t kLongestFrame = 56 * 1024;  // a write's 48,000 bytes and its fields; each of many
+                                                  // clients may have sent half of one
 constexpr std::int32_t kLongestText = 64 * 1024;
 constexpr std::int32_t kMostFields = 64;
 
@@ -96,24 +99,39 @@
 
 }  // namespace
 
-void FrameReader::add(std::string_view bytes) {
-    buffer_.erase(0, at_);
-    at_ = 0;
-    buffer_ += bytes;
-}
-
-bool FrameReader::next(std::string& frame) {
-    if (buffer_.size() - at_ < 4) return false;
-    std::size_t length = 0;
-    for (int i = 0; i < 4; ++i) length = length << 8 | static_cast<unsigned char>(buffer_[at_ + i]);
-    if (length == 0 || length > kLongestFrame) throw FrameError("a frame's length can't be");
-    if (buffer_.size() - at_ < 4 + length) return false;
-    frame = buffer_.substr(at_ + 4, length);
-    at_ += 4 + length;
-    return true;
+void FrameReader::read(std::string_view bytes, const std::function<bool(std::string_view)>& whole) {
+    constexpr std::size_t kHead = 4;
+    const auto length_of = [](std::string_view head) {
+        std::size_t length = 0;
+        for (std::size_t i = 0; i < kHead; ++i) length = length << 8 | static_cast<unsigned char>(head[i]);
+        if (length == 0 || length > kLongestFrame) throw FrameError("a frame's length can't be");
+        return length;
+    };
+    const auto fill_up_to = [&](std::size_t size) {
+        const std::size_t more = std::min(bytes.size(), size - std::min(size, rest_.size()));
+        rest_.append(bytes.substr(0, more));
+        bytes.remove_prefix(more);
+        return rest_.size() >= size;
+    };
+    if (!rest_.empty()) {
+        if (!fill_up_to(kHead)) return;
+        const std::size_t length = length_of(rest_);
+        rest_.reserve(kHead + length);
+        if (!fill_up_to(kHead + length)) return;
+        const std::string frame = std::exchange(rest_, {});
+        if (!whole(std::string_view(frame).substr(kHead))) return;
+    }
+    while (bytes.size() >= kHead) {
+        const std::size_t length = length_of(bytes);
+        if (bytes.size() < kHead + length) break;
+        const std::string_view frame = bytes.substr(kHead, length);
+        bytes.remove_prefix(kHead + length);
+        if (!whole(frame)) return;
+    }
+    rest_ = bytes;
 }
 
-Call read_call(const std::string& frame) {
+Call read_call(std::string_view frame) {
     try {
         const auto memory =
             std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(const_cast<char*>(frame.data())),
--- a/src/front_platform/thrift.h
+++ b/src/front_platform/thrift.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <stdexcept>
 #include <string>
@@ -27,18 +28,18 @@
     std::int32_t cancelled = 0;  // the seqid that cancelRequest names
 };
 
-// Bytes in, whole frames out.
+// Bytes in, whole frames out. Between calls it keeps no more than the part of one frame.
 class FrameReader {
   public:
-    void add(std::string_view bytes);
-    bool next(std::string& frame);  // throws FrameError on a length that can't be
+    // `whole` says whether to go on. Throws FrameError on a length that can't be.
+    void read(std::string_view bytes, const std::function<bool(std::string_view)>& whole);
+    bool partial() const { return !rest_.empty(); }
 
   private:
-    std::string buffer_;
-    std::size_t at_ = 0;
+    std::string rest_;
 };
 
-Call read_call(const std::string& frame);  // throws FrameError
+Call read_call(std::string_view frame);  // throws FrameError
 std::string write_answer(std::int32_t seqid, const core::Reply& reply);
 std::string write_alive(std::int32_t seqid);
 std::string write_unknown(const std::string& name, std::int32_t seqid);
--- a/src/front_signed/front.cpp
+++ b/src/front_signed/front.cpp
@@ -77,21 +77,18 @@
 
 }  // namespace
 
-struct Front::Client : net::Stream::Owner {
+struct Front::Client : net::Guest {
     Front& front;
-    std::uint64_t number;
-    net::Stream* stream = nullptr;
     http_parser parser{};
     std::string ahead;  // bytes behind the request that is being answered
     std::string url, name, value, body;
     std::map<std::string, std::string> headers;
     std::size_t head = 0;
     int too_much = 0;  // the status for a request that is over a limit
-    bool busy = false, whole = false, keep = true;
+    bool busy = false, whole = false, keep = true, heard = false;
     Handle ours, cores;
-    core::Deadlines::Key patience;
 
-    Client(Front& owner, std::uint64_t n) : front(owner), number(n) {
+    explicit Client(Front& owner) : front(owner) {
         http_parser_init(&parser, HTTP_REQUEST);
         parser.data = this;
     }
@@ -151,11 +148,13 @@
             throw std::runtime_error("a client sends ahead without end");
         ahead += bytes;
         work();
+        tell_door();
     }
+    void drained(net::Stream&) override { tell_door(); }
 
     // Parses up to the end of one request; the rest waits until that is answered.
     void work() {
-        while (stream && !busy && !ahead.empty()) {
+        while (stream() && !busy && !ahead.empty()) {
             const std::size_t read = http_parser_execute(&parser, &calls(), ahead.data(), ahead.size());
             const auto fault = HTTP_PARSER_ERRNO(&parser);
             if (fault != HPE_OK && fault != HPE_PAUSED) {
@@ -166,25 +165,21 @@
             if (!whole) return;
             whole = false;
             http_parser_pause(&parser, 0);
-            busy = true;
-            front.loop_.deadlines().drop(patience);
+            busy = heard = true;
             front.asked(*this);
         }
     }
 
-    void wait_for_request() {
-        auto& deadlines = front.loop_.deadlines();
-        deadlines.drop(patience);
-        patience = deadlines.set(front.loop_.clock().now() + kPatience, [this] {
-            stream->close();
-            stream = nullptr;
-            front.lost(*this);
-        });
+    void tell_door() {
+        if (!stream()) return;
+        front.door_.now(*this, busy || stream()->unsent() > 0       ? net::Doing::busy
+                               : !heard                             ? net::Doing::arriving
+                               : parser.nread > 0 || !ahead.empty() ? net::Doing::sending
+                                                                    : net::Doing::idle);
     }
-
-    void gone(net::Stream&, net::Gone) override {
-        stream = nullptr;
-        front.lost(*this);
+    void left() override {
+        front.open_.remove(ours);
+        front.core_.leave(cores);
     }
 };
 
@@ -198,29 +193,13 @@
       gate_(std::make_unique<Gate>(setup_, live_)),
       one_time_(one_time),
       ids_(seed ^ 0x5eed5eed5eed5eedULL),
-      budget_(setup.connections),
-      listener_(loop, setup.listen, [this](uv_stream_t* listener) { accept(listener); }) {
-    loop_.each_turn([this, alive = std::weak_ptr<bool>(alive_)] {
-        if (!alive.expired()) dead_.clear();
-    });
-}
-
-Front::~Front() {
-    for (auto& [number, client] : clients_) {
-        loop_.deadlines().drop(client->patience);
-        if (client->stream) client->stream->close();
-    }
-}
+      door_(loop, setup.listen, setup.connections, {.request = kPatience, .idle = kPatience},
+            [this] { return std::make_unique<Client>(*this); }) {}
 
 void Front::renew(const config::SignedFront& setup) {
     setup_ = setup;
     gate_ = std::make_unique<Gate>(setup_, live_);
-    budget_.set_most(setup.connections);
-}
-
-bool Front::unsent() const {
-    return std::any_of(clients_.begin(), clients_.end(),
-                       [](const auto& c) { return c.second->stream && c.second->stream->unsent() > 0; });
+    door_.set_connections(setup.connections);
 }
 
 double Front::now_s() const {
@@ -234,15 +213,6 @@
     return seconds >= 1 && seconds <= 3600 ? seconds : setup_.retry_after_s;
 }
 
-void Front::accept(uv_stream_t* listener) {
-    auto client = std::make_unique<Client>(*this, next_client_++);
-    client->stream = net::Stream::accept(loop_, budget_, listener, *client);
-    if (!client->stream) return;
-    client->wait_for_request();
-    const std::uint64_t number = client->number;
-    clients_.emplace(number, std::move(client));
-}
-
 // Empty: the request is sound; else what is wrong, with the status.
 std::string Front::read_ask(const Client& client, const Target& target, core::Ask& ask, int& status) const {
     const auto place = std::find(site_.classes.begin(), site_.classes.end(), target.service);
@@ -286,7 +256,7 @@
     const Verdict verdict = gate_->check(target, bearer, effect, now_s());
     if (verdict.status != 0) return problem(client, verdict.status, verdict.why);
     ask.id = fmt::format("{:016x}", ids_());
-    client.ours = open_.add({client.number, {}});
+    client.ours = open_.add({client.number(), {}});
     if (verdict.once.empty()) return enter(client.ours, std::move(ask));
     if (!one_time_) return once_known(client.ours, std::move(ask), Use::unknown);
     open_.find(client.ours)->once = verdict.once;
@@ -304,7 +274,7 @@
     const Open* open = open_.find(ours);
     if (!open) return;  // the client has left; the link counts as used
     if (use == Use::first) return enter(ours, std::move(ask));
-    Client& client = *clients_.at(open->client);
+    Client& client = static_cast<Client&>(*door_.find(open->client));
     open_.remove(ours);
     client.ours = {};
     if (use == Use::again) return problem(client, 403, "the link was for one use and has been used");
@@ -312,7 +282,7 @@
 }
 
 void Front::enter(Handle ours, core::Ask ask) {
-    Client& client = *clients_.at(open_.find(ours)->client);
+    Client& client = static_cast<Client&>(*door_.find(open_.find(ours)->client));
     if (core_.open_requests() >= static_cast<std::size_t>(std::max(1, site_.settings.most_held)) ||
         ask.left <= 0)
         return answer(ours.number(), {.how = Answered::refused});
@@ -323,11 +293,11 @@
     const Handle ours = Handle::of(cookie);
     const Open* open = open_.find(ours);
     if (!open) return;
-    const auto found = clients_.find(open->client);
+    auto* found = static_cast<Client*>(door_.find(open->client));
     if (reply_given.how == Answered::refused && !open->once.empty()) one_time_->give_back(open->once);
     open_.remove(ours);
-    if (found == clients_.end()) return;
-    Client& client = *found->second;
+    if (!found) return;
+    Client& client = *found;
     client.ours = client.cores = {};
     const std::string etag = reply_given.tag.empty() ? "" : "ETag: \"" + reply_given.tag + "\"\r\n";
     switch (reply_given.how) {
@@ -363,37 +333,29 @@
 }
 
 void Front::reply(Client& client, const Answer& answer) {
-    if (!client.stream) return;
+    if (!client.stream()) return;
     const bool keep = client.keep && !leaving_;
     std::string text =
         fmt::format("HTTP/1.1 {} {}\r\n{}", answer.status, title(answer.status), answer.headers);
     if (answer.status != 304) text += fmt::format("Content-Length: {}\r\n", answer.body.size());
     text += "Cache-Control: private\r\n";
     text += keep ? "\r\n" : "Connection: close\r\n\r\n";
-    client.stream->write(text + answer.body);
+    client.stream()->write(text + answer.body);
     client.busy = false;
     if (!keep) {
         client.busy = true;  // nothing more is read from it
-        return client.stream->close_when_sent();
+        return client.stream()->close_when_sent();
     }
-    client.wait_for_request();
+    client.tell_door();
     // What was sent ahead is taken up from the loop: answers may come in the middle of the core's work.
     if (!client.ahead.empty())
-        loop_.deadlines().set(loop_.clock().now(), [this, number = client.number] {
-            const auto found = clients_.find(number);
-            if (found == clients_.end()) return;
-            found->second->work();
+        loop_.deadlines().set(loop_.clock().now(), [this, number = client.number()] {
+            auto* found = static_cast<Client*>(door_.find(number));
+            if (!found) return;
+            found->work();
+            found->tell_door();
             core_.run();
         });
 }
 
-void Front::lost(Client& client) {
-    loop_.deadlines().drop(client.patience);
-    open_.remove(client.ours);
-    core_.leave(client.cores);
-    const auto found = clients_.find(client.number);
-    dead_.push_back(std::move(found->second));
-    clients_.erase(found);
-}
-
 }  // namespace sumackeel::front_signed
--- a/src/front_signed/front.h
+++ b/src/front_signed/front.h
@@ -1,11 +1,9 @@
 // The front for signed links: HTTP/1.1 requests, checked at the gate, to requests of the core.
 #pragma once
 
-#include <map>
 #include <memory>
 #include <random>
 #include <string>
-#include <vector>
 
 #include "config/config.h"
 #include "config/operator.h"
@@ -13,7 +11,7 @@
 #include "core/slots.h"
 #include "front_signed/links.h"
 #include "front_signed/one_time.h"
-#include "net/stream.h"
+#include "net/door.h"
 
 namespace sumackeel::front_signed {
 
@@ -22,14 +20,13 @@
     // `one_time` may be null: then nothing that holds for one use only is let in.
     Front(net::Loop& loop, core::Core& core, const config::Site& site, const config::SignedFront& setup,
           OneTime* one_time, std::uint64_t seed, Live live = {});
-    ~Front() override;
 
-    int port() const { return listener_.port(); }
-    void stop_listening() { listener_.close(); }
+    int port() const { return door_.port(); }
+    void stop_listening() { door_.stop_listening(); }
     void leaving() { leaving_ = true; }
     // Keys, issuers, names and limits from now on; what was let in before goes on.
     void renew(const config::SignedFront& setup);
-    bool unsent() const;
+    bool unsent() const { return door_.unsent() > 0; }
 
   private:
     struct Client;
@@ -42,7 +39,6 @@
         std::string headers, body;
     };
 
-    void accept(uv_stream_t* listener);
     void answer(std::uint64_t cookie, core::Reply reply) override;
     void asked(Client& client);
     std::string read_ask(const Client& client, const Target& target, core::Ask& ask, int& status) const;
@@ -50,7 +46,6 @@
     void once_known(core::Handle ours, core::Ask ask, Use use);
     void problem(Client& client, int status, const std::string& detail);
     void reply(Client& client, const Answer& answer);
-    void lost(Client& client);
     double now_s() const;
     int retry_after() const;
 
@@ -62,14 +57,10 @@
     std::unique_ptr<Gate> gate_;
     OneTime* one_time_;
     std::mt19937_64 ids_;
-    net::Budget budget_;
-    std::map<std::uint64_t, std::unique_ptr<Client>> clients_;
-    std::vector<std::unique_ptr<Client>> dead_;
-    std::uint64_t next_client_ = 1;
     core::Slots<Open> open_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // outlived by answers on one-time use
     bool leaving_ = false;
-    net::Listener listener_;
+    net::Door door_;
 };
 
 }  // namespace sumackeel::front_signed
--- /dev/null
+++ b/src/net/door.h
@@ -0,0 +1,91 @@
+// The door of a front: which clients are let in, how long each is borne with, and who is let go to make room.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/stream.h"
+
+namespace sumackeel::net {
+
+class Door;
+
+// What a connection is doing. All but the busy may be let go.
+enum class Doing : std::size_t {
+    arriving,  // since it came, no whole request has been read
+    sending,   // a part of a further request has come
+    idle,      // between two requests
+    busy       // a request is open, or its answer not yet sent
+};
+
+// One client's connection. Its door destroys it in the turn after it has gone.
+class Guest : public Stream::Owner {
+  public:
+    std::uint64_t number() const { return number_; }
+    Stream* stream() const { return stream_; }  // null: gone
+    void gone(Stream& stream, Gone how) final;
+
+  protected:
+    virtual void left() = 0;  // told once, after the connection has gone in whatever way
+
+  private:
+    friend class Door;
+    Door* door_ = nullptr;
+    std::uint64_t number_ = 0;
+    Stream* stream_ = nullptr;
+    Doing doing_ = Doing::arriving;
+    Micros since_ = 0;
+    std::list<Guest*>::iterator place_;
+};
+
+class Door {
+  public:
+    struct Patience {
+        Micros request;  // from connecting, or from a later request's first byte, until it has come whole
+        Micros idle;     // between two requests
+    };
+
+    Door(Loop& loop, const std::string& address, int connections, Patience patience,
+         std::function<std::unique_ptr<Guest>()> make);
+    ~Door();
+    Door(const Door&) = delete;
+    Door& operator=(const Door&) = delete;
+
+    // To be told after each change; the time starts anew with each change and with each idle spell.
+    void now(Guest& guest, Doing doing);
+    Guest* find(std::uint64_t number) const;
+    std::size_t unsent() const { return budget_.unsent(); }  // bytes of answers, over all guests
+    void set_connections(int most) { budget_.set_most(most); }
+    void stop_listening() { waiting_ = nullptr, listener_.close(); }
+    int port() const { return listener_.port(); }
+
+  private:
+    friend class Guest;
+
+    void admit();
+    bool make_room();
+    void sweep();
+    void let_go(Guest& guest);
+    void lost(Guest& guest);
+    std::list<Guest*>& queue(Doing doing) { return queues_[static_cast<std::size_t>(doing)]; }
+
+    Loop& loop_;
+    Patience patience_;
+    std::function<std::unique_ptr<Guest>()> make_;
+    Budget budget_;
+    std::array<std::list<Guest*>, 4> queues_;  // by what they do, longest at it first
+    std::map<std::uint64_t, std::unique_ptr<Guest>> guests_;
+    std::vector<std::unique_ptr<Guest>> gone_;
+    std::uint64_t next_ = 1;
+    uv_stream_t* waiting_ = nullptr;  // the listener, while a connection waits there for room
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what is set in the loop
+    Listener listener_;
+};
+
+}  // namespace sumackeel::net
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -36,4 +36,11 @@
                text);
 }
 
+bool Sparing::turn() {
+    const auto now = std::chrono::steady_clock::now();
+    if (last_ != decltype(last_){} && now - last_ < std::chrono::seconds(1)) return ++left_out_, false;
+    last_ = now;
+    return true;
+}
+
 }  // namespace sumackeel::log
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -3,6 +3,8 @@
 
 #include <fmt/format.h>
 
+#include <chrono>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -31,4 +33,23 @@
     if (wanted(Level::error)) write(Level::error, fmt::format(form, std::forward<Args>(args)...));
 }
 
+// For lines that others can bring about as often as they like: one a second, with the number of those left
+// out.
+class Sparing {
+  public:
+    template <typename... Args>
+    void warn(fmt::format_string<Args...> form, Args&&... args) {
+        if (!wanted(Level::warn) || !turn()) return;
+        std::string text = fmt::format(form, std::forward<Args>(args)...);
+        if (const int left_out = std::exchange(left_out_, 0))
+            text += fmt::format(" (and {} before)", left_out);
+        write(Level::warn, text);
+    }
+
+  private:
+    bool turn();
+    std::chrono::steady_clock::time_point last_{};
+    int left_out_ = 0;
+};
+
 }  // namespace sumackeel::log
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -3,6 +3,7 @@
 
 #include <uv.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -43,12 +44,15 @@
     std::vector<std::function<void()>> turns_;
 };
 
-// Sockets that may still be opened. At its end things are refused, never broken.
+// Sockets that may still be opened, and the bytes given to them that are not sent. At its end things are
+// refused, never broken.
 class Budget {
   public:
     explicit Budget(int most) : shared_(std::make_shared<Shared>(most)) {}
     bool take() { return shared_->used < shared_->most ? ++shared_->used, true : false; }
     void give_back() { --shared_->used; }
+    void unsent(std::ptrdiff_t more) { shared_->unsent += more; }
+    std::size_t unsent() const { return static_cast<std::size_t>(shared_->unsent); }
     void set_most(int most) { shared_->most = most; }
     int left() const { return shared_->most - shared_->used; }
 
@@ -56,6 +60,7 @@
     struct Shared {
         explicit Shared(int m) : most(m) {}
         int most, used = 0;
+        std::ptrdiff_t unsent = 0;
     };
     std::shared_ptr<Shared> shared_;  // by copies: sockets close after their holders are gone
 };
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,5 +1,7 @@
 #include "net/stream.h"
 
+#include <sys/ioctl.h>
+
 #include <array>
 #include <exception>
 #include <stdexcept>
@@ -79,7 +81,8 @@
             try {
                 self->owner_->received(*self, {buffer->base, static_cast<std::size_t>(count)});
             } catch (const std::exception& wrong) {
-                log::warn("connection dropped: {}", wrong.what());
+                static log::Sparing line;
+                line.warn("connection dropped: {}", wrong.what());
                 if (!self->closing_) self->lose(Gone::broken);
             }
         });
@@ -91,10 +94,14 @@
     write->request.data = this;
     const uv_buf_t buffer = uv_buf_init(write->bytes.data(), static_cast<unsigned>(write->bytes.size()));
     ++writes_;
+    const auto size = static_cast<std::ptrdiff_t>(write->bytes.size());
+    budget_.unsent(size);
     const int failed =
         uv_write(&write->request, as_stream(), &buffer, 1, [](uv_write_t* request, int status) {
             auto* self = static_cast<Stream*>(request->data);
-            delete reinterpret_cast<Write*>(request);
+            auto* done = reinterpret_cast<Write*>(request);
+            self->budget_.unsent(-static_cast<std::ptrdiff_t>(done->bytes.size()));
+            delete done;
             --self->writes_;
             if (self->closing_) return;
             if (status != 0) return self->lose(Gone::broken);
@@ -103,6 +110,7 @@
         });
     if (failed != 0) {
         delete write;
+        budget_.unsent(-size);
         --writes_;
         // The read side tells of the broken connection; from here it would come in the middle of a call.
     }
@@ -120,9 +128,16 @@
     open_ = false;
     uv_close(reinterpret_cast<uv_handle_t*>(&tcp_), [](uv_handle_t* handle) {
         auto* self = static_cast<Stream*>(handle->data);
-        self->budget_.give_back();
         delete self;
     });
+    budget_.give_back();  // libuv gives the descriptor back within uv_close
+}
+
+bool Stream::unread() const {
+    uv_os_fd_t fd = -1;
+    int count = 0;
+    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
+           ioctl(fd, FIONREAD, &count) == 0 && count > 0;
 }
 
 void Stream::close_when_sent() {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -34,6 +34,7 @@
     void write(std::string bytes);
     std::size_t unsent() const { return uv_stream_get_write_queue_size(as_stream()); }
     void pause(bool on);
+    bool unread() const;     // bytes have arrived that were not read yet
     void close();            // at once; what is unsent is dropped
     void close_when_sent();  // after what is unsent
     bool open() const { return open_; }
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <signal.h>
 
+#include "front_platform/thrift.h"
 #include "support.h"
 
 using namespace story;
@@ -292,3 +293,140 @@
     CHECK(wait >= 250);
     CHECK(wait <= 500);
 }
+
+// Guards: a frame must be found whole wherever the network cuts it, and nothing be kept once it has come.
+TEST_CASE("frames are read whole, however they are cut") {
+    const std::string first = alive(1), second = dispatch(2, read("sheet", "00000000000000a1"));
+    const std::string all = first + second + first;
+    for (std::size_t step = 1; step <= all.size(); ++step) {
+        sumackeel::front_platform::FrameReader reader;
+        std::vector<std::string> frames;
+        for (std::size_t at = 0; at < all.size(); at += step)
+            reader.read(std::string_view(all).substr(at, step), [&](std::string_view whole) {
+                frames.emplace_back(whole);
+                return true;
+            });
+        REQUIRE(frames.size() == 3);
+        CHECK(frames[0] == first.substr(4));
+        CHECK(frames[1] == second.substr(4));
+        CHECK(frames[2] == first.substr(4));
+        CHECK_FALSE(reader.partial());
+    }
+}
+
+// Guards: connections that say nothing, or asked once and stay, must not use up what honest clients need; and
+// a client that waits for its answer must not be let go for them.
+TEST_CASE("hundreds of idle connections shut no honest client out and end no open request") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts(), {}, {}, {}, {.sockets = 96});
+    Wire open = Wire::to(daemon.port());
+    open.send(dispatch(1, read("sheet", "00000000000000a1")));
+    Wire cache = fleet.cache.accept();
+    const Req req = read_req(cache);
+    bool ask_once = false;
+    SUBCASE("silent") {}
+    SUBCASE("asked once") {
+        ask_once = true;
+    }
+    std::vector<Wire> crowd;
+    for (int i = 0; i < 200; ++i) {
+        crowd.push_back(Wire::to(daemon.port()));
+        if (!ask_once) continue;
+        crowd.back().send(alive(1));
+        CHECK(read_reply(crowd.back()).place == 0);
+    }
+    Wire honest = Wire::to(daemon.port());
+    honest.send(alive(1));
+    CHECK(read_reply(honest).place == 0);
+    cache.send(req.id + " DONE - 2\r\nok\r\n");
+    CHECK(body(read_reply(open)) == "ok");
+}
+
+// Guards: what can't be used is owed an end within 3 s of connecting, also if its end never comes.
+TEST_CASE("silent and half-sent connections are closed in time") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts());
+    const auto begun = std::chrono::steady_clock::now();
+    const std::string whole = dispatch(1, read("sheet", "00000000000000a1"));
+    std::vector<Wire> bad;
+    for (const std::string& sent :
+         {std::string{}, whole.substr(0, 3), whole.substr(0, 40), be(50'000, 4) + "x"}) {
+        bad.push_back(Wire::to(daemon.port()));
+        bad.back().send(sent);
+    }
+    Wire later = Wire::to(daemon.port());
+    later.send(alive(1) + whole.substr(0, 40));
+    CHECK(read_reply(later).place == 0);
+    for (Wire& wire : bad) CHECK(wire.rest().empty());
+    CHECK(later.rest().empty());
+    // The door's 2 s, with room for a slow machine.
+    CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(5));
+}
+
+// Guards: sent on, what no cache can use would count against the caches, and a cache closes on all that is
+// open where it finds a line that it can't read.
+TEST_CASE("fields that can't be used are answered as failed and reach no cache") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts());
+    Wire client = Wire::to(daemon.port());
+    const std::vector<std::pair<std::string, std::string>> wrong{{"kind", "film"},
+                                                                 {"kind", ""},
+                                                                 {"req", ""},
+                                                                 {"req", "00000000000000a"},
+                                                                 {"req", "zzzzzzzz00000000"},
+                                                                 {"subject", ""},
+                                                                 {"subject", "a b"},
+                                                                 {"timeout", "-1"},
+                                                                 {"timeout", "soon"},
+                                                                 {"timeout", "1e9"},
+                                                                 {"timeout", "99999999999999999999"},
+                                                                 {"slice", "-3"},
+                                                                 {"slice", "x"},
+                                                                 {"set", "256"},
+                                                                 {"set", "-1"},
+                                                                 {"need", "nan"},
+                                                                 {"need", "-1"},
+                                                                 {"need", "inf"},
+                                                                 {"need", "1e300"},
+                                                                 {"seen", "a,b"}};
+    int seqid = 0;
+    for (const auto& [field, value] : wrong) {
+        CAPTURE(field);
+        CAPTURE(value);
+        Fields fields = read("sheet", "00000000000000b1");
+        fields[field] = value;
+        client.send(dispatch(++seqid, fields));
+        const Reply reply = read_reply(client);
+        CHECK(reply.seqid == seqid);
+        CHECK(reply.place == 2);
+    }
+    client.send(dispatch(++seqid, read("sheet", "00000000000000a1")));
+    Wire cache = fleet.cache.accept();
+    const Req req = read_req(cache);
+    CHECK(req.id == "00000000000000a1");
+    cache.send(req.id + " DONE - 2\r\nok\r\n");
+    CHECK(body(read_reply(client)) == "ok");
+}
+
+// Guards: caches know a request by its id alone, so a second one under an open id would get the answer of the
+// first, or the first none.
+TEST_CASE("a request under the id of an open one fails and leaves the open one alone") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts());
+    Wire honest = Wire::to(daemon.port()), other = Wire::to(daemon.port());
+    honest.send(dispatch(1, read("sheet", "00000000000000a1")));
+    Wire cache = fleet.cache.accept();
+    const Req req = read_req(cache);
+    Fields fields = read("sheet", "00000000000000a1");
+    fields["subject"] = "00000000000000ff";
+    other.send(dispatch(1, fields));
+    CHECK(read_reply(other).place == 2);
+    cache.send(req.id + " DONE - 2\r\nok\r\n");
+    CHECK(body(read_reply(honest)) == "ok");
+    // Once that is over the id is free again.
+    other.send(dispatch(2, fields));
+    const Req next = read_req(cache);
+    CHECK(next.fields.at("item") == "00000000000000ff");
+    cache.send(next.id + " DONE - 2\r\nno\r\n");
+    CHECK(body(read_reply(other)) == "no");
+}
--- a/tests/net/signed_test.cpp
+++ b/tests/net/signed_test.cpp
@@ -311,3 +311,18 @@
         CHECK(read_response(client).status == 200);
     }
 }
+
+// Guards: the same door stands before both fronts.
+TEST_CASE("clients that only connect don't shut a student out") {
+    Peer cache, parent, origin;
+    sumackeel::config::SignedFront front = setup();
+    front.connections = 8;
+    Daemon daemon({host("s-cache", cache, "edge-1", "small"), host("s-parent", parent, "coast", "parent"),
+                   host("s-origin", origin, "coast", "origin")},
+                  {}, setup_of(front));
+    std::vector<Wire> silent;
+    for (int i = 0; i < 40; ++i) silent.push_back(Wire::to(daemon.signed_port()));
+    Wire student = Wire::to(daemon.signed_port());
+    student.send(request("GET", "/nothing", {}));
+    CHECK(read_response(student).status == 404);
+}
