Give each request a connection of its own while descriptors allow it

Checked: Pool::pick shared a connection by up to 4 and, while it was up, by 16 requests, so one spoilt answer ended or hung all of them, and each of them then counted against the cache's health; ruled out: the feed (3 silent spells, no effect on the windows) and second copies, which are passed over.

Now the least loaded connection that is free, else a new one; sharing only when descriptors run short, after the idle of other targets made room, or when the target has just refused a further one. Noise is seen before its line ends; an answer stopped for 1 s ends its connection; what is gone is closed and forgotten; readers give large buffers back.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -134,10 +134,17 @@
             news.kind = saved          ? nettlethread::ListKind::saved
                         : change.whole ? nettlethread::ListKind::full
                                        : nettlethread::ListKind::changes;
+            std::vector<std::string> named;
             for (const config::Placed& member : change.members) {
-                if (!member.address.empty()) pool.place(member.entry.cache, member.address);
-                news.entries.push_back(member.entry);
+                const nettlethread::CacheEntry& entry = member.entry;
+                if (entry.state == nettlethread::CacheState::gone)
+                    pool.retire(entry.cache);
+                else if (!member.address.empty())
+                    pool.place(entry.cache, member.address);
+                news.entries.push_back(entry);
+                named.push_back(entry.cache);
             }
+            if (change.whole) pool.retire_all_but(named);
             core.tell(std::move(news));
         }
         if (change.has_purge)
--- a/src/upstream/lines.cpp
+++ b/src/upstream/lines.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t kLongestHead = 2048;
+constexpr std::size_t kLongestHead = 1024;
 constexpr std::size_t kLongestBody = 240'000;
 constexpr std::size_t kCompactAt = 64 * 1024;
 
@@ -109,7 +109,9 @@
 }
 
 void AnswerReader::add(std::string_view bytes) {
-    if (at_ > kCompactAt || at_ == buffer_.size()) {
+    // Many connections are held, most of them idle: none keeps the room of its largest answer.
+    if (at_ == buffer_.size() && buffer_.capacity() > kCompactAt) buffer_ = {};
+    if (at_ > kCompactAt || at_ >= buffer_.size()) {
         buffer_.erase(0, at_);
         at_ = 0;
     }
@@ -120,6 +122,10 @@
     const auto end = buffer_.find("\r\n", at_);
     if (end == std::string::npos) {
         if (buffer_.size() - at_ > kLongestHead) throw LineError("an answer's line has no end");
+        // Noise shows before its line ends, and may never end it.
+        const auto readable = [](unsigned char c) { return (c >= ' ' && c <= '~') || c == '\r'; };
+        if (!std::all_of(buffer_.begin() + static_cast<std::ptrdiff_t>(at_), buffer_.end(), readable))
+            throw LineError("an answer's line is no text");
         return false;
     }
     if (end - at_ > kLongestHead) throw LineError("an answer's line is too long");
--- a/src/upstream/lines.h
+++ b/src/upstream/lines.h
@@ -28,6 +28,7 @@
   public:
     void add(std::string_view bytes);
     bool next(Answer& answer);
+    bool partial() const { return in_body_ || at_ < buffer_.size(); }  // an answer has begun to come
 
   private:
     bool read_head();
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -11,8 +11,13 @@
 
 namespace {
 
-constexpr std::size_t kMostChannels = 16;  // to one target
-constexpr std::size_t kShareUpTo = 4;      // a channel that carries fewer is shared before one is opened
+// A spoilt answer, a reset or a lost one costs all that is open on its connection, so requests share one only
+// where no other can be had.
+constexpr std::size_t kMostChannels = 64;  // to one target
+constexpr int kForFirst = 16;              // descriptors left for targets without a connection
+constexpr int kForOthers = 8;              // never taken here: the change log must be reached
+constexpr Micros kFullFor = 2'000'000;     // a target that took no more connections is asked for one again
+constexpr Micros kStalled = 1'000'000;     // an answer that stopped in the middle for so long goes on no more
 constexpr Micros kSilence = 400'000;       // open attempts and not a byte for this long: trusted no more
 constexpr Micros kSuspectAfter = 200'000;  // given up after this long without a byte: the same
 constexpr Micros kIdleMargin = 1'000'000;  // idle channels close this long before the other side would
@@ -64,7 +69,13 @@
 
     void gone(net::Stream&, net::Gone how) override {
         stream = nullptr;
-        if (how == net::Gone::refused) log::debug("{} refused a connection", target);
+        if (how == net::Gone::refused) {
+            log::debug("{} refused a connection", target);
+            Target& to = pool.targets_[target];
+            const bool others =
+                std::any_of(to.channels.begin(), to.channels.end(), [](const auto& c) { return c->up; });
+            if (others) to.full_until = pool.loop_.clock().now() + kFullFor;
+        }
         pool.drop(*this, up);
     }
 };
@@ -82,6 +93,7 @@
 
 void Pool::place(const std::string& name, const std::string& address) {
     Target& target = targets_[name];
+    target.retired = false;
     if (target.address == address) return;
     target.address = address;
     // Connections to the old place belong to another machine.
@@ -90,6 +102,16 @@
     for (Channel* channel : old) drop(*channel, channel->up);
 }
 
+void Pool::retire(const std::string& name) {
+    const auto found = targets_.find(name);
+    if (found != targets_.end()) found->second.retired = true;
+}
+
+void Pool::retire_all_but(const std::vector<std::string>& names) {
+    for (auto& [name, target] : targets_)
+        if (std::find(names.begin(), names.end(), name) == names.end()) target.retired = true;
+}
+
 bool Pool::silent(const Channel& channel) const {
     if (channel.suspect) return true;
     if (!channel.up || channel.open.empty()) return false;
@@ -100,7 +122,10 @@
 // for one attempt on a channel, also after a STOP. A silent one only where no other can be had.
 Pool::Channel* Pool::pick(Target& target, const core::Sending& sending) {
     Channel* best = nullptr;
-    const auto rank = [this](const Channel& c) { return std::tuple(silent(c), !c.up, c.open.size()); };
+    // Of those alike the one heard last: what has long been idle is the likelier to be gone.
+    const auto rank = [this](const Channel& c) {
+        return std::tuple(silent(c), c.open.size(), !c.up, -c.heard);
+    };
     for (const auto& channel : target.channels) {
         if (channel->open.size() >= static_cast<std::size_t>(limits_.streams_per_conn)) continue;
         const auto& avoid = sending.avoid;
@@ -108,10 +133,23 @@
         if (!best || rank(*channel) < rank(*best)) best = channel.get();
     }
     const bool trusted = best && !silent(*best);
-    if (target.channels.size() >= kMostChannels || (trusted && best->open.size() < kShareUpTo)) return best;
+    if (trusted && best->open.empty()) return best;
+    const bool may_dial =
+        target.channels.size() < kMostChannels && (!trusted || loop_.clock().now() >= target.full_until);
+    const int leave = trusted ? kForFirst + kForOthers : kForOthers;
+    if (!may_dial || (budget_.left() <= leave && !make_room(best))) return best;
     Channel* fresh = dial(sending.target, target);
-    // A channel that is up answers sooner than one that has yet to come up.
-    return trusted && best->up && best->open.size() < 4 * kShareUpTo ? best : fresh ? fresh : best;
+    return fresh ? fresh : best;
+}
+
+// Closes the connection that has been idle the longest, whoever it leads to, but not `keep`.
+bool Pool::make_room(const Channel* keep) {
+    Channel* idle = nullptr;
+    for (const auto& [number, channel] : channels_)
+        if (channel != keep && channel->up && channel->open.empty() && (!idle || channel->used < idle->used))
+            idle = channel;
+    if (idle) drop(*idle, true);
+    return idle != nullptr;
 }
 
 Pool::Channel* Pool::dial(const std::string& name, Target& target) {
@@ -210,12 +248,21 @@
 
 void Pool::sweep() {
     const Micros now = loop_.clock().now();
-    std::vector<Channel*> idle;
+    std::vector<Channel*> idle, stalled;
     for (const auto& [number, channel] : channels_)
         if (channel->up && channel->open.empty() &&
-            (channel->suspect || now - channel->used > limits_.idle_close - kIdleMargin))
+            (channel->suspect || targets_[channel->target].retired ||
+             now - channel->used > limits_.idle_close - kIdleMargin))
             idle.push_back(channel);
+        else if (channel->reader.partial() && now - channel->heard > kStalled)
+            stalled.push_back(channel);
     for (Channel* channel : idle) drop(*channel, true);
+    for (Channel* channel : stalled) {
+        log::debug("{} stopped in the middle of an answer", channel->target);
+        drop(*channel, true);
+    }
+    if (!stalled.empty()) core_.run();
+    std::erase_if(targets_, [](const auto& t) { return t.second.retired && t.second.channels.empty(); });
     loop_.deadlines().set(now + kSweep, [this] { sweep(); });
 }
 
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -29,6 +29,9 @@
 
     // Where a target listens from now on. Another address than before is another machine.
     void place(const std::string& target, const std::string& address);
+    // Nothing new is sent there; its connections close once nothing is open on them.
+    void retire(const std::string& target);
+    void retire_all_but(const std::vector<std::string>& targets);
 
     std::uint64_t send(const core::Sending& sending) override;
     bool stop(Handle attempt) override;
@@ -43,6 +46,8 @@
     struct Target {
         std::string address;
         std::vector<std::unique_ptr<Channel>> channels;
+        Micros full_until = 0;  // it refused a connection while others were up: no more of them till then
+        bool retired = false;
     };
 
     Channel* pick(Target& target, const core::Sending& sending);
@@ -50,6 +55,7 @@
     void end(Handle attempt, nettlethread::Verdict verdict);
     void drop(Channel& channel, bool came_up);
     bool silent(const Channel& channel) const;
+    bool make_room(const Channel* keep);
     void sweep();
 
     net::Loop& loop_;
