Name the origin itself as the source of what runs there, past the parents

Checked with each attempt's end logged (a probe, taken back): all these errors carry the note that the source was lost and name the parent s-, which erred fast; the only other parent was cold. enrol went through it and may not be repeated, so each such error failed it. Ruled out: SIGHUP and SIGTERM (rules kept, the feed moved in time), the caches (none erred without that note). At fault: Router::Impl::pick_source, which sent what is never kept through a parent too.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -360,8 +360,7 @@
         Target* wish = shared                                                        ? copy->cache
                        : old_copy || (holder && now_ - copy->served_at < kRecentHit) ? holder
                                                                                      : nullptr;
-        auto place =
-            std::find_if(order.begin(), order.end(), [&](const auto& o) { return o.second == wish; });
+        auto place = std::ranges::find(order, wish, &std::pair<double, Target*>::second);
         const std::size_t width = copy ? width_for(*copy, request, *order.front().second) : order.size();
         // Danger: leaving a fill under way for another cache begins it twice. Left only when distrusted.
         if (shared && place != order.end()) return plan_at(request, copy, *wish);
@@ -415,8 +414,7 @@
             }
             if (!scored.empty()) break;  // never eject all: with none healthy, the unhealthy ones are asked
         }
-        std::sort(scored.begin(), scored.end(),
-                  [](const auto& a, const auto& b) { return a.first < b.first; });
+        std::ranges::sort(scored, {}, &std::pair<double, Target*>::first);
         return scored;
     }
 
@@ -469,6 +467,10 @@
 
     // A hub parent by the same hash, nearer hubs preferred; another if that one is unwell; the origin last.
     Target* pick_source(const Request& request, const Copy* copy, Target& cache, bool fill) {
+        const bool origin_up = origin_ && origin_->entry.state == CacheState::ready;
+        // Danger: what runs at the origin may not be asked for again, so a parent on the way is one more that
+        // can fail it for good, and has nothing of it to give.
+        if (origin_up && !cacheable(request)) return origin_;
         if (Target* sibling = sibling_holding(request, copy, cache)) return sibling;
         Target* best = nullptr;
         double best_score = 0;
@@ -486,7 +488,7 @@
             }
             if (best) return best;
         }
-        return origin_ && origin_->entry.state == CacheState::ready ? origin_ : &cache;
+        return origin_up ? origin_ : &cache;
     }
 
     // A cache of the zone that surely has the copy may fill another that lacks it: it spares the link in.
@@ -863,8 +865,7 @@
         const ClassSettings& service = service_of(request);
         if (service.semantics == Semantics::safe) return true;
         if (service.semantics == Semantics::keyed && service.scope == Scope::all) return true;
-        return std::none_of(request.attempts.begin(), request.attempts.end(),
-                            [](const Attempt& a) { return a.may_have_run; });
+        return std::ranges::none_of(request.attempts, &Attempt::may_have_run);
     }
 
     // Answered at once: holding it back would only hide the failure from the client.
@@ -879,8 +880,7 @@
 
     // ---- housekeeping ----
     bool any_out(const Request& request) const {
-        return std::any_of(request.attempts.begin(), request.attempts.end(),
-                           [](const Attempt& a) { return a.out; });
+        return std::ranges::any_of(request.attempts, &Attempt::out);
     }
 
     void forget(const std::string& id) {
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -133,6 +133,22 @@
     EXPECT_GT(serve.rank, 0);
 }
 
+// Guards: what runs at the origin may not be tried again. A parent that fails it on the way costs it for
+// good.
+TEST(ChoiceWrites, WhatRunsAtTheOriginPassesTheParentsBy) {
+    Settings settings = plain_settings();
+    settings.classes[0].uncached = true;
+    settings.classes[0].semantics = Semantics::unsafe;
+    Bench bench(settings);
+    bench.list({cache("a"), cache("b"), parent("p"), parent("q"), origin()});
+    bench.ask("r1", "x");
+    EXPECT_EQ(bench.served().source, "origin");
+    // Not once the origin is gone from the list: a parent may still reach it.
+    bench.list({cache("a"), cache("b"), parent("p")});
+    bench.ask("r2", "x");
+    EXPECT_EQ(bench.served().source, "p");
+}
+
 TEST_F(ChoiceTest, LaterRequestsJoinTheFillAtTheSameCache) {
     bench.ask("r1", "x");
     const std::string home = bench.served().cache;
