Let go of clients that read none of their answers

Seen by reading: a client that asks and never reads keeps up to 4 MB of answers, and above a third of the memory in unsent answers Front::call refuses everybody, so three such clients at 32 MB would have had all others refused for good; the door counted them as busy, and never let one go. Confirmed by a story: without the change the honest client is still refused when its 10 s are over.

Now unsent answers with no request open are a state of their own at the door: 5 s without finishing one (15 s on the signed front) end the connection, and when memory is short the slowest goes after 1 s. A last HTTP answer that nobody reads counts the same.

--- a/src/front_platform/front.cpp
+++ b/src/front_platform/front.cpp
@@ -15,7 +15,8 @@
 constexpr std::size_t kLongestBody = 48'000;
 // What can't be used is owed an end within 3 s of connecting; an honest request comes in one go.
 constexpr core::Micros kRequestIn = 2'000'000;
-constexpr core::Micros kIdle = 5'000'000;  // clients close after 4 s themselves
+constexpr core::Micros kIdle = 5'000'000;     // clients close after 4 s themselves
+constexpr core::Micros kReading = 5'000'000;  // an answer of 240 KB takes 0.8 s at the usual pace
 constexpr int kMostParts = 1'000'000;
 constexpr double kMostNeed = 1e6;                  // KB; an object has a small part of this
 constexpr core::Micros kLongestWait = 60'000'000;  // a time-out beyond this is no sound figure
@@ -68,14 +69,16 @@
     }
     void drained(net::Stream& s) override {
         s.pause(false);
-        tell_door();
+        tell_door(true);
     }
-    void tell_door() {
+    void tell_door(bool has_read = false) {
         if (!stream()) return;
-        front.door_.now(*this, !open.empty() || stream()->unsent() > 0 ? net::Doing::busy
-                               : !heard                                ? net::Doing::arriving
-                               : reader.partial()                      ? net::Doing::sending
-                                                                       : net::Doing::idle);
+        const net::Doing doing = !open.empty()            ? net::Doing::busy
+                                 : stream()->unsent() > 0 ? net::Doing::unsent
+                                 : !heard                 ? net::Doing::arriving
+                                 : reader.partial()       ? net::Doing::sending
+                                                          : net::Doing::idle;
+        front.door_.now(*this, doing, has_read);
     }
     void left() override {
         for (const auto& [seqid, handles] : open) {
@@ -91,7 +94,7 @@
     : core_(core),
       site_(site),
       limits_(limits),
-      door_(loop, listen, limits.connections, {.request = kRequestIn, .idle = kIdle},
+      door_(loop, listen, limits.connections, {.request = kRequestIn, .idle = kIdle, .reading = kReading},
             [this] { return std::make_unique<Client>(*this); }) {}
 
 // What no cache could use is turned away here: sent on, it would count against the caches that can't use it.
@@ -140,8 +143,10 @@
     core::Ask ask;
     if (!read_ask(call, ask) || core_.is_open(ask.id))
         return client.stream()->write(write_answer(call.seqid, {}));
+    const bool unread = door_.unsent() > limits_.unsent_bytes;
+    if (unread) door_.let_go_slowest(client);
     const bool crowded =
-        client.open.size() >= kMostOpen || door_.unsent() > limits_.unsent_bytes ||
+        client.open.size() >= kMostOpen || unread ||
         core_.open_requests() >= static_cast<std::size_t>(std::max(1, site_.settings.most_held));
     if (crowded) return client.stream()->write(write_answer(call.seqid, {.how = core::Answered::refused}));
     const Handle ours = open_.add({client.number(), call.seqid});
--- a/src/front_signed/front.cpp
+++ b/src/front_signed/front.cpp
@@ -86,6 +86,7 @@
     std::size_t head = 0;
     int too_much = 0;  // the status for a request that is over a limit
     bool busy = false, whole = false, keep = true, heard = false;
+    bool last = false;  // its last answer is on its way
     Handle ours, cores;
 
     explicit Client(Front& owner) : front(owner) {
@@ -150,7 +151,7 @@
         work();
         tell_door();
     }
-    void drained(net::Stream&) override { tell_door(); }
+    void drained(net::Stream&) override { tell_door(true); }
 
     // Parses up to the end of one request; the rest waits until that is answered.
     void work() {
@@ -170,12 +171,14 @@
         }
     }
 
-    void tell_door() {
+    void tell_door(bool has_read = false) {
         if (!stream()) return;
-        front.door_.now(*this, busy || stream()->unsent() > 0       ? net::Doing::busy
-                               : !heard                             ? net::Doing::arriving
-                               : parser.nread > 0 || !ahead.empty() ? net::Doing::sending
-                                                                    : net::Doing::idle);
+        const net::Doing doing = busy && !last                        ? net::Doing::busy
+                                 : last || stream()->unsent() > 0     ? net::Doing::unsent
+                                 : !heard                             ? net::Doing::arriving
+                                 : parser.nread > 0 || !ahead.empty() ? net::Doing::sending
+                                                                      : net::Doing::idle;
+        front.door_.now(*this, doing, has_read);
     }
     void left() override {
         front.open_.remove(ours);
@@ -193,7 +196,8 @@
       gate_(std::make_unique<Gate>(setup_, live_)),
       one_time_(one_time),
       ids_(seed ^ 0x5eed5eed5eed5eedULL),
-      door_(loop, setup.listen, setup.connections, {.request = kPatience, .idle = kPatience},
+      door_(loop, setup.listen, setup.connections,
+            {.request = kPatience, .idle = kPatience, .reading = kPatience},
             [this] { return std::make_unique<Client>(*this); }) {}
 
 void Front::renew(const config::SignedFront& setup) {
@@ -343,7 +347,8 @@
     client.stream()->write(text + answer.body);
     client.busy = false;
     if (!keep) {
-        client.busy = true;  // nothing more is read from it
+        client.busy = client.last = true;  // nothing more is read from it
+        client.tell_door();
         return client.stream()->close_when_sent();
     }
     client.tell_door();
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -10,6 +10,8 @@
 // A client sends its request as soon as it is connected. One younger than this at what it does is no victim,
 // so that a flood of new connections can't sweep out the honest ones among them.
 constexpr Micros kSettled = 100'000;
+// One that reads at all takes an answer in less; it need not go when memory is short.
+constexpr Micros kSlow = 1'000'000;
 
 }  // namespace
 
@@ -77,8 +79,17 @@
     return false;
 }
 
-void Door::now(Guest& guest, Doing doing) {
-    if (!guest.stream_ || (guest.doing_ == doing && doing != Doing::idle)) return;
+void Door::let_go_slowest(const Guest& keep) {
+    const Micros before = loop_.clock().now() - kSlow;
+    for (Guest* guest : queue(Doing::unsent)) {
+        if (guest->since_ > before) return;
+        if (guest != &keep) return let_go(*guest);
+    }
+}
+
+void Door::now(Guest& guest, Doing doing, bool has_read) {
+    const bool same = guest.doing_ == doing && doing != Doing::idle && !(doing == Doing::unsent && has_read);
+    if (!guest.stream_ || same) return;
     std::list<Guest*>& to = queue(doing);
     to.splice(to.end(), queue(guest.doing_), guest.place_);
     guest.doing_ = doing;
@@ -87,8 +98,10 @@
 
 void Door::sweep() {
     const Micros now = loop_.clock().now();
-    for (const Doing doing : {Doing::arriving, Doing::sending, Doing::idle}) {
-        const Micros before = now - (doing == Doing::idle ? patience_.idle : patience_.request);
+    for (const Doing doing : {Doing::arriving, Doing::sending, Doing::idle, Doing::unsent}) {
+        const Micros before = now - (doing == Doing::idle     ? patience_.idle
+                                     : doing == Doing::unsent ? patience_.reading
+                                                              : patience_.request);
         std::vector<Guest*> over;
         for (Guest* guest : queue(doing)) {
             if (guest->since_ > before) break;
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -21,7 +21,8 @@
     arriving,  // since it came, no whole request has been read
     sending,   // a part of a further request has come
     idle,      // between two requests
-    busy       // a request is open, or its answer not yet sent
+    unsent,    // its answers wait to be read by it, and no request is open
+    busy       // a request is open
 };
 
 // One client's connection. Its door destroys it in the turn after it has gone.
@@ -49,6 +50,7 @@
     struct Patience {
         Micros request;  // from connecting, or from a later request's first byte, until it has come whole
         Micros idle;     // between two requests
+        Micros reading;  // until it has read one more answer
     };
 
     Door(Loop& loop, const std::string& address, int connections, Patience patience,
@@ -57,8 +59,11 @@
     Door(const Door&) = delete;
     Door& operator=(const Door&) = delete;
 
-    // To be told after each change; the time starts anew with each change and with each idle spell.
-    void now(Guest& guest, Doing doing);
+    // To be told after each change; the time starts anew with each change, each idle spell and each answer
+    // read.
+    void now(Guest& guest, Doing doing, bool has_read = false);
+    // For when answers take too much memory: the one that has read nothing for longest goes, but not `keep`.
+    void let_go_slowest(const Guest& keep);
     Guest* find(std::uint64_t number) const;
     std::size_t unsent() const { return budget_.unsent(); }  // bytes of answers, over all guests
     void set_connections(int most) { budget_.set_most(most); }
@@ -79,7 +84,7 @@
     Patience patience_;
     std::function<std::unique_ptr<Guest>()> make_;
     Budget budget_;
-    std::array<std::list<Guest*>, 4> queues_;  // by what they do, longest at it first
+    std::array<std::list<Guest*>, 5> queues_;  // by what they do, longest at it first
     std::map<std::uint64_t, std::unique_ptr<Guest>> guests_;
     std::vector<std::unique_ptr<Guest>> gone_;
     std::uint64_t next_ = 1;
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <signal.h>
 
+#include <algorithm>
+
 #include "front_platform/thrift.h"
 #include "support.h"
 
@@ -528,3 +530,39 @@
     next.send(again.id + " DONE - 2\r\nok\r\n");
     CHECK(body(read_reply(client)) == "ok");
 }
+
+// Guards: a client that asks and never reads keeps its answers in memory. Enough of them would have every
+// other client refused for good.
+TEST_CASE("a client that reads none of its answers is let go") {
+    Fleet fleet;
+    Daemon daemon(fleet.hosts(), {}, {}, {}, {.memory_mb = 3});
+    Wire client = Wire::to(daemon.port());
+    const std::string bytes(240'000, 'x');
+    constexpr int kAnswers = 32;  // as many as may be open; more bytes than the system's own buffers take
+    std::vector<std::pair<Wire, Req>> asked;
+    for (int i = 1; i <= kAnswers; ++i) {
+        client.send(dispatch(i, read("enrol", "00000000000000" + std::to_string(10 + i), 30'000)));
+        Wire cache = fleet.cache.accept();
+        const Req req = read_req(cache);
+        asked.emplace_back(std::move(cache), req);
+    }
+    for (auto& [cache, req] : asked) cache.send(req.id + " DONE - 240000\r\n" + bytes + "\r\n");
+    // Refused while all the memory for answers is taken; sent on once the other has been let go.
+    Wire honest = Wire::to(daemon.port());
+    const auto sent_on = [&] {
+        return fleet.cache.called() ||
+               std::any_of(asked.begin(), asked.end(), [](const auto& one) { return !one.first.quiet(); });
+    };
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(kBoundMs);
+    int refused = 0;
+    for (int seqid = 1; !sent_on() && std::chrono::steady_clock::now() < until; ++seqid) {
+        honest.send(dispatch(seqid, read("enrol", "00000000000000ff", 30'000)));
+        while (honest.quiet() && !sent_on() && std::chrono::steady_clock::now() < until)
+            std::this_thread::yield();
+        if (honest.quiet()) break;
+        CHECK(read_reply(honest).place == 1);
+        ++refused;
+    }
+    CHECK(refused > 0);
+    CHECK(sent_on());
+}
