Give each part its floor: base, nettlethread, sim and daemon folders, kept by a test

Need: what all parts share lay in core and net, the module's files beside everything else, the daemon's assembly in the command line, and the store knew a front. The next parts need floors that hold.

Change: src/base (time, clock, deadlines, slots, log), src/nettlethread, src/sim and src/daemon; one-use claims moved to src/core so that the store knows no front; tests lie in folders as in src. tests/layout/floors.sh fails on an include that README's table forbids, and floors_test.sh shows that it does. deploy/packages.sh installs what balancer.toml names; 'make setup' runs it, so a fresh machine needs 'make setup run' and 'make setup test' alone.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,12 @@
-# build, test, lint, run: the everyday commands.
+# setup, build, test, lint, run: the everyday commands. On a fresh machine `make setup run` serves the example
+# and `make setup test` passes the tests.
 JOBS ?= 4
 CONFIG ?= example/config.json
 
-.PHONY: build test lint run clean
+.PHONY: setup build test lint run clean
+
+setup:
+	deploy/packages.sh
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -14,11 +18,12 @@
 	ctest --test-dir build-test --output-on-failure
 
 lint:
-	clang-format --dry-run -Werror $$(git ls-files 'src/*.cpp' 'src/*.h' 'include/*.h' 'tests/*.cpp' 'tests/*.h')
-	tests/module_size.sh .
+	clang-format --dry-run -Werror $$(git ls-files '*.cpp' '*.h')
+	tests/layout/module_size.sh .
+	tests/layout/floors.sh .
 
 run: build
 	GW_CONFIG=$(CONFIG) build/sumackeel
 
 clean:
-	cmake -E rm -rf build build-test
+	cmake -E rm -rf build build-test build-bench
--- a/src/core/clock.h
+++ b/src/base/clock.h
@@ -4,11 +4,9 @@
 #include <algorithm>
 #include <chrono>
 
-#include "nettlethread/router.h"
+#include "base/time.h"
 
-namespace sumackeel::core {
-
-using nettlethread::Micros;
+namespace sumackeel::base {
 
 class Clock {
   public:
@@ -22,4 +20,4 @@
     Micros last_ = 0;
 };
 
-}  // namespace sumackeel::core
+}  // namespace sumackeel::base
--- a/src/core/deadlines.h
+++ b/src/base/deadlines.h
@@ -7,9 +7,9 @@
 #include <optional>
 #include <utility>
 
-#include "core/clock.h"
+#include "base/clock.h"
 
-namespace sumackeel::core {
+namespace sumackeel::base {
 
 class Deadlines {
   public:
@@ -48,4 +48,4 @@
     std::uint64_t next_ = 0;
 };
 
-}  // namespace sumackeel::core
+}  // namespace sumackeel::base
--- a/src/net/log.cpp
+++ b/src/base/log.cpp
@@ -1,4 +1,4 @@
-#include "net/log.h"
+#include "base/log.h"
 
 #include <fmt/chrono.h>
 
--- a/src/core/slots.h
+++ b/src/base/slots.h
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-namespace sumackeel::core {
+namespace sumackeel::base {
 
 struct Handle {
     std::uint32_t slot = UINT32_MAX;
@@ -72,4 +72,4 @@
     std::size_t used_ = 0;
 };
 
-}  // namespace sumackeel::core
+}  // namespace sumackeel::base
--- a/src/cli/store_command.cpp
+++ b/src/cli/store_command.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr core::Micros kPatience = 5'000'000;
+constexpr base::Micros kPatience = 5'000'000;
 
 struct Asker : net::Stream::Owner {
     net::Loop& loop;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <exception>
 
-#include "net/log.h"
+#include "base/log.h"
 
 namespace sumackeel::core {
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -10,13 +10,19 @@
 #include <unordered_set>
 #include <vector>
 
-#include "core/clock.h"
-#include "core/deadlines.h"
-#include "core/slots.h"
+#include "base/clock.h"
+#include "base/deadlines.h"
+#include "base/slots.h"
 #include "nettlethread/router.h"
 
 namespace sumackeel::core {
 
+using base::Clock;
+using base::Deadlines;
+using base::Handle;
+using base::Micros;
+using base::Slots;
+
 // What a client asks for.
 struct Ask {
     std::string id;  // the client's own name for the request, passed on unchanged
--- a/src/front_signed/one_time.cpp
+++ b/src/core/one_time.cpp
@@ -1,6 +1,6 @@
-#include "front_signed/one_time.h"
+#include "core/one_time.h"
 
-namespace sumackeel::front_signed {
+namespace sumackeel::core {
 
 void LocalOneTime::use(const std::string& name, double now, double until, Done done) {
     while (!by_end_.empty() && by_end_.begin()->first < now) {
@@ -21,4 +21,4 @@
     used_.erase(found);
 }
 
-}  // namespace sumackeel::front_signed
+}  // namespace sumackeel::core
--- a/src/front_signed/one_time.h
+++ b/src/core/one_time.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <unordered_map>
 
-namespace sumackeel::front_signed {
+namespace sumackeel::core {
 
 enum class Use { first, again, unknown };  // unknown: it can't be told now, so the use is not granted
 
@@ -33,4 +33,4 @@
     std::multimap<double, std::string> by_end_;
 };
 
-}  // namespace sumackeel::front_signed
+}  // namespace sumackeel::core
--- a/src/cli/serve.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,21 +1,21 @@
-#include "cli/serve.h"
+#include "daemon/daemon.h"
 
 #include <atomic>
 #include <csignal>
 
+#include "base/log.h"
 #include "core/core.h"
+#include "core/one_time.h"
 #include "feed/feed.h"
 #include "front_platform/front.h"
 #include "front_signed/front.h"
-#include "front_signed/one_time.h"
-#include "net/log.h"
 #include "store/member.h"
 #include "store/redis_one_time.h"
 #include "upstream/pool.h"
 
-namespace sumackeel::cli {
+namespace sumackeel::daemon {
 
-using core::Micros;
+using base::Micros;
 
 namespace {
 
@@ -48,7 +48,7 @@
     upstream::Pool pool;
     front_platform::Front front;
     std::unique_ptr<store::Member> member;
-    std::unique_ptr<front_signed::OneTime> one_time;
+    std::unique_ptr<core::OneTime> one_time;
     std::unique_ptr<front_signed::Front> signed_front;
     std::unique_ptr<feed::Feed> feed;
     uv_signal_t term{}, hangup{};
@@ -75,8 +75,7 @@
                                                 [this](const auto& change) { change_heard(change, false); });
         if (setup.store) member = std::make_unique<store::Member>(loop, sockets, *setup.store);
         if (setup.signed_front) {
-            if (setup.signed_front->one_time == "local")
-                one_time = std::make_unique<front_signed::LocalOneTime>();
+            if (setup.signed_front->one_time == "local") one_time = std::make_unique<core::LocalOneTime>();
             if (setup.signed_front->one_time == "redis")
                 one_time = std::make_unique<store::RedisOneTime>(loop, setup.redis);
             front_signed::Live live;
@@ -197,4 +196,4 @@
     return parts_->signed_front ? parts_->signed_front->port() : -1;
 }
 
-}  // namespace sumackeel::cli
+}  // namespace sumackeel::daemon
--- a/src/cli/serve.h
+++ b/src/daemon/daemon.h
@@ -6,7 +6,7 @@
 #include "config/config.h"
 #include "config/operator.h"
 
-namespace sumackeel::cli {
+namespace sumackeel::daemon {
 
 // Where the configuration came from and is read anew from on SIGHUP; empty: there is no such file.
 struct Files {
@@ -30,4 +30,4 @@
     std::unique_ptr<Parts> parts_;
 };
 
-}  // namespace sumackeel::cli
+}  // namespace sumackeel::daemon
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -4,17 +4,17 @@
 
 #include <stdexcept>
 
-#include "net/log.h"
+#include "base/log.h"
 
 namespace sumackeel::feed {
 
 namespace {
 
 constexpr std::size_t kLongestEvent = 4 << 20;
-constexpr core::Micros kAgainAfter = 100'000;
-constexpr core::Micros kSilence = 2'500'000;    // a comment comes each second
-constexpr core::Micros kConnectIn = 1'000'000;  // until the first byte of an answer
-constexpr core::Micros kWatch = 250'000;
+constexpr base::Micros kAgainAfter = 100'000;
+constexpr base::Micros kSilence = 2'500'000;    // a comment comes each second
+constexpr base::Micros kConnectIn = 1'000'000;  // until the first byte of an answer
+constexpr base::Micros kWatch = 250'000;
 
 }  // namespace
 
@@ -132,8 +132,8 @@
 
 // A connection that says nothing is as good as none: a missed change counts as told all the same.
 void Feed::watch() {
-    const core::Micros now = loop_.clock().now();
-    const core::Micros limit = heard_ > 0 ? heard_ + kSilence : started_ + kConnectIn;
+    const base::Micros now = loop_.clock().now();
+    const base::Micros limit = heard_ > 0 ? heard_ + kSilence : started_ + kConnectIn;
     if (stream_ && now > limit) {
         log::warn("change log silent, connecting anew");
         drop();
--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -34,7 +34,7 @@
          std::int64_t last_seq, OnChange on_change);
     ~Feed() override;
 
-    core::Micros heard_at() const { return heard_; }
+    base::Micros heard_at() const { return heard_; }
     // From now on the change log is at this address; its numbers carry on.
     void move_to(std::string address);
     void heard(const config::Change& change);  // passed on unless it was heard before
@@ -59,9 +59,9 @@
     http_parser parser_{};
     http_parser_settings calls_{};
     EventReader reader_;
-    core::Micros heard_ = 0;    // the last byte
-    core::Micros started_ = 0;  // of the present connection
-    std::optional<core::Deadlines::Key> next_try_;
+    base::Micros heard_ = 0;    // the last byte
+    base::Micros started_ = 0;  // of the present connection
+    std::optional<base::Deadlines::Key> next_try_;
 };
 
 }  // namespace sumackeel::feed
--- a/src/front_platform/front.cpp
+++ b/src/front_platform/front.cpp
@@ -6,7 +6,7 @@
 
 namespace sumackeel::front_platform {
 
-using core::Handle;
+using base::Handle;
 
 namespace {
 
@@ -14,12 +14,12 @@
 constexpr std::size_t kMostUnsent = 4 << 20;  // to one client, before nothing more is read from it
 constexpr std::size_t kLongestBody = 48'000;
 // What can't be used is owed an end within 3 s of connecting; an honest request comes in one go.
-constexpr core::Micros kRequestIn = 2'000'000;
-constexpr core::Micros kIdle = 5'000'000;     // clients close after 4 s themselves
-constexpr core::Micros kReading = 5'000'000;  // an answer of 240 KB takes 0.8 s at the usual pace
+constexpr base::Micros kRequestIn = 2'000'000;
+constexpr base::Micros kIdle = 5'000'000;     // clients close after 4 s themselves
+constexpr base::Micros kReading = 5'000'000;  // an answer of 240 KB takes 0.8 s at the usual pace
 constexpr int kMostParts = 1'000'000;
 constexpr double kMostNeed = 1e6;                  // KB; an object has a small part of this
-constexpr core::Micros kLongestWait = 60'000'000;  // a time-out beyond this is no sound figure
+constexpr base::Micros kLongestWait = 60'000'000;  // a time-out beyond this is no sound figure
 
 std::string text(const std::map<std::string, std::string>& fields, const char* name) {
     const auto found = fields.find(name);
--- a/src/front_platform/front.h
+++ b/src/front_platform/front.h
@@ -3,9 +3,9 @@
 
 #include <string>
 
+#include "base/slots.h"
 #include "config/config.h"
 #include "core/core.h"
-#include "core/slots.h"
 #include "front_platform/thrift.h"
 #include "net/door.h"
 
@@ -41,7 +41,7 @@
         std::uint64_t client = 0;
         std::int32_t seqid = 0;
     };
-    core::Slots<Open> open_;
+    base::Slots<Open> open_;
     net::Door door_;
 };
 
--- a/src/front_signed/front.cpp
+++ b/src/front_signed/front.cpp
@@ -6,13 +6,13 @@
 #include <charconv>
 #include <cmath>
 
-#include "net/log.h"
+#include "base/log.h"
 
 namespace sumackeel::front_signed {
 
+using base::Handle;
+using base::Micros;
 using core::Answered;
-using core::Handle;
-using core::Micros;
 
 namespace {
 
@@ -187,7 +187,7 @@
 };
 
 Front::Front(net::Loop& loop, core::Core& core, const config::Site& site, const config::SignedFront& setup,
-             OneTime* one_time, std::uint64_t seed, Live live)
+             core::OneTime* one_time, std::uint64_t seed, Live live)
     : loop_(loop),
       core_(core),
       site_(site),
@@ -262,26 +262,26 @@
     ask.id = fmt::format("{:016x}", ids_());
     client.ours = open_.add({client.number(), {}});
     if (verdict.once.empty()) return enter(client.ours, std::move(ask));
-    if (!one_time_) return once_known(client.ours, std::move(ask), Use::unknown);
+    if (!one_time_) return once_known(client.ours, std::move(ask), core::Use::unknown);
     open_.find(client.ours)->once = verdict.once;
     const Micros came = loop_.clock().now();
     one_time_->use(verdict.once, now_s(), verdict.once_until,
                    [this, came, ours = client.ours, ask = std::move(ask),
-                    alive = std::weak_ptr<bool>(alive_)](Use use) mutable {
+                    alive = std::weak_ptr<bool>(alive_)](core::Use use) mutable {
                        if (alive.expired()) return;
                        ask.left -= loop_.clock().now() - came;
                        once_known(ours, std::move(ask), use);
                    });
 }
 
-void Front::once_known(Handle ours, core::Ask ask, Use use) {
+void Front::once_known(Handle ours, core::Ask ask, core::Use use) {
     const Open* open = open_.find(ours);
     if (!open) return;  // the client has left; the link counts as used
-    if (use == Use::first) return enter(ours, std::move(ask));
+    if (use == core::Use::first) return enter(ours, std::move(ask));
     Client& client = static_cast<Client&>(*door_.find(open->client));
     open_.remove(ours);
     client.ours = {};
-    if (use == Use::again) return problem(client, 403, "the link was for one use and has been used");
+    if (use == core::Use::again) return problem(client, 403, "the link was for one use and has been used");
     problem(client, 503, "whether the link has been used can't be told now");
 }
 
--- a/src/front_signed/front.h
+++ b/src/front_signed/front.h
@@ -5,12 +5,12 @@
 #include <random>
 #include <string>
 
+#include "base/slots.h"
 #include "config/config.h"
 #include "config/operator.h"
 #include "core/core.h"
-#include "core/slots.h"
+#include "core/one_time.h"
 #include "front_signed/links.h"
-#include "front_signed/one_time.h"
 #include "net/door.h"
 
 namespace sumackeel::front_signed {
@@ -19,7 +19,7 @@
   public:
     // `one_time` may be null: then nothing that holds for one use only is let in.
     Front(net::Loop& loop, core::Core& core, const config::Site& site, const config::SignedFront& setup,
-          OneTime* one_time, std::uint64_t seed, Live live = {});
+          core::OneTime* one_time, std::uint64_t seed, Live live = {});
 
     int port() const { return door_.port(); }
     void stop_listening() { door_.stop_listening(); }
@@ -42,8 +42,8 @@
     void answer(std::uint64_t cookie, core::Reply reply) override;
     void asked(Client& client);
     std::string read_ask(const Client& client, const Target& target, core::Ask& ask, int& status) const;
-    void enter(core::Handle ours, core::Ask ask);
-    void once_known(core::Handle ours, core::Ask ask, Use use);
+    void enter(base::Handle ours, core::Ask ask);
+    void once_known(base::Handle ours, core::Ask ask, core::Use use);
     void problem(Client& client, int status, const std::string& detail);
     void reply(Client& client, const Answer& answer);
     double now_s() const;
@@ -55,9 +55,9 @@
     config::SignedFront setup_;
     Live live_;
     std::unique_ptr<Gate> gate_;
-    OneTime* one_time_;
+    core::OneTime* one_time_;
     std::mt19937_64 ids_;
-    core::Slots<Open> open_;
+    base::Slots<Open> open_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // outlived by answers on one-time use
     bool leaving_ = false;
     net::Door door_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,13 +7,13 @@
 #include <string>
 #include <vector>
 
-#include "cli/serve.h"
+#include "base/clock.h"
+#include "base/log.h"
 #include "cli/store_command.h"
 #include "config/config.h"
 #include "config/operator.h"
-#include "core/clock.h"
+#include "daemon/daemon.h"
 #include "front_signed/links.h"
-#include "net/log.h"
 
 namespace {
 
@@ -101,7 +101,7 @@
     if (!setup.signed_front) return wrong(flags.setup + ": signed_front is missing");
     const sumackeel::front_signed::Gate gate(*setup.signed_front);
     const double expires =
-        std::floor(static_cast<double>(sumackeel::core::Clock().now()) / 1e6 + flags.expires_in);
+        std::floor(static_cast<double>(sumackeel::base::Clock().now()) / 1e6 + flags.expires_in);
     if (command == "sign-token")
         return fmt::print("{}\n", gate.student_token(flags.student_key, flags.student, expires)), 0;
     sumackeel::front_signed::Target target;
@@ -135,7 +135,7 @@
         flags.setup.empty() ? sumackeel::config::Operator{} : sumackeel::config::load_operator(flags.setup);
     if (setup.signed_front) sumackeel::front_signed::Gate{*setup.signed_front};  // its keys must be usable
     if (command == "check-config") return fmt::print("{}: sound\n", flags.config), 0;
-    sumackeel::cli::Daemon daemon(config, setup, {flags.config, flags.setup});
+    sumackeel::daemon::Daemon daemon(config, setup, {flags.config, flags.setup});
     daemon.run();
     return 0;
 }
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -1,6 +1,6 @@
 #include "net/door.h"
 
-#include "net/log.h"
+#include "base/log.h"
 
 namespace sumackeel::net {
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -5,7 +5,7 @@
 #include <csignal>
 #include <stdexcept>
 
-#include "net/log.h"
+#include "base/log.h"
 
 namespace sumackeel::net {
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -9,12 +9,12 @@
 #include <string>
 #include <vector>
 
-#include "core/clock.h"
-#include "core/deadlines.h"
+#include "base/clock.h"
+#include "base/deadlines.h"
 
 namespace sumackeel::net {
 
-using core::Micros;
+using base::Micros;
 
 class Loop {
   public:
@@ -26,8 +26,8 @@
     void run();
     void stop() { uv_stop(&loop_); }
     uv_loop_t* raw() { return &loop_; }
-    core::Clock& clock() { return clock_; }
-    core::Deadlines& deadlines() { return deadlines_; }
+    base::Clock& clock() { return clock_; }
+    base::Deadlines& deadlines() { return deadlines_; }
     // Called at the end of each turn, after the deadlines.
     void each_turn(std::function<void()> what) { turns_.push_back(std::move(what)); }
 
@@ -39,8 +39,8 @@
     uv_timer_t timer_;
     uv_prepare_t prepare_;
     uv_check_t check_;
-    core::Clock clock_;
-    core::Deadlines deadlines_;
+    base::Clock clock_;
+    base::Deadlines deadlines_;
     std::vector<std::function<void()>> turns_;
 };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -6,7 +6,7 @@
 #include <exception>
 #include <stdexcept>
 
-#include "net/log.h"
+#include "base/log.h"
 
 namespace sumackeel::net {
 
--- a/src/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -13,10 +13,10 @@
 #include <unordered_map>
 #include <utility>
 
-#include "bounded_map.h"
-#include "hash.h"
+#include "nettlethread/bounded_map.h"
+#include "nettlethread/hash.h"
 #include "nettlethread/router.h"
-#include "state.h"
+#include "nettlethread/state.h"
 
 namespace nettlethread {
 namespace {
--- a/src/adapter.cpp
+++ b/src/sim/adapter.cpp
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "nettlethread/router.h"
-#include "wire.h"
+#include "sim/wire.h"
 
 namespace {
 
--- a/src/wire.cpp
+++ b/src/sim/wire.cpp
@@ -1,4 +1,4 @@
-#include "wire.h"
+#include "sim/wire.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/store/member.cpp
+++ b/src/store/member.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "net/log.h"
+#include "base/log.h"
 #include "store/text.h"
 
 namespace sumackeel::store {
@@ -14,9 +14,9 @@
 constexpr std::size_t kLongestLine = 16 << 20;
 constexpr std::size_t kLongestText = 64 * 1024;  // of a key or a value
 constexpr const char* kLeaderKey = "store/leader";
-constexpr core::Micros kAgainAfter = 100'000;
-constexpr core::Micros kPutWithin = 2'000'000;
-constexpr core::Micros kVoteWithin = 2'000'000;
+constexpr base::Micros kAgainAfter = 100'000;
+constexpr base::Micros kPutWithin = 2'000'000;
+constexpr base::Micros kVoteWithin = 2'000'000;
 
 Value one(const char* name, Value what) {
     Value message;
@@ -152,7 +152,7 @@
     Promoted done;
     std::map<net::Stream*, Lines> asked;
     std::size_t granted = 1;
-    core::Deadlines::Key by;
+    base::Deadlines::Key by;
     bool over = false;
 
     Vote(Member& m, std::int64_t e, Promoted d) : member(m), epoch(e), done(std::move(d)) {}
--- a/src/store/member.h
+++ b/src/store/member.h
@@ -47,7 +47,7 @@
     struct Pending {
         std::int64_t seq = 0, version = 0;
         PutDone done;
-        core::Deadlines::Key by;
+        base::Deadlines::Key by;
     };
 
     void lead(std::int64_t epoch);
--- a/src/store/redis_one_time.cpp
+++ b/src/store/redis_one_time.cpp
@@ -6,16 +6,16 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/log.h"
 #include "config/config.h"
-#include "net/log.h"
 
 namespace sumackeel::store {
 
-using front_signed::Use;
+using core::Use;
 
 namespace {
 
-constexpr core::Micros kAgainAfter = 300'000;
+constexpr base::Micros kAgainAfter = 300'000;
 const std::string kPrefix = "sumackeel:used:";
 
 }  // namespace
@@ -23,7 +23,7 @@
 // One question out. Whoever comes first, the answer or the deadline, settles it.
 struct RedisOneTime::Asked {
     Done done;
-    core::Deadlines::Key by;
+    base::Deadlines::Key by;
     bool settled = false;
     std::shared_ptr<Asked> self;  // held for hiredis until its callback
 
@@ -32,7 +32,7 @@
     }
 };
 
-RedisOneTime::RedisOneTime(net::Loop& loop, const std::string& address, core::Micros patience)
+RedisOneTime::RedisOneTime(net::Loop& loop, const std::string& address, base::Micros patience)
     : loop_(loop), patience_(patience) {
     sockaddr_in at{};
     if (!net::read_address(address, at)) throw config::ConfigError("redis: no address: " + address);
--- a/src/store/redis_one_time.h
+++ b/src/store/redis_one_time.h
@@ -6,16 +6,16 @@
 #include <memory>
 #include <string>
 
-#include "front_signed/one_time.h"
+#include "core/one_time.h"
 #include "net/loop.h"
 
 struct redisAsyncContext;
 
 namespace sumackeel::store {
 
-class RedisOneTime : public front_signed::OneTime {
+class RedisOneTime : public core::OneTime {
   public:
-    RedisOneTime(net::Loop& loop, const std::string& address, core::Micros patience = 250'000);
+    RedisOneTime(net::Loop& loop, const std::string& address, base::Micros patience = 250'000);
     ~RedisOneTime() override;
     RedisOneTime(const RedisOneTime&) = delete;
     RedisOneTime& operator=(const RedisOneTime&) = delete;
@@ -32,7 +32,7 @@
     net::Loop& loop_;
     std::string host_;
     int port_ = 0;
-    core::Micros patience_;
+    base::Micros patience_;
     redisAsyncContext* context_ = nullptr;
     bool up_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/upstream/lines.cpp
+++ b/src/upstream/lines.cpp
@@ -22,7 +22,7 @@
                                                   "expired",  "turned_away", "cut_off",    "not_there",
                                                   "no_place", "far_fault"};
 
-core::Micros whole_ms(core::Micros time, core::Micros least) {
+base::Micros whole_ms(base::Micros time, base::Micros least) {
     return std::max(least, time / 1000);
 }
 
@@ -63,7 +63,7 @@
         const auto place = std::find(kNotes.begin(), kNotes.end(), value);
         if (place != kNotes.end()) ending.note = static_cast<Note>(1 + (place - kNotes.begin()));
     } else if (name == "first") {
-        ending.first_byte = static_cast<core::Micros>(std::clamp(number(value), 0.0, 1e7) * 1000);
+        ending.first_byte = static_cast<base::Micros>(std::clamp(number(value), 0.0, 1e7) * 1000);
     } else if (name == "meter") {
         read_meter(value, ending.load);
     } else if (name == "digest") {
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
-#include "net/log.h"
+#include "base/log.h"
 
 namespace sumackeel::upstream {
 
@@ -37,7 +37,7 @@
     AnswerReader reader;
     Micros heard = 0;  // last byte that came, or the first sent after a pause
     Micros used = 0;
-    core::Deadlines::Key connect_by;
+    base::Deadlines::Key connect_by;
 
     Channel(Pool& owner, std::uint64_t n, std::string to) : pool(owner), number(n), target(std::move(to)) {}
 
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -13,8 +13,8 @@
 
 namespace sumackeel::upstream {
 
-using core::Handle;
-using core::Micros;
+using base::Handle;
+using base::Micros;
 
 struct Limits {
     int streams_per_conn = 100;
--- a/tests/net/store_test.cpp
+++ b/tests/daemon/store_test.cpp
@@ -222,7 +222,7 @@
         resp.streams.push_back(net::Stream::accept(turning.loop, turning.budget, from, resp));
     });
     store::RedisOneTime one_time(turning.loop, "127.0.0.1:" + std::to_string(listener->port()));
-    using front_signed::Use;
+    using core::Use;
     const auto use = [&](const std::string& name) {
         std::optional<Use> told;
         one_time.use(name, 0, 60, [&](Use how) { told = how; });
--- a/tests/net/support.h
+++ b/tests/daemon/support.h
@@ -19,7 +19,7 @@
 #include <thread>
 #include <vector>
 
-#include "cli/serve.h"
+#include "daemon/daemon.h"
 
 namespace story {
 
@@ -251,7 +251,7 @@
 class Daemon {
   public:
     Daemon(const std::vector<std::string>& hosts, const std::string& changelog = {},
-           const sumackeel::config::Operator& setup = {}, sumackeel::cli::Files files = {}, Room room = {})
+           const sumackeel::config::Operator& setup = {}, sumackeel::daemon::Files files = {}, Room room = {})
         : config_(sumackeel::config::read_config(config_text(hosts, changelog, room))),
           operator_(setup),
           daemon_(config_, operator_, std::move(files)),
@@ -268,7 +268,7 @@
   private:
     sumackeel::config::Config config_;
     sumackeel::config::Operator operator_;
-    sumackeel::cli::Daemon daemon_;
+    sumackeel::daemon::Daemon daemon_;
     std::thread thread_;
 };
 
--- a/tests/install_test.sh
+++ b/tests/nettlethread/install_test.sh
@@ -7,7 +7,7 @@
 cmake --build "$work/build" >/dev/null
 cmake --install "$work/build" --prefix "$work/prefix" >/dev/null
 mkdir "$work/user"
-cp "$1/tests/example.cpp" "$work/user/"
+cp "$1/tests/nettlethread/example.cpp" "$work/user/"
 cat > "$work/user/CMakeLists.txt" <<'LISTS'
 cmake_minimum_required(VERSION 3.20)
 project(user LANGUAGES CXX)
--- a/tests/wire_test.cpp
+++ b/tests/sim/wire_test.cpp
@@ -1,5 +1,5 @@
 // The wire both ways: each message, absent and null values, unknown keys, tokens up to 2^63.
-#include "wire.h"
+#include "sim/wire.h"
 
 #include <gtest/gtest.h>
 
