Module: boxes of an old list get a cold start, and the origin alone has a budget

Need: a proxy that starts from an old list knows boxes that may have started anew unheard, and with a list too old to use it knows only the origin. The module made no difference between an old list and a live one.

Change: an entry marked careful is held at its coldest until it first answers, and warms from that answer on; a live list ends the care; telling the same old list again changes nothing. With no cache and no parent in use, reads go straight to the origin within origin_alone_per_s, what runs there anyway is not counted, the rest is refused at once with a time to come back. Both are off unless a caller sets them.

--- a/include/nettlethread/router.h
+++ b/include/nettlethread/router.h
@@ -80,6 +80,9 @@
     Micros tick = 0;
     double waste_price = 0;
     double late_fail_price = 0;
+    // Requests a second that may be sent straight to the origin while no cache and no parent is known that
+    // may be used; classes that run there anyway are not counted. 0: none, they are refused.
+    double origin_alone_per_s = 0;
 };
 
 enum class CacheState { ready, draining, gone };
@@ -93,6 +96,9 @@
     Micros since = 0;  // when it last started; 0: long ago
     int kind = -1;
     std::int64_t cell = -1;
+    // Known from an old list alone: it may have started anew unheard. It gets what a cache gets that starts
+    // at this moment, and warms only from its first answer on. `since` is not looked at.
+    bool careful = false;
 };
 
 enum class Verdict {
--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -105,13 +105,18 @@
             for (auto& [name, target] : targets_) target.entry.state = CacheState::gone;
         for (const CacheEntry& entry : news.entries) {
             Target& target = targets_[entry.cache];
-            if (target.entry.since != entry.since) {
+            const bool careful_before = target.entry.careful;
+            // Told once more out of an old list, it goes on where it was.
+            const Micros since = !entry.careful ? entry.since : careful_before ? target.entry.since : now_;
+            if (target.entry.since != since) {
                 // A process that starts anew has no past. Danger: all routers hear of it together; with the
                 // same first turn they would also ask it together.
                 target.health = Health{};
-                target.debt = {dearest_mean() * unit_hash(rng_(), target.hash), entry.since};
+                target.debt = {dearest_mean() * unit_hash(rng_(), target.hash), since};
             }
             target.entry = entry;
+            target.entry.since = since;
+            target.unproven = entry.careful && (target.unproven || !careful_before);
             target.hash = hash_of(entry.cache);
             if (entry.kind >= 0 && entry.kind == set_.origin_kind) origin_ = &target;
             target.role = entry.kind >= 0 && entry.kind == set_.origin_kind   ? Role::origin
@@ -381,7 +386,9 @@
     // Danger: a zone whose caches all died refuses whatever it is asked. Where the site allows it, and only
     // then, a parent answers past them; nothing is kept, so this ends as soon as one cache takes its trial.
     Plan past_the_caches(const Request& request) {
-        if (!set_.direct || !cacheable(request) || !origin_) return {};
+        if (!set_.direct || !origin_) return {};
+        if (set_.origin_alone_per_s > 0 && caches_.empty() && parents_.empty()) return origin_alone(request);
+        if (!cacheable(request)) return {};
         Target* parent = pick_source(request, nullptr, *origin_, true);
         if (parent->role != Role::parent || !usable(*parent, request)) return {};
         Plan plan{.cache = parent, .source = origin_, .fill = true};
@@ -389,6 +396,23 @@
         return now_ + static_cast<Micros>(plan.finish) < request.aim_at ? plan : Plan{};
     }
 
+    // With a list too old to use, only the origin is sure to be where it was. Danger: all of a school's reads
+    // at once are far more than it can take, and pushed over it stops for everybody; what runs there in any
+    // case comes first, reads share a small budget, and the rest is turned away at once.
+    Plan origin_alone(const Request& request) {
+        if (!admits(*origin_) || !usable(*origin_, request)) return {};
+        if (cacheable(request)) {
+            const double most = std::max(1.0, set_.origin_alone_per_s);
+            const double earned = static_cast<double>(now_ - origin_left_.at) / kSecond;
+            origin_left_ = {std::min(most, origin_left_.value + set_.origin_alone_per_s * earned), now_};
+            if (origin_left_.value < 1) return {};
+            origin_left_.value -= 1;
+        }
+        Plan plan{.cache = origin_, .source = origin_};
+        plan.finish = predicted(request, *origin_, nullptr, false);
+        return plan;
+    }
+
     std::size_t width_for(const Copy& copy, const Request& request, const Target& home) const {
         // Danger: multiplied by the sharers, a chance second request looks like a rush and the zone fills the
         // object twice. What others ask is taken as ours less one standard error.
@@ -512,7 +536,9 @@
         const bool parent = target.role == Role::parent;
         const double from = parent ? set_.parent_cold_from : set_.cold_share;
         const Micros length = parent ? set_.parent_ramp : set_.warm_after;
-        if (target.entry.since <= 0 || length <= 0 || at >= target.entry.since + length) return 1;
+        if (target.entry.since <= 0 || length <= 0) return 1;
+        if (target.unproven) return from;
+        if (at >= target.entry.since + length) return 1;
         const double done = static_cast<double>(std::max<Micros>(0, at - target.entry.since)) / length;
         return from + (1 - from) * done;
     }
@@ -726,10 +752,21 @@
         out_now_ -= 1;
         cache.fills -= flight.on_link, fills_out_ -= flight.on_link;
         if (outcome.note == Note::filled_by_origin && origin_) succeeded(*origin_);
+        const Verdict verdict = outcome.verdict;
+        if (verdict == Verdict::served || verdict == Verdict::full || verdict == Verdict::missing)
+            prove(cache);
+        const bool filled = outcome.note == Note::filled || outcome.note == Note::filled_by_origin;
+        if (filled && flight.source) prove(*flight.source);
         learn(cache, flight.source == &cache ? nullptr : flight.source, flight, outcome);
         if (flight.origin_trial) origin_->health.trial_out = false;
     }
 
+    // Danger: a box known from an old list may come up long after this router did. Were its warming counted
+    // from our start, it would be taken for warm while it is cold.
+    void prove(Target& target) {
+        if (std::exchange(target.unproven, false)) target.entry.since = now_;
+    }
+
     void learn(Target& cache, Target* source, const Flight& flight, const Outcome& outcome) {
         const bool untold = set_.notes == Notes::none;
         const double as_hit = (service_now(cache) - flight.started) / flight.hit;
@@ -917,6 +954,7 @@
     std::uint64_t next_serial_ = kFirstRequestToken;
     double retries_ = kMostRetries;
     Target* origin_ = nullptr;
+    Mean origin_left_;  // requests that may still go straight to the origin while nothing else is known
     bool started_ = false;
     Micros now_ = 0;
     std::vector<Action>* out_ = nullptr;
--- a/src/nettlethread/state.h
+++ b/src/nettlethread/state.h
@@ -73,7 +73,8 @@
     Mean told;                 // those of others here, by report
     double service_clock = 0;  // time at full pace that each present transfer has had
     Micros clock_at = 0;
-    Mean debt;  // work sent while cold that its part of the budget has not paid off
+    Mean debt;              // work sent while cold that its part of the budget has not paid off
+    bool unproven = false;  // known from an old list and has not answered yet
 };
 
 struct Attempt {
--- a/tests/nettlethread/choice_test.cpp
+++ b/tests/nettlethread/choice_test.cpp
@@ -417,6 +417,143 @@
     EXPECT_LT(sent, settings.tip_multiple * 4 * 0.25 * settings.overload_for);
 }
 
+CacheEntry careful(CacheEntry entry) {
+    entry.careful = true;
+    return entry;
+}
+
+// Guards: a box known from an old list may have come back cold a moment ago. It gets no more than a cold one
+// for as long as it has not answered, however long ago this router started.
+TEST(ChoiceCold, ABoxOfAnOldListStaysAtItsColdestUntilItAnswers) {
+    Settings settings = plain_settings();
+    settings.zone_instances = {1};
+    Bench bench(settings);
+    bench.list({careful(cache("cold")), parent("p"), origin()}, ListKind::saved);
+    const Micros budget = static_cast<Micros>(0.2 * 2 * 4 * static_cast<double>(settings.overload_for));
+    for (int start = 0; start < 3; ++start) {  // at the start, and when a warming from it would be over
+        Micros sent = 0;
+        for (int i = 0; i < 1500; ++i, bench.now += kMs) {
+            const std::string id = "r" + std::to_string(start) + '.' + std::to_string(i);
+            bench.ask(id, id);
+            int attempt = 0;
+            for (auto out = bench.all<Serve>(); !out.empty(); out = bench.all<Serve>()) {
+                if (out[0].cache == "cold") sent += 200 * kMs;
+                bench.end(id, out[0].cache, Verdict::not_connected, attempt++);
+            }
+        }
+        EXPECT_GT(sent, 0) << start;
+        EXPECT_LT(sent, budget) << start;
+        bench.now += 20 * kSecond;
+    }
+}
+
+TEST(ChoiceCold, ABoxOfAnOldListWarmsFromItsFirstAnswerOn) {
+    Settings settings = plain_settings();
+    settings.zone_instances = {1};
+    Bench bench(settings);
+    bench.list({careful(cache("cold")), parent("p"), origin()}, ListKind::saved);
+    bench.now += 60 * kSecond;
+    bench.ask("first", "y");
+    bench.end("first", bench.served().cache, Verdict::served, 0, Note::hit);
+    const double just_proven = work_sent_to_cold(bench, &Serve::cache);
+    EXPECT_GT(just_proven, 0);
+    bench.now += settings.warm_after;
+    const double warm = work_sent_to_cold(bench, &Serve::cache);
+    EXPECT_GT(warm, 3 * just_proven);
+}
+
+// Guards: telling the same old list again must not start the box's warming, or its debt, anew.
+TEST(ChoiceCold, AnOldListToldTwiceChangesNothing) {
+    Settings settings = plain_settings();
+    settings.zone_instances = {1};
+    Bench bench(settings);
+    const std::vector<CacheEntry> old{careful(cache("cold")), parent("p"), origin()};
+    bench.list(old, ListKind::saved);
+    const double once = work_sent_to_cold(bench, &Serve::cache);
+    double more = 0;
+    for (int i = 0; i < 20; ++i) {
+        bench.list(old, ListKind::changes);
+        bench.ask("again " + std::to_string(i), "z" + std::to_string(i));
+        for (const Serve& serve : bench.all<Serve>()) more += serve.cache == "cold" ? 200 * kMs : 0;
+    }
+    EXPECT_GT(once, 0);
+    EXPECT_LE(more, once);
+}
+
+TEST(ChoiceCold, ALiveListEndsTheCare) {
+    Settings settings = plain_settings();
+    settings.zone_instances = {1};
+    Bench bench(settings);
+    bench.list({careful(cache("cold")), parent("p"), origin()}, ListKind::saved);
+    const double careful_share = work_sent_to_cold(bench, &Serve::cache);
+    bench.list({cache("cold"), parent("p"), origin()});
+    EXPECT_GT(work_sent_to_cold(bench, &Serve::cache), 3 * careful_share);
+}
+
+// ---- the origin alone ----
+
+TEST(ChoiceOriginAlone, ReadsKeepToTheBudgetAndTheRestIsRefusedAtOnce) {
+    Settings settings = plain_settings();
+    settings.direct = true;
+    settings.origin_alone_per_s = 5;
+    Bench bench(settings);
+    bench.list({origin()});
+    int sent = 0, refused = 0;
+    for (int i = 0; i < 1000; ++i, bench.now += 10 * kMs) {  // ten seconds of 100 a second
+        bench.ask("r" + std::to_string(i), "x" + std::to_string(i));
+        for (const Serve& serve : bench.all<Serve>()) {
+            EXPECT_EQ(serve.cache, "origin");
+            EXPECT_EQ(serve.rank, 0);
+            ++sent;
+            bench.end(serve.id, "origin", Verdict::served);
+        }
+        for (const Refuse& refuse : bench.all<Refuse>()) refused += refuse.come_back > 0;
+    }
+    EXPECT_GE(sent, 50);
+    EXPECT_LE(sent, 56);
+    EXPECT_EQ(sent + refused, 1000);
+}
+
+TEST(ChoiceOriginAlone, WhatRunsThereInAnyCaseIsNotCounted) {
+    Settings settings = plain_settings();
+    settings.direct = true;
+    settings.origin_alone_per_s = 1;
+    settings.classes.push_back(settings.classes[0]);
+    settings.classes[1].uncached = true;
+    settings.classes[1].semantics = Semantics::unsafe;
+    Bench bench(settings);
+    bench.list({origin()});
+    for (int i = 0; i < 30; ++i) {
+        Arrival write;
+        write.id = "w" + std::to_string(i);
+        write.service = 1;
+        write.grace = 3 * kSecond;
+        write.write = true;
+        bench.tell(write);
+        EXPECT_EQ(bench.all<LookUp>().size() + bench.all<Serve>().size(), 1u);
+        // The last one may have run when it broke off: it does not go out again.
+        bench.end(write.id, "origin", i < 29 ? Verdict::served : Verdict::broken_off);
+        EXPECT_TRUE(bench.all<Serve>().empty() && bench.all<LookUp>().empty());
+        bench.now += 10 * kMs;
+    }
+    EXPECT_EQ(bench.all<Fail>().size(), 1u);
+}
+
+// Guards: where nobody set a budget, and on the platform, an empty list is answered as it always was.
+TEST(ChoiceOriginAlone, OffByDefaultAndWhileAnyCacheOrParentIsKnown) {
+    Settings settings = plain_settings();
+    settings.direct = true;
+    Bench off(settings);
+    off.list({origin()});
+    off.ask("r1", "x");
+    EXPECT_EQ(off.all<Refuse>().size(), 1u);
+    settings.origin_alone_per_s = 5;
+    Bench on(settings);
+    on.list({cache("a"), origin()});
+    on.ask("r1", "x");
+    EXPECT_EQ(on.served().cache, "a");
+}
+
 TEST(ChoiceCold, AColdParentIsSparedForAWarmOne) {
     Settings settings = plain_settings();
     Bench bench(settings);
