--- /dev/null
+++ b/src/membership/saved.cpp
@@ -0,0 +1,247 @@
+#include "membership/saved.h"
+
+#include <fmt/format.h>
+#include <zstd.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstring>
+#include <msgpack.hpp>
+
+namespace sumackeel::membership {
+
+using nettlethread::CacheEntry;
+using nettlethread::CacheState;
+
+namespace {
+
+constexpr std::string_view kMagic = "SUMLIST\n";
+constexpr int kLevel = 1;  // zstd's fastest usual level: lists are small and written often
+constexpr std::size_t kMostMembers = 200'000, kMostPurges = 200'000;
+constexpr std::size_t kLongestName = 256;
+
+template <typename T>
+void put(std::string& into, T value) {
+    for (std::size_t i = 0; i < sizeof value; ++i) into += static_cast<char>(value >> (8 * i));
+}
+
+template <typename T>
+T get(std::string_view bytes, std::size_t at) {
+    T value = 0;
+    for (std::size_t i = 0; i < sizeof value; ++i)
+        value = static_cast<T>(value | static_cast<T>(static_cast<unsigned char>(bytes[at + i])) << (8 * i));
+    return value;
+}
+
+const std::string& name_at(const std::vector<std::string>& names, int place) {
+    static const std::string none;
+    return place >= 0 && place < static_cast<int>(names.size()) ? names[place] : none;
+}
+
+// False: a name that is given, but not known.
+bool place_at(const std::vector<std::string>& names, const std::string& name, int& place) {
+    const auto found = std::find(names.begin(), names.end(), name);
+    place = found == names.end() ? -1 : static_cast<int>(found - names.begin());
+    return name.empty() || place >= 0;
+}
+
+struct Broken : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+void need(bool holds, const char* what) {
+    if (!holds) throw Broken(what);
+}
+
+const msgpack::object_array& array_of(const msgpack::object& object, std::size_t least, std::size_t most,
+                                      const char* what) {
+    need(object.type == msgpack::type::ARRAY, what);
+    need(object.via.array.size >= least && object.via.array.size <= most, what);
+    return object.via.array;
+}
+
+std::string name_in(const msgpack::object& object) {
+    auto text = object.as<std::string>();
+    need(text.size() <= kLongestName, "a name that is too long");
+    need(text.find_first_of(std::string_view("\r\n\0", 3)) == std::string::npos, "a name that can't be used");
+    return text;
+}
+
+Member member_in(const msgpack::object& object, const Names& names, bool& known) {
+    const auto& at = array_of(object, 10, 32, "a member that is no list of ten");
+    Word word;
+    CacheEntry& entry = word.placed.entry;
+    entry.cache = name_in(at.ptr[0]);
+    need(!entry.cache.empty() && entry.cache.find_first_of(" ,=") == std::string::npos,
+         "a member's name that can't be used");
+    word.placed.address = name_in(at.ptr[1]);
+    known = place_at(names.zones, name_in(at.ptr[2]), entry.zone);
+    known = place_at(names.kinds, name_in(at.ptr[3]), entry.kind) && known;
+    entry.cell = at.ptr[4].as<std::int64_t>();
+    entry.weight = at.ptr[5].as<double>();
+    need(std::isfinite(entry.weight) && entry.weight >= 0, "a weight that is none");
+    const int state = at.ptr[6].as<int>();
+    need(state >= 0 && state <= 2, "a state that is none");
+    entry.state = static_cast<CacheState>(state);
+    entry.since = at.ptr[7].as<std::int64_t>();
+    word.seq = at.ptr[8].as<std::int64_t>();
+    need(entry.since >= 0 && word.seq >= 0, "a number below 0");
+    word.source = Source::saved;
+    const Micros answered = std::clamp<Micros>(at.ptr[9].as<std::int64_t>(), -1, kOldest);
+    return {std::make_shared<const Word>(std::move(word)), answered};
+}
+
+Snapshot list_in(const msgpack::object& root, const Names& names, std::size_t& left_out) {
+    need(root.type == msgpack::type::MAP, "no map at the top");
+    Snapshot list;
+    for (std::uint32_t i = 0; i < root.via.map.size; ++i) {
+        const auto& item = root.via.map.ptr[i];
+        const auto key = item.key.as<std::string_view>();
+        if (key == "site") list.site = name_in(item.val);
+        if (key == "taken_at") list.taken_at = item.val.as<std::int64_t>();
+        if (key == "sure_age") list.sure_age = item.val.as<std::int64_t>();
+        if (key == "last_seq") list.last_seq = item.val.as<std::int64_t>();
+        if (key == "whole_at") list.whole_at = item.val.as<std::int64_t>();
+        if (key == "forgotten_to") list.forgotten_to = item.val.as<std::int64_t>();
+        if (key == "members") {
+            const auto& members = array_of(item.val, 0, kMostMembers, "too many members, or no list");
+            list.members.reserve(members.size);
+            for (std::uint32_t m = 0; m < members.size; ++m) {
+                bool known = true;
+                Member member = member_in(members.ptr[m], names, known);
+                known ? list.members.push_back(std::move(member)) : static_cast<void>(++left_out);
+            }
+        }
+        if (key == "purges") {
+            const auto& purges = array_of(item.val, 0, kMostPurges, "too many purges, or no list");
+            for (std::uint32_t p = 0; p < purges.size; ++p) {
+                const auto& at = array_of(purges.ptr[p], 3, 8, "a purge that is no list of three");
+                list.purges.push_back(
+                    {name_in(at.ptr[0]), at.ptr[1].as<int>(), at.ptr[2].as<std::int64_t>()});
+            }
+        }
+    }
+    need(list.taken_at > 0 && list.sure_age >= -1 && list.sure_age <= kOldest, "a time that is none");
+    need(list.last_seq >= 0 && list.whole_at >= 0 && list.whole_at <= list.last_seq && list.forgotten_to >= 0,
+         "a number of the change log that is none");
+    return list;
+}
+
+std::string unpacked(std::string_view payload, std::size_t length) {
+    std::string plain(length, '\0');
+    const std::size_t got = ZSTD_decompress(plain.data(), plain.size(), payload.data(), payload.size());
+    need(!ZSTD_isError(got) && got == length, "what is packed can't be unpacked");
+    return plain;
+}
+
+Decoded fault(Fault::Kind kind, std::string text) {
+    Decoded decoded;
+    decoded.fault = Fault{kind, std::move(text)};
+    return decoded;
+}
+
+}  // namespace
+
+const char* name_of(Fault::Kind kind) {
+    switch (kind) {
+        case Fault::Kind::unreadable:
+            return "unreadable";
+        case Fault::Kind::not_a_list:
+            return "not_a_list";
+        case Fault::Kind::later_version:
+            return "later_version";
+        case Fault::Kind::damaged:
+            return "damaged";
+        case Fault::Kind::other_site:
+            return "other_site";
+        case Fault::Kind::wrong_clock:
+            return "wrong_clock";
+    }
+    return "?";
+}
+
+std::string encode(const Snapshot& list, const Names& names) {
+    msgpack::sbuffer plain;
+    msgpack::packer pack(plain);
+    pack.pack_map(8);
+    pack.pack("site"), pack.pack(list.site);
+    pack.pack("taken_at"), pack.pack(list.taken_at);
+    pack.pack("sure_age"), pack.pack(list.sure_age);
+    pack.pack("last_seq"), pack.pack(list.last_seq);
+    pack.pack("whole_at"), pack.pack(list.whole_at);
+    pack.pack("forgotten_to"), pack.pack(list.forgotten_to);
+    pack.pack("members"), pack.pack_array(static_cast<std::uint32_t>(list.members.size()));
+    for (const Member& member : list.members) {
+        const CacheEntry& entry = member.word->placed.entry;
+        pack.pack_array(10);
+        pack.pack(entry.cache), pack.pack(member.word->placed.address);
+        pack.pack(name_at(names.zones, entry.zone)), pack.pack(name_at(names.kinds, entry.kind));
+        pack.pack(entry.cell), pack.pack(entry.weight), pack.pack(static_cast<int>(entry.state));
+        pack.pack(entry.since), pack.pack(member.word->seq), pack.pack(member.answered);
+    }
+    pack.pack("purges"), pack.pack_array(static_cast<std::uint32_t>(list.purges.size()));
+    for (const Purge& purge : list.purges) {
+        pack.pack_array(3);
+        pack.pack(purge.object), pack.pack(purge.group), pack.pack(purge.at);
+    }
+    std::string payload(ZSTD_compressBound(plain.size()), '\0');
+    payload.resize(ZSTD_compress(payload.data(), payload.size(), plain.data(), plain.size(), kLevel));
+    std::string bytes(kMagic);
+    put(bytes, kSavedVersion);
+    put(bytes, std::uint16_t{0});
+    put(bytes, static_cast<std::uint32_t>(payload.size()));
+    put(bytes, static_cast<std::uint32_t>(plain.size()));
+    put(bytes, std::uint64_t{XXH3_64bits(payload.data(), payload.size())});
+    put(bytes, std::uint64_t{XXH3_64bits(bytes.data(), bytes.size())});
+    return bytes + payload;
+}
+
+Decoded decode(std::string_view bytes, const Names& names) {
+    using Kind = Fault::Kind;
+    if (bytes.size() < kSavedHeader || !bytes.starts_with(kMagic))
+        return fault(Kind::not_a_list, fmt::format("{} bytes that don't begin as a list does", bytes.size()));
+    if (get<std::uint64_t>(bytes, 28) != XXH3_64bits(bytes.data(), 28))
+        return fault(Kind::damaged, "the checksum of the header does not hold");
+    const auto version = get<std::uint16_t>(bytes, 8);
+    if (version > kSavedVersion)
+        return fault(Kind::later_version,
+                     fmt::format("written in form {}, this program reads up to {}", version, kSavedVersion));
+    const std::size_t packed = get<std::uint32_t>(bytes, 12), plain = get<std::uint32_t>(bytes, 16);
+    const std::string_view payload = bytes.substr(kSavedHeader);
+    if (payload.size() != packed || packed > kLongestSaved || plain > kLongestUnpacked)
+        return fault(Kind::damaged, fmt::format("{} bytes of {}", payload.size(), packed));
+    if (get<std::uint64_t>(bytes, 20) != XXH3_64bits(payload.data(), payload.size()))
+        return fault(Kind::damaged, "the checksum of the content does not hold");
+    Decoded decoded;
+    try {
+        const std::string content = unpacked(payload, plain);
+        const msgpack::unpack_limit limits(kMostMembers + kMostPurges, 64, 4096, 4096, 0, 8);
+        const auto handle = msgpack::unpack(content.data(), content.size(), nullptr, nullptr, limits);
+        decoded.list = list_in(handle.get(), names, decoded.left_out);
+    } catch (const std::exception& wrong) {
+        return fault(Kind::damaged, wrong.what());
+    }
+    return decoded;
+}
+
+Micros age_of(const Snapshot& list, Micros wall_now) {
+    return list.sure_age < 0 ? -1 : std::max<Micros>(0, wall_now - list.taken_at) + list.sure_age;
+}
+
+std::optional<Fault> judge(const Snapshot& list, const std::string& site, Micros wall_now) {
+    if (list.site != site)
+        return Fault{Fault::Kind::other_site, fmt::format("of site '{}', this is '{}'", list.site, site)};
+    const Micros age = wall_now - list.taken_at;
+    if (age < -kClockSlack)
+        return Fault{Fault::Kind::wrong_clock,
+                     fmt::format("written {} s ahead of the system's clock", -age / base::kSecond)};
+    if (age > kOldest)
+        return Fault{Fault::Kind::wrong_clock,
+                     fmt::format("{} days old by the system's clock", age / (86'400 * base::kSecond))};
+    return std::nullopt;
+}
+
+}  // namespace sumackeel::membership
--- /dev/null
+++ b/src/membership/view.h
@@ -0,0 +1,176 @@
+// The fleet as this instance knows it, as one value: for each member the newest word on it, where that word
+// came from, and when the member last answered us; with the purges that still matter. Events and times go in,
+// what the decision module may use comes out. Nothing here reads a clock, a file or a socket.
+//
+// The merge. Words carry the number of the event that brought them (`seq`). For each member the highest
+// number wins; two words under one number are put in a fixed order, the worse state first, so the order in
+// which words come and how often they come make no difference. A whole list with number S removes whatever
+// has an older word and is not in it, and from then on no word older than S is taken: nothing heard as gone
+// comes back without a newer word. Numbers are those of one change log, or of several that tell the same
+// events.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "membership/bands.h"
+
+namespace sumackeel::membership {
+
+// What a word came from, the least trusted first.
+enum class Source { seed, saved, log };
+const char* name_of(Source source);
+
+// One word on one member. Never changed once made, so that a snapshot may share it with another thread.
+struct Word {
+    std::int64_t seq = 0;  // 0: a seed list's, older than any event
+    Source source = Source::log;
+    config::Placed placed;
+    Micros heard = 0;  // when; not part of the merge
+
+    // The fixed order of the merge; `heard` and `source` have no part in it.
+    bool newer_than(const Word& other) const;
+    bool same_as(const Word& other) const { return !newer_than(other) && !other.newer_than(*this); }
+};
+
+struct Member {
+    std::shared_ptr<const Word> word;
+    Micros answered = 0;  // when it last answered us; 0: never
+};
+
+struct Purge {
+    std::string object;  // empty: the whole group
+    int group = 0;
+    Micros at = 0;  // Unix time of the purge, as told
+
+    bool operator==(const Purge&) const = default;
+};
+
+// A view as it is kept on disk and read back. Ages are counted back from `taken_at`.
+struct Snapshot {
+    std::string site;
+    Micros taken_at = 0;   // Unix time by the system's clock
+    Micros sure_age = -1;  // since a live source last confirmed the list; below 0: none ever did
+    std::int64_t last_seq = 0, whole_at = 0, forgotten_to = 0;
+    std::vector<Member> members;  // `answered` as an age: how long ago, below 0: never
+    std::vector<Purge> purges;
+};
+
+struct Options {
+    Bands bands;
+    int origin_kind = -1, parent_kind = -1;
+    // A whole list that would leave no cache at all is believed only after this long, or once a second source
+    // says the same. 0: at once.
+    Micros doubt_for = 0;
+    Micros keep_purges_for = 12 * base::kSecond;  // after that no copy from before is about
+    std::size_t most_members = 100'000;
+    std::size_t most_gone = 16'384;  // members remembered as gone; the oldest go first, and stay gone
+    std::size_t most_purges = 60'000;
+};
+
+// What became of a change.
+enum class Heard {
+    taken,
+    old,      // all of it was known, or older than what is known
+    doubted,  // it would empty the fleet and is held back; its purge, if any, was taken
+    full,     // some members found no room
+};
+
+class View {
+  public:
+    explicit View(Options options = {}) : set_(options) {}
+
+    // An event of the change log numbered `log`, or of the platform's configuration (log -1).
+    Heard apply(const config::Change& change, Micros now, int log = -1, Source source = Source::log);
+    // What a file held. `wall_now`: the system's clock, by which the file's age is taken; `now`: of this
+    // program. Members are used by the bands until a live source confirms the list.
+    void load(const Snapshot& saved, Micros wall_now, Micros now);
+    // Of a file whose age can't be told: nobody is to be used for it, but a drain, a removal and a purge that
+    // were heard bind all the same.
+    void load_warnings(const Snapshot& saved, Micros now);
+    // The last resort: a list that somebody keeps by hand. Its members are used with care where no newer word
+    // is known, or where the saved list has grown too old; never one that was heard to drain or go.
+    void seed(const config::Change& list, Micros now);
+
+    // A source that is sure to tell all of the newest list said that it lives.
+    void confirm(Micros now);
+    void answered(const std::string& id, Micros now);
+    // What time alone brings: doubts that end, purges that no longer matter.
+    void pass(Micros now);
+
+    // Members whose word, or what they may be given, changed since this was asked last, in order of name. One
+    // that may be given nothing is told as gone, or as draining where that was the word.
+    std::vector<config::Placed> changes(Micros now);
+    // When pass() and changes() next have something to do by time alone.
+    std::optional<Micros> due(Micros now) const;
+
+    Use use_of(const std::string& id, Micros now) const;
+    const Member* find(const std::string& id) const;
+    // Time since the list was last sure; below 0: it never was.
+    Micros age(Micros now) const { return sure_at_ > 0 ? now - sure_at_ : -1; }
+    bool live() const { return live_; }  // a live source confirmed it since the start
+    // The number to take the change log up behind after a restart: what is doubted is asked for again.
+    std::int64_t resume_behind() const { return doubt_ ? doubt_->change.seq - 1 : last_seq_; }
+    std::int64_t last_seq() const { return last_seq_; }
+    std::size_t size() const { return members_.size(); }
+    std::size_t count(Use use, Micros now) const;
+    bool doubting() const { return doubt_.has_value(); }
+    const std::map<std::string, Member>& members() const { return members_; }
+    std::vector<Purge> purges() const;
+
+    Snapshot snapshot(const std::string& site, Micros wall_now, Micros now) const;
+    // Two views that know the same; times at which words came and members answered have no part in it.
+    bool same_knowledge(const View& other) const;
+
+  private:
+    struct Doubt {
+        config::Change change;
+        int log = -1;
+        Micros since = 0;
+    };
+    using PurgesByAge = std::set<std::pair<Micros, std::string>>;
+    struct KeptPurge {
+        Purge purge;
+        std::pair<Micros, std::string> age;  // its place in the order of age
+    };
+    struct Offered {
+        std::shared_ptr<const Word> word;
+        Use use = Use::none;
+    };
+
+    void merge(std::shared_ptr<const Word> word, bool& news, bool& no_room);
+    void merge_fleet(const config::Change& change, Micros now, Source source, bool& news, bool& no_room);
+    void remove_unnamed(const config::Change& whole);
+    void put_purge(const Purge& purge, Micros now, bool& news);
+    bool empties(const config::Change& change) const;
+    bool is_cache(const Word& word) const;
+    Use use(const Member& member, Micros now) const;
+    bool address_taken(const Word& word) const;
+    void own_address(const std::shared_ptr<const Word>& word);
+    void forget_gone();
+
+    Options set_;
+    std::map<std::string, Member> members_;
+    std::map<std::string, std::shared_ptr<const Word>> owners_;  // address to the newest word that gave it
+    std::map<std::string, Offered> offered_;
+    std::set<std::string> touched_;
+    bool all_touched_ = false;
+    Micros looked_ = 0;  // the last changes()
+    std::set<std::string> seeds_;
+    std::map<std::string, KeptPurge> purges_;
+    PurgesByAge purges_by_age_;
+    std::optional<Doubt> doubt_;
+    std::int64_t last_seq_ = 0, whole_at_ = 0;
+    std::int64_t forgotten_to_ = 0;  // words up to here on members not known are of forgotten gone ones
+    std::size_t gone_ = 0;
+    Micros sure_at_ = 0;
+    bool live_ = false;
+};
+
+}  // namespace sumackeel::membership
