Keep the list of caches on disk, follow several change logs, read a strict TOML file

Need: a restart while discovery is down begins with an empty list; check-config called {"x":1} sound.

Change: src/saved_list (folder of generations, writes by libuv's pool, load in a thread of its own), src/daemon/fleet (one view fed by configuration, file and change logs; its changes go to pool and module), src/feed follows several sources as membership decides, the core tells who answered. The operator's file is TOML by toml++, checked against one table of keys with line and column; JSON is still read. All off unless the operator's file asks for it.

--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -2,15 +2,18 @@
 
 #include <json/json.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
 
+#include "config/keys.h"
 #include "config/read.h"
 
 namespace sumackeel::config {
 
 using Json::Value;
+using nettlethread::Micros;
 
 namespace {
 
@@ -43,57 +46,102 @@
     return keys;
 }
 
-SignedFront read_signed_front(const Value& item, const std::filesystem::path& folder) {
-    const std::string where = "signed_front";
+// A path as written in the file, taken from the file's own folder.
+std::string path_of(const Settings& file, const char* section, const char* name,
+                    const std::filesystem::path& folder) {
+    return (folder / file.text(section, name)).string();
+}
+
+Micros seconds(const Settings& file, const char* section, const char* name) {
+    return static_cast<Micros>(file.number(section, name) * 1e6);
+}
+
+SignedFront read_signed_front(const Settings& file, const std::filesystem::path& folder) {
+    const char* at = "signed_front";
     SignedFront front;
-    front.listen = need<std::string>(item, "listen", where);
-    front.host = need<std::string>(item, "host", where);
-    front.audience = need<std::string>(item, "audience", where);
-    take(item, "scheme", front.scheme, where);
-    take(item, "link_issuers", front.link_issuers, where);
-    take(item, "token_issuers", front.token_issuers, where);
-    take(item, "leeway_s", front.leeway_s, where);
-    take(item, "connections", front.connections, where);
-    take(item, "retry_after_s", front.retry_after_s, where);
-    take(item, "one_time", front.one_time, where);
-    if (front.leeway_s < 0 || front.leeway_s > 60) bad(where + ".leeway_s", "not from 0 to 60");
-    if (front.connections < 1) bad(where + ".connections", "under 1");
-    if (front.retry_after_s < 1) bad(where + ".retry_after_s", "under 1");
-    if (!front.one_time.empty() && front.one_time != "local" && front.one_time != "redis")
-        bad(where + ".one_time", "unknown word '" + front.one_time + "'");
-    front.keys = read_keys((folder / need<std::string>(item, "keys", where)).string());
+    front.listen = file.text(at, "listen");
+    front.host = file.text(at, "host");
+    front.audience = file.text(at, "audience");
+    front.scheme = file.text(at, "scheme");
+    front.link_issuers = file.list(at, "link_issuers");
+    front.token_issuers = file.list(at, "token_issuers");
+    front.leeway_s = file.number(at, "leeway_s");
+    front.connections = static_cast<int>(file.whole(at, "connections"));
+    front.retry_after_s = static_cast<int>(file.whole(at, "retry_after_s"));
+    front.one_time = file.text(at, "one_time");
+    front.keys = read_keys(path_of(file, at, "keys", folder));
     return front;
 }
 
-Store read_store(const Value& item, const std::filesystem::path& folder) {
-    const std::string where = "store";
+Store read_store(const Settings& file, const std::filesystem::path& folder) {
+    const char* at = "store";
     Store store;
-    store.name = need<std::string>(item, "name", where);
-    store.listen = need<std::string>(item, "listen", where);
-    store.primary = need<std::string>(item, "primary", where);
-    store.folder = (folder / need<std::string>(item, "folder", where)).string();
-    if (!item["members"].isObject()) bad(where + ".members", "missing or not an object");
-    for (const std::string& name : item["members"].getMemberNames())
-        store.members.push_back({name, need<std::string>(item["members"], name.c_str(), where + ".members")});
-    for (const std::string& name : {store.name, store.primary})
-        if (!item["members"].isMember(name)) bad(where + ".members", "'" + name + "' is not among them");
+    store.name = file.text(at, "name");
+    store.listen = file.text(at, "listen");
+    store.primary = file.text(at, "primary");
+    store.folder = path_of(file, at, "folder", folder);
+    for (const auto& [name, address] : file.named(at, "members")) store.members.push_back({name, address});
+    const auto is_member = [&](const std::string& name) {
+        return std::any_of(store.members.begin(), store.members.end(),
+                           [&](const StoreMember& member) { return member.name == name; });
+    };
+    if (!is_member(store.name)) bad(file.where(at, "name"), "'" + store.name + "' is not among the members");
+    if (!is_member(store.primary))
+        bad(file.where(at, "primary"), "'" + store.primary + "' is not among the members");
     return store;
 }
 
+Discovery read_discovery(const Settings& file) {
+    const char* at = "discovery";
+    Discovery discovery;
+    discovery.sources = file.list(at, "sources");
+    discovery.follow = static_cast<int>(file.whole(at, "follow"));
+    discovery.first_wait = file.whole(at, "first_wait_ms") * 1000;
+    discovery.longest_wait = file.whole(at, "longest_wait_ms") * 1000;
+    discovery.jitter = file.number(at, "jitter");
+    discovery.doubt_empty = seconds(file, at, "doubt_empty_s");
+    if (discovery.longest_wait < discovery.first_wait)
+        bad(file.where(at, "longest_wait_ms"), "shorter than first_wait_ms");
+    return discovery;
+}
+
+SavedList read_saved_list(const Settings& file, const std::filesystem::path& folder) {
+    const char* at = "saved_list";
+    SavedList list;
+    list.folder = path_of(file, at, "folder", folder);
+    list.site = file.text(at, "site");
+    list.full_until = seconds(file, at, "full_until_s");
+    list.careful_until = seconds(file, at, "careful_until_s");
+    list.answered_within = seconds(file, at, "answered_within_s");
+    list.save_every = file.whole(at, "save_every_ms") * 1000;
+    list.refresh = seconds(file, at, "refresh_s");
+    list.origin_per_s = file.number(at, "origin_per_s");
+    if (list.careful_until < list.full_until)
+        bad(file.where(at, "careful_until_s"), "shorter than full_until_s");
+    return list;
+}
+
+// A TOML document can't begin with a brace, and a JSON one that is of use here begins with nothing else.
+bool is_json(const std::string& text) {
+    const auto first = text.find_first_not_of(" \t\r\n");
+    return first != std::string::npos && text[first] == '{';
+}
+
 }  // namespace
 
 Operator load_operator(const std::string& path) {
-    const Value root = parse(file_text(path), path);
-    if (!root.isObject()) bad(path, "not an object");
+    const std::string text = file_text(path);
+    const std::filesystem::path folder = std::filesystem::path(path).parent_path();
     Operator result;
-    take(root, "redis", result.redis, path);
-    if (!root["store"].isNull())
-        result.store = read_store(root["store"], std::filesystem::path(path).parent_path());
-    if (!root["signed_front"].isNull())
-        result.signed_front =
-            read_signed_front(root["signed_front"], std::filesystem::path(path).parent_path());
+    result.old_form = is_json(text);
+    const Settings file = check(result.old_form ? read_json(text, path) : read_toml(text, path), path);
+    result.redis = file.text("", "redis");
+    if (file.has("store")) result.store = read_store(file, folder);
+    if (file.has("signed_front")) result.signed_front = read_signed_front(file, folder);
+    if (file.has("discovery")) result.discovery = read_discovery(file);
+    if (file.has("saved_list")) result.saved_list = read_saved_list(file, folder);
     if (result.signed_front && result.signed_front->one_time == "redis" && result.redis.empty())
-        bad(path, "one_time is redis, and redis is missing");
+        bad(file.where("signed_front", "one_time"), "is redis, and redis is missing");
     return result;
 }
 
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -41,13 +41,34 @@
     std::vector<StoreMember> members;           // all of them, this one too
 };
 
+// Where the list of cache boxes comes from.
+struct Discovery {
+    std::vector<std::string> sources;  // addresses, the preferred first; empty: the platform's change log
+    int follow = 1;
+    nettlethread::Micros first_wait = 100'000, longest_wait = 5'000'000;
+    double jitter = 0.5;
+    nettlethread::Micros doubt_empty = 30'000'000;  // 0: an empty list is believed at once
+};
+
+// A list of cache boxes kept on disk.
+struct SavedList {
+    std::string folder, site;
+    nettlethread::Micros full_until = 5'000'000, careful_until = 900'000'000, answered_within = 10'000'000;
+    nettlethread::Micros save_every = 500'000, refresh = 2'000'000;
+    double origin_per_s = 5;  // of all instances together
+};
+
 struct Operator {
-    std::string redis;  // address; needed for links for one use by "redis"
+    bool old_form = false;  // the file was JSON, which the next version does not read
+    std::string redis;      // address; needed for links for one use by "redis"
+    std::optional<Discovery> discovery;
+    std::optional<SavedList> saved_list;
     std::optional<Store> store;
     std::optional<SignedFront> signed_front;
 };
 
-// Keys come from the file that "keys" names, taken from the operator's file's own folder.
+// Keys come from the file that "keys" names, taken from the operator's file's own folder. Throws ConfigError,
+// or Complaints with all that is wrong (config/keys.h).
 Operator load_operator(const std::string& path);
 
 }  // namespace sumackeel::config
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -109,6 +109,9 @@
     outcome.first_byte = ending.first_byte;
     outcome.load = ending.load;
     deadlines_.drop(attempt->limit);
+    const bool spoke = served || ending.verdict == Verdict::full || ending.verdict == Verdict::missing ||
+                       ending.verdict == Verdict::error;
+    if (spoke && answered_) answered_(attempt->target);
     attempts_.remove(handle);
     events_.push_back(std::move(outcome));
     if (!request) return;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -91,6 +92,8 @@
     Core(const nettlethread::Settings& settings, std::uint64_t seed, Clock& clock, Deadlines& deadlines);
 
     void attach(Upstream& upstream) { upstream_ = &upstream; }
+    // Told of each target that answers an attempt, with whatever answer: its process runs.
+    void on_answer(std::function<void(const std::string& target)> what) { answered_ = std::move(what); }
 
     // Takes a request; its one answer goes to `asker`. The front calls run() when its turn is over.
     Handle take(Ask ask, Asker& asker, std::uint64_t cookie);
@@ -153,6 +156,7 @@
     Slots<Request> requests_;
     std::unordered_set<std::string> ids_;  // of the requests open, as clients name them
     Slots<Attempt> attempts_;
+    std::function<void(const std::string&)> answered_;
     std::deque<nettlethread::Event> events_;
     std::vector<nettlethread::Action> actions_;
     bool running_ = false;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,7 +6,7 @@
 #include "base/log.h"
 #include "core/core.h"
 #include "core/one_time.h"
-#include "feed/feed.h"
+#include "daemon/fleet.h"
 #include "front_platform/front.h"
 #include "front_signed/front.h"
 #include "store/member.h"
@@ -37,6 +37,14 @@
             .unsent_bytes = static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 3};
 }
 
+// The module's settings with what the operator adds to the platform's.
+nettlethread::Settings settings_of(const config::Config& config, const config::Operator& setup) {
+    nettlethread::Settings settings = config.site.settings;
+    if (setup.saved_list)
+        settings.origin_alone_per_s = setup.saved_list->origin_per_s / std::max(1, settings.instances);
+    return settings;
+}
+
 }  // namespace
 
 struct Daemon::Parts {
@@ -50,7 +58,7 @@
     std::unique_ptr<store::Member> member;
     std::unique_ptr<core::OneTime> one_time;
     std::unique_ptr<front_signed::Front> signed_front;
-    std::unique_ptr<feed::Feed> feed;
+    std::unique_ptr<Fleet> fleet;
     uv_signal_t term{}, hangup{};
     uv_async_t told{};
     std::atomic<bool> end_told = false, reload_told = false, stop_told = false;
@@ -60,19 +68,14 @@
         : config(c),
           files(std::move(read_from)),
           sockets(for_servers(c.sockets, setup)),
-          core(c.site.settings, c.seed, loop.clock(), loop.deadlines()),
+          core(settings_of(c, setup), c.seed, loop.clock(), loop.deadlines()),
           pool(loop, sockets, core,
                {.streams_per_conn = c.site.streams_per_conn,
                 .connect_timeout = c.site.settings.connect_timeout,
                 .idle_close = c.site.keepalive}),
           front(loop, core, c.site, c.listen, front_limits(c)) {
         core.attach(pool);
-        bool first = true;
-        for (const config::Change& change : c.known) change_heard(change, std::exchange(first, false));
-        core.run();
-        if (!c.changelog.empty())
-            feed = std::make_unique<feed::Feed>(loop, sockets, c.changelog, c.site, c.known_seq,
-                                                [this](const auto& change) { change_heard(change, false); });
+        fleet = std::make_unique<Fleet>(loop, sockets, core, pool, c, setup);
         if (setup.store) member = std::make_unique<store::Member>(loop, sockets, *setup.store);
         if (setup.signed_front) {
             if (setup.signed_front->one_time == "local") one_time = std::make_unique<core::LocalOneTime>();
@@ -116,47 +119,19 @@
         sockets.set_most(for_servers(fresh.sockets, setup));
         front.set_limits(front_limits(fresh));
         if (signed_front && setup.signed_front) signed_front->renew(*setup.signed_front);
-        if (feed && !fresh.changelog.empty()) {
-            for (const config::Change& change : fresh.known) feed->heard(change);
-            feed->move_to(fresh.changelog);
-        }
+        fleet->renew(fresh, setup);
         core.run();
         log::info("configuration read anew");
     } catch (const std::exception& wrong) {
         log::error("the configuration stays as it was: {}", wrong.what());
     }
 
-    void change_heard(const config::Change& change, bool saved) {
-        if (change.has_fleet) {
-            nettlethread::ListNews news;
-            news.version = change.version;
-            news.kind = saved          ? nettlethread::ListKind::saved
-                        : change.whole ? nettlethread::ListKind::full
-                                       : nettlethread::ListKind::changes;
-            std::vector<std::string> named;
-            for (const config::Placed& member : change.members) {
-                const nettlethread::CacheEntry& entry = member.entry;
-                if (entry.state == nettlethread::CacheState::gone)
-                    pool.retire(entry.cache);
-                else if (!member.address.empty())
-                    pool.place(entry.cache, member.address);
-                news.entries.push_back(entry);
-                named.push_back(entry.cache);
-            }
-            if (change.whole) pool.retire_all_but(named);
-            core.tell(std::move(news));
-        }
-        if (change.has_purge)
-            core.tell(nettlethread::Purge{.group = change.group,
-                                          .age = std::max<Micros>(0, loop.clock().now() - change.purged_at),
-                                          .object = change.object});
-    }
-
     void end() {
         if (told_to_end) return;
         told_to_end = loop.clock().now();
         log::info("told to end: {} requests open", core.open_requests());
         if (signed_front) signed_front->leaving();
+        fleet->leaving();
         look_for_end();
     }
 
@@ -192,6 +167,9 @@
 int Daemon::port() const {
     return parts_->front.port();
 }
+bool Daemon::disk_busy() const {
+    return parts_->fleet->disk_busy();
+}
 int Daemon::signed_port() const {
     return parts_->signed_front ? parts_->signed_front->port() : -1;
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -18,10 +18,12 @@
     // Config and setup must outlive the daemon.
     Daemon(const config::Config& config, const config::Operator& setup, Files files = {});
     ~Daemon();
-    void run();               // until it was told to end and all that was open is answered
-    void end();               // as on SIGTERM; from any thread
-    void reload();            // as on SIGHUP; from any thread
-    void stop();              // at once, with all that is open; from any thread
+    void run();     // until it was told to end and all that was open is answered
+    void end();     // as on SIGTERM; from any thread
+    void reload();  // as on SIGHUP; from any thread
+    void stop();    // at once, with all that is open; from any thread
+    // A write to the list on disk hangs; ending in the usual way would wait for it. Ask after run() only.
+    bool disk_busy() const;
     int port() const;         // of the platform's front
     int signed_port() const;  // of the front for signed links; -1: it is off
 
--- /dev/null
+++ b/src/daemon/fleet.h
@@ -0,0 +1,54 @@
+// The fleet as the daemon lives with it: one view, fed by the configuration, the list on disk and the change
+// logs, whose changes go to the pool of connections and into the module; and the list kept on disk.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "config/config.h"
+#include "config/operator.h"
+#include "core/core.h"
+#include "feed/feed.h"
+#include "membership/view.h"
+#include "net/loop.h"
+#include "saved_list/keeper.h"
+#include "upstream/pool.h"
+
+namespace sumackeel::daemon {
+
+class Fleet {
+  public:
+    Fleet(net::Loop& loop, net::Budget& sockets, core::Core& core, upstream::Pool& pool,
+          const config::Config& config, const config::Operator& setup);
+    Fleet(const Fleet&) = delete;
+    Fleet& operator=(const Fleet&) = delete;
+
+    // The configuration was read anew: change logs may be elsewhere, and events may stand in it.
+    void renew(const config::Config& config, const config::Operator& setup);
+    void leaving();  // a last write, if there is something to write
+    bool disk_busy() const { return keeper_ && keeper_->writing(); }
+    const membership::View& view() const { return view_; }
+
+  private:
+    void start_keeping(const config::SavedList& list);
+    void take_found(saved_list::Found found);
+    void look_for_found();
+    void hear(const config::Change& change, int log);
+    void sure();
+    void publish();
+
+    net::Loop& loop_;
+    core::Core& core_;
+    upstream::Pool& pool_;
+    const config::Config& config_;
+    membership::View view_;
+    std::string site_;
+    std::optional<saved_list::Loading> loading_;
+    std::unique_ptr<saved_list::FolderLock> lock_;
+    std::unique_ptr<saved_list::Keeper> keeper_;
+    std::unique_ptr<feed::Feed> feed_;
+    std::optional<base::Deadlines::Key> next_publish_;
+};
+
+}  // namespace sumackeel::daemon
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -11,9 +11,6 @@
 namespace {
 
 constexpr std::size_t kLongestEvent = 4 << 20;
-constexpr base::Micros kAgainAfter = 100'000;
-constexpr base::Micros kSilence = 2'500'000;    // a comment comes each second
-constexpr base::Micros kConnectIn = 1'000'000;  // until the first byte of an answer
 constexpr base::Micros kWatch = 250'000;
 
 }  // namespace
@@ -51,113 +48,158 @@
     has_data_ = true;
 }
 
-Feed::Feed(net::Loop& loop, net::Budget& budget, std::string address, const config::Site& site,
-           std::int64_t last_seq, OnChange on_change)
+// One connection to one change log.
+struct Feed::Line : net::Stream::Owner {
+    Feed& feed;
+    const std::size_t source;
+    const std::int64_t behind;
+    net::Stream* stream = nullptr;
+    http_parser parser{};
+    http_parser_settings calls{};
+    EventReader reader;
+    bool answered = false;  // with 200: what comes now is its stream of events
+
+    Line(Feed& owner, std::size_t place, std::int64_t from)
+        : feed(owner),
+          source(place),
+          behind(from),
+          reader([this](const std::string& data) { feed.event(source, data); }) {
+        http_parser_init(&parser, HTTP_RESPONSE);
+        parser.data = this;
+        http_parser_settings_init(&calls);
+        calls.on_headers_complete = [](http_parser* p) {
+            static_cast<Line*>(p->data)->answered = p->status_code == 200;
+            return p->status_code == 200 ? 0 : -1;  // any other answer ends the connection
+        };
+        calls.on_body = [](http_parser* p, const char* at, std::size_t length) {
+            try {
+                static_cast<Line*>(p->data)->reader.add({at, length});
+            } catch (const std::exception& wrong) {
+                log::warn("change log: {}", wrong.what());
+                return -1;
+            }
+            return 0;
+        };
+    }
+    ~Line() override {
+        if (stream) stream->close();
+    }
+
+    void opened(net::Stream& s) override {
+        feed.sources_.asked(source, feed.loop_.clock().now());
+        s.write("GET /changes HTTP/1.1\r\nHost: " + feed.addresses_[source] +
+                "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + std::to_string(behind) + "\r\n\r\n");
+    }
+
+    void received(net::Stream&, std::string_view bytes) override {
+        const std::size_t read = http_parser_execute(&parser, &calls, bytes.data(), bytes.size());
+        if (read != bytes.size() || HTTP_PARSER_ERRNO(&parser) != HPE_OK)
+            throw std::runtime_error("the change log's answer can't be read");
+        const bool sure = answered && feed.sources_.heard(source, feed.loop_.clock().now());
+        if (sure && feed.on_sure_) feed.on_sure_();
+    }
+
+    void gone(net::Stream&, net::Gone how) override {
+        stream = nullptr;
+        feed.lost(source, how == net::Gone::refused ? "refused"
+                          : how == net::Gone::ended ? "closed"
+                                                    : "broken");
+    }
+};
+
+Feed::Feed(net::Loop& loop, net::Budget& budget, std::vector<std::string> addresses, const config::Site& site,
+           std::int64_t last_seq, membership::SourceOptions options, std::uint64_t seed, OnChange on_change,
+           OnSure on_sure)
     : loop_(loop),
       budget_(budget),
-      address_(std::move(address)),
       site_(site),
       last_seq_(last_seq),
       on_change_(std::move(on_change)),
-      reader_([this](const std::string& data) { event(data); }) {
-    http_parser_settings_init(&calls_);
-    calls_.on_headers_complete = [](http_parser* parser) {
-        return parser->status_code == 200 ? 0 : -1;  // any other answer ends the connection
-    };
-    calls_.on_body = [](http_parser* parser, const char* at, std::size_t length) {
-        try {
-            static_cast<Feed*>(parser->data)->reader_.add({at, length});
-        } catch (const std::exception& wrong) {
-            log::warn("change log: {}", wrong.what());
-            return -1;
-        }
-        return 0;
-    };
-    connect();
-    watch();
+      on_sure_(std::move(on_sure)),
+      sources_(addresses.size(), options, seed),
+      lines_(addresses.size()),
+      addresses_(std::move(addresses)) {
+    loop_.each_turn([this] { dead_.clear(); });
+    drive();
 }
 
-Feed::~Feed() {
-    drop();
-}
-
-void Feed::connect() {
-    next_try_.reset();
-    sockaddr_in to{};
-    started_ = loop_.clock().now();
-    heard_ = 0;
-    if (net::read_address(address_, to)) stream_ = net::Stream::connect(loop_, budget_, to, *this);
-    if (!stream_) again();
-}
+Feed::~Feed() = default;
 
-void Feed::again() {
-    if (!next_try_)
-        next_try_ = loop_.deadlines().set(loop_.clock().now() + kAgainAfter, [this] { connect(); });
-}
-
-void Feed::drop() {
-    if (stream_) stream_->close();
-    stream_ = nullptr;
-}
-
-// The old place tells nothing more, and what the new one has to tell counts as told soon: asked at once.
-void Feed::move_to(std::string address) {
-    if (address == address_) return;
-    address_ = std::move(address);
-    log::info("change log moved to {}, taken up behind {}", address_, last_seq_);
-    drop();
-    if (next_try_) loop_.deadlines().drop(*next_try_);
-    connect();
-}
-
-void Feed::opened(net::Stream& stream) {
-    http_parser_init(&parser_, HTTP_RESPONSE);
-    parser_.data = this;
-    reader_ = EventReader([this](const std::string& data) { event(data); });
-    stream.write("GET /changes HTTP/1.1\r\nHost: " + address_ +
-                 "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + std::to_string(last_seq_) + "\r\n\r\n");
+// Carries out what the decisions say, and comes back when time alone may change them.
+void Feed::drive() {
+    if (std::exchange(driving_, true)) return;
+    const base::Micros now = loop_.clock().now();
+    for (const auto& step : sources_.next(now, last_seq_)) {
+        if (step.kind == membership::Sources::Step::Kind::call) {
+            call(step.source, step.behind);
+            continue;
+        }
+        const std::string& why = sources_.health()[step.source].last_fault;
+        if (why == "fell silent") log::warn("change log {} silent, connecting anew", addresses_[step.source]);
+        if (lines_[step.source]) dead_.push_back(std::move(lines_[step.source]));
+    }
+    driving_ = false;
+    if (next_look_) loop_.deadlines().drop(*next_look_);
+    const base::Micros due = sources_.due().value_or(now + kWatch);
+    next_look_ = loop_.deadlines().set(due > now ? std::min(due, now + kWatch) : now + kWatch, [this] {
+        next_look_.reset();
+        drive();
+    });
 }
 
-void Feed::received(net::Stream&, std::string_view bytes) {
-    heard_ = loop_.clock().now();
-    const std::size_t read = http_parser_execute(&parser_, &calls_, bytes.data(), bytes.size());
-    if (read != bytes.size() || HTTP_PARSER_ERRNO(&parser_) != HPE_OK)
-        throw std::runtime_error("the change log's answer can't be read");
+void Feed::call(std::size_t source, std::int64_t behind) {
+    if (lines_[source]) dead_.push_back(std::move(lines_[source]));
+    sockaddr_in to{};
+    auto line = std::make_unique<Line>(*this, source, behind);
+    if (net::read_address(addresses_[source], to))
+        line->stream = net::Stream::connect(loop_, budget_, to, *line);
+    if (line->stream)
+        lines_[source] = std::move(line);
+    else
+        sources_.gone(source, loop_.clock().now(), "no connection can be made");
 }
 
-void Feed::gone(net::Stream&, net::Gone) {
-    stream_ = nullptr;
-    again();
+void Feed::lost(std::size_t source, const char* why) {
+    if (lines_[source]) dead_.push_back(std::move(lines_[source]));
+    sources_.gone(source, loop_.clock().now(), why);
+    drive();
 }
 
-// A connection that says nothing is as good as none: a missed change counts as told all the same.
-void Feed::watch() {
-    const base::Micros now = loop_.clock().now();
-    const base::Micros limit = heard_ > 0 ? heard_ + kSilence : started_ + kConnectIn;
-    if (stream_ && now > limit) {
-        log::warn("change log silent, connecting anew");
-        drop();
-        again();
-    }
-    loop_.deadlines().set(now + kWatch, [this] { watch(); });
+// The old places tell nothing more, and what the new ones have to tell counts as told soon: asked at once.
+void Feed::move_to(std::vector<std::string> addresses) {
+    if (addresses == addresses_) return;
+    addresses_ = std::move(addresses);
+    for (auto& line : lines_)
+        if (line) dead_.push_back(std::move(line));
+    lines_.clear();
+    lines_.resize(addresses_.size());
+    sources_.replace(addresses_.size());
+    for (const std::string& address : addresses_)
+        log::info("change log moved to {}, taken up behind {}", address, last_seq_);
+    drive();
 }
 
 // Danger: a broken event that ended the connection would come again with each new one, and nothing behind it
 // would ever be heard.
-void Feed::event(const std::string& data) {
+void Feed::event(std::size_t source, const std::string& data) {
     config::Change change;
     try {
         change = config::read_change(config::parse(data, "change log"), site_);
     } catch (const config::ConfigError& wrong) {
         return log::error("an event passed over: {}", wrong.what());
     }
-    heard(change);
+    using Took = membership::Sources::Took;
+    const Took took = sources_.event(source, change.seq, last_seq_, loop_.clock().now());
+    if (took == Took::went_back)
+        log::warn("change log {} went back to {} from {}, not believed", addresses_[source], change.seq,
+                  sources_.health()[source].on_this);
+    if (took == Took::take) heard(change, static_cast<int>(source));
 }
 
-void Feed::heard(const config::Change& change) {
+void Feed::heard(const config::Change& change, int log) {
     if (change.seq <= last_seq_) return;
-    on_change_(change);
     last_seq_ = change.seq;
+    on_change_(change, log);
 }
 
 }  // namespace sumackeel::feed
--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -1,13 +1,16 @@
-// The change log: server-sent events over HTTP, followed for as long as the program runs.
+// The change logs: server-sent events over HTTP, followed for as long as the program runs.
 #pragma once
 
 #include <http_parser.h>
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "config/config.h"
+#include "membership/sources.h"
 #include "net/stream.h"
 
 namespace sumackeel::feed {
@@ -26,42 +29,49 @@
     bool has_data_ = false;
 };
 
-class Feed : net::Stream::Owner {
+// Follows one change log, or several that tell the same events, as membership::Sources decides.
+class Feed {
   public:
-    using OnChange = std::function<void(const config::Change&)>;
+    // `log`: the place in the list of addresses; -1: told through heard().
+    using OnChange = std::function<void(const config::Change&, int log)>;
+    // A source that is sure to tell all there is said that it lives. Called with every few bytes.
+    using OnSure = std::function<void()>;
 
-    Feed(net::Loop& loop, net::Budget& budget, std::string address, const config::Site& site,
-         std::int64_t last_seq, OnChange on_change);
-    ~Feed() override;
+    Feed(net::Loop& loop, net::Budget& budget, std::vector<std::string> addresses, const config::Site& site,
+         std::int64_t last_seq, membership::SourceOptions options, std::uint64_t seed, OnChange on_change,
+         OnSure on_sure = {});
+    ~Feed();
+    Feed(const Feed&) = delete;
+    Feed& operator=(const Feed&) = delete;
 
-    base::Micros heard_at() const { return heard_; }
-    // From now on the change log is at this address; its numbers carry on.
-    void move_to(std::string address);
-    void heard(const config::Change& change);  // passed on unless it was heard before
+    // From now on the change logs are at these addresses; the numbers carry on.
+    void move_to(std::vector<std::string> addresses);
+    void heard(const config::Change& change) { heard(change, -1); }  // passed on unless it was heard before
+    // Events up to here are known from elsewhere.
+    void known_to(std::int64_t seq) { last_seq_ = std::max(last_seq_, seq); }
+    std::int64_t last_seq() const { return last_seq_; }
+    const std::vector<membership::Sources::Health>& health() const { return sources_.health(); }
 
   private:
-    void opened(net::Stream& stream) override;
-    void received(net::Stream& stream, std::string_view bytes) override;
-    void gone(net::Stream& stream, net::Gone how) override;
-    void connect();
-    void drop();
-    void again();
-    void event(const std::string& data);
-    void watch();
+    struct Line;
+    void drive();
+    void call(std::size_t source, std::int64_t behind);
+    void lost(std::size_t source, const char* why);
+    void event(std::size_t source, const std::string& data);
+    void heard(const config::Change& change, int log);
 
     net::Loop& loop_;
     net::Budget& budget_;
-    std::string address_;
     const config::Site& site_;
     std::int64_t last_seq_;
     OnChange on_change_;
-    net::Stream* stream_ = nullptr;
-    http_parser parser_{};
-    http_parser_settings calls_{};
-    EventReader reader_;
-    base::Micros heard_ = 0;    // the last byte
-    base::Micros started_ = 0;  // of the present connection
-    std::optional<base::Deadlines::Key> next_try_;
+    OnSure on_sure_;
+    membership::Sources sources_;
+    std::vector<std::unique_ptr<Line>> lines_;  // by place; a new one with each call
+    std::vector<std::unique_ptr<Line>> dead_;   // until the turn's end: they may be what is running
+    std::vector<std::string> addresses_;
+    std::optional<base::Deadlines::Key> next_look_;
+    bool driving_ = false;
 };
 
 }  // namespace sumackeel::feed
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -137,6 +137,7 @@
     if (command == "check-config") return fmt::print("{}: sound\n", flags.config), 0;
     sumackeel::daemon::Daemon daemon(config, setup, {flags.config, flags.setup});
     daemon.run();
+    if (daemon.disk_busy()) std::_Exit(0);  // all is answered; a disk that hangs must not keep us
     return 0;
 }
 
--- /dev/null
+++ b/src/saved_list/folder.h
@@ -0,0 +1,67 @@
+// The folder in which a list is kept: one file a generation, the last two kept. All calls block on the disk
+// and belong off the loop; none throws.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "membership/saved.h"
+
+namespace sumackeel::saved_list {
+
+// A file that was passed over, and why.
+struct Passed {
+    std::string file;
+    membership::Fault fault;
+};
+
+// What a folder held.
+struct Found {
+    std::optional<membership::Snapshot> list;  // the newest that can be used
+    std::string file;                          // where that was
+    std::uint64_t generation = 0;              // the highest seen, of a good or a bad file
+    std::uint64_t good = 0;                    // of `list`; 0: none
+    std::size_t left_out = 0;                  // members of zones or kinds no longer known
+    std::vector<Passed> passed;                // newer ones that can't
+    std::vector<membership::Snapshot>
+        warnings;  // of those passed over for the clock alone: drains and purges
+};
+
+class Folder {
+  public:
+    explicit Folder(std::string path) : path_(std::move(path)) {}
+
+    const std::string& path() const { return path_; }
+    Found read(const membership::Names& names, const std::string& site, membership::Micros wall_now) const;
+    // Puts a new generation beside `keep`, the last good one, and removes all others: whole or not at all.
+    // Empty: it is on disk; else what went wrong, and the folder is as it was.
+    std::string write(const std::string& bytes, std::uint64_t generation, std::uint64_t keep) const;
+
+    static std::string name_of(std::uint64_t generation);
+    // 0: not the name of a generation.
+    static std::uint64_t generation_of(const std::string& name);
+
+  private:
+    std::string path_;
+};
+
+// A file's bytes; a fault where it can't be read or is too long to be a list.
+std::optional<membership::Fault> read_file(const std::string& path, std::string& bytes);
+
+// Held for as long as this lives: two programs on one folder would remove each other's generations.
+class FolderLock {
+  public:
+    explicit FolderLock(const std::string& folder);  // makes the folder
+    ~FolderLock();
+    FolderLock(const FolderLock&) = delete;
+    FolderLock& operator=(const FolderLock&) = delete;
+    const std::string& fault() const { return fault_; }  // empty: it is held
+
+  private:
+    int fd_ = -1;
+    std::string fault_;
+};
+
+}  // namespace sumackeel::saved_list
--- /dev/null
+++ b/src/saved_list/keeper.h
@@ -0,0 +1,87 @@
+// Keeps a list on disk while the program runs: snapshots are taken on the loop, packed and written by libuv's
+// pool, one at a time and not too often. A disk that is full, slow, read-only or gone costs one line in the
+// log when it begins and one when it ends, and never a request.
+#pragma once
+
+#include <uv.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/deadlines.h"
+#include "net/loop.h"
+#include "saved_list/folder.h"
+
+namespace sumackeel::saved_list {
+
+using base::Micros;
+
+struct Pace {
+    Micros save_every = 500'000;       // least time from one write's start to the next
+    Micros refresh = 2'000'000;        // written this often though nothing changed
+    Micros longest_wait = 60'000'000;  // after failures in a row; doubled from save_every up to this
+};
+
+// Counted since the start.
+struct KeeperFigures {
+    std::uint64_t written = 0, failed = 0, bytes = 0;
+    std::uint64_t generation = 0;  // on disk
+    Micros longest_snapshot = 0;   // that the loop was held by taking one
+    std::string last_fault;        // empty: the last write went well
+};
+
+class Keeper {
+  public:
+    using Take = std::function<membership::Snapshot()>;
+
+    // `take` is called on the loop. `found`: what the folder held at the start.
+    Keeper(net::Loop& loop, std::string folder, membership::Names names, Pace pace, Take take);
+    ~Keeper();
+    Keeper(const Keeper&) = delete;
+    Keeper& operator=(const Keeper&) = delete;
+
+    // The generations that are there. Nothing is written before this was told.
+    void begin_behind(std::uint64_t generation, std::uint64_t good);
+    void changed();  // something worth keeping is new
+    // The list was confirmed: worth a write every Pace::refresh.
+    void confirmed();
+    void flush();  // as soon as the disk allows
+    bool writing() const { return job_ != nullptr; }
+    const KeeperFigures& figures() const { return figures_; }
+
+  private:
+    struct Job;
+    void look();
+    void start(Micros now);
+    void done(const std::string& fault, std::uint64_t generation, std::size_t bytes);
+
+    net::Loop& loop_;
+    Folder folder_;
+    membership::Names names_;
+    Pace pace_;
+    Take take_;
+    KeeperFigures figures_;
+    Job* job_ = nullptr;  // its own until the pool has done with it
+    bool ready_ = false, changed_ = false, confirmed_ = false;
+    std::uint64_t next_ = 1, good_ = 0;
+    int failures_ = 0;
+    Micros started_ = 0;  // the last write
+    std::optional<base::Deadlines::Key> next_look_;
+};
+
+// Reads a folder in a thread of its own, so that a disk that hangs holds nobody up.
+class Loading {
+  public:
+    Loading(std::string folder, membership::Names names, std::string site, Micros wall_now);
+    // What was found, once; nothing while it still reads, or when it was taken before.
+    std::optional<Found> take(std::chrono::milliseconds wait);
+
+  private:
+    struct Shared;
+    std::shared_ptr<Shared> shared_;
+};
+
+}  // namespace sumackeel::saved_list
