--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -32,8 +32,11 @@
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
                         std::chrono::system_clock::now().time_since_epoch())
                         .count();
-    fmt::print(stderr, "{}.{:03} {} {}\n", ms / 1000, ms % 1000, kNames[static_cast<std::size_t>(level)],
-               text);
+    // Danger: fmt::print throws where standard error can't be written, as on a full disk, and most lines are
+    // written from calls out of C. A line that can't be written is lost, nothing else.
+    const std::string line =
+        fmt::format("{}.{:03} {} {}\n", ms / 1000, ms % 1000, kNames[static_cast<std::size_t>(level)], text);
+    std::fwrite(line.data(), 1, line.size(), stderr);
 }
 
 bool Sparing::turn() {
--- /dev/null
+++ b/src/cli/list_command.cpp
@@ -0,0 +1,281 @@
+#include "cli/list_command.h"
+
+#include <fmt/format.h>
+#include <json/json.h>
+
+#include <algorithm>
+#include <array>
+#include <filesystem>
+#include <map>
+#include <set>
+
+#include "base/clock.h"
+#include "membership/view.h"
+#include "saved_list/folder.h"
+
+namespace sumackeel::cli {
+
+using base::kSecond;
+using base::Micros;
+using membership::Bands;
+using membership::Decoded;
+using membership::Fault;
+using membership::Names;
+using membership::Snapshot;
+using membership::Use;
+using nettlethread::CacheState;
+
+namespace {
+
+struct Opened {
+    std::string file;
+    Names names;
+    Decoded read;
+    std::size_t bytes = 0;
+};
+
+// A folder stands for its newest generation.
+std::string file_of(const std::string& path) {
+    std::error_code fault;
+    if (!std::filesystem::is_directory(path, fault)) return path;
+    std::uint64_t newest = 0;
+    for (std::filesystem::directory_iterator it(path, fault), end; !fault && it != end; it.increment(fault))
+        newest = std::max(newest, saved_list::Folder::generation_of(it->path().filename().string()));
+    return path + '/' + saved_list::Folder::name_of(newest);
+}
+
+Opened open(const std::string& path) {
+    Opened opened;
+    opened.file = file_of(path);
+    std::string bytes;
+    if (auto fault = saved_list::read_file(opened.file, bytes)) {
+        opened.read.fault = std::move(fault);
+        return opened;
+    }
+    opened.bytes = bytes.size();
+    opened.read = membership::decode_all(bytes, opened.names);
+    return opened;
+}
+
+const char* name_of(CacheState state) {
+    return state == CacheState::ready ? "ready" : state == CacheState::draining ? "draining" : "gone";
+}
+
+std::string name_at(const std::vector<std::string>& names, int place) {
+    return place >= 0 && place < static_cast<int>(names.size()) ? names[place] : "-";
+}
+
+std::string span(Micros time) {
+    if (time < 0) return "never";
+    const double s = static_cast<double>(time) / kSecond;
+    if (s < 120) return fmt::format("{:.1f} s", s);
+    if (s < 7200) return fmt::format("{:.1f} min", s / 60);
+    return s < 172'800 ? fmt::format("{:.1f} h", s / 3600) : fmt::format("{:.1f} d", s / 86'400);
+}
+
+// What a proxy would make of the list were it `age` old at its start.
+class Judge {
+  public:
+    Judge(const ListFlags& flags, const Opened& opened) : list_(opened.read.list) {
+        if (flags.settings)
+            options_.bands = {.full_until = flags.settings->full_until,
+                              .careful_until = flags.settings->careful_until,
+                              .answered_within = flags.settings->answered_within};
+        // Without the platform's settings the origin is known by its name alone.
+        const std::string origin = flags.site && flags.site->settings.origin_kind >= 0
+                                       ? name_at(flags.site->kinds, flags.site->settings.origin_kind)
+                                       : "origin";
+        const auto& kinds = opened.names.kinds;
+        const auto found = std::find(kinds.begin(), kinds.end(), origin);
+        options_.origin_kind = found == kinds.end() ? -1 : static_cast<int>(found - kinds.begin());
+    }
+
+    // As though it had been sure until just then.
+    membership::View at_age(Micros age) const {
+        Snapshot list = list_;
+        const Micros before = std::max<Micros>(0, list.sure_age);
+        for (membership::Member& member : list.members)
+            if (member.answered >= 0) member.answered = std::max<Micros>(0, member.answered - before);
+        if (list.sure_age >= 0) list.sure_age = 0;
+        membership::View view(options_);
+        view.load(list, at(age), at(age));
+        return view;
+    }
+    Micros at(Micros age) const { return list_.taken_at + age; }
+    const Bands& bands() const { return options_.bands; }
+
+  private:
+    const Snapshot& list_;
+    membership::Options options_;
+};
+
+struct Row {
+    std::string name, address, zone, kind, state, use, answered;
+    std::int64_t seq;
+    double weight;
+};
+
+std::vector<Row> rows_of(const Opened& opened, const Judge& judge, Micros age) {
+    const membership::View view = judge.at_age(age);
+    const Micros now = judge.at(age);
+    std::vector<Row> rows;
+    for (const membership::Member& member : opened.read.list.members) {
+        const auto& entry = member.word->placed.entry;
+        rows.push_back({entry.cache, member.word->placed.address, name_at(opened.names.zones, entry.zone),
+                        name_at(opened.names.kinds, entry.kind), name_of(entry.state),
+                        membership::name_of(view.use_of(entry.cache, now)), span(member.answered),
+                        member.word->seq, entry.weight});
+    }
+    return rows;
+}
+
+// The ages at which something changes, and what is used from each on.
+std::vector<std::pair<Micros, std::array<std::size_t, 3>>> by_age(const Judge& judge) {
+    std::vector<std::pair<Micros, std::array<std::size_t, 3>>> all;
+    for (const Micros age : {Micros{0}, judge.bands().full_until, judge.bands().careful_until}) {
+        const membership::View view = judge.at_age(age);
+        const Micros now = judge.at(age);
+        all.push_back(
+            {age, {view.count(Use::full, now), view.count(Use::careful, now), view.count(Use::none, now)}});
+    }
+    return all;
+}
+
+int complain(const Opened& opened) {
+    fmt::print(stderr, "sumackeel: {}: {}: {}\n", opened.file, membership::name_of(opened.read.fault->kind),
+               opened.read.fault->text);
+    return 1;
+}
+
+int show(const ListFlags& flags, const std::string& path) {
+    const Opened opened = open(path);
+    if (opened.read.fault) return complain(opened);
+    const Snapshot& list = opened.read.list;
+    const Judge judge(flags, opened);
+    const Micros age = membership::age_of(list, base::Clock().wall());
+    const auto rows = rows_of(opened, judge, std::max<Micros>(0, age));
+    if (flags.json) {
+        Json::Value root;
+        root["file"] = opened.file;
+        root["site"] = list.site;
+        root["taken_at_us"] = Json::Int64{list.taken_at};
+        root["age_us"] = Json::Int64{age};
+        root["last_seq"] = Json::Int64{list.last_seq};
+        root["whole_at"] = Json::Int64{list.whole_at};
+        root["members"] = Json::arrayValue;
+        for (const Row& row : rows) {
+            Json::Value one;
+            one["name"] = row.name, one["address"] = row.address, one["zone"] = row.zone,
+            one["kind"] = row.kind;
+            one["state"] = row.state, one["use"] = row.use, one["seq"] = Json::Int64{row.seq};
+            one["weight"] = row.weight;
+            root["members"].append(one);
+        }
+        root["purges"] = Json::arrayValue;
+        for (const membership::Purge& purge : list.purges) {
+            Json::Value one;
+            if (purge.object.empty())
+                one["group"] = purge.group;
+            else
+                one["object"] = purge.object;
+            one["time_us"] = Json::Int64{purge.at};
+            root["purges"].append(one);
+        }
+        root["by_age"] = Json::arrayValue;
+        for (const auto& [from, counts] : by_age(judge)) {
+            Json::Value one;
+            one["from_us"] = Json::Int64{from};
+            one["full"] = Json::UInt64{counts[0]}, one["careful"] = Json::UInt64{counts[1]};
+            one["none"] = Json::UInt64{counts[2]};
+            root["by_age"].append(one);
+        }
+        Json::StreamWriterBuilder builder;
+        fmt::print("{}\n", Json::writeString(builder, root));
+        return 0;
+    }
+    fmt::print("{}: {} bytes, site {}, {} members, {} purges, change log up to {}, whole list at {}\n",
+               opened.file, opened.bytes, list.site, list.members.size(), list.purges.size(), list.last_seq,
+               list.whole_at);
+    fmt::print("last sure {} ago\n\n", span(age));
+    std::size_t wide = 4;
+    for (const Row& row : rows) wide = std::max(wide, row.name.size());
+    fmt::print("{:{}}  {:21}  {:12}  {:10}  {:8}  {:>8}  {:>12}  use now\n", "name", wide, "address", "zone",
+               "kind", "state", "seq", "answered ago");
+    for (const Row& row : rows)
+        fmt::print("{:{}}  {:21}  {:12}  {:10}  {:8}  {:>8}  {:>12}  {}\n", row.name, wide, row.address,
+                   row.zone, row.kind, row.state, row.seq, row.answered, row.use);
+    fmt::print("\nused at a start, by the list's age then:\n");
+    for (const auto& [from, counts] : by_age(judge))
+        fmt::print("  from {:>9}: {} in full, {} with care, {} not\n", span(from), counts[0], counts[1],
+                   counts[2]);
+    return 0;
+}
+
+int verify(const ListFlags& flags, const std::string& path) {
+    Opened opened = open(path);
+    if (!opened.read.fault && flags.settings)
+        opened.read.fault = membership::judge(opened.read.list, flags.settings->site, base::Clock().wall());
+    if (opened.read.fault) return complain(opened);
+    fmt::print("{}: sound, {} members, last sure {} ago\n", opened.file, opened.read.list.members.size(),
+               span(membership::age_of(opened.read.list, base::Clock().wall())));
+    return 0;
+}
+
+int diff(const std::string& before, const std::string& after) {
+    const Opened old = open(before), fresh = open(after);
+    if (old.read.fault) return complain(old);
+    if (fresh.read.fault) return complain(fresh);
+    const auto described = [](const Opened& opened) {
+        std::map<std::string, std::string> all;
+        for (const membership::Member& member : opened.read.list.members) {
+            const auto& placed = member.word->placed;
+            all[placed.entry.cache] =
+                fmt::format("{} at {} in {} as {}, weight {}", name_of(placed.entry.state), placed.address,
+                            name_at(opened.names.zones, placed.entry.zone),
+                            name_at(opened.names.kinds, placed.entry.kind), placed.entry.weight);
+        }
+        return all;
+    };
+    const auto one = described(old), other = described(fresh);
+    std::set<std::string> names;
+    for (const auto& [name, text] : one) names.insert(name);
+    for (const auto& [name, text] : other) names.insert(name);
+    bool differ = false;
+    for (const std::string& name : names) {
+        const auto was = one.find(name), is = other.find(name);
+        if (was != one.end() && is != other.end() && was->second == is->second) continue;
+        differ = true;
+        if (was != one.end()) fmt::print("- {}: {}\n", name, was->second);
+        if (is != other.end()) fmt::print("+ {}: {}\n", name, is->second);
+    }
+    const auto purges = [](const Opened& opened) {
+        std::set<std::string> all;
+        for (const membership::Purge& purge : opened.read.list.purges)
+            all.insert(fmt::format("purge of {} at {}",
+                                   purge.object.empty() ? fmt::format("group {}", purge.group) : purge.object,
+                                   purge.at));
+        return all;
+    };
+    const auto old_purges = purges(old), fresh_purges = purges(fresh);
+    for (const std::string& purge : old_purges)
+        if (!fresh_purges.contains(purge)) fmt::print("- {}\n", purge), differ = true;
+    for (const std::string& purge : fresh_purges)
+        if (!old_purges.contains(purge)) fmt::print("+ {}\n", purge), differ = true;
+    fmt::print("change log {} -> {}, taken {} apart\n", old.read.list.last_seq, fresh.read.list.last_seq,
+               span(std::abs(fresh.read.list.taken_at - old.read.list.taken_at)));
+    return differ ? 1 : 0;
+}
+
+}  // namespace
+
+int list_command(const ListFlags& flags) {
+    const auto& words = flags.words;
+    const std::string verb = words.empty() ? "" : words[0];
+    if (verb == "show" && words.size() == 2) return show(flags, words[1]);
+    if (verb == "verify" && words.size() == 2) return verify(flags, words[1]);
+    if (verb == "diff" && words.size() == 3) return diff(words[1], words[2]);
+    fmt::print(stderr, "sumackeel: list: show FILE, verify FILE or diff OLD NEW is wanted\n");
+    return 2;
+}
+
+}  // namespace sumackeel::cli
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -178,8 +178,7 @@
     const Micros now = loop_.clock().now();
     const bool doubted = view_.doubting();
     view_.pass(now);
-    if (doubted && !view_.doubting())
-        log::warn("the list without a cache box is believed now");
+    if (doubted && !view_.doubting()) log::warn("the list without a cache box is believed now");
     nettlethread::ListNews news;
     news.version = view_.last_seq();
     news.kind = nettlethread::ListKind::changes;
--- a/src/membership/saved.cpp
+++ b/src/membership/saved.cpp
@@ -21,7 +21,7 @@
 constexpr std::string_view kMagic = "SUMLIST\n";
 constexpr int kLevel = 1;  // zstd's fastest usual level: lists are small and written often
 constexpr std::size_t kMostMembers = 200'000, kMostPurges = 200'000;
-constexpr std::size_t kLongestName = 256;
+constexpr std::size_t kLongestName = 256, kMostNames = 10'000;
 
 template <typename T>
 void put(std::string& into, T value) {
@@ -41,12 +41,35 @@
     return place >= 0 && place < static_cast<int>(names.size()) ? names[place] : none;
 }
 
-// False: a name that is given, but not known.
-bool place_at(const std::vector<std::string>& names, const std::string& name, int& place) {
-    const auto found = std::find(names.begin(), names.end(), name);
-    place = found == names.end() ? -1 : static_cast<int>(found - names.begin());
-    return name.empty() || place >= 0;
-}
+// Where a zone or kind stands among the names. Fixed ones are the settings'; others grow with what is met.
+class Places {
+  public:
+    explicit Places(const Names& fixed) : known_(fixed) {}
+    explicit Places(Names& growing) : known_(growing), growing_(&growing) {}
+
+    // False: a name that is given, but not known.
+    bool zone(const std::string& name, int& place) const {
+        return find(known_.zones, growing_ ? &growing_->zones : nullptr, name, place);
+    }
+    bool kind(const std::string& name, int& place) const {
+        return find(known_.kinds, growing_ ? &growing_->kinds : nullptr, name, place);
+    }
+
+  private:
+    static bool find(const std::vector<std::string>& names, std::vector<std::string>* growing,
+                     const std::string& name, int& place) {
+        const auto found = std::find(names.begin(), names.end(), name);
+        place = found == names.end() ? -1 : static_cast<int>(found - names.begin());
+        if (name.empty() || place >= 0) return true;
+        if (!growing || growing->size() >= kMostNames) return false;
+        growing->push_back(name);
+        place = static_cast<int>(growing->size()) - 1;
+        return true;
+    }
+
+    const Names& known_;
+    Names* growing_ = nullptr;
+};
 
 struct Broken : std::runtime_error {
     using std::runtime_error::runtime_error;
@@ -70,7 +93,7 @@
     return text;
 }
 
-Member member_in(const msgpack::object& object, const Names& names, bool& known) {
+Member member_in(const msgpack::object& object, const Places& places, bool& known) {
     const auto& at = array_of(object, 10, 32, "a member that is no list of ten");
     Word word;
     CacheEntry& entry = word.placed.entry;
@@ -78,8 +101,8 @@
     need(!entry.cache.empty() && entry.cache.find_first_of(" ,=") == std::string::npos,
          "a member's name that can't be used");
     word.placed.address = name_in(at.ptr[1]);
-    known = place_at(names.zones, name_in(at.ptr[2]), entry.zone);
-    known = place_at(names.kinds, name_in(at.ptr[3]), entry.kind) && known;
+    known = places.zone(name_in(at.ptr[2]), entry.zone);
+    known = places.kind(name_in(at.ptr[3]), entry.kind) && known;
     entry.cell = at.ptr[4].as<std::int64_t>();
     entry.weight = at.ptr[5].as<double>();
     need(std::isfinite(entry.weight) && entry.weight >= 0, "a weight that is none");
@@ -94,7 +117,7 @@
     return {std::make_shared<const Word>(std::move(word)), answered};
 }
 
-Snapshot list_in(const msgpack::object& root, const Names& names, std::size_t& left_out) {
+Snapshot list_in(const msgpack::object& root, const Places& places, std::size_t& left_out) {
     need(root.type == msgpack::type::MAP, "no map at the top");
     Snapshot list;
     for (std::uint32_t i = 0; i < root.via.map.size; ++i) {
@@ -111,7 +134,7 @@
             list.members.reserve(members.size);
             for (std::uint32_t m = 0; m < members.size; ++m) {
                 bool known = true;
-                Member member = member_in(members.ptr[m], names, known);
+                Member member = member_in(members.ptr[m], places, known);
                 known ? list.members.push_back(std::move(member)) : static_cast<void>(++left_out);
             }
         }
@@ -199,7 +222,9 @@
     return bytes + payload;
 }
 
-Decoded decode(std::string_view bytes, const Names& names) {
+namespace {
+
+Decoded decode_with(std::string_view bytes, const Places& places) {
     using Kind = Fault::Kind;
     if (bytes.size() < kSavedHeader || !bytes.starts_with(kMagic))
         return fault(Kind::not_a_list, fmt::format("{} bytes that don't begin as a list does", bytes.size()));
@@ -220,13 +245,23 @@
         const std::string content = unpacked(payload, plain);
         const msgpack::unpack_limit limits(kMostMembers + kMostPurges, 64, 4096, 4096, 0, 8);
         const auto handle = msgpack::unpack(content.data(), content.size(), nullptr, nullptr, limits);
-        decoded.list = list_in(handle.get(), names, decoded.left_out);
+        decoded.list = list_in(handle.get(), places, decoded.left_out);
     } catch (const std::exception& wrong) {
         return fault(Kind::damaged, wrong.what());
     }
     return decoded;
 }
 
+}  // namespace
+
+Decoded decode(std::string_view bytes, const Names& names) {
+    return decode_with(bytes, Places(names));
+}
+
+Decoded decode_all(std::string_view bytes, Names& names) {
+    return decode_with(bytes, Places(names));
+}
+
 Micros age_of(const Snapshot& list, Micros wall_now) {
     return list.sure_age < 0 ? -1 : std::max<Micros>(0, wall_now - list.taken_at) + list.sure_age;
 }
--- a/src/membership/saved.h
+++ b/src/membership/saved.h
@@ -48,6 +48,9 @@
 // Never throws, whatever the bytes.
 Decoded decode(std::string_view bytes, const Names& names);
 
+// For tools that know no settings: zones and kinds are added to `names` as they are met.
+Decoded decode_all(std::string_view bytes, Names& names);
+
 // What speaks against using a list that could be read. `wall_now`: the system's clock.
 // A clock may be ahead by kClockSlack; older than kOldest is no age but a wrong clock.
 constexpr Micros kClockSlack = 2 * base::kSecond;
--- a/tests/daemon/support.h
+++ b/tests/daemon/support.h
@@ -238,6 +238,7 @@
     ~Folder() { std::filesystem::remove_all(path_); }
     Folder(const Folder&) = delete;
     Folder& operator=(const Folder&) = delete;
+    std::string path() const { return path_.string(); }
     std::string write(const std::string& name, const std::string& text) const {
         std::ofstream(path_ / name) << text;
         return (path_ / name).string();
@@ -247,9 +248,19 @@
     std::filesystem::path path_;
 };
 
+// A whole configuration in place of a list of hosts.
+struct WithConfig {
+    std::string text;
+};
+
 // The daemon with a fleet of scripted peers.
 class Daemon {
   public:
+    Daemon(const WithConfig& config, const sumackeel::config::Operator& setup)
+        : config_(sumackeel::config::read_config(config.text)),
+          operator_(setup),
+          daemon_(config_, operator_),
+          thread_([this] { daemon_.run(); }) {}
     Daemon(const std::vector<std::string>& hosts, const std::string& changelog = {},
            const sumackeel::config::Operator& setup = {}, sumackeel::daemon::Files files = {}, Room room = {})
         : config_(sumackeel::config::read_config(config_text(hosts, changelog, room))),
@@ -263,6 +274,10 @@
     int port() const { return daemon_.port(); }
     int signed_port() const { return daemon_.signed_port(); }
     void end() { daemon_.end(); }
+    void crash() {  // at once, with all that is open
+        daemon_.stop();
+        thread_.join();
+    }
     void join() { thread_.join(); }
 
   private:
