--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -165,7 +165,7 @@
 void Fleet::sure() {
     const bool first = !view_.live();
     view_.confirm(loop_.clock().now());
-    if (keeper_) keeper_->confirmed();
+    if (keeper_) first ? keeper_->changed() : keeper_->confirmed();
     if (!first) return;
     if (keeper_) log::info("list confirmed by a change log, {} members", view_.size());
     publish();
@@ -201,7 +201,11 @@
 }
 
 void Fleet::leaving() {
-    if (keeper_) keeper_->flush();
+    if (!keeper_) return;
+    const saved_list::KeeperFigures& figures = keeper_->figures();
+    log::info("saved list: ended, written={} failed={} bytes={} longest_us={}", figures.written, figures.failed,
+              figures.bytes, figures.longest_snapshot);
+    keeper_->flush();
 }
 
 }  // namespace sumackeel::daemon
--- a/src/saved_list/keeper.cpp
+++ b/src/saved_list/keeper.cpp
@@ -10,6 +10,12 @@
 
 namespace sumackeel::saved_list {
 
+namespace {
+
+constexpr Micros kGather = 5'000;
+
+}  // namespace
+
 // All that the pool's thread touches. It outlives its keeper where the disk hangs.
 struct Keeper::Job {
     uv_work_t work{};
@@ -39,7 +45,7 @@
       take_(std::move(take)) {}
 
 Keeper::~Keeper() {
-    if (next_look_) loop_.deadlines().drop(*next_look_);
+    if (next_start_) loop_.deadlines().drop(*next_start_);
     if (job_) job_->keeper = nullptr;
 }
 
@@ -62,7 +68,10 @@
 }
 
 void Keeper::flush() {
-    if (ready_ && !job_ && (changed_ || confirmed_) && failures_ == 0) start(loop_.clock().now());
+    if (!ready_ || job_ || (!changed_ && !confirmed_) || failures_ > 0) return;
+    if (next_start_) loop_.deadlines().drop(*next_start_);
+    next_start_.reset();
+    start(loop_.clock().now());
 }
 
 void Keeper::look() {
@@ -73,13 +82,14 @@
     wait = failures_ > 0 ? std::min(wait, pace_.longest_wait)
            : changed_    ? wait
                          : std::max(wait, pace_.refresh);
-    const Micros at = started_ + wait;
-    if (next_look_) loop_.deadlines().drop(*next_look_);
-    next_look_.reset();
-    if (now >= at) return start(now);
-    next_look_ = loop_.deadlines().set(at, [this] {
-        next_look_.reset();
-        look();
+    // Never from within the call: what comes in one turn, such as a list and the word that it is sure, goes
+    // into one write.
+    const Micros at = std::max(started_ + wait, now + kGather);
+    if (next_start_ && next_start_->first <= at) return;  // put off by each change it would never come
+    if (next_start_) loop_.deadlines().drop(*next_start_);
+    next_start_ = loop_.deadlines().set(at, [this] {
+        next_start_.reset();
+        start(loop_.clock().now());
     });
 }
 
--- a/src/saved_list/keeper.h
+++ b/src/saved_list/keeper.h
@@ -69,7 +69,7 @@
     std::uint64_t next_ = 1, good_ = 0;
     int failures_ = 0;
     Micros started_ = 0;  // the last write
-    std::optional<base::Deadlines::Key> next_look_;
+    std::optional<base::Deadlines::Key> next_start_;
 };
 
 // Reads a folder in a thread of its own, so that a disk that hangs holds nobody up.
