--- a/bench/restart.py
+++ b/bench/restart.py
@@ -36,12 +36,15 @@
 
 
 class Boxes:
-    """Each box answers at once; all share one listener and one address, told apart by nothing."""
+    """The boxes of our own school and the origin, each at an address of its own; all answer at once."""
 
-    async def start(self):
+    async def start(self, count):
         self.asked = 0
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.servers, self.addresses = [], []
+        for i in range(count):
+            server = await asyncio.start_server(self.serve, "127.0.0.%d" % (i + 2), 0)
+            self.servers.append(server)
+            self.addresses.append("127.0.0.%d:%d" % (i + 2, server.sockets[0].getsockname()[1]))
 
     async def serve(self, reader, writer):
         try:
@@ -185,11 +188,15 @@
 
 async def fleet(members):
     boxes = Boxes()
-    await boxes.start()
+    await boxes.start(10)
     log = ChangeLog()
     await log.start()
-    hosts = [host(f"s-{i}", boxes.address) for i in range(members - 1)] + [host("s-origin", boxes.address, "origin")]
-    # Boxes at one address: each its own port would need 10,000 listeners, and the proxy does not look.
+    hosts = [host(f"s-{i}", boxes.addresses[i]) for i in range(9)] + [host("s-origin", boxes.addresses[9], "origin")]
+    # The rest of the fleet stands in other schools: known, kept, never asked.
+    for i in range(members - 10):
+        other = host(f"f-{i}", "127.%d.%d.%d:9090" % (1 + i // 65536, i // 256 % 256, i % 256))
+        other["site"] = "coast"
+        hosts.append(other)
     log.tell({"fleet": {"seq": 1, "whole": True, "hosts": hosts}})
     return boxes, log
 
@@ -233,7 +240,7 @@
     print("| version | served | in the first 20 s |\n| --- | --- | --- |")
 
     async def one(name, program, saved):
-        boxes, log = await fleet(12)
+        boxes, log = await fleet(10)
         folder = tempfile.mkdtemp()
         await saved_folder(folder, boxes, log)
         await log.stop()
@@ -275,8 +282,9 @@
         cpu, begin = proxy.cpu_s(), time.monotonic()
         rng = random.Random(7)
         for change in range(2000):
-            one = host(f"s-{rng.randrange(9999)}", boxes.address)
-            one["share"] = rng.randrange(4, 10)
+            i = rng.randrange(9990)
+            one = host(f"f-{i}", "127.%d.%d.%d:9090" % (1 + i // 65536, i // 256 % 256, i % 256))
+            one["site"], one["share"] = "coast", rng.randrange(4, 10)
             log.tell({"fleet": {"seq": change + 2, "whole": False, "hosts": [one]}})
             await asyncio.sleep(max(0, begin + change / 100 - time.monotonic()))
         share = (proxy.cpu_s() - cpu) / (time.monotonic() - begin)
--- /dev/null
+++ b/src/cli/command_line.cpp
@@ -0,0 +1,317 @@
+#include "cli/command_line.h"
+
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <cmath>
+#include <cstdlib>
+#include <exception>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "cli/expect_command.h"
+#include "cli/list_command.h"
+#include "cli/store_command.h"
+#include "config/config.h"
+#include "config/keys.h"
+#include "config/operator.h"
+#include "daemon/daemon.h"
+#include "front_signed/links.h"
+
+namespace sumackeel::cli {
+
+namespace {
+
+constexpr const char* kVersion = "sumackeel 0.3.0";
+
+int wrong(const std::string& what) {
+    fmt::print(stderr, "sumackeel: {}\n", what);
+    return 2;
+}
+
+struct Flags {
+    std::string config, setup;
+    std::string level = "info";
+    std::string link_key, subject_key, student_key, student, one_time, at;
+    std::vector<std::string> words;
+    double expires_in = 600;
+    bool json = false;
+    ExpectFlags expect;
+};
+
+// Prints a link, or a token, signed by the operator's keys: for course pages' own tests and for trying out.
+int sign(const Flags& flags, bool token) {
+    if (flags.setup.empty()) return wrong("no operator's file: give --operator");
+    if (flags.student.empty()) return wrong("no student: give --student");
+    if (!(flags.expires_in > 0)) return wrong("--expires-in: not a number of seconds over 0");
+    const auto setup = config::load_operator(flags.setup);
+    if (!setup.signed_front) return wrong(flags.setup + ": signed_front is missing");
+    const front_signed::Gate gate(*setup.signed_front);
+    const double expires = std::floor(static_cast<double>(base::Clock().now()) / 1e6 + flags.expires_in);
+    if (token) return fmt::print("{}\n", gate.student_token(flags.student_key, flags.student, expires)), 0;
+    front_signed::Target target;
+    if (!front_signed::read_target(flags.words.empty() ? "" : flags.words.front(), target))
+        return wrong("a target is needed, as in /video/7f3a9c21e0b4d655/3?set=17");
+    fmt::print("{}\n",
+               gate.sign(target, flags.link_key, flags.subject_key, flags.student, expires, flags.one_time));
+    return 0;
+}
+
+int list(const Flags& flags) {
+    ListFlags list{.words = flags.words, .json = flags.json, .settings = {}, .site = {}};
+    if (!flags.setup.empty()) list.settings = config::load_operator(flags.setup).saved_list;
+    if (!flags.config.empty()) list.site = config::load_config(flags.config).site;
+    return list_command(list);
+}
+
+int store(const Flags& flags) {
+    if (flags.at.empty()) return wrong("no member: give --at ADDRESS");
+    return store_command(flags.at, flags.words) ? 0 : 1;
+}
+
+// All that is wrong with a file, a line each.
+int check_config(const Flags& flags) try {
+    if (flags.config.empty()) return wrong("no configuration: give --config or set GW_CONFIG");
+    config::load_config(flags.config);
+    if (!flags.setup.empty()) {
+        const auto setup = config::load_operator(flags.setup);
+        if (setup.signed_front) front_signed::Gate{*setup.signed_front};
+        fmt::print("{}: sound{}\n", flags.setup,
+                   setup.old_form ? ", but JSON: the next version reads TOML alone" : "");
+    }
+    return fmt::print("{}: sound\n", flags.config), 0;
+} catch (const config::Complaints& all) {
+    for (const std::string& line : all.lines) wrong(line);
+    return 2;
+}
+
+int serve(const Flags& flags) {
+    if (flags.config.empty()) return wrong("no configuration: give --config or set GW_CONFIG");
+    const auto config = config::load_config(flags.config);
+    const auto setup = flags.setup.empty() ? config::Operator{} : config::load_operator(flags.setup);
+    if (setup.signed_front) front_signed::Gate{*setup.signed_front};  // its keys must be usable
+    if (setup.old_form)
+        log::warn("{}: JSON is read for this version only, the next one reads TOML", flags.setup);
+    daemon::Daemon daemon(config, setup, {flags.config, flags.setup});
+    daemon.run();
+    if (daemon.disk_busy()) std::_Exit(0);  // all is answered; a disk that hangs must not keep us
+    return 0;
+}
+
+// Every word that bash may offer, read off the commands themselves.
+void print_completion(const CLI::App& app) {
+    const auto words_of = [](const CLI::App& command) {
+        std::string words;
+        for (const CLI::App* sub : command.get_subcommands([](const CLI::App*) { return true; }))
+            words += (words.empty() ? "" : " ") + sub->get_name();
+        for (const CLI::Option* option : command.get_options())
+            for (const std::string& name : option->get_lnames())
+                words += (words.empty() ? "--" : " --") + name;
+        return words;
+    };
+    fmt::print(
+        "# bash completion for sumackeel: source <(sumackeel completion)\n"
+        "_sumackeel() {{\n"
+        "    local word=${{COMP_WORDS[COMP_CWORD]}} words\n"
+        "    case \"${{COMP_WORDS[1]-}} ${{COMP_WORDS[2]-}}\" in\n");
+    for (const CLI::App* sub : app.get_subcommands([](const CLI::App*) { return true; })) {
+        for (const CLI::App* inner : sub->get_subcommands([](const CLI::App*) { return true; }))
+            fmt::print("        '{} {}'*) words='{}' ;;\n", sub->get_name(), inner->get_name(),
+                       words_of(*inner));
+        fmt::print("        '{} '*) words='{}' ;;\n", sub->get_name(), words_of(*sub));
+    }
+    fmt::print(
+        "        *) words='{}' ;;\n"
+        "    esac\n"
+        "    COMPREPLY=($(compgen -W \"$words\" -- \"$word\") $(compgen -f -- \"$word\"))\n"
+        "}}\n"
+        "complete -F _sumackeel sumackeel\n",
+        words_of(app));
+}
+
+class CommandLine {
+  public:
+    CommandLine() {
+        if (const char* given = std::getenv("GW_CONFIG")) flags_.config = given;
+        app_.require_subcommand(0, 1);
+        app_.set_help_flag("-h,--help", "Print this and end");
+        files(app_), level(app_);
+        command(
+            "serve", "Serve requests (the default)", [this] { return serve(flags_); },
+            [this](CLI::App& sub) { files(sub), level(sub); });
+        command(
+            "check-config", "Say what is wrong with the files, a line each",
+            [this] { return check_config(flags_); }, [this](CLI::App& sub) { files(sub); });
+        command(
+            "sign-url", "Sign a link with the operator's keys", [this] { return sign(flags_, false); },
+            [this](CLI::App& sub) {
+                signing(sub);
+                sub.add_option("--link-key", flags_.link_key, "Key id that signs the link");
+                sub.add_option("--subject-key", flags_.subject_key, "Key id that hides the student's name");
+                sub.add_option("--one-time", flags_.one_time, "The link's id; it holds for one use");
+                sub.add_option("target", flags_.words, "As in /video/7f3a9c21e0b4d655/3?set=17&need=412.5");
+            });
+        command(
+            "sign-token", "Sign a student's token with the operator's keys",
+            [this] { return sign(flags_, true); },
+            [this](CLI::App& sub) {
+                signing(sub);
+                sub.add_option("--student-key", flags_.student_key, "Key id that signs the token");
+            });
+        command(
+            "store", "Words to one member of the store: promote, get KEY, set KEY VALUE",
+            [this] { return store(flags_); },
+            [this](CLI::App& sub) {
+                sub.add_option("-a,--at", flags_.at, "The member's address");
+                sub.add_option("words", flags_.words, "promote, get KEY or set KEY VALUE");
+            });
+        command(
+            "list", "What a saved list holds: show FILE, verify FILE, diff OLD NEW",
+            [this] { return list(flags_); },
+            [this](CLI::App& sub) {
+                files(sub), json(sub);
+                sub.add_option("words", flags_.words, "show FILE, verify FILE or diff OLD NEW");
+            });
+        expect();
+        command(
+            "keys", "Print the page on the operator's file",
+            [] { return fmt::print("{}", config::keys_as_markdown()), 0; }, [](CLI::App&) {});
+        command(
+            "completion", "Print completion for bash", [this] { return print_completion(app_), 0; },
+            [](CLI::App&) {});
+        command(
+            "version", "Print the version", [] { return fmt::print("{}\n", kVersion), 0; }, [](CLI::App&) {});
+        command(
+            "help", "Print this and end", [this] { return fmt::print("{}", app_.help()), 0; },
+            [](CLI::App&) {});
+    }
+
+    int run(int argc, const char* const* argv) {
+        try {
+            app_.parse(argc, argv);
+        } catch (const CLI::CallForHelp&) {
+            const auto chosen = app_.get_subcommands();
+            const auto inner = chosen.empty() ? chosen : chosen.front()->get_subcommands();
+            const CLI::App* of = !inner.empty() ? inner.front() : !chosen.empty() ? chosen.front() : &app_;
+            return fmt::print("{}", of->help()), 0;
+        } catch (const CLI::ParseError& fault) {
+            std::string what = fault.what();
+            std::replace(what.begin(), what.end(), '\n', ' ');
+            return wrong(what);
+        }
+        if (!log::set_level(flags_.level)) return wrong("no such log level: " + flags_.level);
+        const auto chosen = app_.get_subcommands();
+        if (chosen.empty()) return serve(flags_);
+        const auto inner = chosen.front()->get_subcommands();
+        return actions_.at(inner.empty() ? chosen.front() : inner.front())();
+    }
+
+  private:
+    using Action = std::function<int()>;
+
+    CLI::App* command(const char* name, const char* what, Action action,
+                      const std::function<void(CLI::App&)>& add, CLI::App* under = nullptr) {
+        CLI::App* sub = (under ? under : &app_)->add_subcommand(name, what);
+        sub->set_help_flag("-h,--help", "Print this and end");
+        add(*sub);
+        actions_[sub] = std::move(action);
+        return sub;
+    }
+    void files(CLI::App& sub) {
+        sub.add_option("-c,--config", flags_.config, "What the platform gives; default: $GW_CONFIG");
+        sub.add_option("-o,--operator", flags_.setup, "The operator's file; default: none");
+    }
+    void level(CLI::App& sub) {
+        sub.add_option("-l,--log-level", flags_.level, "debug, info, warn or error");
+    }
+    void json(CLI::App& sub) { sub.add_flag("--json", flags_.json, "For tools"); }
+    void signing(CLI::App& sub) {
+        sub.add_option("-o,--operator", flags_.setup, "The operator's file");
+        sub.add_option("--student", flags_.student, "Whom it is for");
+        sub.add_option("--expires-in", flags_.expires_in, "Seconds; default: 600");
+    }
+    void fleet(CLI::App& sub, FleetFrom& from, const std::string& prefix) {
+        auto* list =
+            sub.add_option("--" + prefix + "list", from.list, "The fleet of a saved list or its folder");
+        auto* changes =
+            sub.add_option("--" + prefix + "changes", from.changes, "The fleet of a change log's file");
+        auto* described =
+            sub.add_option("--" + prefix + "fleet", from.fleet, "The fleet of a description in TOML");
+        list->excludes(changes)->excludes(described);
+        changes->excludes(described);
+    }
+    void expect() {
+        CLI::App* expect = app_.add_subcommand("expect", "Check routing expectations without traffic");
+        expect->set_help_flag("-h,--help", "Print this and end");
+        expect->require_subcommand(1);
+        ExpectFlags& flags = flags_.expect;
+        const auto of_fleet = [this, &flags](CLI::App& sub) {
+            sub.add_option("-c,--config", flags_.config, "Settings and, unless another is named, the fleet");
+            fleet(sub, flags.from, "");
+        };
+        const auto file = [&flags](CLI::App& sub) {
+            sub.add_option("file", flags.file, "The file of expectations")->required();
+        };
+        const auto with = [this](int (*what)(const ExpectFlags&)) {
+            return [this, what] {
+                flags_.expect.from.config = flags_.config;
+                if (flags_.expect.with.config.empty()) flags_.expect.with.config = flags_.config;
+                flags_.expect.json = flags_.json;
+                return what(flags_.expect);
+            };
+        };
+        command(
+            "run", "Run all worlds; status 0 holds, 1 broken, 2 can't be checked", with(expect_run),
+            [&](CLI::App& sub) {
+                of_fleet(sub), file(sub), json(sub);
+                sub.add_option("--threads", flags.threads, "Default: one a core")->check(CLI::Range(0, 1024));
+                sub.add_option("--junit", flags.junit, "Write a report for CI here");
+                sub.add_option("--cases", flags.cases, "Write counterexamples into this folder");
+                sub.add_flag("--quiet", flags.quiet, "No progress");
+            },
+            expect);
+        command(
+            "list", "Print the expectations in words", with(expect_list),
+            [&](CLI::App& sub) { of_fleet(sub), file(sub); }, expect);
+        command(
+            "explain", "Print what one expectation is about", with(expect_explain),
+            [&](CLI::App& sub) {
+                of_fleet(sub), file(sub);
+                sub.add_option("name", flags.name, "Its name")->required();
+            },
+            expect);
+        command(
+            "replay", "Play a counterexample step by step", with(expect_replay),
+            [&](CLI::App& sub) { sub.add_option("file", flags.file, "A .case.json file")->required(); },
+            expect);
+        command(
+            "diff", "What another fleet or configuration would move", with(expect_diff),
+            [&](CLI::App& sub) {
+                of_fleet(sub), json(sub);
+                sub.add_option("--expectations", flags.file, "Takes its [traffic]");
+                sub.add_option("--new-config", flags.with.config, "Default: the same");
+                fleet(sub, flags.with, "new-");
+            },
+            expect);
+    }
+
+    Flags flags_;
+    CLI::App app_{"The edge proxy of Instituto Sertão Sonoro.", "sumackeel"};
+    std::map<const CLI::App*, Action> actions_;
+};
+
+}  // namespace
+
+int run(int argc, const char* const* argv) {
+    try {
+        return CommandLine().run(argc, argv);
+    } catch (const std::exception& fault) {
+        return wrong(fault.what());
+    }
+}
+
+}  // namespace sumackeel::cli
--- /dev/null
+++ b/src/cli/expect_command.cpp
@@ -0,0 +1,474 @@
+#include "cli/expect_command.h"
+
+#include <fmt/format.h>
+#include <json/json.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+#include "config/read.h"
+#include "expect/case.h"
+#include "expect/compare.h"
+#include "saved_list/folder.h"
+
+namespace sumackeel::cli {
+
+using config::bad;
+using expect::Holds;
+
+namespace {
+
+constexpr std::size_t kLongestFile = 256u << 20;
+
+std::string file_text(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    std::stringstream text;
+    if (!file || !(text << file.rdbuf())) bad(path, "can't be read");
+    if (text.str().size() > kLongestFile) bad(path, "too long");
+    return text.str();
+}
+
+std::string compact(const Json::Value& value) {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+// One event a line, as the change log tells them; its own "data:" in front is passed over.
+std::vector<config::Change> read_changes(const std::string& path, const config::Site& site) {
+    std::vector<config::Change> changes;
+    std::istringstream lines(file_text(path));
+    int number = 0;
+    for (std::string line; std::getline(lines, line);) {
+        ++number;
+        if (line.starts_with("data:")) line.erase(0, 5);
+        const auto first = line.find_first_not_of(" \t\r");
+        if (first == std::string::npos || line[first] != '{') continue;
+        const std::string where = fmt::format("{}:{}", path, number);
+        try {
+            changes.push_back(config::read_change(config::parse(line, where), site));
+        } catch (const config::ConfigError& wrong) {
+            bad(where, wrong.what());
+        }
+    }
+    if (changes.empty()) bad(path, "not a single event");
+    return changes;
+}
+
+std::vector<config::Change> read_list(const std::string& path, const config::Site& site) {
+    std::string file = path;
+    std::error_code none;
+    if (std::filesystem::is_directory(path, none)) {
+        std::uint64_t newest = 0;
+        for (std::filesystem::directory_iterator it(path, none), end; !none && it != end; it.increment(none))
+            newest = std::max(newest, saved_list::Folder::generation_of(it->path().filename().string()));
+        file = path + '/' + saved_list::Folder::name_of(newest);
+    }
+    std::string bytes;
+    if (const auto fault = saved_list::read_file(file, bytes)) bad(file, fault->text);
+    const auto read = membership::decode(bytes, {site.zones, site.kinds});
+    if (read.fault) bad(file, read.fault->text);
+    if (read.left_out)
+        bad(file, fmt::format("{} members of zones or kinds that the settings lack", read.left_out));
+    config::Change change;
+    change.has_fleet = change.whole = true;
+    for (const auto& member : read.list.members) change.members.push_back(member.word->placed);
+    return {change};
+}
+
+// [[box]], [[parent]] and [[origin]] with name, at (zone) and weight; `kind` where it is not the settings'
+// own.
+std::vector<config::Change> read_description(const std::string& path, const config::Site& site) {
+    const config::Node root = config::read_toml(file_text(path), path);
+    config::Change change;
+    change.has_fleet = change.whole = true;
+    for (const auto& [section, list] : std::get<config::Node::Table>(root.value)) {
+        const auto where = [&](const config::Place& at) {
+            return fmt::format("{}:{}:{}", path, at.line, at.column);
+        };
+        const auto items = std::get_if<config::Node::List>(&list.value);
+        const bool known = section == "box" || section == "parent" || section == "origin";
+        if (!known || !items)
+            bad(where(list.key_place), "[[box]], [[parent]] and [[origin]] are read, not " + section);
+        for (const config::Node& item : *items) {
+            const auto table = std::get_if<config::Node::Table>(&item.value);
+            if (!table) bad(where(item.place), "a table is wanted");
+            config::Placed placed;
+            placed.address = "127.0.0.1:1";  // nothing is sent
+            placed.entry.kind = section == "parent"   ? site.settings.parent_kind
+                                : section == "origin" ? site.settings.origin_kind
+                                                      : -1;
+            for (const auto& [key, value] : *table) {
+                const auto text = std::get_if<std::string>(&value.value);
+                const auto whole = std::get_if<std::int64_t>(&value.value);
+                const auto real = std::get_if<double>(&value.value);
+                const auto place = [&](const std::vector<std::string>& names, const char* what) {
+                    if (!text) bad(where(value.place), key + ": a string is wanted");
+                    const auto found = std::find(names.begin(), names.end(), *text);
+                    if (found == names.end())
+                        bad(where(value.place), fmt::format("no {} '{}' in the settings", what, *text));
+                    return static_cast<int>(found - names.begin());
+                };
+                if (key == "name" && text && !text->empty())
+                    placed.entry.cache = *text;
+                else if (key == "at")
+                    placed.entry.zone = place(site.zones, "zone");
+                else if (key == "kind")
+                    placed.entry.kind = place(site.kinds, "kind");
+                else if (key == "weight" && (whole || real))
+                    placed.entry.weight = whole ? static_cast<double>(*whole) : *real;
+                else
+                    bad(where(value.key_place), "name, at, weight and kind are read, not " + key);
+            }
+            if (placed.entry.cache.empty() || placed.entry.zone < 0)
+                bad(where(item.place), "name or at is missing");
+            change.members.push_back(std::move(placed));
+        }
+    }
+    return {change};
+}
+
+std::string seconds_since(std::chrono::steady_clock::time_point start) {
+    return fmt::format("{:.1f} s",
+                       std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count());
+}
+
+std::string xml(const std::string& text) {
+    std::string out;
+    for (const char c : text)
+        out += c == '<'   ? "&lt;"
+               : c == '&' ? "&amp;"
+               : c == '"' ? "&quot;"
+               : c == '>' ? "&gt;"
+                          : std::string(1, static_cast<unsigned char>(c) < 32 ? ' ' : c);
+    return out;
+}
+
+std::string case_name(const std::string& name) {
+    std::string file;
+    for (const char c : name) file += std::isalnum(static_cast<unsigned char>(c)) ? c : '-';
+    return file.substr(0, 80) + ".case.json";
+}
+
+struct Result {
+    expect::Verdict verdict;
+    expect::Tally tally;
+    std::optional<expect::Counterexample> example;
+    std::string example_file;
+};
+
+void write_junit(const std::string& path, const expect::Suite& suite, const std::vector<Result>& results) {
+    const auto count = [&](auto holds) {
+        return std::count_if(results.begin(), results.end(),
+                             [&](const Result& r) { return holds(r.verdict.holds); });
+    };
+    std::ofstream file(path);
+    file << "<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n"
+         << fmt::format("<testsuite name=\"expectations\" tests=\"{}\" failures=\"{}\" errors=\"{}\">\n",
+                        results.size(), count([](Holds h) { return h == Holds::broken; }),
+                        count([](Holds h) { return h == Holds::undecided || h == Holds::never_applied; }));
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        const expect::Expectation& one = suite.expectations[i];
+        const Result& result = results[i];
+        file << fmt::format("  <testcase classname=\"expect\" name=\"{}\">", xml(one.name));
+        if (result.verdict.holds == Holds::broken)
+            file << fmt::format("<failure message=\"{}\">{}</failure>",
+                                xml(result.tally.first ? result.tally.first->what : result.verdict.text),
+                                xml(one.reason));
+        else if (result.verdict.holds != Holds::yes)
+            file << fmt::format("<error message=\"{}\"/>", xml(result.verdict.text));
+        file << "</testcase>\n";
+    }
+    file << "</testsuite>\n";
+    file.flush();
+    if (!file) bad(path, "can't be written");
+}
+
+int status_of(const std::vector<Result>& results) {
+    int status = 0;
+    for (const Result& result : results) {
+        if (result.verdict.holds == Holds::broken) return 1;
+        if (result.verdict.holds != Holds::yes) status = 2;
+    }
+    return status;
+}
+
+// Prints a replay step by step and marks the decision that broke the expectation.
+class Narrator : public expect::Judge {
+  public:
+    using Judge::Judge;
+    bool wants_steps() const override { return true; }
+    void step(expect::Micros at, const std::string& words) override {
+        fmt::print("{:10.3f} ms  {}\n", static_cast<double>(at) / 1e3, words);
+    }
+    void decided(const expect::Ask& ask, const expect::Decision& made,
+                 const std::vector<expect::ToldState>& told) override {
+        const auto before = tallies()[0].broken;
+        Judge::decided(ask, made, told);
+        mark(before);
+    }
+    void ended(const expect::Ask& ask, const expect::RequestEnd& end,
+               const std::vector<expect::ToldState>& told) override {
+        const auto before = tallies()[0].broken;
+        Judge::ended(ask, end, told);
+        fmt::print("{:10.3f} ms       request {}: {} after {} attempts\n",
+                   static_cast<double>(ask.at + end.took) / 1e3, end.request, name_of(end.how), end.attempts);
+        mark(before);
+    }
+
+  private:
+    void mark(std::uint64_t before) {
+        if (tallies()[0].broken > before) fmt::print("{:>14}  ^^^  this breaks it\n", "");
+    }
+};
+
+}  // namespace
+
+expect::Fleet load_fleet(const FleetFrom& from) {
+    if (from.config.empty()) throw config::ConfigError("no configuration for the settings: give --config");
+    const Json::Value root = config::parse(file_text(from.config), from.config);
+    if (!root.isObject() || !root["settings"].isObject()) bad(from.config, "settings is missing");
+    const std::string settings = compact(root["settings"]);
+    const config::Site site = config::read_site(settings);
+    if (!from.list.empty()) return expect::make_fleet(settings, read_list(from.list, site));
+    if (!from.changes.empty()) return expect::make_fleet(settings, read_changes(from.changes, site));
+    if (!from.fleet.empty()) return expect::make_fleet(settings, read_description(from.fleet, site));
+    return expect::make_fleet(settings, config::load_config(from.config).known);
+}
+
+SuiteRun run_suite(const expect::Fleet& fleet, const expect::Suite& suite, int threads,
+                   const std::function<bool(std::size_t, std::size_t)>& done) {
+    SuiteRun run;
+    run.worlds = expect::enumerate(fleet, suite);
+    std::vector<std::optional<expect::Outcome>> outcomes(run.worlds.size());
+    std::atomic<std::size_t> next = 0, finished = 0;
+    std::atomic<bool> stop = false;
+    std::mutex mutex;
+    std::condition_variable progress;
+    const auto work = [&] {
+        for (std::size_t i; !stop && (i = next++) < run.worlds.size();) {
+            outcomes[i] = expect::run_world(run.worlds[i], fleet, suite);
+            ++finished;
+            progress.notify_one();
+        }
+    };
+    const int cores = std::max(1, static_cast<int>(std::thread::hardware_concurrency()));
+    std::vector<std::thread> workers;
+    for (int i = 0; i < (threads > 0 ? threads : cores); ++i) workers.emplace_back(work);
+    while (finished < run.worlds.size() && !stop) {
+        std::unique_lock held(mutex);
+        progress.wait_for(held, std::chrono::milliseconds(50));
+        if (!done(finished, run.worlds.size())) stop = true;
+    }
+    for (std::thread& worker : workers) worker.join();
+    // Added up in the order of worlds, whoever ran them.
+    run.tallies.resize(suite.expectations.size());
+    for (const auto& outcome : outcomes) {
+        if (!outcome) continue;
+        ++run.worlds_run;
+        run.decisions += outcome->decisions;
+        run.requests += outcome->requests;
+        for (std::size_t i = 0; i < run.tallies.size(); ++i) run.tallies[i].add(outcome->tallies[i]);
+    }
+    return run;
+}
+
+int expect_run(const ExpectFlags& flags) {
+    const expect::Fleet fleet = load_fleet(flags.from);
+    const expect::Suite suite =
+        expect::read_suite(config::read_toml(file_text(flags.file), flags.file), flags.file, fleet);
+    const auto start = std::chrono::steady_clock::now();
+    const bool show_progress = !flags.quiet && isatty(2);
+    auto shown = start;
+    const SuiteRun run = run_suite(fleet, suite, flags.threads, [&](std::size_t ready, std::size_t of) {
+        const auto now = std::chrono::steady_clock::now();
+        if (show_progress && now - shown > std::chrono::milliseconds(500)) {
+            shown = now;
+            fmt::print(stderr, "\r{} of {} worlds", ready, of);
+        }
+        return true;
+    });
+    if (show_progress && shown != start) fmt::print(stderr, "\r{:40}\r", "");
+    std::vector<Result> results;
+    for (std::size_t i = 0; i < suite.expectations.size(); ++i) {
+        Result result{expect::verdict_of(suite.expectations[i], run.tallies[i]), run.tallies[i], {}, {}};
+        if (result.tally.first) {
+            result.example = expect::shrink(run.worlds[result.tally.first->world], fleet, suite, i);
+            if (result.example && !flags.cases.empty()) {
+                std::error_code ignored;
+                std::filesystem::create_directories(flags.cases, ignored);
+                result.example_file = flags.cases + '/' + case_name(suite.expectations[i].name);
+                std::ofstream file(result.example_file);
+                file << expect::write_case(fleet, suite.expectations[i], *result.example);
+                file.flush();
+                if (!file) bad(result.example_file, "can't be written");
+            }
+        }
+        results.push_back(std::move(result));
+    }
+    if (!flags.junit.empty()) write_junit(flags.junit, suite, results);
+    if (flags.json) {
+        Json::Value root;
+        root["worlds"] = Json::UInt64{run.worlds_run};
+        root["requests"] = Json::UInt64{run.requests};
+        root["decisions"] = Json::UInt64{run.decisions};
+        root["expectations"] = Json::arrayValue;
+        for (std::size_t i = 0; i < results.size(); ++i) {
+            Json::Value one;
+            one["name"] = suite.expectations[i].name;
+            one["reason"] = suite.expectations[i].reason;
+            one["rule"] = suite.expectations[i].text();
+            one["holds"] = name_of(results[i].verdict.holds);
+            one["applied"] = Json::UInt64{results[i].tally.applied};
+            one["broken"] = Json::UInt64{results[i].tally.broken};
+            if (expect::is_share(suite.expectations[i].rule)) {
+                one["share"] = results[i].verdict.share;
+                one["lower"] = results[i].verdict.lower;
+                one["upper"] = results[i].verdict.upper;
+            }
+            if (results[i].tally.first) {
+                one["world"] = run.worlds[results[i].tally.first->world].title;
+                one["what"] = results[i].tally.first->what;
+            }
+            if (!results[i].example_file.empty()) one["case"] = results[i].example_file;
+            root["expectations"].append(one);
+        }
+        Json::StreamWriterBuilder builder;
+        fmt::print("{}\n", Json::writeString(builder, root));
+        return status_of(results);
+    }
+    std::size_t wide = 4;
+    for (const expect::Expectation& one : suite.expectations) wide = std::max(wide, one.name.size());
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        const expect::Expectation& one = suite.expectations[i];
+        const Result& result = results[i];
+        fmt::print("{:13}  {:{}}  {}\n", name_of(result.verdict.holds), one.name, wide, result.verdict.text);
+        if (result.verdict.holds != Holds::broken) continue;
+        fmt::print("{:15}because: {}\n", "", one.reason);
+        if (!result.tally.first) continue;
+        fmt::print("{:15}in {}: {}\n", "", run.worlds[result.tally.first->world].title,
+                   result.tally.first->what);
+        if (result.example)
+            fmt::print("{:15}smallest: {} happenings, {} requests{}\n", "",
+                       result.example->world.happenings.size(), result.example->asks.size(),
+                       result.example_file.empty() ? "" : "; sumackeel expect replay " + result.example_file);
+    }
+    fmt::print("\n{} worlds, {} requests, {} decisions, {} expectations in {}\n", run.worlds_run,
+               run.requests, run.decisions, results.size(), seconds_since(start));
+    return status_of(results);
+}
+
+int expect_list(const ExpectFlags& flags) {
+    const expect::Fleet fleet = load_fleet(flags.from);
+    const expect::Suite suite =
+        expect::read_suite(config::read_toml(file_text(flags.file), flags.file), flags.file, fleet);
+    for (const expect::Expectation& one : suite.expectations)
+        fmt::print("{}\n    {}\n    because: {}\n", one.name, one.text(), one.reason);
+    const auto worlds = expect::enumerate(fleet, suite);
+    fmt::print("\n{} members, {} schools, {} worlds\n", fleet.members.size(), fleet.schools().size(),
+               worlds.size());
+    return 0;
+}
+
+int expect_explain(const ExpectFlags& flags) {
+    const expect::Fleet fleet = load_fleet(flags.from);
+    const expect::Suite suite =
+        expect::read_suite(config::read_toml(file_text(flags.file), flags.file), flags.file, fleet);
+    for (const expect::Expectation& one : suite.expectations) {
+        if (one.name != flags.name) continue;
+        fmt::print("{}\n    {}\n    because: {}\n", one.name, one.text(), one.reason);
+        std::vector<std::string> members, classes, schools;
+        for (std::size_t i = 0; i < fleet.members.size(); ++i)
+            if (one.group.matches(fleet, i)) members.push_back(fleet.name(i));
+        for (const int service : one.classes) classes.push_back(fleet.site.classes[service]);
+        for (const int school : one.schools) schools.push_back(fleet.site.zones[school]);
+        fmt::print("    speaks of: {}\n", fmt::join(members, ", "));
+        fmt::print("    requests of class: {}\n",
+                   classes.empty() ? "any" : fmt::format("{}", fmt::join(classes, ", ")));
+        fmt::print("    from school: {}\n",
+                   schools.empty() ? "any" : fmt::format("{}", fmt::join(schools, ", ")));
+        std::size_t count = 0;
+        for (const expect::World& world : expect::enumerate(fleet, suite))
+            count += one.schools.empty() ||
+                     std::find(one.schools.begin(), one.schools.end(), world.school) != one.schools.end();
+        fmt::print("    worlds of these schools: {}\n", count);
+        return 0;
+    }
+    fmt::print(stderr, "sumackeel: {}: no expectation '{}'\n", flags.file, flags.name);
+    return 2;
+}
+
+int expect_replay(const ExpectFlags& flags) {
+    const expect::Case one = expect::read_case(file_text(flags.file), flags.file);
+    fmt::print("{}\n    {}\n    because: {}\nworld: {}\n\n", one.suite.expectations[0].name,
+               one.suite.expectations[0].text(), one.suite.expectations[0].reason, one.world.title);
+    Narrator narrator(one.fleet, one.suite.expectations, one.world);
+    expect::play(one.world, one.fleet, one.asks, narrator);
+    const auto& tally = narrator.tallies()[0];
+    fmt::print("\napplied {} times, broken {}\n", tally.applied, tally.broken);
+    return tally.broken ? 1 : 0;
+}
+
+int expect_diff(const ExpectFlags& flags) {
+    const expect::Fleet before = load_fleet(flags.from), after = load_fleet(flags.with);
+    expect::Traffic traffic;
+    if (!flags.file.empty())
+        traffic = expect::read_suite(config::read_toml(file_text(flags.file), flags.file), flags.file, before)
+                      .traffic;
+    if (traffic.mix.empty()) {
+        traffic.mix.assign(before.site.classes.size(), 1.0);
+        for (const auto& service : before.site.settings.classes)
+            traffic.size_kb.push_back(before.site.settings.pace_kb_per_s * static_cast<double>(service.aim) /
+                                      3e6);
+    }
+    traffic.seconds = std::max(traffic.seconds, 20.0);
+    const expect::Difference difference = expect::compare(before, after, traffic, 1);
+    bool any = !difference.only_old.empty() || !difference.only_new.empty();
+    if (flags.json) {
+        Json::Value root;
+        root["moved"] = Json::arrayValue;
+        for (const expect::Moved& moved : difference.moved) {
+            any = any || moved.to_other_box || moved.from_other_source;
+            Json::Value one;
+            one["school"] = moved.school, one["class"] = moved.service;
+            one["requests"] = Json::UInt64{moved.requests};
+            for (const auto& [name, bounds] : {std::pair("box", moved.box), std::pair("source", moved.source),
+                                               std::pair("copies_lost", moved.copies)}) {
+                one[name]["share"] = bounds.share, one[name]["lower"] = bounds.lower,
+                one[name]["upper"] = bounds.upper;
+            }
+            root["moved"].append(one);
+        }
+        for (const std::string& name : difference.only_old) root["only_old"].append(name);
+        for (const std::string& name : difference.only_new) root["only_new"].append(name);
+        Json::StreamWriterBuilder builder;
+        fmt::print("{}\n", Json::writeString(builder, root));
+        return any ? 1 : 0;
+    }
+    const auto shown = [](const expect::Bounds& b) {
+        return fmt::format("{:5.1f}% ({:.1f} to {:.1f})", 100 * b.share, 100 * b.lower, 100 * b.upper);
+    };
+    fmt::print("{:12}  {:10}  {:>8}  {:24}  {:24}  copies lost\n", "school", "class", "requests",
+               "to another box", "filled from elsewhere");
+    for (const expect::Moved& moved : difference.moved) {
+        any = any || moved.to_other_box || moved.from_other_source;
+        fmt::print("{:12}  {:10}  {:>8}  {:24}  {:24}  {}\n", moved.school, moved.service, moved.requests,
+                   shown(moved.box), shown(moved.source),
+                   moved.objects
+                       ? fmt::format("{} of {}, {}", moved.homes_moved, moved.objects, shown(moved.copies))
+                       : "-");
+    }
+    for (const std::string& name : difference.only_old) fmt::print("- {}\n", name);
+    for (const std::string& name : difference.only_new) fmt::print("+ {}\n", name);
+    return any ? 1 : 0;
+}
+
+}  // namespace sumackeel::cli
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -203,8 +203,8 @@
 void Fleet::leaving() {
     if (!keeper_) return;
     const saved_list::KeeperFigures& figures = keeper_->figures();
-    log::info("saved list: ended, written={} failed={} bytes={} longest_us={}", figures.written, figures.failed,
-              figures.bytes, figures.longest_snapshot);
+    log::info("saved list: ended, written={} failed={} bytes={} longest_us={}", figures.written,
+              figures.failed, figures.bytes, figures.longest_snapshot);
     keeper_->flush();
 }
 
--- /dev/null
+++ b/src/expect/case.cpp
@@ -0,0 +1,158 @@
+#include "expect/case.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+
+#include "config/read.h"
+
+namespace sumackeel::expect {
+
+using config::bad;
+using config::Node;
+using Json::Value;
+
+namespace {
+
+constexpr int kVersion = 1;
+constexpr std::size_t kMostAsks = 1'000'000, kMostHappenings = 100'000;
+constexpr const char* kStates[] = {"SERVING", "DRAINING", "DELETED"};
+
+Value json_of(const Node& node) {
+    if (const auto flag = std::get_if<bool>(&node.value)) return *flag;
+    if (const auto whole = std::get_if<std::int64_t>(&node.value)) return Json::Int64{*whole};
+    if (const auto real = std::get_if<double>(&node.value)) return *real;
+    if (const auto text = std::get_if<std::string>(&node.value)) return *text;
+    if (const auto list = std::get_if<Node::List>(&node.value)) {
+        Value all(Json::arrayValue);
+        for (const Node& item : *list) all.append(json_of(item));
+        return all;
+    }
+    Value all(Json::objectValue);
+    if (const auto table = std::get_if<Node::Table>(&node.value))
+        for (const auto& [key, item] : *table) all[key] = json_of(item);
+    return all;
+}
+
+std::string text_of(const Value& value, bool compact) {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = compact ? "" : " ";
+    return Json::writeString(builder, value);
+}
+
+}  // namespace
+
+std::string write_case(const Fleet& fleet, const Expectation& expectation, const Counterexample& example) {
+    Value root;
+    root["version"] = kVersion;
+    root["settings"] = config::parse(fleet.settings_text, "settings");
+    Value& hosts = root["hosts"] = Value(Json::arrayValue);
+    for (std::size_t i = 0; i < fleet.members.size(); ++i) {
+        const auto& entry = fleet.members[i].entry;
+        Value one;
+        one["host"] = entry.cache;
+        one["dial"] = fleet.members[i].address;
+        one["site"] = fleet.zone_of(i);
+        if (entry.kind >= 0) one["class"] = fleet.site.kinds[entry.kind];
+        one["block"] = Json::Int64{entry.cell};
+        one["share"] = entry.weight;
+        one["health"] = kStates[static_cast<std::size_t>(entry.state)];
+        hosts.append(one);
+    }
+    root["expect"] = json_of(expectation.source);
+    Value& world = root["world"];
+    world["title"] = example.world.title;
+    world["school"] = fleet.site.zones[example.world.school];
+    world["seed"] = std::to_string(example.world.seed);  // beyond what JSON numbers hold exactly
+    world["happenings"] = Value(Json::arrayValue);
+    for (const Happening& one : example.world.happenings) {
+        Value item;
+        item["at_us"] = Json::Int64{one.at};
+        item["trouble"] = name_of(one.trouble);
+        item["member"] = fleet.name(one.member);
+        world["happenings"].append(item);
+    }
+    root["requests"] = Value(Json::arrayValue);
+    for (const Ask& ask : example.asks) {
+        Value item;
+        item["at_us"] = Json::Int64{ask.at};
+        item["number"] = ask.number;
+        item["class"] = fleet.site.classes[ask.service];
+        item["object"] = ask.object;
+        item["part"] = ask.part;
+        item["size_kb"] = ask.size_kb;
+        root["requests"].append(item);
+    }
+    root["broken"]["request"] = example.broken.request;
+    root["broken"]["at_us"] = Json::Int64{example.broken.at};
+    root["broken"]["what"] = example.broken.what;
+    return text_of(root, false) + "\n";
+}
+
+Case read_case(const std::string& text, const std::string& file) {
+    const Value root = config::parse(text, file);
+    if (!root.isObject()) bad(file, "no counterexample");
+    const int version = config::need<int>(root, "version", file);
+    if (version != kVersion) bad(file + ".version", "this program reads version 1");
+    for (const char* key : {"settings", "expect", "world"})
+        if (!root[key].isObject()) bad(file, std::string(key) + " is missing or not an object");
+    for (const char* key : {"hosts", "requests"})
+        if (!root[key].isArray()) bad(file, std::string(key) + " is missing or not a list");
+    Case one;
+    const std::string settings = text_of(root["settings"], true);
+    const config::Site site = config::read_site(settings);
+    Value event;
+    event["seq"] = 1;
+    event["fleet"]["whole"] = true;
+    event["fleet"]["hosts"] = root["hosts"];
+    one.fleet = make_fleet(settings, {config::read_change(event, site)});
+    Value suite;
+    suite["expect"] = Value(Json::arrayValue);
+    suite["expect"].append(root["expect"]);
+    one.suite = read_suite(config::read_json(text_of(suite, true), file), file, one.fleet);
+    const Value& world = root["world"];
+    config::take(world, "title", one.world.title, file);
+    const auto school = config::need<std::string>(world, "school", file + ".world");
+    const auto zone = std::find(site.zones.begin(), site.zones.end(), school);
+    if (zone == site.zones.end()) bad(file + ".world.school", "no school '" + school + "'");
+    one.world.school = static_cast<int>(zone - site.zones.begin());
+    const auto seed = config::need<std::string>(world, "seed", file + ".world");
+    if (seed.empty() || seed.size() > 20 || seed.find_first_not_of("0123456789") != std::string::npos)
+        bad(file + ".world.seed", "no whole number");
+    one.world.seed = std::strtoull(seed.c_str(), nullptr, 10);
+    if (world["happenings"].size() > kMostHappenings || root["requests"].size() > kMostAsks)
+        bad(file, "more happenings or requests than any run has");
+    const auto at_of = [&](const Value& item) {
+        const auto at = config::need<std::int64_t>(item, "at_us", file);
+        if (at < 0 || at > 86'400'000'000) bad(file + ".at_us", "not within a day");
+        return at;
+    };
+    for (const Value& item : world["happenings"]) {
+        Happening happening;
+        happening.at = at_of(item);
+        const auto trouble = trouble_of(config::need<std::string>(item, "trouble", file));
+        happening.member = one.fleet.find(config::need<std::string>(item, "member", file));
+        if (!trouble || happening.member < 0) bad(file + ".world.happenings", "an unknown trouble or member");
+        happening.trouble = *trouble;
+        one.world.happenings.push_back(happening);
+    }
+    for (const Value& item : root["requests"]) {
+        Ask ask;
+        ask.at = at_of(item);
+        ask.number = config::need<int>(item, "number", file);
+        const auto service = config::need<std::string>(item, "class", file);
+        const auto found = std::find(site.classes.begin(), site.classes.end(), service);
+        if (found == site.classes.end()) bad(file + ".requests", "no class '" + service + "'");
+        ask.service = static_cast<int>(found - site.classes.begin());
+        ask.object = config::need<int>(item, "object", file);
+        config::take(item, "part", ask.part, file);
+        ask.size_kb = config::need<double>(item, "size_kb", file);
+        if (!(ask.size_kb >= 0 && ask.size_kb <= 1e9)) bad(file + ".requests.size_kb", "no size");
+        one.asks.push_back(ask);
+    }
+    std::stable_sort(one.asks.begin(), one.asks.end(),
+                     [](const Ask& a, const Ask& b) { return a.at < b.at; });
+    return one;
+}
+
+}  // namespace sumackeel::expect
--- /dev/null
+++ b/src/expect/compare.cpp
@@ -0,0 +1,106 @@
+#include "expect/compare.h"
+
+#include <algorithm>
+#include <boost/math/distributions/beta.hpp>
+#include <map>
+#include <set>
+
+namespace sumackeel::expect {
+
+namespace {
+
+constexpr double kTail = 0.025;  // 95% confidence, both sides
+
+struct Went {
+    std::string target, source;
+};
+
+// The first attempt of each request.
+class FirstChoices : public Watcher {
+  public:
+    explicit FirstChoices(const Fleet& fleet) : fleet_(fleet) {}
+    void decided(const Ask& ask, const Decision& made, const std::vector<ToldState>&) override {
+        if (made.attempt > 0) return;
+        went[ask.number] = {made.target < 0 ? "" : fleet_.name(made.target),
+                            made.source < 0 ? "" : fleet_.name(made.source)};
+    }
+    void ended(const Ask&, const RequestEnd&, const std::vector<ToldState>&) override {}
+    std::map<int, Went> went;
+
+  private:
+    const Fleet& fleet_;
+};
+
+std::set<std::string> school_names(const Fleet& fleet) {
+    std::set<std::string> names;
+    for (const int zone : fleet.schools()) names.insert(fleet.site.zones[zone]);
+    return names;
+}
+
+int zone_named(const Fleet& fleet, const std::string& name) {
+    const auto& zones = fleet.site.zones;
+    return static_cast<int>(std::find(zones.begin(), zones.end(), name) - zones.begin());
+}
+
+void only_in(const std::set<std::string>& these, const std::set<std::string>& those,
+             std::vector<std::string>& into) {
+    std::set_difference(these.begin(), these.end(), those.begin(), those.end(), std::back_inserter(into));
+}
+
+}  // namespace
+
+Bounds bounds_of(std::uint64_t counted, std::uint64_t of) {
+    using boost::math::beta_distribution;
+    if (of == 0) return {};
+    const auto k = static_cast<double>(counted), n = static_cast<double>(of);
+    return {k / n, k > 0 ? boost::math::quantile(beta_distribution<>(k, n - k + 1), kTail) : 0,
+            k < n ? boost::math::quantile(beta_distribution<>(k + 1, n - k), 1 - kTail) : 1};
+}
+
+Difference compare(const Fleet& before, const Fleet& after, const Traffic& traffic, std::uint64_t seed) {
+    Difference difference;
+    const auto old_schools = school_names(before), new_schools = school_names(after);
+    only_in(old_schools, new_schools, difference.only_old);
+    only_in(new_schools, old_schools, difference.only_new);
+    std::set<std::string> old_members, new_members;
+    for (std::size_t i = 0; i < before.members.size(); ++i) old_members.insert(before.name(i));
+    for (std::size_t i = 0; i < after.members.size(); ++i) new_members.insert(after.name(i));
+    only_in(old_members, new_members, difference.only_old);
+    only_in(new_members, old_members, difference.only_new);
+    for (const std::string& school : old_schools) {
+        if (!new_schools.contains(school)) continue;
+        World world;
+        world.school = zone_named(before, school);
+        world.seed = seed;
+        const std::vector<Ask> asks = traffic_of(world, before, traffic);
+        FirstChoices old_choices(before), new_choices(after);
+        play(world, before, asks, old_choices);
+        world.school = zone_named(after, school);
+        play(world, after, asks, new_choices);
+        std::map<int, Moved> by_service;
+        std::map<std::pair<int, int>, bool> homes;  // the first request for each part tells its home
+        for (const Ask& ask : asks) {
+            const auto was = old_choices.went.find(ask.number), is = new_choices.went.find(ask.number);
+            if (was == old_choices.went.end() || is == new_choices.went.end()) continue;
+            Moved& moved = by_service[ask.service];
+            ++moved.requests;
+            const bool other = was->second.target != is->second.target;
+            moved.to_other_box += other;
+            moved.from_other_source += was->second.source != is->second.source;
+            if (!before.site.settings.classes[ask.service].uncached &&
+                homes.emplace(std::pair(ask.service, ask.object), other).second)
+                ++moved.objects, moved.homes_moved += other;
+        }
+        for (auto& [service, moved] : by_service) {
+            moved.school = school;
+            moved.service = before.site.classes[service];
+            moved.box = bounds_of(moved.to_other_box, moved.requests);
+            moved.source = bounds_of(moved.from_other_source, moved.requests);
+            moved.copies = bounds_of(moved.homes_moved, moved.objects);
+            difference.moved.push_back(std::move(moved));
+        }
+    }
+    return difference;
+}
+
+}  // namespace sumackeel::expect
--- /dev/null
+++ b/src/expect/drive.cpp
@@ -0,0 +1,416 @@
+#include "expect/drive.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <set>
+#include <unordered_map>
+
+namespace sumackeel::expect {
+
+using nettlethread::CacheState;
+using nettlethread::Note;
+using nettlethread::Verdict;
+
+namespace {
+
+constexpr Micros kMs = 1'000;
+constexpr Micros kBegin =
+    1'700'000'000LL * base::kSecond;       // any moment will do; the router has no other clock
+constexpr Micros kRefusal = 1 * kMs;       // a connection refused, or a box that is full, says so at once
+constexpr Micros kNear = 2 * kMs;          // to a box of the school and back
+constexpr Micros kFillWay = 40 * kMs;      // to a source's first byte
+constexpr Micros kOriginWay = 60 * kMs;    // the same through a parent from the origin
+constexpr Micros kToldLate = 2'000 * kMs;  // the list knows of a death this long after it
+constexpr double kColdPace = 3;            // a box at its coldest takes this many times as long
+
+struct MemberState {
+    bool refuses = false, silent = false, fails_fills = false, full = false, stale = false;
+    Micros cold_since = -1;               // below 0: warm
+    std::set<std::pair<int, int>> holds;  // object and part
+};
+
+struct Open {
+    const Ask* ask = nullptr;
+    int attempts = 0;
+    bool may_have_run = false;
+    Micros deadline = 0;
+    Micros first_at = 0;
+    int first_target = -1;
+    std::map<int, std::pair<int, int>> out;  // attempt to target and source
+};
+
+class Run {
+  public:
+    Run(const World& world, const Fleet& fleet, const std::vector<Ask>& asks, Watcher& watcher)
+        : world_(world),
+          fleet_(fleet),
+          asks_(asks),
+          watcher_(watcher),
+          settings_(settings_of(fleet, world)),
+          router_(settings_, world.seed),
+          members_(fleet.members.size()),
+          told_(fleet.members.size()) {
+        for (std::size_t i = 0; i < fleet.members.size(); ++i) places_[fleet.name(i)] = static_cast<int>(i);
+    }
+
+    void go() {
+        std::vector<nettlethread::CacheEntry> entries;
+        for (std::size_t i = 0; i < fleet_.members.size(); ++i) {
+            nettlethread::CacheEntry entry = fleet_.members[i].entry;
+            entry.since = 0;
+            told_[i].told = entry.state == CacheState::ready ? Told::up : Told::draining;
+            entries.push_back(entry);
+        }
+        for (const Happening& one : world_.happenings) at(one.at, [this, &one] { happen(one); });
+        feed(nettlethread::ListNews{1, nettlethread::ListKind::full, std::move(entries)},
+             [] { return "list: the whole fleet"; });
+        for (const Ask& ask : asks_) at(ask.at, [this, &ask] { arrive(ask); });
+        // The last requests are followed to their end, and no further.
+        while (!due_.empty() && !watcher_.enough()) {
+            if (open_.empty() && arrived_ == asks_.size()) break;
+            Due next = std::move(const_cast<Due&>(due_.top()));
+            due_.pop();
+            now_ = next.when;
+            next.what();
+        }
+    }
+
+  private:
+    struct Due {
+        Micros when;
+        std::uint64_t order;  // of two at one moment the one set first comes first
+        std::function<void()> what;
+        bool operator<(const Due& other) const {
+            return std::tie(when, order) > std::tie(other.when, other.order);
+        }
+    };
+
+    static nettlethread::Settings settings_of(const Fleet& fleet, const World& world) {
+        nettlethread::Settings settings = fleet.site.settings;
+        settings.my_zone = world.school;
+        return settings;
+    }
+
+    void at(Micros when, std::function<void()> what) {
+        due_.push({std::max(when, now_), order_++, std::move(what)});
+    }
+
+    template <typename Words>
+    void say(const Words& words) {
+        if (watcher_.wants_steps()) watcher_.step(now_, words());
+    }
+
+    // `words` is only called where somebody reads them.
+    template <typename Words>
+    void feed(const nettlethread::Event& event, const Words& words) {
+        say([&] { return "in   " + std::string(words()); });
+        std::vector<nettlethread::Action> actions;
+        router_.handle(kBegin + now_, event, actions);
+        for (const nettlethread::Action& action : actions)
+            std::visit([this](const auto& a) { carry_out(a); }, action);
+    }
+
+    // ---- what goes wrong ----
+    void tell(int member, Told told, Micros since_start = 0) {
+        nettlethread::CacheEntry entry = fleet_.members[member].entry;
+        entry.state = told == Told::gone       ? CacheState::gone
+                      : told == Told::draining ? CacheState::draining
+                                               : CacheState::ready;
+        entry.since = since_start;
+        told_[member] = {told, now_};
+        feed(nettlethread::ListNews{2, nettlethread::ListKind::changes, {entry}},
+             [&] { return fmt::format("list: {} is {}", entry.cache, name_of(told)); });
+    }
+
+    void happen(const Happening& one) {
+        MemberState& member = members_[one.member];
+        const bool tells = one.trouble == Trouble::drain || one.trouble == Trouble::back_cold;
+        if (!tells)
+            say([&] { return fmt::format("     {} {}", fleet_.name(one.member), name_of(one.trouble)); });
+        switch (one.trouble) {
+            case Trouble::drain:
+                return tell(one.member, Told::draining);
+            case Trouble::dies:
+            case Trouble::vanishes:
+                member.refuses = one.trouble == Trouble::dies;
+                member.silent = one.trouble == Trouble::vanishes;
+                member.holds.clear();
+                if (member.refuses) break_off(one.member);
+                ++deaths_[one.member];
+                return at(now_ + kToldLate, [this, who = one.member, death = deaths_[one.member]] {
+                    if (deaths_[who] == death) tell(who, Told::gone);
+                });
+            case Trouble::back_cold:
+                member = MemberState{};
+                member.cold_since = now_;
+                ++deaths_[one.member];
+                at(now_ + warm_time(one.member), [this, who = one.member, life = deaths_[one.member]] {
+                    if (deaths_[who] == life && told_[who].told == Told::cold) told_[who] = {Told::up, now_};
+                });
+                return tell(one.member, Told::cold, kBegin + now_);
+            case Trouble::fails_fills:
+                member.fails_fills = true;
+                return;
+            case Trouble::full:
+                member.full = true;
+                return;
+            case Trouble::stale_report:
+                member.stale = true;
+                return;
+        }
+    }
+
+    Micros warm_time(int member) const {
+        return fleet_.kind_of(member) == Kind::parent ? settings_.parent_ramp : settings_.warm_after;
+    }
+
+    // A process that dies resets what is open on its connections.
+    void break_off(int member) {
+        std::vector<std::pair<std::string, int>> lost;
+        for (const auto& [id, open] : open_)
+            for (const auto& [attempt, where] : open.out)
+                if (where.first == member) lost.emplace_back(id, attempt);
+        for (const auto& [id, attempt] : lost)
+            at(now_, [this, id, attempt] { land(id, attempt, Verdict::broken_off, Note::none, 0); });
+    }
+
+    // ---- requests ----
+    void arrive(const Ask& ask) {
+        ++arrived_;
+        const auto& service = settings_.classes[ask.service];
+        nettlethread::Arrival arrival;
+        arrival.id = std::to_string(ask.number);
+        arrival.service = ask.service;
+        arrival.object = service.uncached ? "" : object_name(ask.object);
+        arrival.group = group_of(ask.object);
+        arrival.part = ask.part;
+        arrival.size_kb = ask.size_kb;
+        arrival.grace = service.give_up;
+        arrival.write = service.uncached;
+        Open& open = open_[arrival.id];
+        open.ask = &ask;
+        open.deadline = now_ + service.give_up;
+        at(open.deadline, [this, id = arrival.id] { give_up(id); });
+        feed(arrival, [&] {
+            return fmt::format("request {}: {} of object {}", ask.number, fleet_.site.classes[ask.service],
+                               service.uncached ? "-" : arrival.object);
+        });
+    }
+
+    void finish(const std::string& id, Ended how) {
+        const auto found = open_.find(id);
+        if (found == open_.end()) return;
+        const Open open = std::move(found->second);
+        open_.erase(found);
+        watcher_.ended(*open.ask, {open.ask->number, how, open.attempts, now_ - open.ask->at}, told_);
+    }
+
+    void give_up(const std::string& id) {
+        if (!open_.contains(id)) return;
+        finish(id, Ended::unanswered);
+        feed(nettlethread::ClientLeft{id}, [&] { return fmt::format("request {}: its client left", id); });
+    }
+
+    void land(const std::string& id, int attempt, Verdict verdict, Note note, Micros first_byte) {
+        const auto found = open_.find(id);
+        nettlethread::Outcome outcome;
+        outcome.id = id;
+        outcome.attempt = attempt;
+        outcome.verdict = verdict;
+        outcome.note = note;
+        outcome.first_byte = first_byte;
+        const auto key = std::pair(id, attempt);
+        const auto sent = sent_.find(key);
+        if (sent == sent_.end()) return;  // called off already
+        const auto [when, target] = sent->second;
+        sent_.erase(sent);
+        outcome.cache = fleet_.name(target);
+        outcome.took = now_ - when;
+        outcome.ended = verdict == Verdict::served || found == open_.end();
+        if (members_[target].stale) outcome.load = {.held = 500, .link = 20};
+        if (found != open_.end()) {
+            found->second.out.erase(attempt);
+            const bool never_ran = verdict == Verdict::full || verdict == Verdict::not_connected ||
+                                   verdict == Verdict::never_sent || verdict == Verdict::missing;
+            if (!never_ran) found->second.may_have_run = true;
+        }
+        const bool served = verdict == Verdict::served && found != open_.end();
+        static constexpr const char* kVerdicts[] = {"served",     "error",         "full",
+                                                    "timed out",  "not connected", "broken off",
+                                                    "called off", "never sent",    "missing"};
+        feed(outcome, [&] {
+            return fmt::format("request {}: attempt {} at {}: {}", id, attempt, outcome.cache,
+                               kVerdicts[static_cast<std::size_t>(verdict)]);
+        });
+        if (served) finish(id, Ended::served);
+    }
+
+    // ---- the router's actions ----
+    void carry_out(const nettlethread::Serve& serve) { send(serve); }
+    void carry_out(const nettlethread::LookUp& look) {
+        nettlethread::Serve serve;
+        serve.id = look.id;
+        serve.cache = serve.source = look.cache;
+        serve.timeout = look.timeout;
+        send(serve);
+    }
+    void carry_out(const nettlethread::SetTimer& timer) {
+        at(timer.at - kBegin, [this, token = timer.token] {
+            feed(nettlethread::TimerDue{token}, [&] { return fmt::format("timer {}", token); });
+        });
+    }
+    void carry_out(const nettlethread::Refuse& refuse) {
+        say([&] { return fmt::format("out  request {}: refused", refuse.id); });
+        finish(refuse.id, Ended::refused);
+    }
+    void carry_out(const nettlethread::Fail& fail) {
+        say([&] { return fmt::format("out  request {}: failed", fail.id); });
+        finish(fail.id, Ended::failed);
+    }
+    void carry_out(const nettlethread::Cancel& cancel) {
+        say([&] { return fmt::format("out  request {}: attempt {} called off", cancel.id, cancel.attempt); });
+        at(now_, [this, cancel] { land(cancel.id, cancel.attempt, Verdict::called_off, Note::none, 0); });
+    }
+    void carry_out(const nettlethread::Log& line) {
+        say([&] { return "log  " + line.text; });
+    }
+    template <typename Other>
+    void carry_out(const Other&) {}  // none of the others bears on where a request goes
+
+    void send(const nettlethread::Serve& serve) {
+        const auto found = open_.find(serve.id);
+        if (found == open_.end()) return;
+        Open& open = found->second;
+        const int target = place_of(serve.cache), source = place_of(serve.source);
+        Decision decision;
+        decision.at = now_;
+        decision.request = open.ask->number;
+        decision.attempt = open.attempts;
+        decision.target = target;
+        decision.source = source == target ? -1 : source < 0 ? -2 : source;
+        decision.rank = serve.rank;
+        decision.may_have_run = open.may_have_run || !open.out.empty();
+        if (open.attempts == 0) open.first_at = now_, open.first_target = target;
+        decision.first_at = open.first_at;
+        decision.first_target = open.first_target;
+        say([&] {
+            return fmt::format("out  request {}: attempt {} to {}{}", serve.id, open.attempts, serve.cache,
+                               decision.source < 0 ? "" : ", filled from " + serve.source);
+        });
+        watcher_.decided(*open.ask, decision, told_);
+        const int attempt = open.attempts++;
+        if (target < 0) return;
+        open.out[attempt] = {target, source};
+        sent_[{serve.id, attempt}] = {now_, target};
+        answer(serve, *open.ask, attempt, target, decision.source, open.deadline);
+    }
+
+    int place_of(const std::string& name) const {
+        const auto found = places_.find(name);
+        return found == places_.end() ? -1 : found->second;
+    }
+
+    // How long a transfer from this member takes against one that is warm.
+    double slowness(int member) const {
+        const MemberState& state = members_[member];
+        if (state.cold_since < 0) return 1;
+        const double warmed = static_cast<double>(now_ - state.cold_since) /
+                              static_cast<double>(std::max<Micros>(1, warm_time(member)));
+        return std::max(1.0, kColdPace - (kColdPace - 1) * warmed);
+    }
+
+    void answer(const nettlethread::Serve& serve, const Ask& ask, int attempt, int target, int source,
+                Micros deadline) {
+        const auto later = [&](Micros after, Verdict verdict, Note note = Note::none, Micros first_byte = 0) {
+            // Whatever comes after the attempt's own limit is not waited for.
+            const Micros limit =
+                serve.timeout > 0 ? std::min(serve.timeout, deadline - now_) : deadline - now_;
+            if (after > limit) after = limit, verdict = Verdict::timed_out, note = Note::none, first_byte = 0;
+            at(now_ + after, [this, id = serve.id, attempt, verdict, note, first_byte] {
+                land(id, attempt, verdict, note, first_byte);
+            });
+        };
+        MemberState& member = members_[target];
+        const Micros connect = settings_.connect_timeout > 0 ? settings_.connect_timeout : 400 * kMs;
+        if (member.refuses) return later(kRefusal, Verdict::not_connected);
+        if (member.silent) return later(connect, Verdict::not_connected);
+        if (member.full) return later(kRefusal, Verdict::full);
+        const double pace = std::max(1.0, settings_.pace_kb_per_s);
+        const auto work = static_cast<Micros>(ask.size_kb / pace * 1e6 * slowness(target));
+        const std::pair<int, int> part{ask.object, ask.part};
+        const bool origin = fleet_.kind_of(target) == Kind::origin;
+        const bool runs_there = settings_.classes[ask.service].uncached;
+        if (origin) return later(kOriginWay + work, Verdict::served, Note::hit);
+        if (!runs_there && member.holds.contains(part))
+            return later(kNear + work, Verdict::served, Note::hit);
+        if (source < 0) return later(kNear, Verdict::missing, Note::source_lacks);
+        MemberState& from = members_[source];
+        if (from.refuses) return later(kNear + kRefusal, Verdict::error, Note::source_lost, kRefusal);
+        if (from.silent) return later(connect, Verdict::error, Note::source_lost, connect);
+        if (from.fails_fills || from.full)
+            return later(kNear + kFillWay, Verdict::error, Note::source_refused, kFillWay);
+        const bool from_origin = fleet_.kind_of(source) == Kind::origin;
+        const bool held = from_origin || from.holds.contains(part);
+        if (!held && fleet_.kind_of(source) == Kind::cache)
+            return later(kNear + kFillWay, Verdict::missing, Note::source_lacks);
+        if (!held && serve.source_holds) return later(kNear + kFillWay, Verdict::missing, Note::source_lacks);
+        if (!held && !origin_up())
+            return later(kNear + kOriginWay, Verdict::error, Note::origin_failed, kOriginWay);
+        const Micros way = held && !from_origin ? kFillWay : kOriginWay;
+        if (!runs_there) {
+            if (!held && !serve.parent_skips) from.holds.insert(part);
+            if (serve.rank > 0) member.holds.insert(part);
+        }
+        later(way + static_cast<Micros>(static_cast<double>(work) * 1.2), Verdict::served,
+              held ? Note::filled : Note::filled_by_origin, way);
+    }
+
+    bool origin_up() const {
+        for (std::size_t i = 0; i < members_.size(); ++i)
+            if (fleet_.kind_of(i) == Kind::origin)
+                return !members_[i].refuses && !members_[i].silent && !members_[i].fails_fills;
+        return false;
+    }
+
+    const World& world_;
+    const Fleet& fleet_;
+    const std::vector<Ask>& asks_;
+    Watcher& watcher_;
+    const nettlethread::Settings settings_;
+    nettlethread::Router router_;
+    std::unordered_map<std::string, int> places_;
+    std::vector<MemberState> members_;
+    std::vector<ToldState> told_;
+    std::map<int, int> deaths_;  // a later life makes what was to be told of an earlier one void
+    std::map<std::string, Open> open_;
+    std::map<std::pair<std::string, int>, std::pair<Micros, int>> sent_;
+    std::priority_queue<Due> due_;
+    std::uint64_t order_ = 0;
+    std::size_t arrived_ = 0;
+    Micros now_ = 0;
+};
+
+}  // namespace
+
+const char* name_of(Ended ended) {
+    switch (ended) {
+        case Ended::served:
+            return "served";
+        case Ended::refused:
+            return "refused";
+        case Ended::failed:
+            return "failed";
+        case Ended::unanswered:
+            return "unanswered";
+    }
+    return "?";
+}
+
+void play(const World& world, const Fleet& fleet, const std::vector<Ask>& asks, Watcher& watcher) {
+    Run(world, fleet, asks, watcher).go();
+}
+
+}  // namespace sumackeel::expect
--- /dev/null
+++ b/src/expect/drive.h
@@ -0,0 +1,60 @@
+// Plays a world on a virtual clock: the real Router of one proxy, a fleet that answers it, and a watcher that
+// sees each decision. The same world gives the same run, whatever runs beside it.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "expect/world.h"
+
+namespace sumackeel::expect {
+
+// One attempt that the router asked for.
+struct Decision {
+    Micros at = 0;    // from the world's start
+    int request = 0;  // Ask::number
+    int attempt = 0;  // from 0
+    int target = -1,
+        source = -1;  // members; source -1 or the target itself: no fill; -2: a name not in the fleet
+    int rank = 0;
+    bool may_have_run = false;  // an attempt before it may have run
+    Micros first_at = 0;        // of the request's first attempt
+    int first_target = -1;
+};
+
+enum class Ended { served, refused, failed, unanswered };
+const char* name_of(Ended ended);
+
+// What the proxy was told of each member, and since when.
+struct ToldState {
+    Told told = Told::up;
+    Micros since = 0;  // of `told`
+};
+
+struct RequestEnd {
+    int request = 0;
+    Ended how = Ended::unanswered;
+    int attempts = 0;
+    Micros took = 0;
+};
+
+class Watcher {
+  public:
+    virtual ~Watcher() = default;
+    virtual void decided(const Ask& ask, const Decision& decision, const std::vector<ToldState>& told) = 0;
+    virtual void ended(const Ask& ask, const RequestEnd& end, const std::vector<ToldState>& told) = 0;
+    // For replays: each event that goes in and each action that comes out, in words.
+    virtual void step(Micros at, const std::string& words) {
+        static_cast<void>(at), static_cast<void>(words);
+    }
+    virtual bool wants_steps() const { return false; }
+    // True: nothing further is of interest.
+    virtual bool enough() const { return false; }
+};
+
+// `asks` in order of time.
+void play(const World& world, const Fleet& fleet, const std::vector<Ask>& asks, Watcher& watcher);
+
+}  // namespace sumackeel::expect
--- a/tests/daemon/box.h
+++ b/tests/daemon/box.h
@@ -158,9 +158,12 @@
                     asked.fields[rest.substr(0, equals)] = rest.substr(equals + 1, comma - equals - 1);
                 rest.erase(0, comma + 1);
             }
-            send_all(conn.fd, asked.id + " DONE digest=ab12,dated=1764576000123,tell=local 2\r\nok\r\n");
-            const std::lock_guard held(mutex_);
-            asked_.push_back(std::move(asked));
+            const std::string id = asked.id;
+            {
+                const std::lock_guard held(mutex_);  // counted before the client can know of it
+                asked_.push_back(std::move(asked));
+            }
+            send_all(conn.fd, id + " DONE digest=ab12,dated=1764576000123,tell=local 2\r\nok\r\n");
         }
         return true;
     }
