--- a/src/expect/world.cpp
+++ b/src/expect/world.cpp
@@ -140,14 +140,18 @@
     std::vector<Pair> pairs;
     std::mt19937_64 rng(suite.worlds.seed);
     const auto schools = fleet.schools();
+    std::vector<std::vector<std::size_t>> of_school(schools.size());  // the faults that matter to each
+    for (std::size_t s = 0; s < schools.size(); ++s)
+        for (std::size_t i = 0; i < faults.size(); ++i)
+            if (matters(faults[i], schools[s])) of_school[s].push_back(i);
     const int wanted = suite.worlds.most_pairs;
     for (int tries = 0; static_cast<int>(pairs.size()) < wanted && tries < 20 * wanted; ++tries) {
-        const int school = schools[rng() % schools.size()];
-        const std::size_t a = rng() % faults.size(), b = rng() % faults.size();
+        const std::size_t s = rng() % schools.size();
+        const auto& mine = of_school[s];
+        const std::size_t a = mine[rng() % mine.size()], b = mine[rng() % mine.size()];
         const bool common = std::any_of(faults[a].members.begin(), faults[a].members.end(),
                                         [&](int member) { return faults[b].members.contains(member); });
-        if (!common && matters(faults[a], school) && matters(faults[b], school))
-            pairs.push_back({school, a, b});
+        if (!common) pairs.push_back({schools[s], a, b});
     }
     for (const Pair& pair : pairs) {
         std::vector<Happening> both = faults[pair.a].happenings;
