Bound the table of addresses: one goes with the gone member that is forgotten

Read over: the view's table of who owns an address was the one without a bound; boxes with an address of their own would have added to it for as long as a proxy runs. It is now trimmed where gone members are. The new test fails without it. Also: dropping the oldest purge stood twice, now once.

--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -98,6 +98,10 @@
         --gone_;
         return true;
     });
+    // Danger: over months each box had an address of its own. Kept, they would be the one table without a
+    // bound.
+    std::erase_if(owners_,
+                  [&](const auto& item) { return !members_.contains(item.second->placed.entry.cache); });
 }
 
 void View::remove_unnamed(const config::Change& whole) {
@@ -221,18 +225,20 @@
         if (found->second.purge.at >= purge.at) return;
         purges_by_age_.erase(found->second.age);
     } else if (purges_.size() >= set_.most_purges) {
-        purges_.erase(purges_by_age_.begin()->second);
-        purges_by_age_.erase(purges_by_age_.begin());
+        drop_oldest_purge();
     }
     purges_[name] = {purge, *purges_by_age_.emplace(std::min(purge.at, now), name).first};
     news = true;
 }
 
+void View::drop_oldest_purge() {
+    purges_.erase(purges_by_age_.begin()->second);
+    purges_by_age_.erase(purges_by_age_.begin());
+}
+
 void View::pass(Micros now) {
-    while (!purges_by_age_.empty() && purges_by_age_.begin()->first < now - set_.keep_purges_for) {
-        purges_.erase(purges_by_age_.begin()->second);
-        purges_by_age_.erase(purges_by_age_.begin());
-    }
+    while (!purges_by_age_.empty() && purges_by_age_.begin()->first < now - set_.keep_purges_for)
+        drop_oldest_purge();
     if (doubt_ && now >= doubt_->since + set_.doubt_for) {
         const Doubt believed = *std::exchange(doubt_, std::nullopt);
         bool news = false, no_room = false;
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -148,6 +148,7 @@
     void merge_fleet(const config::Change& change, Micros now, Source source, bool& news, bool& no_room);
     void remove_unnamed(const config::Change& whole);
     void put_purge(const Purge& purge, Micros now, bool& news);
+    void drop_oldest_purge();
     bool empties(const config::Change& change) const;
     bool is_cache(const Word& word) const;
     Use use(const Member& member, Micros now) const;
--- a/tests/membership/view_test.cpp
+++ b/tests/membership/view_test.cpp
@@ -330,6 +330,23 @@
     EXPECT_EQ(view.use_of("m0", kStart), Use::none);
 }
 
+// Guards: the addresses of those forgotten stayed for good, and a seed there was taken for displaced for
+// good.
+TEST(View, WithAForgottenMemberItsAddressIsForgotten) {
+    Options set = options();
+    set.most_gone = 4;
+    View view(set);
+    view.seed(fleet(0, true, {kA}), kStart);
+    const Placed other = placed("other", kA.address), gone = placed("other", kA.address, CacheState::gone);
+    view.apply(fleet(1, false, {other}), kStart);
+    view.apply(fleet(2, false, {gone}), kStart);
+    EXPECT_EQ(view.use_of("a", kStart), Use::none);
+    for (int i = 3; i < 9; ++i)
+        view.apply(fleet(i, false, {placed("m" + std::to_string(i), "10.1.0.1:1", CacheState::gone)}),
+                   kStart);
+    EXPECT_EQ(view.use_of("a", kStart), Use::careful);
+}
+
 TEST(View, AFullTableRefusesTheNewAndKeepsTheOld) {
     Options set = options();
     set.most_members = 3;
