Let requests join fills after a purge, so that many routers share one

Cause: Router::may_join asked for a record of the part of one's own made after the purge. One router of four has it; of a hundred hardly one.

Ruled out: that a joiner might be handed the purged copy.

Change: the switch is set after a purge too, unless a fill of our own from before it still runs. Should a box not be bound by the age asked for, the core looks at `dated` and does not pass a joined copy from before the purge on.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr Micros kGuard = 4'000;  // the core's own last word comes this long before the client gives up
+constexpr Micros kDatedWithin = 2'000;  // `dated` and the age asked for are told in whole milliseconds
+constexpr Micros kGuard = 4'000;        // the core's own last word comes this long before the client gives up
 
 std::string name_of(Handle handle) {
     return std::to_string(handle.slot) + '.' + std::to_string(handle.generation);
@@ -87,6 +88,8 @@
     deadlines_.drop(request->guard);
     Asker* asker = request->asker;
     const std::uint64_t cookie = request->cookie;
+    log::debug("answered req={} how={} attempts={} left_us={}", request->name, static_cast<int>(reply.how),
+               request->attempts, request->deadline - clock_.now());
     ids_.erase(request->ask.id);
     requests_.remove(handle);
     asker->answer(cookie, std::move(reply));
@@ -97,6 +100,15 @@
     if (!attempt) return;
     const Handle owner = attempt->request;
     Request* request = requests_.find(owner);
+    // Danger: one that joined a fill begun before a purge could be handed the purged copy. A box is bound by
+    // the age asked for; should one not be, what it sends is no answer and the request goes on.
+    const bool too_old = ending.verdict == Verdict::served && ending.note == nettlethread::Note::joined &&
+                         ending.dated_ms > 0 && ending.dated_ms * 1000 + kDatedWithin < attempt->oldest;
+    if (too_old) {
+        thread_local log::Sparing line;
+        line.warn("{} let a request join a fill of too old a copy", attempt->target);
+        ending = Ending{.verdict = Verdict::missing, .load = ending.load};
+    }
     const bool served = ending.verdict == Verdict::served;
     Outcome outcome;
     outcome.id = attempt->name;
@@ -113,6 +125,12 @@
                        ending.verdict == Verdict::error;
     if (spoke && answered_) answered_(attempt->target);
     attempts_.remove(handle);
+    log::debug(
+        "ended req={} n={} at={} verdict={} note={} took_us={} first_us={} dated_ms={} held={:.0f} "
+        "link={:.2f}",
+        outcome.id, outcome.attempt, outcome.cache, static_cast<int>(outcome.verdict),
+        static_cast<int>(outcome.note), outcome.took, outcome.first_byte, ending.dated_ms, outcome.load.held,
+        outcome.load.link);
     events_.push_back(std::move(outcome));
     if (!request) return;
     std::erase(request->out, handle);
@@ -178,6 +196,7 @@
     attempt.name = serve.id;
     attempt.target = serve.cache;
     attempt.sent = now;
+    if (serve.age > 0) attempt.oldest = now - serve.age;
     if (!request) {  // it ended while the module decided
         Outcome outcome;
         outcome.id = serve.id;
@@ -220,6 +239,12 @@
     sending.ask = &request->ask;
     sending.avoid = request->channels;
     request->channels.push_back(upstream_->send(sending));
+    log::debug(
+        "sent req={} n={} cls={} kb={:.0f} object={}/{} at={} via={} join={} holds={} rank={} age_us={} "
+        "group={} limit_us={}",
+        serve.id, attempts_.find(handle)->number, request->ask.service_name, request->ask.size_kb,
+        request->ask.object, request->ask.part, sending.target, sending.source, sending.join,
+        sending.source_holds, sending.rank, sending.age, request->ask.group, limit);
 }
 
 void Core::do_act(const nettlethread::SetTimer& a) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -75,6 +75,7 @@
     bool same = false;  // the client's copy is the one
     std::string body = {};
     std::string tag = {};
+    std::int64_t dated_ms = 0;  // Unix time at which the origin gave out this copy; 0: not told
 };
 
 class Upstream {
@@ -126,6 +127,7 @@
         std::string name, target;
         int number = 0;
         Micros sent = 0;
+        Micros oldest = 0;  // a copy given out before this was not asked for; 0: any will do
         Deadlines::Key limit;
     };
 
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -153,6 +153,9 @@
     if (heard == membership::Heard::full)
         log::error("list {} names more members than there is room for, the new ones are left out",
                    change.seq);
+    log::debug("heard seq={} log={} fleet={} entries={} purge={} object={} group={} ago_us={}", change.seq,
+               log, change.has_fleet, change.members.size(), change.has_purge, change.object, change.group,
+               change.has_purge ? now - change.purged_at : 0);
     if (change.has_purge)
         core_.tell(nettlethread::Purge{.group = change.group,
                                        .age = std::max<Micros>(0, now - change.purged_at),
--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -229,12 +229,11 @@
                copy.started > copy.cache->entry.since && usable(*copy.cache, request);
     }
 
-    // Danger: after a purge, a fill begun before it may still run, and a join would be answered from it. Safe
-    // once such fills must be over, or if the record shows that none was left running.
+    // A cache hands a joiner nothing older than it asked for, so joins go on after a purge, but where a fill
+    // of our own from before it is known to run. Danger: of many routers hardly one knows more of a part than
+    // that it was purged. Were joins to wait for such proof, each would have the part filled anew.
     bool may_join(const Copy& copy, const Request& request) const {
-        if (!set_.joins) return false;
-        const Micros purged = purged_at(request);
-        return purged == 0 || (copy.unfinished == 0 && copy.asked > 1 && copy.started > purged);
+        return set_.joins && (copy.leader.empty() || copy.started > purged_at(request));
     }
 
     // The cache that proved to hold the copy, unless it was purged or the cache started anew since then.
@@ -250,18 +249,13 @@
 
     void note_copy(const Request& request, const Attempt& attempt, bool served) {
         Copy* copy = copies_.find(request.key);
-        if (!copy || attempt.cache->role != Role::cache) return;
-        if (!served) {
-            if (attempt.may_have_run && attempt.source != attempt.cache) copy->unfinished = attempt.sent;
-            return;
-        }
+        if (!served || !copy || attempt.cache->role != Role::cache) return;
         copy->holder = attempt.cache;
         const double renewed_after = kRenewFrom * static_cast<double>(service_of(request).fresh);
         if (!attempt.stale && static_cast<double>(now_ - copy->fresh_from) > renewed_after)
             copy->fresh_from = attempt.sent;
         copy->holder_since = attempt.sent;
         copy->served_at = now_;
-        if (copy->unfinished <= attempt.sent) copy->unfinished = 0;
     }
 
     // The answer clears the entry. After a success held waiters go straight; after a failure spaced out, or
@@ -346,7 +340,6 @@
     }
 
     void lead(const Request& request, Copy& copy, const Plan& plan) {
-        if (!copy.leader.empty()) copy.unfinished = copy.started;
         copy.leader = request.arrival.id;
         copy.waiters.clear();
         copy.cache = plan.cache;
--- a/src/nettlethread/state.h
+++ b/src/nettlethread/state.h
@@ -109,7 +109,6 @@
     Micros holder_since = 0;  // when the attempt that proved the copy was sent
     Micros served_at = 0;
     Micros fresh_from = 0;  // when the copy was last filled or renewed
-    Micros unfinished = 0;  // start of a fill whose end was never seen
     Mean rate;              // recent requests
     int asked = 0;
 };
--- a/src/upstream/lines.cpp
+++ b/src/upstream/lines.cpp
@@ -68,6 +68,8 @@
         read_meter(value, ending.load);
     } else if (name == "digest") {
         ending.tag = value;
+    } else if (name == "dated") {
+        ending.dated_ms = static_cast<std::int64_t>(std::clamp(number(value), 0.0, 9e15));
     }
 }
 
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -158,6 +158,7 @@
     auto channel = std::make_unique<Channel>(*this, next_channel_++, name);
     channel->stream = net::Stream::connect(loop_, budget_, address, *channel);
     if (!channel->stream) return nullptr;
+    log::debug("dialled at={} open={}", name, target.channels.size());
     Channel* raw = channel.get();
     raw->used = loop_.clock().now();
     raw->connect_by =
--- a/tests/daemon/platform_test.cpp
+++ b/tests/daemon/platform_test.cpp
@@ -28,6 +28,11 @@
     }
 };
 
+std::int64_t unix_ms() {
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
 // Takes the daemon's call at a change log, tells `events` and gives the number that it was taken up behind.
 Wire follow(Peer& log, std::string& behind, const std::string& events = {}) {
     Wire feed = log.accept();
@@ -220,6 +225,34 @@
     CHECK_FALSE(fleet.a.called());
 }
 
+// Guards: requests join fills after a purge too. A box that let one join a fill of the purged copy would have
+// it served.
+TEST_CASE("a joined copy from before the purge is not passed on, the request goes on") {
+    TwoCaches fleet;
+    Peer log;
+    Daemon daemon(fleet.hosts(), log.address());
+    std::string behind;
+    const std::int64_t purged = unix_ms() - 500;
+    follow(log, behind,
+           R"(data: {"seq":2,"invalidate":{"object":"7f3a9c21e0b4d655","time":)" + std::to_string(purged) +
+               "}}\n\n")
+        .close();
+    Wire second = follow(log, behind);
+    CHECK(behind == "2");
+    Wire client = Wire::to(daemon.port());
+    client.send(dispatch(1, read("sheet", "00000000000000c1")));
+    Peer& first = first_called({&fleet.a, &fleet.b});
+    Wire cache = first.accept();
+    const Req req = read_req(cache);
+    CHECK(req.fields.at("hints").find("coalesce") != std::string::npos);
+    CHECK(std::stoll(req.fields.at("accept")) >= 500);
+    cache.send(req.id + " DONE digest=1,tell=rode,dated=" + std::to_string(purged - 100) + " 3\r\nold\r\n");
+    Wire other = (&first == &fleet.a ? fleet.b : fleet.a).accept();
+    other.send(read_req(other).id + " DONE digest=2,tell=rode,dated=" + std::to_string(purged + 100) +
+               " 3\r\nnew\r\n");
+    CHECK(body(read_reply(client)) == "new");
+}
+
 // Guards: SIGHUP must not end the program, and what the change log tells at its new address must be heard at
 // once: the old one goes silent and closes only later.
 TEST_CASE("on SIGHUP the change log is followed at its new address, its numbers carried on") {
--- a/tests/nettlethread/choice_test.cpp
+++ b/tests/nettlethread/choice_test.cpp
@@ -720,6 +720,19 @@
     EXPECT_FALSE(bench.served().join);
 }
 
+// Guards: after a purge of everything each of many routers, new to the part, had it filled once more.
+TEST(Choice, RoutersNewToAPurgedPartShareOneFill) {
+    int joined = 0;
+    for (int i = 0; i < 100; ++i) {
+        Bench bench(plain_settings(), 100 + i);
+        bench.list({cache("a"), cache("b"), parent("p"), origin()});
+        bench.tell(Purge{3, 200 * kMs, ""});
+        bench.ask("r1", "x");
+        joined += bench.served().join && bench.served().age == 200 * kMs;
+    }
+    EXPECT_EQ(joined, 100);
+}
+
 // ---- health ----
 
 TEST_F(ChoiceTest, ABreakerOpensAfterFailuresTriesOnceAndCloses) {
