--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -43,6 +43,10 @@
 constexpr double kFirstSizes = 5;          // this many of half the aim stand for a class not seen yet
 constexpr double kBase = 30.0 * kMs;       // connection, network and small waits of any answer
 constexpr double kFillDelay = 80.0 * kMs;  // first byte from a parent that may have to ask the origin
+constexpr double kOriginWait = 160.0 * kMs;     // first byte by way of an origin that is not crowded
+constexpr double kOriginMemory = 60 * kSecond;  // how fast what is usual there changes
+constexpr double kOriginCrowded = 2;            // waits this many times the usual one tell of a crowd
+constexpr double kOriginHolds = 64;             // fills of all routers that may wait at a crowded origin
 constexpr double kMostHits = 0.95,
                  kHitGain = 0.05;    // hits among what we know nothing of; weight of the newest
 constexpr double kLikelyMiss = 0.5;  // less likely misses are not refused for the sake of a fill
@@ -748,6 +752,7 @@
         out_now_ -= 1;
         cache.fills -= flight.on_link, fills_out_ -= flight.on_link;
         if (outcome.note == Note::filled_by_origin && origin_) succeeded(*origin_);
+        note_origin(flight, outcome);
         const Verdict verdict = outcome.verdict;
         if (verdict == Verdict::served || verdict == Verdict::full || verdict == Verdict::missing)
             prove(cache);
@@ -763,6 +768,32 @@
         if (std::exchange(target.unproven, false)) target.entry.since = now_;
     }
 
+    // ---- the origin ----
+    double origin_wait() const { return faded(origin_wait_, origin_usual_.value, kLateFades); }
+
+    // Danger: what is far more than an origin can do stops it for everybody, and each fill that is given up there
+    // is asked for once more. So while it is crowded the fills that all routers have waiting there are bounded: as
+    // many leave as are answered, and each router takes its turn. The rest takes what parents hold.
+    bool origin_open() const {
+        return admits(*origin_) &&
+               (now_ >= origin_turn_ || origin_wait() < kOriginCrowded * origin_usual_.value);
+    }
+
+    void take_origin_turn() {
+        const double turn = origin_wait() * std::max(1, set_.instances) / kOriginHolds;
+        origin_turn_ = now_ + static_cast<Micros>(turn / 2) + jitter(static_cast<Micros>(turn));
+    }
+
+    void note_origin(const Flight& flight, const Outcome& outcome) {
+        const bool answered = outcome.note == Note::filled_by_origin && outcome.first_byte > 0;
+        const bool waited = flight.fill && outcome.verdict == Verdict::timed_out;
+        if (!answered && !waited) return;
+        const double wait = static_cast<double>(answered ? outcome.first_byte : outcome.took);
+        if (!answered && wait < origin_wait()) return;
+        origin_wait_ = {origin_wait() + kGain * (wait - origin_wait()), now_};
+        if (answered) origin_usual_ = {faded(origin_usual_, wait, kOriginMemory), now_};
+    }
+
     void learn(Target& cache, Target* source, const Flight& flight, const Outcome& outcome) {
         const bool untold = set_.notes == Notes::none;
         const double as_hit = (service_now(cache) - flight.started) / flight.hit;
@@ -844,7 +875,8 @@
             // Danger: with the origin down every fill waits at the parent and fails there, holding places
             // that hits need. What the parent holds it still gives; the rest comes back at once as missing.
             const bool via_parent = plan.fill && plan.source && plan.source->role == Role::parent;
-            serve.source_holds = via_parent && origin_ && !admits(*origin_);
+            serve.source_holds = via_parent && origin_ && !origin_open();
+            if (via_parent && origin_ && !serve.source_holds) take_origin_turn();
             flight.origin_trial = via_parent && !serve.source_holds && origin_ && origin_->health.open;
             if (flight.origin_trial) origin_->health.trial_out = true;
             serve.renew = service_of(request).fresh > 0 && copy->asked > 1;
@@ -868,7 +900,7 @@
         // Danger: an error that a request meets at one cache after another is its own. Tried on, it would use
         // up the budget for retries and have them all ejected.
         if (verdict == Verdict::error && note == Note::none && ++request.errors > 1) return give_up(request);
-        if (verdict == Verdict::missing && origin_ && !admits(*origin_) && request.attempts.size() > 1)
+        if (verdict == Verdict::missing && origin_ && !origin_open() && request.attempts.size() > 1)
             return give_up(request);  // no parent asked holds it and the origin is down
         if (verdict != Verdict::missing && retries_ < 1) return give_up(request);
         if (verdict != Verdict::missing) retries_ -= 1;
@@ -950,6 +982,8 @@
     std::uint64_t next_serial_ = kFirstRequestToken;
     double retries_ = kMostRetries;
     Target* origin_ = nullptr;
+    Mean origin_wait_{kOriginWait, 0}, origin_usual_{kOriginWait, 0};  // for the first byte through it
+    Micros origin_turn_ = 0;  // while it is crowded our next fill through it may go from here
     Mean origin_left_;  // requests that may still go straight to the origin while nothing else is known
     bool started_ = false;
     Micros now_ = 0;
