Take what is usual at the origin from fills through parents alone

An expectation's smallest counterexample had grown: three asks in a calm world made the origin look crowded, since a direct enrol's short way became what is usual there and one wait of 250 ms counted whole. The usual is now a mean of up to 64 fills through parents, begun with 160 ms standing for three; a wait that ran out of time counts only if its parent answered others meanwhile.

--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -40,13 +40,15 @@
 constexpr double kMoveGain = 0.7;             // leaving the home must save this much: it costs a fill
 constexpr double kHubStep = 0.4;              // a parent one hub further off gets this part of the objects
 // Prediction.
-constexpr double kFirstSizes = 5;               // this many of half the aim stand for a class not seen yet
-constexpr double kBase = 30.0 * kMs;            // connection, network and small waits of any answer
-constexpr double kFillDelay = 80.0 * kMs;       // first byte from a parent that may have to ask the origin
-constexpr double kOriginWait = 160.0 * kMs;     // first byte by way of an origin that is not crowded
-constexpr double kOriginMemory = 60 * kSecond;  // how fast what is usual there changes
-constexpr double kOriginCrowded = 2;            // waits this many times the usual one tell of a crowd
-constexpr double kOriginHolds = 64;             // fills of all routers that may wait at a crowded origin
+constexpr double kFirstSizes = 5;            // this many of half the aim stand for a class not seen yet
+constexpr double kBase = 30.0 * kMs;         // connection, network and small waits of any answer
+constexpr double kFillDelay = 80.0 * kMs;    // first byte from a parent that may have to ask the origin
+constexpr double kOriginWait = 160.0 * kMs;  // first byte by way of an origin that is not crowded
+constexpr double kOriginFirst = 3,
+                 kOriginMost = 64;    // answers that it stands for, and that make up the usual
+constexpr double kOriginCrowded = 2;  // waits this many times the usual one tell of a crowd
+constexpr double kOriginWild = 4;     // a single wait counts up to this many times the usual one
+constexpr double kOriginHolds = 64;   // fills of all routers that may wait at a crowded origin
 constexpr double kMostHits = 0.95,
                  kHitGain = 0.05;    // hits among what we know nothing of; weight of the newest
 constexpr double kLikelyMiss = 0.5;  // less likely misses are not refused for the sake of a fill
@@ -757,7 +759,7 @@
         if (verdict == Verdict::served || verdict == Verdict::full || verdict == Verdict::missing)
             prove(cache);
         const bool filled = outcome.note == Note::filled || outcome.note == Note::filled_by_origin;
-        if (filled && flight.source) prove(*flight.source);
+        if ((filled || outcome.note == Note::source_lacks) && flight.source) prove(*flight.source);
         learn(cache, flight.source == &cache ? nullptr : flight.source, flight, outcome);
         if (flight.origin_trial) origin_->health.trial_out = false;
     }
@@ -765,19 +767,19 @@
     // Danger: a box known from an old list may come up long after this router did. Were its warming counted
     // from our start, it would be taken for warm while it is cold.
     void prove(Target& target) {
+        target.heard = now_;
         if (std::exchange(target.unproven, false)) target.entry.since = now_;
     }
 
     // ---- the origin ----
-    double origin_wait() const { return faded(origin_wait_, origin_usual_.value, kLateFades); }
+    double origin_wait() const { return faded(origin_wait_, origin_usual_, kLateFades); }
 
     // Danger: what is far more than an origin can do stops it for everybody, and each fill that is given up
     // there is asked for once more. So while it is crowded the fills that all routers have waiting there are
     // bounded: as many leave as are answered, and each router takes its turn. The rest takes what parents
     // hold.
     bool origin_open() const {
-        return admits(*origin_) &&
-               (now_ >= origin_turn_ || origin_wait() < kOriginCrowded * origin_usual_.value);
+        return admits(*origin_) && (now_ >= origin_turn_ || origin_wait() < kOriginCrowded * origin_usual_);
     }
 
     void take_origin_turn() {
@@ -785,14 +787,22 @@
         origin_turn_ = now_ + static_cast<Micros>(turn / 2) + jitter(static_cast<Micros>(turn));
     }
 
+    // A fill that ran out of time waited for the origin only if its parent answered others meanwhile. One
+    // wild wait alone makes no crowd.
     void note_origin(const Flight& flight, const Outcome& outcome) {
+        if (!flight.source || flight.source->role != Role::parent) return;
         const bool answered = outcome.note == Note::filled_by_origin && outcome.first_byte > 0;
-        const bool waited = flight.fill && outcome.verdict == Verdict::timed_out;
+        const bool waited =
+            flight.fill && outcome.verdict == Verdict::timed_out && flight.source->heard > flight.sent;
         if (!answered && !waited) return;
         const double wait = static_cast<double>(answered ? outcome.first_byte : outcome.took);
-        if (!answered && wait < origin_wait()) return;
-        origin_wait_ = {origin_wait() + kGain * (wait - origin_wait()), now_};
-        if (answered) origin_usual_ = {faded(origin_usual_, wait, kOriginMemory), now_};
+        const double counted = std::min(wait, kOriginWild * origin_usual_);
+        if (answered || counted > origin_wait())
+            origin_wait_ = {origin_wait() + kGain * (counted - origin_wait()), now_};
+        // A crowd does not become the usual, but what lasts does in the end.
+        if (!answered) return;
+        origin_seen_ = std::min(origin_seen_ + 1, kOriginMost);
+        origin_usual_ += (std::min(wait, kOriginCrowded * origin_usual_) - origin_usual_) / origin_seen_;
     }
 
     void learn(Target& cache, Target* source, const Flight& flight, const Outcome& outcome) {
@@ -983,7 +993,8 @@
     std::uint64_t next_serial_ = kFirstRequestToken;
     double retries_ = kMostRetries;
     Target* origin_ = nullptr;
-    Mean origin_wait_{kOriginWait, 0}, origin_usual_{kOriginWait, 0};  // for the first byte through it
+    double origin_usual_ = kOriginWait, origin_seen_ = kOriginFirst;  // for the first byte through it
+    Mean origin_wait_{kOriginWait, 0};                                // the same lately
     Micros origin_turn_ = 0;  // while it is crowded our next fill through it may go from here
     Mean origin_left_;        // requests that may still go straight to the origin while nothing else is known
     bool started_ = false;
--- a/src/nettlethread/state.h
+++ b/src/nettlethread/state.h
@@ -74,6 +74,7 @@
     double service_clock = 0;  // time at full pace that each present transfer has had
     Micros clock_at = 0;
     Mean debt;              // work sent while cold that its part of the budget has not paid off
+    Micros heard = 0;       // its last answer, as a source too
     bool unproven = false;  // known from an old list and has not answered yet
 };
 
