--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -45,10 +45,10 @@
 constexpr double kFillDelay = 80.0 * kMs;    // first byte from a parent that may have to ask the origin
 constexpr double kOriginWait = 160.0 * kMs;  // first byte by way of an origin that is not crowded
 constexpr double kOriginFirst = 3,
-                 kOriginMost = 64;    // answers that it stands for, and that make up the usual
-constexpr double kOriginCrowded = 2;  // waits this many times the usual one tell of a crowd
-constexpr double kOriginWild = 4;     // a single wait counts up to this many times the usual one
-constexpr double kOriginHolds = 64;   // fills of all routers that may wait at a crowded origin
+                 kOriginMost = 64;      // answers that it stands for, and that make up the usual
+constexpr double kOriginCrowded = 1.3;  // waits this many times the usual one tell of a crowd
+constexpr double kOriginWild = 4;       // a single wait counts up to this many times the usual one
+constexpr double kOriginHolds = 64;     // fills of all routers that may wait at a crowded origin
 constexpr double kMostHits = 0.95,
                  kHitGain = 0.05;    // hits among what we know nothing of; weight of the newest
 constexpr double kLikelyMiss = 0.5;  // less likely misses are not refused for the sake of a fill
@@ -779,12 +779,19 @@
     // bounded: as many leave as are answered, and each router takes its turn. The rest takes what parents
     // hold.
     bool origin_open() const {
-        return admits(*origin_) && (now_ >= origin_turn_ || origin_wait() < kOriginCrowded * origin_usual_);
+        if (!admits(*origin_)) return false;
+        const double ahead = std::max(0.0, origin_wait() - origin_turn());
+        return !origin_crowded() || now_ >= origin_next_ - static_cast<Micros>(ahead);
     }
 
+    bool origin_crowded() const { return origin_wait() > kOriginCrowded * origin_usual_; }
+
+    // Between two fills of ours; under one wait for as many as our part of them waits at once.
+    double origin_turn() const { return origin_wait() * std::max(1, set_.instances) / kOriginHolds; }
+
     void take_origin_turn() {
-        const double turn = origin_wait() * std::max(1, set_.instances) / kOriginHolds;
-        origin_turn_ = now_ + static_cast<Micros>(turn / 2) + jitter(static_cast<Micros>(turn));
+        const auto turn = static_cast<Micros>(origin_turn());
+        origin_next_ = (origin_crowded() ? std::max(now_, origin_next_) : now_) + turn / 2 + jitter(turn);
     }
 
     // A fill that ran out of time waited for the origin only if its parent answered others meanwhile. One
@@ -995,7 +1002,7 @@
     Target* origin_ = nullptr;
     double origin_usual_ = kOriginWait, origin_seen_ = kOriginFirst;  // for the first byte through it
     Mean origin_wait_{kOriginWait, 0};                                // the same lately
-    Micros origin_turn_ = 0;  // while it is crowded our next fill through it may go from here
+    Micros origin_next_ = 0;  // while it is crowded our next fill through it has its turn here
     Mean origin_left_;        // requests that may still go straight to the origin while nothing else is known
     bool started_ = false;
     Micros now_ = 0;
