Take a box for cold that answers again after it could not be reached

Counted by source and second with the attempt log: 120 to 200 attempts a second went to the dead parents, for each router's breaker lets a trial go each second whatever its traffic. Ruled out: a late list alone (it is as late on small fleets), full connection tables (no connection was refused).

Change: a target three times in a row not reached is taken to start at its next answer, so the cold budget holds before the list tells of it. A trial of an open breaker comes no more than once in 32 requests of the router's own; where no parent is well, the one that fails least is the likelier pick.

--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -68,6 +68,8 @@
 constexpr Micros kCalm = 8;                   // successes that forget most of the back-off
 constexpr double kOpenAt = 0.45;              // failure rate that opens the breaker
 constexpr Micros kQuickRefusal = 8 * kMs;     // a cache's own refusal takes a way within the zone, no more
+constexpr int kLostFor = 3;        // times in a row not reached: the process is gone, and comes back cold
+constexpr double kTrialEach = 32;  // requests of ours for each trial of a target whose breaker is open
 constexpr Micros kFirstOpen = 1 * kSecond, kLongestOpen = 8 * kSecond;  // back-off, doubled each time
 // Attempts.
 constexpr double kPatience = 4;              // time-out as a multiple of the predicted time
@@ -152,6 +154,7 @@
                                     service.aim + static_cast<Micros>(service.aim_stretch * request.work));
         request.key = arrival.object + '/' + std::to_string(arrival.part);
         retries_ = std::min(kMostRetries, retries_ + kRetryPerRequest);
+        asked_ = {faded(asked_, 0, kLoadMemory) + 1, now_};
         if (cacheable(request)) {
             Copy& copy = copies_.touch(request.key);
             copy.rate = {faded(copy.rate, 0, kHotMemory) + 1, now_};
@@ -507,7 +510,9 @@
                 const double slow = late(*target);
                 const double weight =
                     target->entry.weight * spare * std::pow(kHubStep, hub_steps(*target)) / (slow * slow);
-                const double score = rendezvous(key, target->hash, weight);
+                // With none well, those that fail least: one that turns some away is not one that is dead.
+                const double well = strict ? 1 : std::pow(1 - target->health.failing, 4);
+                const double score = rendezvous(key, target->hash, weight * well);
                 if (!best || score > best_score) best = target, best_score = score;
             }
             if (best) return best;
@@ -728,7 +733,11 @@
         if (health.open && !health.trial_out) return;
         if (!health.open && health.failing < kOpenAt) return;
         health.opened_for = std::clamp(2 * health.opened_for, kFirstOpen, kLongestOpen);
-        health.open_until = now_ + health.opened_for + jitter(health.opened_for / 4);
+        // Danger: a trial costs a request its time. A router that gets few would spend a good part of them on
+        // trials, and many such routers would keep a dead target as busy as a living one.
+        const double rarely = kTrialEach * kLoadMemory / std::max(1.0, faded(asked_, 0, kLoadMemory));
+        const auto wait = std::max(health.opened_for, std::min(static_cast<Micros>(rarely), kLongestOpen));
+        health.open_until = now_ + wait + jitter(wait / 4);
         health.open = true;
         health.trial_out = false;
         act(Log{"breaker open: " + target.entry.cache});
@@ -758,16 +767,26 @@
         const Verdict verdict = outcome.verdict;
         if (verdict == Verdict::served || verdict == Verdict::full || verdict == Verdict::missing)
             prove(cache);
-        const bool filled = outcome.note == Note::filled || outcome.note == Note::filled_by_origin;
-        if ((filled || outcome.note == Note::source_lacks) && flight.source) prove(*flight.source);
+        if (verdict == Verdict::not_connected || verdict == Verdict::broken_off) ++cache.lost;
+        if (Target* source = flight.source; source && source != &cache) {
+            const Note note = outcome.note;
+            if (note == Note::source_lost) ++source->lost;
+            if (note == Note::filled || note == Note::filled_by_origin || note == Note::source_lacks)
+                prove(*source);
+        }
         learn(cache, flight.source == &cache ? nullptr : flight.source, flight, outcome);
         if (flight.origin_trial) origin_->health.trial_out = false;
     }
 
     // Danger: a box known from an old list may come up long after this router did. Were its warming counted
-    // from our start, it would be taken for warm while it is cold.
+    // from our start, it would be taken for warm while it is cold. So is one that answers again after it
+    // could not be reached: the list tells of its new start only later, and until then all routers would fall
+    // upon it.
     void prove(Target& target) {
         target.heard = now_;
+        const bool was_lost = std::exchange(target.lost, 0) >= kLostFor;
+        if (was_lost && target.role != Role::origin)
+            target.debt = {dearest_mean() * unit_hash(rng_(), target.hash), target.entry.since = now_};
         if (std::exchange(target.unproven, false)) target.entry.since = now_;
     }
 
@@ -1000,6 +1019,7 @@
     std::uint64_t next_serial_ = kFirstRequestToken;
     double retries_ = kMostRetries;
     Target* origin_ = nullptr;
+    Mean asked_;                                                      // requests of ours over kLoadMemory
     double origin_usual_ = kOriginWait, origin_seen_ = kOriginFirst;  // for the first byte through it
     Mean origin_wait_{kOriginWait, 0};                                // the same lately
     Micros origin_next_ = 0;  // while it is crowded our next fill through it has its turn here
