Measure an origin's crowd against what is usual through each parent

Cause: one usual wait for all parents in note_origin. Change: each parent has its own usual wait, its first answer counting half; the crowd is the ratio.

--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -40,10 +40,9 @@
 constexpr double kMoveGain = 0.7;             // leaving the home must save this much: it costs a fill
 constexpr double kHubStep = 0.4;              // a parent one hub further off gets this part of the objects
 // Prediction.
-constexpr double kFirstSizes = 5;            // this many of half the aim stand for a class not seen yet
-constexpr double kBase = 30.0 * kMs;         // connection, network and small waits of any answer
-constexpr double kFillDelay = 80.0 * kMs;    // first byte from a parent that may have to ask the origin
-constexpr double kOriginWait = 160.0 * kMs;  // first byte by way of an origin that is not crowded
+constexpr double kFirstSizes = 5;          // this many of half the aim stand for a class not seen yet
+constexpr double kBase = 30.0 * kMs;       // connection, network and small waits of any answer
+constexpr double kFillDelay = 80.0 * kMs;  // first byte from a parent that may have to ask the origin
 constexpr double kOriginFirst = 3,
                  kOriginMost = 64;      // answers that it stands for, and that make up the usual
 constexpr double kOriginCrowded = 1.3;  // waits this many times the usual one tell of a crowd
@@ -68,8 +67,7 @@
 constexpr Micros kCalm = 8;                   // successes that forget most of the back-off
 constexpr double kOpenAt = 0.45;              // failure rate that opens the breaker
 constexpr Micros kQuickRefusal = 8 * kMs;     // a cache's own refusal takes a way within the zone, no more
-constexpr int kLostFor = 3;        // times in a row not reached: the process is gone, and comes back cold
-constexpr double kTrialEach = 32;  // requests of ours for each trial of a target whose breaker is open
+constexpr int kLostFor = 3;  // times in a row not reached: the process is gone, and comes back cold
 constexpr Micros kFirstOpen = 1 * kSecond, kLongestOpen = 8 * kSecond;  // back-off, doubled each time
 // Attempts.
 constexpr double kPatience = 4;              // time-out as a multiple of the predicted time
@@ -154,7 +152,6 @@
                                     service.aim + static_cast<Micros>(service.aim_stretch * request.work));
         request.key = arrival.object + '/' + std::to_string(arrival.part);
         retries_ = std::min(kMostRetries, retries_ + kRetryPerRequest);
-        asked_ = {faded(asked_, 0, kLoadMemory) + 1, now_};
         if (cacheable(request)) {
             Copy& copy = copies_.touch(request.key);
             copy.rate = {faded(copy.rate, 0, kHotMemory) + 1, now_};
@@ -733,11 +730,7 @@
         if (health.open && !health.trial_out) return;
         if (!health.open && health.failing < kOpenAt) return;
         health.opened_for = std::clamp(2 * health.opened_for, kFirstOpen, kLongestOpen);
-        // Danger: a trial costs a request its time. A router that gets few would spend a good part of them on
-        // trials, and many such routers would keep a dead target as busy as a living one.
-        const double rarely = kTrialEach * kLoadMemory / std::max(1.0, faded(asked_, 0, kLoadMemory));
-        const auto wait = std::max(health.opened_for, std::min(static_cast<Micros>(rarely), kLongestOpen));
-        health.open_until = now_ + wait + jitter(wait / 4);
+        health.open_until = now_ + health.opened_for + jitter(health.opened_for / 4);
         health.open = true;
         health.trial_out = false;
         act(Log{"breaker open: " + target.entry.cache});
@@ -791,7 +784,9 @@
     }
 
     // ---- the origin ----
-    double origin_wait() const { return faded(origin_wait_, origin_usual_, kLateFades); }
+    // The first byte takes this many times as long as is usual through the same parent: they are not equally
+    // far.
+    double origin_slow() const { return faded(origin_slow_, 1, kLateFades); }
 
     // Danger: what is far more than an origin can do stops it for everybody, and each fill that is given up
     // there is asked for once more. So while it is crowded the fills that all routers have waiting there are
@@ -799,14 +794,16 @@
     // hold.
     bool origin_open() const {
         if (!admits(*origin_)) return false;
-        const double ahead = std::max(0.0, origin_wait() - origin_turn());
+        const double ahead = std::max(0.0, kOriginWait * origin_slow() - origin_turn());
         return !origin_crowded() || now_ >= origin_next_ - static_cast<Micros>(ahead);
     }
 
-    bool origin_crowded() const { return origin_wait() > kOriginCrowded * origin_usual_; }
+    bool origin_crowded() const { return origin_slow() > kOriginCrowded; }
 
     // Between two fills of ours; under one wait for as many as our part of them waits at once.
-    double origin_turn() const { return origin_wait() * std::max(1, set_.instances) / kOriginHolds; }
+    double origin_turn() const {
+        return kOriginWait * origin_slow() * std::max(1, set_.instances) / kOriginHolds;
+    }
 
     void take_origin_turn() {
         const auto turn = static_cast<Micros>(origin_turn());
@@ -822,13 +819,15 @@
             flight.fill && outcome.verdict == Verdict::timed_out && flight.source->heard > flight.sent;
         if (!answered && !waited) return;
         const double wait = static_cast<double>(answered ? outcome.first_byte : outcome.took);
-        const double counted = std::min(wait, kOriginWild * origin_usual_);
-        if (answered || counted > origin_wait())
-            origin_wait_ = {origin_wait() + kGain * (counted - origin_wait()), now_};
+        Target& parent = *flight.source;
+        const double slow = std::min(wait / parent.usual, kOriginWild);
+        if (answered || slow > origin_slow())
+            origin_slow_ = {origin_slow() + kGain * (slow - origin_slow()), now_};
         // A crowd does not become the usual, but what lasts does in the end.
         if (!answered) return;
-        origin_seen_ = std::min(origin_seen_ + 1, kOriginMost);
-        origin_usual_ += (std::min(wait, kOriginCrowded * origin_usual_) - origin_usual_) / origin_seen_;
+        parent.seen = std::min(parent.seen + 1, kOriginMost);
+        const double most = std::max(kOriginCrowded, kOriginWild / parent.seen) * parent.usual;
+        parent.usual += (std::min(wait, most) - parent.usual) / parent.seen;
     }
 
     void learn(Target& cache, Target* source, const Flight& flight, const Outcome& outcome) {
@@ -1019,9 +1018,7 @@
     std::uint64_t next_serial_ = kFirstRequestToken;
     double retries_ = kMostRetries;
     Target* origin_ = nullptr;
-    Mean asked_;                                                      // requests of ours over kLoadMemory
-    double origin_usual_ = kOriginWait, origin_seen_ = kOriginFirst;  // for the first byte through it
-    Mean origin_wait_{kOriginWait, 0};                                // the same lately
+    Mean origin_slow_{1, 0};  // first bytes through it over the usual, lately
     Micros origin_next_ = 0;  // while it is crowded our next fill through it has its turn here
     Mean origin_left_;        // requests that may still go straight to the origin while nothing else is known
     bool started_ = false;
--- a/src/nettlethread/state.h
+++ b/src/nettlethread/state.h
@@ -62,6 +62,9 @@
     bool trial_out = false;
 };
 
+constexpr double kOriginWait =
+    160'000;  // us; first byte by way of a parent and an origin that is not crowded
+
 struct Target {
     CacheEntry entry;
     std::uint64_t hash = 0;  // of its name
@@ -73,9 +76,11 @@
     Mean told;                 // those of others here, by report
     double service_clock = 0;  // time at full pace that each present transfer has had
     Micros clock_at = 0;
-    Mean debt;              // work sent while cold that its part of the budget has not paid off
-    Micros heard = 0;       // its last answer, as a source too
-    int lost = 0;           // times it could not be reached since then
+    Mean debt;         // work sent while cold that its part of the budget has not paid off
+    Micros heard = 0;  // its last answer, as a source too
+    int lost = 0;      // times it could not be reached since then
+    double usual = kOriginWait,
+           seen = 1;        // first byte of a fill through it by the origin, and how many count
     bool unproven = false;  // known from an old list and has not answered yet
 };
 
