Name the origin in turn where no parent is up, before a parent that is unwell

Ruled out: that the origin was short of room. Also read twice as the same thing: one place for a refused fill's blame in the tests now knows the origin as a source.

Two tests in choice_test: a parent back from the dead is cold, and the origin is named in turn.

--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -513,6 +513,9 @@
                 if (!best || score > best_score) best = target, best_score = score;
             }
             if (best) return best;
+            // None is up: the origin while it is not crowded, in our turn, before one that is unwell.
+            if (origin_up && fill && !origin_crowded() && origin_my_turn() && admits(*origin_))
+                return origin_;
         }
         return origin_up ? origin_ : &cache;
     }
@@ -792,10 +795,11 @@
     // there is asked for once more. So while it is crowded the fills that all routers have waiting there are
     // bounded: as many leave as are answered, and each router takes its turn. The rest takes what parents
     // hold.
-    bool origin_open() const {
-        if (!admits(*origin_)) return false;
+    bool origin_open() const { return admits(*origin_) && (!origin_crowded() || origin_my_turn()); }
+
+    bool origin_my_turn() const {
         const double ahead = std::max(0.0, kOriginWait * origin_slow() - origin_turn());
-        return !origin_crowded() || now_ >= origin_next_ - static_cast<Micros>(ahead);
+        return now_ >= origin_next_ - static_cast<Micros>(ahead);
     }
 
     bool origin_crowded() const { return origin_slow() > kOriginCrowded; }
@@ -810,24 +814,23 @@
         origin_next_ = (origin_crowded() ? std::max(now_, origin_next_) : now_) + turn / 2 + jitter(turn);
     }
 
-    // A fill that ran out of time waited for the origin only if its parent answered others meanwhile. One
+    // A fill that ran out of time waited for the origin only if its source answered others meanwhile. One
     // wild wait alone makes no crowd.
     void note_origin(const Flight& flight, const Outcome& outcome) {
-        if (!flight.source || flight.source->role != Role::parent) return;
+        if (!flight.source || flight.source == flight.cache) return;
+        Target& source = *flight.source;
         const bool answered = outcome.note == Note::filled_by_origin && outcome.first_byte > 0;
         const bool waited =
-            flight.fill && outcome.verdict == Verdict::timed_out && flight.source->heard > flight.sent;
-        if (!answered && !waited) return;
+            flight.fill && outcome.verdict == Verdict::timed_out && source.heard > flight.sent;
         const double wait = static_cast<double>(answered ? outcome.first_byte : outcome.took);
-        Target& parent = *flight.source;
-        const double slow = std::min(wait / parent.usual, kOriginWild);
-        if (answered || slow > origin_slow())
+        const double slow = std::min(wait / source.usual, kOriginWild);
+        if (answered || (waited && slow > origin_slow()))
             origin_slow_ = {origin_slow() + kGain * (slow - origin_slow()), now_};
-        // A crowd does not become the usual, but what lasts does in the end.
         if (!answered) return;
-        parent.seen = std::min(parent.seen + 1, kOriginMost);
-        const double most = std::max(kOriginCrowded, kOriginWild / parent.seen) * parent.usual;
-        parent.usual += (std::min(wait, most) - parent.usual) / parent.seen;
+        // A crowd does not become the usual, but what lasts does in the end.
+        source.seen = std::min(source.seen + 1, kOriginMost);
+        const double most = std::max(kOriginCrowded, kOriginWild / source.seen);
+        source.usual += (std::min(slow, most) - 1) * source.usual / source.seen;
     }
 
     void learn(Target& cache, Target* source, const Flight& flight, const Outcome& outcome) {
@@ -912,7 +915,8 @@
             // that hits need. What the parent holds it still gives; the rest comes back at once as missing.
             const bool via_parent = plan.fill && plan.source && plan.source->role == Role::parent;
             serve.source_holds = via_parent && origin_ && !origin_open();
-            if (via_parent && origin_ && !serve.source_holds) take_origin_turn();
+            const bool asks_origin = via_parent ? !serve.source_holds : plan.fill && plan.source == origin_;
+            if (origin_ && asks_origin) take_origin_turn();
             flight.origin_trial = via_parent && !serve.source_holds && origin_ && origin_->health.open;
             if (flight.origin_trial) origin_->health.trial_out = true;
             serve.renew = service_of(request).fresh > 0 && copy->asked > 1;
--- a/src/nettlethread/state.h
+++ b/src/nettlethread/state.h
@@ -78,7 +78,7 @@
     Micros clock_at = 0;
     Mean debt;         // work sent while cold that its part of the budget has not paid off
     Micros heard = 0;  // its last answer, as a source too
-    int lost = 0;      // times it could not be reached since then
+    int lost = 0;      // times in a row it could not be reached since then
     double usual = kOriginWait,
            seen = 1;        // first byte of a fill through it by the origin, and how many count
     bool unproven = false;  // known from an old list and has not answered yet
--- a/tests/nettlethread/choice_test.cpp
+++ b/tests/nettlethread/choice_test.cpp
@@ -733,6 +733,54 @@
     EXPECT_EQ(joined, 100);
 }
 
+// Guards: parents that died came back cold before the list told of it, and all routers fell upon them.
+TEST(Choice, AParentThatComesBackUnheardIsTakenForCold) {
+    Settings settings = plain_settings();
+    settings.notes = Notes::all;
+    settings.instances = 100;
+    Bench bench(settings);
+    bench.list({cache("a"), cache("b"), parent("p"), origin()});
+    const auto ask = [&](int i, Verdict verdict, Note note) {
+        const std::string id = "r" + std::to_string(i);
+        bench.ask(id, "o" + std::to_string(i));
+        const std::string source = bench.all<Serve>().empty() ? "" : bench.served().source;
+        bench.now += 100 * kMs;
+        if (!source.empty()) bench.end(id, bench.served().cache, verdict, 0, note);
+        bench.tell(ClientLeft{id});
+        return source;
+    };
+    for (int i = 0; i < 3; ++i) EXPECT_EQ(ask(i, Verdict::error, Note::source_lost), "p");
+    int to_parent = 0;
+    bench.now += 10 * kSecond;
+    for (int i = 10; i < 40; ++i) to_parent += ask(i, Verdict::served, Note::filled) == "p";
+    EXPECT_GE(to_parent, 1);
+    EXPECT_LE(to_parent, 5);  // a hundredth of the cold budget is less than a request a second
+}
+
+// Guards: with no parent up, fills went on to those that fail, while the origin had room.
+TEST(Choice, WithNoParentUpTheOriginIsNamedInTurn) {
+    Settings settings = plain_settings();
+    settings.notes = Notes::all;
+    settings.instances = 100;
+    Bench bench(settings);
+    bench.list({cache("a"), cache("b"), parent("p"), origin()});
+    for (int i = 0; i < 12; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        bench.ask(id, "o" + std::to_string(i));
+        const auto sends = bench.all<Serve>();
+        if (!sends.empty() && sends.front().source == "origin") {
+            bench.ask("next", "other");  // one turn at a time
+            EXPECT_TRUE(bench.all<Serve>().empty() || bench.served().source != "origin");
+            return;
+        }
+        bench.now += 50 * kMs;
+        if (!sends.empty()) bench.end(id, sends.front().cache, Verdict::error, 0, Note::source_lost);
+        bench.now += 500 * kMs;  // past the turn that a second try took
+        bench.tell(ClientLeft{id});
+    }
+    ADD_FAILURE() << "the origin was never named";
+}
+
 // ---- health ----
 
 TEST_F(ChoiceTest, ABreakerOpensAfterFailuresTriesOnceAndCloses) {
@@ -844,7 +892,10 @@
         bench.now += outcome.took;
         bench.tell(outcome);
         for (const Log& log : bench.all<Log>())
-            (log.text == "breaker open: p" || log.text == "breaker open: q" ? parent_logs : cache_logs) += 1;
+            (log.text == "breaker open: p" || log.text == "breaker open: q" ||
+                     log.text == "breaker open: origin"
+                 ? parent_logs
+                 : cache_logs) += 1;
         bench.tell(ClientLeft{id});
         bench.end(id, serve.cache, Verdict::called_off, 1);
     }
