--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -125,6 +125,7 @@
     take(limits, "streams_per_conn", site.streams_per_conn, where);
     take(limits, "keepalive", site.keepalive, where);
     const Value& prices = section(params, "prices");
+    take(prices, "handshake", site.handshake_price, "params.prices");
     take(prices, "waste", settings.waste_price, "params.prices");
     take(prices, "late_fail", settings.late_fail_price, "params.prices");
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -21,6 +21,7 @@
 struct Site {
     nettlethread::Settings settings;
     std::vector<std::string> classes, zones, kinds, tenants;
+    double handshake_price = 0;  // of the result, for one new connection with each request
     int streams_per_conn = 100;
     nettlethread::Micros keepalive = 0;  // idle connections are closed after this
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -93,6 +93,7 @@
           core(settings_of(c, setup), c.seed, loop.clock(), loop.deadlines()),
           pool(loop, sockets, core,
                {.streams_per_conn = c.site.streams_per_conn,
+                .handshake_price = c.site.handshake_price,
                 .connect_timeout = c.site.settings.connect_timeout,
                 .idle_close = c.site.keepalive}),
           front(loop, core, c.site, c.listen, front_limits(c)) {
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -14,6 +14,10 @@
 // A spoilt answer, a reset or a lost one costs all that is open on its connection, so requests share one only
 // where no other can be had.
 constexpr std::size_t kMostChannels = 64;  // to one target
+// Where a connection has a price, a further one is opened only if it costs less than what it spares: each
+// request that shares one is lost with it. Danger: what one proxy opens for each attempt, a hundred open at
+// each box.
+constexpr double kSpoilt = 0.02;           // chance that a connection breaks or falls silent under a request
 constexpr int kForFirst = 16;              // descriptors left for targets without a connection
 constexpr int kForOthers = 8;              // never taken here: the change log must be reached
 constexpr Micros kFullFor = 2'000'000;     // a target that took no more connections is asked for one again
@@ -133,7 +137,9 @@
         if (!best || rank(*channel) < rank(*best)) best = channel.get();
     }
     const bool trusted = best && !silent(*best);
-    if (trusted && best->open.empty()) return best;
+    if (trusted &&
+        (best->open.empty() || static_cast<double>(best->open.size()) * kSpoilt < limits_.handshake_price))
+        return best;
     const bool may_dial =
         target.channels.size() < kMostChannels && (!trusted || loop_.clock().now() >= target.full_until);
     const int leave = trusted ? kForFirst + kForOthers : kForOthers;
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -18,6 +18,7 @@
 
 struct Limits {
     int streams_per_conn = 100;
+    double handshake_price = 0;  // of one request's worth; 0: connections cost nothing
     Micros connect_timeout = 400'000;
     Micros idle_close = 15'000'000;
 };
--- a/tests/daemon/platform_test.cpp
+++ b/tests/daemon/platform_test.cpp
@@ -536,6 +536,32 @@
     CHECK(body(read_reply(client)) == "ok");
 }
 
+// Guards: a connection for each attempt, times a hundred proxies, is handshakes and full tables at the boxes.
+// Where the settings give it a price, requests share one; where they don't, each still has its own.
+TEST_CASE("where a handshake has a price requests share a connection, else each has its own") {
+    for (const bool priced : {true, false}) {
+        Fleet fleet;
+        std::string text = config_text(fleet.hosts());
+        const std::string before = R"("contract":)";
+        if (priced) text.insert(text.find(before), R"("prices":{"handshake":0.08},)");
+        Daemon daemon(WithConfig{text}, {});
+        Wire client = Wire::to(daemon.port());
+        client.send(dispatch(1, read_of("00000000000000a1", "00000000000000e1", 9000)));
+        Wire cache = fleet.cache.accept();
+        const Req first = read_req(cache);
+        client.send(dispatch(2, read_of("00000000000000a2", "00000000000000e2", 9000)));
+        Wire other = priced ? Wire{} : fleet.cache.accept();
+        Wire& where = priced ? cache : other;
+        const Req second = read_req(where);
+        CHECK(second.id == "00000000000000e2");
+        CHECK_FALSE(fleet.cache.called());
+        where.send(second.id + " DONE - 2\r\nok\r\n");
+        CHECK(body(read_reply(client)) == "ok");
+        cache.send(first.id + " DONE - 2\r\nok\r\n");
+        CHECK(body(read_reply(client)) == "ok");
+    }
+}
+
 // Guards: over a long day caches are replaced again and again. What is held for one that is gone must go with
 // it, and one that took its address must not get its connections.
 TEST_CASE("a cache that is gone keeps no connection, and its address serves under a new id") {
