--- a/tests/nettlethread/fleet_test.cpp
+++ b/tests/nettlethread/fleet_test.cpp
@@ -29,3 +29,32 @@
     EXPECT_GT(fleet.totals.in_time, 2'000) << "892 with no bound on what waits at the origin";
     EXPECT_GT(fleet.totals.in_time, fleet.totals.served * 9 / 10);
 }
+
+// Guards: each router keeps to its part of what a cold box may get, whatever the number of routers; the sum
+// must not push it over right after a list told of it to all at once.
+TEST(Fleet, AllRoutersTogetherKeepToTheColdBudget) {
+    for (const int routers : {15, 100, 300}) {
+        Shape shape;
+        shape.routers = routers;
+        Fleet fleet(shape);
+        const Micros start = fleet.now();
+        fleet.run_until(start + 4 * kSecond);
+        std::vector<std::string> cold{"p0", "p1"};
+        for (int zone = 0; zone < 9; ++zone) cold.push_back(Fleet::box(zone, 1));
+        fleet.restart(cold);
+        fleet.totals = {};
+        const Settings& set = fleet.set();
+        fleet.run_until(start + 4 * kSecond + set.overload_for);
+        for (const std::string& box : cold) {
+            const bool parent = box[0] == 'p';
+            const double from = parent ? set.parent_cold_from : set.cold_share;
+            const double grown =
+                static_cast<double>(set.overload_for) / (parent ? set.parent_ramp : set.warm_after);
+            const double can =
+                fleet.weight(box) * (from + (1 - from) * grown) * static_cast<double>(set.overload_for);
+            EXPECT_LE(fleet.totals.most_within(box, set.overload_for),
+                      (parent ? set.parent_breaks_at : set.tip_multiple) * can)
+                << box << ", " << routers << " routers";
+        }
+    }
+}
