Open a source's breaker after two answers that it was not reached

The count is the router's own, though the cache says in its note that the source was not reached, which a healthy one hardly ever causes twice in a row. Change: such an answer weighs 1.6 times in Router::blame.

--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -65,6 +65,7 @@
 constexpr double kMostLate = 20;              // a bound, so that one wild answer is forgotten in time
 constexpr double kSlowFailure = 1.5;          // failures this far over the expected time are given-up waits
 constexpr Micros kCalm = 8;                   // successes that forget most of the back-off
+constexpr double kToldLost = 1.6;             // weight of a source that a cache says it did not reach
 constexpr double kOpenAt = 0.45;              // failure rate that opens the breaker
 constexpr Micros kQuickRefusal = 8 * kMs;     // a cache's own refusal takes a way within the zone, no more
 constexpr int kLostFor = 3;  // times in a row not reached: the process is gone, and comes back cold
@@ -876,7 +877,7 @@
         if (fill && note == Note::none && ratio <= kSlowFailure)
             on_source =
                 (source->health.failing + 0.05) / (source->health.failing + cache.health.failing + 0.1);
-        if (on_source > 0) failed(*source, on_source);
+        if (on_source > 0) failed(*source, note == Note::source_lost ? kToldLost : on_source);
         if (on_source < 1) failed(cache, 1 - on_source);
         if (ratio > kSlowFailure) observe_late(fill ? *source : cache, ratio);
     }
--- a/tests/nettlethread/choice_test.cpp
+++ b/tests/nettlethread/choice_test.cpp
@@ -757,6 +757,24 @@
     EXPECT_LE(to_parent, 5);  // a hundredth of the cold budget is less than a request a second
 }
 
+// Guards: each of many routers sent a dead parent three fills before it knew; a cache's own word is worth
+// more.
+TEST(Choice, ASourceToldAsNotReachedOpensItsBreakerAfterTwo) {
+    Settings settings = plain_settings();
+    settings.notes = Notes::all;
+    Bench bench(settings);
+    bench.list({cache("a"), cache("b"), parent("p"), origin()});
+    int opened = 0;
+    for (int i = 0; i < 2; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        bench.ask(id, "o" + std::to_string(i));
+        bench.end(id, bench.served().cache, Verdict::error, 0, Note::source_lost);
+        for (const Log& log : bench.all<Log>()) opened += log.text == "breaker open: p";
+        bench.tell(ClientLeft{id});
+        EXPECT_EQ(opened, i);
+    }
+}
+
 // Guards: with no parent up, fills went on to those that fail, while the origin had room.
 TEST(Choice, WithNoParentUpTheOriginIsNamedInTurn) {
     Settings settings = plain_settings();
