One start from cold for the two places that had it, no constant nobody reads

Read over once more. The first turn at a cold box was drawn in two places, one of them by an assignment within an initializer: start_cold serves both. kOriginFirst was left behind when the usual wait went to the parents.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -242,9 +242,9 @@
     log::debug(
         "sent req={} n={} cls={} kb={:.0f} object={}/{} at={} via={} join={} holds={} rank={} age_us={} "
         "group={} limit_us={}",
-        serve.id, attempts_.find(handle)->number, request->ask.service_name, request->ask.size_kb,
-        request->ask.object, request->ask.part, sending.target, sending.source, sending.join,
-        sending.source_holds, sending.rank, sending.age, request->ask.group, limit);
+        serve.id, request->attempts - 1, request->ask.service_name, request->ask.size_kb, request->ask.object,
+        request->ask.part, sending.target, sending.source, sending.join, sending.source_holds, sending.rank,
+        sending.age, request->ask.group, limit);
 }
 
 void Core::do_act(const nettlethread::SetTimer& a) {
--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -43,11 +43,10 @@
 constexpr double kFirstSizes = 5;          // this many of half the aim stand for a class not seen yet
 constexpr double kBase = 30.0 * kMs;       // connection, network and small waits of any answer
 constexpr double kFillDelay = 80.0 * kMs;  // first byte from a parent that may have to ask the origin
-constexpr double kOriginFirst = 3,
-                 kOriginMost = 64;      // answers that it stands for, and that make up the usual
-constexpr double kOriginCrowded = 1.3;  // waits this many times the usual one tell of a crowd
-constexpr double kOriginWild = 4;       // a single wait counts up to this many times the usual one
-constexpr double kOriginHolds = 64;     // fills of all routers that may wait at a crowded origin
+constexpr double kOriginMost = 64;         // answers through a parent that make up what is usual there
+constexpr double kOriginCrowded = 1.3;     // waits this many times the usual one tell of a crowd
+constexpr double kOriginWild = 4;          // a single wait counts up to this many times the usual one
+constexpr double kOriginHolds = 64;        // fills of all routers that may wait at a crowded origin
 constexpr double kMostHits = 0.95,
                  kHitGain = 0.05;    // hits among what we know nothing of; weight of the newest
 constexpr double kLikelyMiss = 0.5;  // less likely misses are not refused for the sake of a fill
@@ -116,10 +115,8 @@
             // Told once more out of an old list, it goes on where it was.
             const Micros since = !entry.careful ? entry.since : careful_before ? target.entry.since : now_;
             if (target.entry.since != since) {
-                // A process that starts anew has no past. Danger: all routers hear of it together; with the
-                // same first turn they would also ask it together.
-                target.health = Health{};
-                target.debt = {dearest_mean() * unit_hash(rng_(), target.hash), since};
+                target.health = Health{};  // a process that starts anew has no past
+                start_cold(target, since);
             }
             target.entry = entry;
             target.entry.since = since;
@@ -551,6 +548,12 @@
         return from + (1 - from) * done;
     }
 
+    // Danger: all routers hear of it together; with the same first turn they would also ask it together.
+    void start_cold(Target& target, Micros since) {
+        target.debt = {dearest_mean() * unit_hash(rng_(), target.hash), since};
+        target.entry.since = since;
+    }
+
     double sharers(const Target& target) const {
         if (target.role != Role::cache) return std::max(1, set_.instances);
         return routers_of(target.entry.zone);
@@ -782,8 +785,7 @@
     void prove(Target& target) {
         target.heard = now_;
         const bool was_lost = std::exchange(target.lost, 0) >= kLostFor;
-        if (was_lost && target.role != Role::origin)
-            target.debt = {dearest_mean() * unit_hash(rng_(), target.hash), target.entry.since = now_};
+        if (was_lost && target.role != Role::origin) start_cold(target, now_);
         if (std::exchange(target.unproven, false)) target.entry.since = now_;
     }
 
@@ -942,7 +944,7 @@
         // up the budget for retries and have them all ejected.
         if (verdict == Verdict::error && note == Note::none && ++request.errors > 1) return give_up(request);
         if (verdict == Verdict::missing && origin_ && !origin_open() && request.attempts.size() > 1)
-            return give_up(request);  // no parent asked holds it and the origin is down
+            return give_up(request);  // no parent asked holds it, the origin is down or it is not our turn
         if (verdict != Verdict::missing && retries_ < 1) return give_up(request);
         if (verdict != Verdict::missing) retries_ -= 1;
         const auto tries = request.attempts.size();
