Serve the operators' calls, take the clients' socket from the platform, drain and ban

Now: - src/ops: the board as a value (phases, bans, the hand-over text with version and checksum) and the calls on it; src/front_ops: the ops address ($GW_OPS or 'ops'), 8 places, 1 s for a whole call. - net: a listener from $GW_INHERITED_FD, checked to be a listening TCP socket over IPv4 (else status 2); a door that sends clients away: idle connections at once, the others after their last answer. - daemon: readiness once listening and the hand-over file read; bans reach the module as draining whatever the change log says; the hand-over file in $TMPDIR by write-then-rename; on SIGTERM with a handed-in socket, no more accepting at once; the Thrift alive call answers good=false while not ready.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -4,12 +4,15 @@
 
 #include <CLI/CLI.hpp>
 #include <atomic>
+#include <charconv>
 #include <cmath>
 #include <cstdlib>
 #include <exception>
 #include <functional>
 #include <map>
+#include <stdexcept>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -91,9 +94,30 @@
     return 2;
 }
 
+// What the platform sets beside the file: the operators' address and the clients' listener, handed in.
+void from_platform(config::Config& config) {
+    if (const char* ops = std::getenv("GW_OPS"); ops && *ops) config.ops = ops;
+    const char* fd = std::getenv("GW_INHERITED_FD");
+    if (!fd || !*fd) return;
+    const std::string_view text(fd);
+    int number = -1;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (read.ec != std::errc{} || read.ptr != text.data() + text.size() || number < 0)
+        throw std::runtime_error("GW_INHERITED_FD: not a descriptor's number: " + std::string(text));
+    config.inherited_fd = number;
+}
+
+// The file that crosses an upgrade, one for each proxy's name, where both processes look.
+std::string hand_over_path(const config::Config& config) {
+    const char* folder = std::getenv("TMPDIR");
+    const std::string name = config.name.empty() ? "proxy" : config.name;
+    return std::string(folder && *folder ? folder : "/tmp") + "/sumackeel-" + name + ".handover";
+}
+
 int serve(const Flags& flags) {
     if (flags.config.empty()) return wrong("no configuration: give --config or set GW_CONFIG");
-    const auto config = config::load_config(flags.config);
+    auto config = config::load_config(flags.config);
+    from_platform(config);
     const auto setup = flags.setup.empty() ? config::Operator{} : config::load_operator(flags.setup);
     if (setup.signed_front) front_signed::Gate{*setup.signed_front};  // its keys must be usable
     if (setup.old_form)
@@ -105,7 +129,7 @@
             setup.expectations->gate != config::Expectations::Gate::warn)
             return wrong("not started: expectations of " + setup.expectations->file + " break");
     }
-    daemon::Daemon daemon(config, setup, {flags.config, flags.setup});
+    daemon::Daemon daemon(config, setup, {flags.config, flags.setup, hand_over_path(config)});
     daemon.run();
     if (daemon.disk_busy()) std::_Exit(0);  // all is answered; a disk that hangs must not keep us
     return 0;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -239,6 +239,7 @@
     take(root, "name", config.name, "configuration");
     config.listen = need<std::string>(root, "listen", "configuration");
     take(root, "changelog", config.changelog, "configuration");
+    take(root, "ops", config.ops, "configuration");
     std::string seed = "0";
     take(root, "seed", seed, "configuration");
     const auto read = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -45,6 +45,8 @@
 
 struct Config {
     std::string name, listen, changelog;
+    std::string ops;        // the operators' address; empty: none ($GW_OPS where set)
+    int inherited_fd = -1;  // the clients' listener, handed in by the platform ($GW_INHERITED_FD); -1: bind
     std::uint64_t seed = 0;
     int sockets = 1024;
     int memory_mb = 192;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,7 +2,10 @@
 
 #include <atomic>
 #include <csignal>
+#include <cstdio>
+#include <fstream>
 #include <mutex>
+#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -11,8 +14,10 @@
 #include "core/one_time.h"
 #include "daemon/expectation_gate.h"
 #include "daemon/fleet.h"
+#include "front_ops/front.h"
 #include "front_platform/front.h"
 #include "front_signed/front.h"
+#include "ops/board.h"
 #include "store/member.h"
 #include "store/redis_one_time.h"
 #include "upstream/pool.h"
@@ -23,19 +28,48 @@
 
 namespace {
 
-// After SIGTERM connections still come for 0.4 s and requests for a further 0.2 s.
+// After SIGTERM connections still come for 0.4 s and requests for a further 0.2 s. Where the socket was
+// handed in, the process that replaces this one takes them from the same socket, ready before SIGTERM.
 constexpr Micros kKeepAccepting = 1'000'000;
+// A client connected just before the end sends its request within this, or is of no use.
+constexpr Micros kWaitForConnected = 2'000'000;
+// A hand-over file is a few lines; one far longer is none of ours.
+constexpr std::streamsize kLongestHandOver = 2 << 20;
 constexpr Micros kLookForEnd = 20'000;
 constexpr Micros kLongestEnd = 8'000'000;
 
 // The platform's clients hold a third at most. They get half, for those that only connect; the log file, the
-// loop's own and the change log are in the reserve.
+// loop's own, the change log and the operators' callers (front_ops::Front::kPlaces) are in the reserve.
 constexpr int kReserve = 24;
 
 int for_servers(int sockets, const config::Operator& setup) {
     return sockets - sockets / 2 - kReserve - (setup.signed_front ? setup.signed_front->connections : 0);
 }
 
+std::optional<ops::Board> load_hand_over(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    if (!file) return std::nullopt;  // none: the first process of this proxy
+    std::string text(static_cast<std::size_t>(kLongestHandOver) + 1, '\0');
+    file.read(text.data(), kLongestHandOver + 1);
+    text.resize(static_cast<std::size_t>(file.gcount()));
+    ops::Read read = ops::read_hand_over(text);
+    if (!read.board) log::warn("hand-over file {} is passed over: {}", path, read.fault);
+    return std::move(read.board);
+}
+
+// Written beside and renamed over: a process that reads it finds the old form or the new one, never half.
+void save_hand_over(const std::string& path, const ops::Board& board) {
+    if (path.empty()) return;
+    const std::string next = path + ".next";
+    {
+        std::ofstream file(next, std::ios::binary | std::ios::trunc);
+        file << board.hand_over();
+        file.flush();
+        if (!file) return log::error("hand-over file {} can't be written", next);
+    }
+    if (std::rename(next.c_str(), path.c_str()) != 0) log::error("hand-over file {} can't be renamed", next);
+}
+
 front_platform::Limits front_limits(const config::Config& config) {
     return {.connections = config.sockets / 2,
             .unsent_bytes = static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 3};
@@ -63,6 +97,8 @@
     std::unique_ptr<core::OneTime> one_time;
     std::unique_ptr<front_signed::Front> signed_front;
     std::unique_ptr<Fleet> fleet;
+    ops::Board board;
+    std::unique_ptr<front_ops::Front> ops_front;
     uv_signal_t term{}, hangup{};
     uv_async_t told{};
     std::atomic<bool> end_told = false, reload_told = false, stop_told = false;
@@ -96,7 +132,7 @@
                 .handshake_price = c.site.handshake_price,
                 .connect_timeout = c.site.settings.connect_timeout,
                 .idle_close = c.site.keepalive}),
-          front(loop, core, c.site, c.listen, front_limits(c)) {
+          front(loop, core, c.site, net::Place(c.listen, c.inherited_fd), front_limits(c)) {
         core.attach(pool);
         fleet = std::make_unique<Fleet>(loop, sockets, core, pool, c, setup);
         if (setup.store) member = std::make_unique<store::Member>(loop, sockets, *setup.store);
@@ -113,6 +149,17 @@
             signed_front = std::make_unique<front_signed::Front>(loop, core, c.site, *setup.signed_front,
                                                                  one_time.get(), c.seed, std::move(live));
         }
+        if (!c.ops.empty())
+            ops_front = std::make_unique<front_ops::Front>(
+                loop, c.ops, [this](const ops::Call& call) { return take_call(call); });
+        // Ready once all listen and what the process before handed over is taken up.
+        board.able();
+        if (auto old = load_hand_over(files.hand_over)) {
+            board.take_over(*old);
+            log::info("hand-over taken: {} pop caches down, {}", board.bans().size(),
+                      ops::name_of(board.phase()));
+        }
+        carry_out();
         loop.each_turn([this] { core.run(); });
         uv_async_init(loop.raw(), &told, [](uv_async_t* handle) {
             auto* self = static_cast<Parts*>(handle->data);
@@ -191,9 +238,34 @@
         log::info("configuration read anew");
     }
 
+    ops::Reply take_call(const ops::Call& call) {
+        const ops::Figures figures{.requests_open = core.open_requests(),
+                                   .connections = front.connections(),
+                                   .pop_caches_listed = fleet->view().size()};
+        ops::Reply reply = ops::take_call(
+            board, call, [this](const std::string& id) { return fleet->listed(id); }, figures);
+        if (reply.changed) {
+            log::info("ops: {} {}: {}", call.method, call.path, reply.status);
+            carry_out();
+            save_hand_over(files.hand_over, board);
+        }
+        return reply;
+    }
+
+    // What the board says, done: bans to the module, clients sent away while draining or ending.
+    void carry_out() {
+        fleet->set_bans(board.bans());
+        front.send_away(board.sending_away());
+        front.set_ready(board.ready());
+        if (signed_front) signed_front->send_away(board.sending_away());
+    }
+
     void end() {
         if (told_to_end) return;
         told_to_end = loop.clock().now();
+        board.end();
+        carry_out();
+        if (config.inherited_fd >= 0) front.stop_listening();
         log::info("told to end: {} requests open", core.open_requests());
         if (signed_front) signed_front->leaving();
         fleet->leaving();
@@ -202,11 +274,18 @@
 
     void look_for_end() {
         const Micros now = loop.clock().now(), since = now - told_to_end;
-        if (since >= kKeepAccepting) front.stop_listening();
-        if (since >= kKeepAccepting && signed_front) signed_front->stop_listening();
+        const Micros accepting = config.inherited_fd >= 0 ? 0 : kKeepAccepting;
+        if (since >= accepting) front.stop_listening();
+        if (since >= accepting && signed_front) signed_front->stop_listening();
         const bool done =
             core.open_requests() == 0 && !front.unsent() && !(signed_front && signed_front->unsent());
-        if ((since >= kKeepAccepting && done) || since > kLongestEnd) return loop.stop();
+        const bool all_gone = front.connections() == 0 && !(signed_front && signed_front->connections() > 0);
+        const bool over = done && (all_gone || since >= accepting + kWaitForConnected);
+        if ((since >= accepting && over) || since > kLongestEnd) {
+            log::info("ended {} ms after told: {} requests open, {} clients' connections", since / 1000,
+                      core.open_requests(), front.connections());
+            return loop.stop();
+        }
         loop.deadlines().set(now + kLookForEnd, [this] { look_for_end(); });
     }
 };
@@ -235,6 +314,9 @@
 bool Daemon::disk_busy() const {
     return parts_->fleet->disk_busy();
 }
+int Daemon::ops_port() const {
+    return parts_->ops_front ? parts_->ops_front->port() : -1;
+}
 int Daemon::signed_port() const {
     return parts_->signed_front ? parts_->signed_front->port() : -1;
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -11,6 +11,8 @@
 // Where the configuration came from and is read anew from on SIGHUP; empty: there is no such file.
 struct Files {
     std::string config, setup;
+    // What crosses an upgrade (the operators' bans and drain), in $TMPDIR; empty: nothing is handed over.
+    std::string hand_over;
 };
 
 class Daemon {
@@ -26,6 +28,7 @@
     bool disk_busy() const;
     int port() const;         // of the platform's front
     int signed_port() const;  // of the front for signed links; -1: it is off
+    int ops_port() const;     // of the operators' address; -1: there is none
 
   private:
     struct Parts;
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -183,7 +183,9 @@
     nettlethread::ListNews news;
     news.version = view_.last_seq();
     news.kind = nettlethread::ListKind::changes;
-    for (const config::Placed& placed : view_.changes(now)) {
+    for (config::Placed placed : view_.changes(now)) {
+        if (placed.entry.state == CacheState::ready && bans_.contains(placed.entry.cache))
+            placed.entry.state = CacheState::draining;
         if (placed.entry.state == CacheState::gone)
             pool_.retire(placed.entry.cache);
         else if (!placed.address.empty())
@@ -201,6 +203,17 @@
         });
 }
 
+void Fleet::set_bans(const std::set<std::string>& bans) {
+    if (bans == bans_) return;
+    for (const std::string& id : bans_)
+        if (!bans.contains(id)) view_.retell(id);
+    for (const std::string& id : bans)
+        if (!bans_.contains(id)) view_.retell(id);
+    bans_ = bans;
+    publish();
+    core_.run();
+}
+
 void Fleet::leaving() {
     if (!keeper_) return;
     const saved_list::KeeperFigures& figures = keeper_->figures();
--- a/src/daemon/fleet.h
+++ b/src/daemon/fleet.h
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "config/config.h"
@@ -29,6 +30,9 @@
     void leaving();  // a last write, if there is something to write
     bool disk_busy() const { return keeper_ && keeper_->writing(); }
     const membership::View& view() const { return view_; }
+    // Taken out by the operators: told to the module as draining whatever the change log says, until lifted.
+    void set_bans(const std::set<std::string>& bans);
+    bool listed(const std::string& id) const { return view_.find(id) != nullptr || bans_.contains(id); }
 
   private:
     void start_keeping(const config::SavedList& list);
@@ -49,6 +53,7 @@
     std::unique_ptr<saved_list::Keeper> keeper_;
     std::unique_ptr<feed::Feed> feed_;
     std::optional<base::Deadlines::Key> next_publish_;
+    std::set<std::string> bans_;
 };
 
 }  // namespace sumackeel::daemon
--- /dev/null
+++ b/src/front_ops/front.cpp
@@ -0,0 +1,100 @@
+#include "front_ops/front.h"
+
+#include <fmt/format.h>
+#include <http_parser.h>
+
+namespace sumackeel::front_ops {
+
+namespace {
+
+// A call is a line and a few headers; anything larger is no operator's.
+constexpr std::size_t kLongestCall = 8 * 1024;
+// Each answer is due within 1 s; a caller that has not sent its call whole by then never will.
+constexpr base::Micros kPatience = 1'000'000;
+
+const char* title(int status) {
+    switch (status) {
+        case 200:
+            return "OK";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 409:
+            return "Conflict";
+        case 431:
+            return "Request Header Fields Too Large";
+        case 503:
+            return "Service Unavailable";
+        default:
+            return "Error";
+    }
+}
+
+std::string written(const ops::Reply& reply) {
+    return fmt::format(
+        "HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{}",
+        reply.status, title(reply.status), reply.body.size(), reply.body);
+}
+
+}  // namespace
+
+struct Front::Caller : net::Guest {
+    Front& front;
+    http_parser parser{};
+    std::string url;
+    std::size_t read = 0;
+    bool whole = false, answered = false;
+
+    explicit Caller(Front& owner) : front(owner) {
+        http_parser_init(&parser, HTTP_REQUEST);
+        parser.data = this;
+    }
+
+    static const http_parser_settings& calls() {
+        static const http_parser_settings settings = [] {
+            http_parser_settings s;
+            http_parser_settings_init(&s);
+            s.on_url = [](http_parser* p, const char* at, std::size_t n) {
+                static_cast<Caller*>(p->data)->url.append(at, n);
+                return 0;
+            };
+            s.on_message_complete = [](http_parser* p) {
+                static_cast<Caller*>(p->data)->whole = true;
+                http_parser_pause(p, 1);
+                return 0;
+            };
+            return s;
+        }();
+        return settings;
+    }
+
+    void received(net::Stream& stream, std::string_view bytes) override {
+        if (answered) return;  // one call a connection: what follows it is not read
+        if ((read += bytes.size()) > kLongestCall) return answer(stream, {431, "the call is too long\n"});
+        http_parser_execute(&parser, &calls(), bytes.data(), bytes.size());
+        const auto fault = HTTP_PARSER_ERRNO(&parser);
+        if (fault != HPE_OK && fault != HPE_PAUSED) return answer(stream, {400, "the call can't be read\n"});
+        if (!whole) return front.door_.now(*this, net::Doing::sending);
+        const ops::Call call{http_method_str(static_cast<http_method>(parser.method)), url};
+        answer(stream, front.taker_(call));
+    }
+
+    void answer(net::Stream& stream, const ops::Reply& reply) {
+        answered = true;
+        front.door_.now(*this, net::Doing::busy);  // no longer one to let go for room
+        stream.write(written(reply));
+        stream.close_when_sent();
+    }
+
+    void left() override {}
+};
+
+Front::Front(net::Loop& loop, const std::string& listen, Taker taker)
+    : taker_(std::move(taker)),
+      door_(loop, listen, kPlaces, {.request = kPatience, .idle = kPatience, .reading = kPatience},
+            [this] { return std::make_unique<Caller>(*this); }) {}
+
+}  // namespace sumackeel::front_ops
--- /dev/null
+++ b/src/front_ops/front.h
@@ -0,0 +1,34 @@
+// The operators' address: HTTP/1.1, one call a connection, answered at once on the loop and closed.
+// Callers that send nothing or half a call hold one of few places for 1 s at most, and the longest silent
+// one makes room for a new caller: they cost bounded descriptors and never the clients' loop.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "net/door.h"
+#include "ops/calls.h"
+
+namespace sumackeel::front_ops {
+
+// Each call to the operators' address, answered from the loop's thread.
+using Taker = std::function<ops::Reply(const ops::Call& call)>;
+
+class Front {
+  public:
+    // Callers at once; more wait in the queue of the listener or push out the longest silent one.
+    // A third of the daemon's reserve of 24 descriptors.
+    static constexpr int kPlaces = 8;
+
+    Front(net::Loop& loop, const std::string& listen, Taker taker);
+    int port() const { return door_.port(); }
+    void stop_listening() { door_.stop_listening(); }
+    std::size_t connections() const { return door_.connections(); }
+
+  private:
+    struct Caller;
+    Taker taker_;
+    net::Door door_;
+};
+
+}  // namespace sumackeel::front_ops
--- a/src/front_platform/front.cpp
+++ b/src/front_platform/front.cpp
@@ -89,7 +89,7 @@
     }
 };
 
-Front::Front(net::Loop& loop, core::Core& core, const config::Site& site, const std::string& listen,
+Front::Front(net::Loop& loop, core::Core& core, const config::Site& site, const net::Place& listen,
              Limits limits)
     : core_(core),
       site_(site),
@@ -124,7 +124,7 @@
 void Front::call(Client& client, Call call) {
     switch (call.verb) {
         case Verb::alive:
-            return client.stream()->write(write_alive(call.seqid));
+            return client.stream()->write(write_alive(call.seqid, ready_));
         case Verb::unknown:
             return client.stream()->write(write_unknown(call.name, call.seqid));
         case Verb::cancel: {
--- a/src/front_platform/front.h
+++ b/src/front_platform/front.h
@@ -19,11 +19,15 @@
 
 class Front : core::Asker {
   public:
-    Front(net::Loop& loop, core::Core& core, const config::Site& site, const std::string& listen,
+    Front(net::Loop& loop, core::Core& core, const config::Site& site, const net::Place& listen,
           Limits limits);
 
     int port() const { return door_.port(); }
     void stop_listening() { door_.stop_listening(); }
+    void send_away(bool on) { door_.send_away(on); }
+    std::size_t connections() const { return door_.connections(); }
+    // What `alive` says: whether this proxy takes work (not while it drains or ends).
+    void set_ready(bool ready) { ready_ = ready; }
     void set_limits(const Limits& limits) { limits_ = limits, door_.set_connections(limits.connections); }
     bool unsent() const { return door_.unsent() > 0; }
 
@@ -42,6 +46,7 @@
         std::int32_t seqid = 0;
     };
     base::Slots<Open> open_;
+    bool ready_ = true;
     net::Door door_;
 };
 
--- a/src/front_platform/thrift.cpp
+++ b/src/front_platform/thrift.cpp
@@ -184,11 +184,11 @@
     });
 }
 
-std::string write_alive(std::int32_t seqid) {
+std::string write_alive(std::int32_t seqid, bool good) {
     return framed(128, [&](Protocol& out) {
         out.writeMessageBegin("alive", tp::T_REPLY, seqid);
         out.writeStructBegin("alive_result");
-        write_result(out, {}, {}, true);
+        write_result(out, {}, {}, good);
         out.writeFieldStop();
         out.writeMessageEnd();
     });
--- a/src/front_platform/thrift.h
+++ b/src/front_platform/thrift.h
@@ -41,7 +41,8 @@
 
 Call read_call(std::string_view frame);  // throws FrameError
 std::string write_answer(std::int32_t seqid, const core::Reply& reply);
-std::string write_alive(std::int32_t seqid);
+// `good`: this proxy takes work. The front asks it every 0.1 s and sends no new clients after a no.
+std::string write_alive(std::int32_t seqid, bool good);
 std::string write_unknown(const std::string& name, std::int32_t seqid);
 
 }  // namespace sumackeel::front_platform
--- a/src/front_signed/front.h
+++ b/src/front_signed/front.h
@@ -23,6 +23,8 @@
 
     int port() const { return door_.port(); }
     void stop_listening() { door_.stop_listening(); }
+    void send_away(bool on) { door_.send_away(on); }
+    std::size_t connections() const { return door_.connections(); }
     void leaving() { leaving_ = true; }
     // Keys, issuers, names and limits from now on; what was let in before goes on.
     void renew(const config::SignedFront& setup);
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -289,6 +289,7 @@
         const auto found = members_.find(id);
         const auto before = offered_.find(id);
         if (found == members_.end()) {
+            retold_.erase(id);
             if (before == offered_.end()) continue;
             config::Placed gone = before->second.word->placed;
             gone.entry.state = CacheState::gone;
@@ -298,7 +299,9 @@
         }
         const Use may = use(found->second, now);
         const auto& word = found->second.word;
-        if (before != offered_.end() && before->second.use == may && before->second.word->same_as(*word)) {
+        const bool again = retold_.erase(id) > 0;
+        if (before != offered_.end() && before->second.use == may && before->second.word->same_as(*word) &&
+            !again) {
             before->second.word = word;
             continue;
         }
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -101,6 +101,8 @@
     // A source that is sure to tell all of the newest list said that it lives.
     void confirm(Micros now);
     void answered(const std::string& id, Micros now);
+    // The next changes() tells this member again, changed or not: something outside the view alters it.
+    void retell(const std::string& id) { touched_.insert(id), retold_.insert(id); }
     // What time alone brings: doubts that end, purges that no longer matter.
     void pass(Micros now);
 
@@ -160,7 +162,7 @@
     std::map<std::string, Member> members_;
     std::map<std::string, std::shared_ptr<const Word>> owners_;  // address to the newest word that gave it
     std::map<std::string, Offered> offered_;
-    std::set<std::string> touched_;
+    std::set<std::string> touched_, retold_;
     bool all_touched_ = false;
     Micros looked_ = 0;  // the last changes()
     std::set<std::string> seeds_;
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -22,13 +22,13 @@
     door.admit();
 }
 
-Door::Door(Loop& loop, const std::string& address, int connections, Patience patience,
+Door::Door(Loop& loop, const Place& place, int connections, Patience patience,
            std::function<std::unique_ptr<Guest>()> make)
     : loop_(loop),
       patience_(patience),
       make_(std::move(make)),
       budget_(connections),
-      listener_(loop, address, [this](uv_stream_t* listener) {
+      listener_(loop, place, [this](uv_stream_t* listener) {
           waiting_ = listener;
           admit();
       }) {
@@ -94,6 +94,20 @@
     to.splice(to.end(), queue(guest.doing_), guest.place_);
     guest.doing_ = doing;
     guest.since_ = loop_.clock().now();
+    // Between two requests is the one moment at which closing loses nothing that was sent.
+    if (sending_away_ && doing == Doing::idle && !guest.stream_->unread()) let_go(guest);
+}
+
+void Door::send_away(bool on) {
+    sending_away_ = on;
+    if (on) send_away_idle();
+}
+
+void Door::send_away_idle() {
+    std::vector<Guest*> idle;
+    for (Guest* guest : queue(Doing::idle))
+        if (!guest->stream_->unread()) idle.push_back(guest);
+    for (Guest* guest : idle) let_go(*guest);
 }
 
 void Door::sweep() {
@@ -110,6 +124,7 @@
         }
         for (Guest* guest : over) let_go(*guest);
     }
+    if (sending_away_) send_away_idle();  // those whose bytes were unread at the last look
     admit();
     loop_.deadlines().set(now + kSweep, [this, alive = std::weak_ptr<bool>(alive_)] {
         if (!alive.expired()) sweep();
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -53,7 +53,7 @@
         Micros reading;  // until it has read one more answer
     };
 
-    Door(Loop& loop, const std::string& address, int connections, Patience patience,
+    Door(Loop& loop, const Place& place, int connections, Patience patience,
          std::function<std::unique_ptr<Guest>()> make);
     ~Door();
     Door(const Door&) = delete;
@@ -68,6 +68,10 @@
     std::size_t unsent() const { return budget_.unsent(); }  // bytes of answers, over all guests
     void set_connections(int most) { budget_.set_most(most); }
     void stop_listening() { waiting_ = nullptr, listener_.close(); }
+    // On: clients are sent away as on a drain or at the end. Idle connections close now, the others once
+    // their last answer is read; the listener goes on as it was. Off: all as before.
+    void send_away(bool on);
+    std::size_t connections() const { return guests_.size(); }
     int port() const { return listener_.port(); }
 
   private:
@@ -77,6 +81,7 @@
     bool make_room();
     void sweep();
     void let_go(Guest& guest);
+    void send_away_idle();
     void lost(Guest& guest);
     std::list<Guest*>& queue(Doing doing) { return queues_[static_cast<std::size_t>(doing)]; }
 
@@ -88,6 +93,7 @@
     std::map<std::uint64_t, std::unique_ptr<Guest>> guests_;
     std::vector<std::unique_ptr<Guest>> gone_;
     std::uint64_t next_ = 1;
+    bool sending_away_ = false;
     uv_stream_t* waiting_ = nullptr;  // the listener, while a connection waits there for room
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what is set in the loop
     Listener listener_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,6 +1,8 @@
 #include "net/stream.h"
 
 #include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
 
 #include <exception>
 #include <stdexcept>
@@ -145,13 +147,42 @@
     last_write_ = true;
 }
 
-Listener::Listener(Loop& loop, const std::string& address, std::function<void(uv_stream_t*)> on_connection)
+void check_listening(int fd) {
+    struct stat about {};
+    int type = 0, domain = 0, listening = 0;
+    socklen_t length = sizeof type;
+    const auto option = [&](int name, int& into) {
+        length = sizeof into;
+        return getsockopt(fd, SOL_SOCKET, name, &into, &length) == 0;
+    };
+    const std::string what = "descriptor " + std::to_string(fd) + " handed in ";
+    if (fd < 0 || fstat(fd, &about) != 0) throw std::runtime_error(what + "is not open");
+    if (!S_ISSOCK(about.st_mode)) throw std::runtime_error(what + "is no socket");
+    if (!option(SO_TYPE, type) || !option(SO_DOMAIN, domain) || type != SOCK_STREAM || domain != AF_INET)
+        throw std::runtime_error(what + "is no TCP socket over IPv4");
+    if (!option(SO_ACCEPTCONN, listening) || listening != 1)
+        throw std::runtime_error(what + "does not listen");
+}
+
+Listener::Listener(Loop& loop, const Place& place, std::function<void(uv_stream_t*)> on_connection)
     : tcp_(new uv_tcp_t), on_connection_(std::move(on_connection)) {
-    sockaddr_in at{};
-    const bool good = read_address(address, at);
     uv_tcp_init(loop.raw(), tcp_);
     tcp_->data = this;
-    int failed = good ? uv_tcp_bind(tcp_, reinterpret_cast<const sockaddr*>(&at), 0) : UV_EINVAL;
+    int failed = 0;
+    if (place.inherited >= 0) {
+        try {
+            check_listening(place.inherited);
+        } catch (const std::exception&) {
+            close();
+            throw;
+        }
+        failed = uv_tcp_open(tcp_, place.inherited);
+    } else {
+        sockaddr_in at{};
+        const bool good = read_address(place.address, at);
+        failed = good ? uv_tcp_bind(tcp_, reinterpret_cast<const sockaddr*>(&at), 0) : UV_EINVAL;
+    }
+    // On a socket that listens already this only sets the queue's length again.
     if (failed == 0)
         failed =
             uv_listen(reinterpret_cast<uv_stream_t*>(tcp_), kBacklog, [](uv_stream_t* server, int status) {
@@ -160,7 +191,7 @@
             });
     if (failed != 0) {
         close();
-        throw std::runtime_error("can't listen on " + address + ": " + uv_strerror(failed));
+        throw std::runtime_error("can't listen on " + place.address + ": " + uv_strerror(failed));
     }
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -54,9 +54,21 @@
     std::size_t writes_ = 0;
 };
 
+// Where a listener is: an address to bind, or a descriptor handed in that listens already.
+struct Place {
+    Place(const std::string& at) : address(at) {}  // NOLINT: an address is the usual place
+    Place(const char* at) : address(at) {}         // NOLINT
+    Place(const std::string& at, int fd) : address(at), inherited(fd) {}
+    std::string address;
+    int inherited = -1;  // below 0: none; `address` is then bound
+};
+
+// Throws with a plain line unless `fd` is a listening TCP socket over IPv4.
+void check_listening(int fd);
+
 class Listener {
   public:
-    Listener(Loop& loop, const std::string& address, std::function<void(uv_stream_t*)> on_connection);
+    Listener(Loop& loop, const Place& place, std::function<void(uv_stream_t*)> on_connection);
     ~Listener();
     Listener(const Listener&) = delete;
     Listener& operator=(const Listener&) = delete;
--- /dev/null
+++ b/src/ops/calls.h
@@ -0,0 +1,32 @@
+// The operators' calls as the ops address takes them: a method and a path in, a status and a body out, the
+// board changed as the call says. Pure: which ids were ever listed, and the figures shown, are handed in.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "ops/board.h"
+
+namespace sumackeel::ops {
+
+struct Call {
+    std::string_view method, path;
+};
+
+struct Reply {
+    int status = 200;      // 2xx yes, 4xx or 5xx no
+    std::string body;      // one line or a few, text
+    bool changed = false;  // the board is to be handed over anew
+};
+
+// What GET /ops/stats shows besides the board, as `gw_NAME VALUE` lines.
+struct Figures {
+    std::size_t requests_open = 0, connections = 0, pop_caches_listed = 0;
+};
+
+using Listed = std::function<bool(const std::string& id)>;
+
+Reply take_call(Board& board, const Call& call, const Listed& listed, const Figures& figures);
+
+}  // namespace sumackeel::ops
--- a/tests/daemon/gate_test.cpp
+++ b/tests/daemon/gate_test.cpp
@@ -42,7 +42,7 @@
     folder.write("expectations.toml", kExpectations);
     const std::string setup = folder.write("operator.toml", operator_text("reload"));
     const std::string config = folder.write("config.json", config_text(sound, first.address()));
-    Daemon daemon(sound, first.address(), sumackeel::config::load_operator(setup), {config, setup});
+    Daemon daemon(sound, first.address(), sumackeel::config::load_operator(setup), {config, setup, {}});
     Wire client = Wire::to(daemon.port());
     const auto served = [&](int number) {
         Fields fields = read("sheet", "00000000000000" + std::to_string(10 + number));
--- a/tests/daemon/platform_test.cpp
+++ b/tests/daemon/platform_test.cpp
@@ -260,7 +260,7 @@
     Peer old_log, new_log;
     const Folder folder;
     const std::string file = folder.write("config.json", config_text(fleet.hosts(), old_log.address()));
-    Daemon daemon(fleet.hosts(), old_log.address(), {}, {file, {}});
+    Daemon daemon(fleet.hosts(), old_log.address(), {}, {file, {}, {}});
     std::string behind;
     Wire first =
         follow(old_log, behind,
--- /dev/null
+++ b/tests/daemon/service_test.cpp
@@ -0,0 +1,248 @@
+// Stories of the day-to-day service over loopback: the operators' calls, a drain, a ban, the clients' socket
+// handed in, and one process replacing another on that socket under a steady loop of requests.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <mutex>
+
+#include "support.h"
+
+using namespace story;
+
+namespace {
+
+struct TwoCaches {
+    Peer a, b, parent, origin;
+    std::vector<std::string> hosts() const {
+        return {host("s-a", a, "edge-1", "small"), host("s-b", b, "edge-1", "small"),
+                host("s-parent", parent, "coast", "parent"), host("s-origin", origin, "coast", "origin")};
+    }
+};
+
+sumackeel::config::Config with_ops(const std::vector<std::string>& hosts, int inherited = -1) {
+    auto config = sumackeel::config::read_config(config_text(hosts));
+    config.ops = "127.0.0.1:0";
+    config.inherited_fd = inherited;
+    return config;
+}
+
+// One call to the operators' address: its status, or 0 where none came.
+int call(int port, const std::string& method, const std::string& path) {
+    Wire wire = Wire::to(port);
+    wire.send(method + " " + path + " HTTP/1.1\r\nHost: ops\r\n\r\n");
+    const std::string all = wire.rest();
+    return all.starts_with("HTTP/1.1 ") ? std::stoi(all.substr(9, 3)) : 0;
+}
+
+// A socket that listens as the platform's would, on a port of its own.
+int listening_socket(int& port) {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof at;
+    if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || listen(fd, 256) != 0 ||
+        getsockname(fd, reinterpret_cast<sockaddr*>(&at), &length) != 0)
+        throw std::runtime_error("no listener");
+    port = ntohs(at.sin_port);
+    return fd;
+}
+
+std::string answer_to(const Req& req) {
+    return req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled,meter=inflight:1;x1:0.1 2\r\nok\r\n";
+}
+
+// A pop cache that answers every request on every connection, each connection in a thread of its own.
+class Answering {
+  public:
+    explicit Answering(Peer& peer) : peer_(peer), accepting_([this] { accept_all(); }) {}
+    ~Answering() {
+        done_ = true;
+        accepting_.join();
+        for (std::thread& one : serving_) one.join();
+    }
+    int requests() const { return requests_; }
+
+  private:
+    void accept_all() {
+        while (!done_) {
+            if (!ready(peer_.fd(), 50)) continue;
+            serving_.emplace_back([this, wire = Wire(::accept(peer_.fd(), nullptr, nullptr))]() mutable {
+                try {
+                    for (;;) {
+                        const Req req = read_req(wire);
+                        ++requests_;
+                        wire.send(answer_to(req));
+                    }
+                } catch (const std::exception&) {  // closed, or silent for the bound: its story is over
+                }
+            });
+        }
+    }
+    Peer& peer_;
+    std::atomic<bool> done_ = false;
+    std::atomic<int> requests_ = 0;
+    std::vector<std::thread> serving_;
+    std::thread accepting_;
+};
+
+Fields read_of(int n) {
+    char id[17], subject[17];
+    const auto at = static_cast<unsigned>(n);
+    std::snprintf(id, sizeof id, "%016x", 0x9b1f0000u + at);
+    std::snprintf(subject, sizeof subject, "%016x", 0x7f3a0000u + at * 7919u);
+    Fields fields = read("sheet", id);
+    fields["subject"] = subject;
+    return fields;
+}
+
+}  // namespace
+
+TEST_CASE("the operators' calls answer on their own address, each with its yes or no") {
+    TwoCaches fleet;
+    Folder folder;
+    Daemon daemon(with_ops(fleet.hosts()), {{}, {}, folder.path() + "/handover"});
+    const int ops = daemon.ops_port();
+    CHECK(call(ops, "GET", "/ops/readiness") == 200);
+    CHECK(call(ops, "POST", "/ops/pop-caches/down/s-a") == 200);
+    CHECK(call(ops, "POST", "/ops/pop-caches/down/s-a") == 200);
+    CHECK(call(ops, "POST", "/ops/pop-caches/down/s-never-listed") == 404);
+    CHECK(call(ops, "POST", "/ops/pop-caches/up/s-a") == 200);
+    CHECK(call(ops, "DELETE", "/ops/drain/start") == 405);
+    CHECK(call(ops, "GET", "/ops/what") == 404);
+    Wire broken = Wire::to(ops);
+    broken.send("NOT HTTP AT ALL\r\n\r\n");
+    CHECK(broken.rest().starts_with("HTTP/1.1 400"));
+}
+
+TEST_CASE("a caller that sends half a call is let go, and the next caller is answered") {
+    TwoCaches fleet;
+    Daemon daemon(with_ops(fleet.hosts()), {});
+    std::vector<Wire> silent;
+    for (int i = 0; i < 40; ++i) {  // more than the places of the address
+        silent.push_back(Wire::to(daemon.ops_port()));
+        if (i % 2) silent.back().send("GET /ops/readi");
+    }
+    const auto before = std::chrono::steady_clock::now();
+    CHECK(call(daemon.ops_port(), "GET", "/ops/readiness") == 200);
+    CHECK(std::chrono::steady_clock::now() - before < std::chrono::milliseconds(1500));
+    CHECK(silent.front().rest().empty());  // closed without an answer
+}
+
+TEST_CASE("a banned pop cache is given nothing new until it is put back") {
+    TwoCaches fleet;
+    Answering b(fleet.b);
+    Daemon daemon(with_ops(fleet.hosts()), {});
+    REQUIRE(call(daemon.ops_port(), "POST", "/ops/pop-caches/down/s-a") == 200);
+    Wire client = Wire::to(daemon.port());
+    for (int i = 1; i <= 12; ++i) {
+        client.send(dispatch(i, read_of(i)));
+        CHECK(read_reply(client).place == 0);
+    }
+    CHECK(b.requests() == 12);
+    CHECK_FALSE(fleet.a.called());
+}
+
+TEST_CASE("a ban is handed over to the next process through its file") {
+    TwoCaches fleet;
+    Folder folder;
+    const std::string file = folder.path() + "/handover";
+    {
+        Daemon old(with_ops(fleet.hosts()), {{}, {}, file});
+        REQUIRE(call(old.ops_port(), "POST", "/ops/pop-caches/down/s-a") == 200);
+    }
+    Answering b(fleet.b);
+    Daemon fresh(with_ops(fleet.hosts()), {{}, {}, file});
+    Wire client = Wire::to(fresh.port());
+    for (int i = 1; i <= 12; ++i) {
+        client.send(dispatch(i, read_of(i)));
+        CHECK(read_reply(client).place == 0);
+    }
+    CHECK_FALSE(fleet.a.called());
+    CHECK(call(fresh.ops_port(), "POST", "/ops/pop-caches/up/s-a") == 200);
+}
+
+TEST_CASE("a torn hand-over file is passed over and the proxy starts without it") {
+    TwoCaches fleet;
+    Folder folder;
+    const std::string file = folder.write("handover", "sumackeel ops hand-over 1\ndown s-a\nsum 00");
+    Daemon daemon(with_ops(fleet.hosts()), {{}, {}, file});
+    CHECK(call(daemon.ops_port(), "GET", "/ops/readiness") == 200);
+}
+
+TEST_CASE("a drain says no, sends idle clients away and ends with a yes") {
+    TwoCaches fleet;
+    Answering a(fleet.a), b(fleet.b);
+    Daemon daemon(with_ops(fleet.hosts()), {});
+    const auto alive_says = [&] {
+        Wire probe = Wire::to(daemon.port());
+        probe.send(alive(1));
+        return read_reply(probe).rest;
+    };
+    const std::string yes = alive_says();
+    Wire client = Wire::to(daemon.port());
+    client.send(dispatch(1, read_of(1)));
+    CHECK(read_reply(client).place == 0);
+    REQUIRE(call(daemon.ops_port(), "POST", "/ops/drain/start") == 200);
+    CHECK(call(daemon.ops_port(), "GET", "/ops/readiness") == 503);
+    CHECK(alive_says() != yes);  // the front's own question gets a no too
+    CHECK(client.rest().empty());  // the idle connection was closed, with nothing in it
+    REQUIRE(call(daemon.ops_port(), "POST", "/ops/drain/stop") == 200);
+    CHECK(call(daemon.ops_port(), "GET", "/ops/readiness") == 200);
+}
+
+TEST_CASE("the clients' socket is taken from a descriptor handed in, and only from a listener") {
+    TwoCaches fleet;
+    int port = 0;
+    const int fd = listening_socket(port);
+    {
+        Answering a(fleet.a), b(fleet.b);
+        Daemon daemon(with_ops(fleet.hosts(), dup(fd)), {});
+        CHECK(daemon.port() == port);
+        Wire client = Wire::to(port);
+        client.send(dispatch(1, read_of(1)));
+        CHECK(read_reply(client).place == 0);
+    }
+    ::close(fd);
+    const int udp = socket(AF_INET, SOCK_DGRAM, 0), unbound = socket(AF_INET, SOCK_STREAM, 0);
+    for (const int wrong : {udp, unbound, 999}) {
+        auto config = with_ops(fleet.hosts(), wrong);
+        const sumackeel::config::Operator none;
+        CHECK_THROWS_AS(sumackeel::daemon::Daemon(config, none), std::runtime_error);
+    }
+}
+
+TEST_CASE("a new process takes over the handed-in socket and no request of a steady client is lost") {
+    TwoCaches fleet;
+    Answering a(fleet.a), b(fleet.b);
+    int port = 0;
+    const int fd = listening_socket(port);
+    std::atomic<bool> going = true;
+    std::atomic<int> answered = 0, lost = 0;
+    auto old = std::make_unique<Daemon>(with_ops(fleet.hosts(), dup(fd)), sumackeel::daemon::Files{});
+    std::thread steady([&] {
+        for (int i = 1; going; ++i) {
+            try {  // a new connection for each request, as the crowd's clients do
+                Wire client = Wire::to(port);
+                client.send(dispatch(1, read_of(i)));
+                read_reply(client).place == 0 ? ++answered : ++lost;
+            } catch (const std::exception&) {
+                ++lost;
+            }
+        }
+    });
+    while (answered < 50) std::this_thread::yield();
+    Daemon fresh(with_ops(fleet.hosts(), dup(fd)), {});
+    REQUIRE(call(fresh.ops_port(), "GET", "/ops/readiness") == 200);
+    old->end();  // it says no from here on, and leaves once what it took is answered
+    old->join();
+    const int at_end = answered;
+    while (answered < at_end + 50) std::this_thread::yield();
+    going = false;
+    steady.join();
+    old.reset();
+    ::close(fd);
+    CHECK(lost == 0);
+    MESSAGE("answered " << answered.load() << ", lost " << lost.load());
+}
--- a/tests/daemon/support.h
+++ b/tests/daemon/support.h
@@ -267,12 +267,19 @@
           operator_(setup),
           daemon_(config_, operator_, std::move(files)),
           thread_([this] { daemon_.run(); }) {}
+    // A configuration as the platform would set it beside its file (the operators' address, a socket
+    // handed in) and where the hand-over file is.
+    Daemon(sumackeel::config::Config config, sumackeel::daemon::Files files)
+        : config_(std::move(config)),
+          daemon_(config_, operator_, std::move(files)),
+          thread_([this] { daemon_.run(); }) {}
     ~Daemon() {
         daemon_.stop();
         if (thread_.joinable()) thread_.join();
     }
     int port() const { return daemon_.port(); }
     int signed_port() const { return daemon_.signed_port(); }
+    int ops_port() const { return daemon_.ops_port(); }
     void end() { daemon_.end(); }
     void reload() { daemon_.reload(); }
     void crash() {  // at once, with all that is open
