Test two real processes handing the clients' socket over under a steady client

tests/daemon/handover_test.py holds the listening socket as the platform does and hands it to each process as GW_INHERITED_FD, with a ban on the first. A client sends one request a connection while the second process starts, says yes, and the first gets SIGTERM. Without the inherited socket the second process can't bind and the test fails at its start.

--- /dev/null
+++ b/tests/daemon/handover_test.py
@@ -0,0 +1,178 @@
+#!/usr/bin/env python3
+"""Two real processes hand the clients' socket over on loopback, under a steady loop of requests.
+
+The test holds the listening socket as the platform does and hands it to each process as a descriptor
+named by GW_INHERITED_FD. While a client sends one request a connection, a second process starts, says
+yes on its own ops address, and the first gets SIGTERM. No request may be refused, closed or lost, the
+first process must end by itself with status 0, and a ban must cross over through the hand-over file.
+Usage: handover_test.py SUMACKEEL
+"""
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+BOUND_S = 10  # a wait longer than this is a hang, and fails the test
+
+
+def cache_box(listener, served):
+    """A pop cache that answers each request at once, a thread a connection."""
+    def serve(conn):
+        with conn, conn.makefile("rb") as lines:
+            while line := lines.readline():
+                words = line.decode().split()
+                if words and words[0] == "REQ":
+                    lines.read(int(words[3]) + 2)
+                    served[0] += 1
+                    conn.sendall(f"{words[1]} DONE digest=e1,dated=1764576000123,tell=pulled 2\r\nok\r\n".encode())
+    while True:
+        try:
+            conn, _ = listener.accept()
+        except OSError:
+            return
+        threading.Thread(target=serve, args=(conn,), daemon=True).start()
+
+
+def be(value, width):
+    return value.to_bytes(width, "big")
+
+
+def tstr(text):
+    return be(len(text), 4) + text
+
+
+def dispatch(seqid, request_id, subject):
+    fields = {b"kind": b"sheet", b"req": request_id, b"timeout": b"3000", b"subject": subject,
+              b"slice": b"0", b"set": b"17", b"need": b"40"}
+    body = be(0x80010001, 4) + tstr(b"dispatch") + be(seqid, 4)
+    body += be(13, 1) + be(1, 2) + be(11, 1) + be(11, 1) + be(len(fields), 4)
+    for key, value in fields.items():
+        body += tstr(key) + tstr(value)
+    body += be(11, 1) + be(2, 2) + tstr(b"") + be(0, 1)
+    return be(len(body), 4) + body
+
+
+def exactly(conn, count):
+    data = b""
+    while len(data) < count:
+        more = conn.recv(count - len(data))
+        if not more:
+            raise ConnectionError("closed in the middle")
+        data += more
+    return data
+
+
+def reply_place(conn):
+    """0 Answer, 1 Busy, 2 Failed: the field of the result."""
+    frame = exactly(conn, struct.unpack(">I", exactly(conn, 4))[0])
+    name = struct.unpack(">I", frame[4:8])[0]
+    return struct.unpack(">h", frame[8 + name + 5:8 + name + 7])[0]
+
+
+def ops_call(port, method, path, body=None):
+    try:
+        with socket.create_connection(("127.0.0.1", port), timeout=BOUND_S) as conn:
+            conn.sendall(f"{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+            answer = b""
+            while chunk := conn.recv(4096):
+                answer += chunk
+            if body is not None:
+                body.append(answer.split(b"\r\n\r\n", 1)[1].decode())
+            return int(answer.split()[1])
+    except OSError:
+        return 0
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def main():
+    program = sys.argv[1]
+    folder = tempfile.mkdtemp(prefix="sumackeel-handover-")
+    box = socket.socket()
+    box.bind(("127.0.0.1", 0))
+    box.listen(64)
+    served = [0]
+    threading.Thread(target=cache_box, args=(box, served), daemon=True).start()
+    box_at = f"127.0.0.1:{box.getsockname()[1]}"
+
+    clients = socket.socket()
+    clients.bind(("127.0.0.1", 0))
+    clients.listen(512)
+    port = clients.getsockname()[1]
+    settings = json.load(open(os.path.join(os.path.dirname(__file__), "..", "..", "example", "config.json")))
+    hosts = [{"host": name, "dial": box_at, "site": site, "class": kind, "block": 1, "health": "SERVING",
+              "share": 8, "born_ms": 0}
+             for name, site, kind in (("s-a", "edge-1", "small"), ("s-b", "edge-1", "small"),
+                                      ("s-parent", "coast", "parent"), ("s-origin", "coast", "origin"))]
+    settings.update({"name": "n0", "listen": f"127.0.0.1:{port}", "changelog": "",
+                     "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"seq": 1, "whole": True, "hosts": hosts}}]}})
+    config = os.path.join(folder, "config.json")
+    with open(config, "w") as out:
+        json.dump(settings, out)
+
+    def start(ops_port):
+        env = dict(os.environ, GW_CONFIG=config, GW_OPS=f"127.0.0.1:{ops_port}",
+                   GW_INHERITED_FD=str(clients.fileno()), TMPDIR=folder)
+        proc = subprocess.Popen([program, "serve", "--log-level", "info"], env=env, pass_fds=[clients.fileno()],
+                                stderr=open(os.path.join(folder, f"{ops_port}.log"), "w"))
+        end = time.monotonic() + BOUND_S
+        while ops_call(ops_port, "GET", "/ops/readiness") != 200:
+            if time.monotonic() > end or proc.poll() is not None:
+                sys.exit(f"FAIL: the process on ops port {ops_port} never said yes")
+            time.sleep(0.02)
+        return proc
+
+    old_ops, new_ops = free_port(), free_port()
+    old = start(old_ops)
+    if ops_call(old_ops, "POST", "/ops/pop-caches/down/s-a") != 200:
+        sys.exit("FAIL: the ban was refused")
+
+    going, counts = True, {"answered": 0, "other": 0, "lost": 0}
+
+    def steady():
+        n = 0
+        while going:
+            n += 1
+            try:
+                with socket.create_connection(("127.0.0.1", port), timeout=BOUND_S) as conn:
+                    conn.sendall(dispatch(1, b"%016x" % (0x5a000000 + n), b"%016x" % (n * 7919)))
+                    counts["answered" if reply_place(conn) == 0 else "other"] += 1
+            except (OSError, ConnectionError, struct.error):
+                counts["lost"] += 1
+
+    client = threading.Thread(target=steady)
+    client.start()
+    time.sleep(0.5)
+    new = start(new_ops)
+    old.send_signal(signal.SIGTERM)
+    status = old.wait(timeout=BOUND_S)
+    time.sleep(0.5)
+    going = False
+    client.join(timeout=BOUND_S)
+    stats = []
+    stats_ok = ops_call(new_ops, "GET", "/ops/stats", stats) == 200
+    banned_still = stats_ok and "gw_pop_caches_down 1\n" in stats[0]
+    new.send_signal(signal.SIGTERM)
+    new.wait(timeout=BOUND_S)
+    print(f"answered {counts['answered']}, other answers {counts['other']}, lost {counts['lost']}, "
+          f"old status {status}, cache served {served[0]}")
+    with open(os.path.join(folder, f"{old_ops}.log")) as log:
+        told = [line for line in log if "ended" in line]
+    failed = counts["lost"] > 0 or counts["other"] > 0 or status != 0 or counts["answered"] < 20
+    failed = failed or not banned_still or not stats_ok or not told
+    print("1 passed, 0 failed" if not failed else "0 passed, 1 failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
