Show the list's number in the operators' stats; test a ban over change-log news

An operator who takes a pop cache out needs to see that later news of the change log has reached the proxy and left the ban as it was. /ops/stats says gw_list_seq, the number of the newest change taken up. The story in tests/daemon/service_test.cpp bans s-a, has the change log list it as serving under a newer number, waits for gw_list_seq 2, and sends 12 requests: all reach s-b.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -244,7 +244,8 @@
     ops::Reply take_call(const ops::Call& call) {
         const ops::Figures figures{.requests_open = core.open_requests(),
                                    .connections = front.connections(),
-                                   .pop_caches_listed = fleet->view().size()};
+                                   .pop_caches_listed = fleet->view().size(),
+                                   .list_seq = fleet->view().last_seq()};
         ops::Reply reply = ops::take_call(
             board, call, [this](const std::string& id) { return fleet->listed(id); }, figures);
         if (reply.changed) {
--- a/src/ops/calls.h
+++ b/src/ops/calls.h
@@ -2,6 +2,7 @@
 // board changed as the call says. Pure: which ids were ever listed, and the figures shown, are handed in.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -23,6 +24,7 @@
 // What GET /ops/stats shows besides the board, as `gw_NAME VALUE` lines.
 struct Figures {
     std::size_t requests_open = 0, connections = 0, pop_caches_listed = 0;
+    std::int64_t list_seq = 0;  // the number of the newest change the list has taken
 };
 
 using Listed = std::function<bool(const std::string& id)>;
--- a/tests/daemon/service_test.cpp
+++ b/tests/daemon/service_test.cpp
@@ -20,18 +20,20 @@
     }
 };
 
-sumackeel::config::Config with_ops(const std::vector<std::string>& hosts, int inherited = -1) {
-    auto config = sumackeel::config::read_config(config_text(hosts));
+sumackeel::config::Config with_ops(const std::vector<std::string>& hosts, int inherited = -1,
+                                   const std::string& changelog = {}) {
+    auto config = sumackeel::config::read_config(config_text(hosts, changelog));
     config.ops = "127.0.0.1:0";
     config.inherited_fd = inherited;
     return config;
 }
 
-// One call to the operators' address: its status, or 0 where none came.
-int call(int port, const std::string& method, const std::string& path) {
+// One call to the operators' address: its status, or 0 where none came; the body into `body` if given.
+int call(int port, const std::string& method, const std::string& path, std::string* body = nullptr) {
     Wire wire = Wire::to(port);
     wire.send(method + " " + path + " HTTP/1.1\r\nHost: ops\r\n\r\n");
     const std::string all = wire.rest();
+    if (body) *body = all.substr(std::min(all.size(), all.find("\r\n\r\n") + 4));
     return all.starts_with("HTTP/1.1 ") ? std::stoi(all.substr(9, 3)) : 0;
 }
 
@@ -264,3 +266,28 @@
     CHECK(took < std::chrono::milliseconds(3600));  // before the platform's SIGKILL at 3.7 s
     daemon.join();
 }
+
+TEST_CASE("a ban holds over news of the change log that lists the pop cache as serving") {
+    TwoCaches fleet;
+    Peer log;
+    Answering b(fleet.b);
+    Daemon daemon(with_ops(fleet.hosts(), -1, log.address()), {});
+    Wire feed = log.accept();
+    while (!feed.line().empty()) continue;  // the call for the change log, taken up behind 1
+    feed.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n");
+    REQUIRE(call(daemon.ops_port(), "POST", "/ops/pop-caches/down/s-a") == 200);
+    feed.send("id: 2\ndata: " + story::fleet(2, false, {host("s-a", fleet.a, "edge-1", "small", "SERVING")}) +
+              "\n\n");
+    std::string stats;
+    for (int i = 0; i < 500 && stats.find("gw_list_seq 2\n") == std::string::npos; ++i)
+        call(daemon.ops_port(), "GET", "/ops/stats", &stats);  // until the news was taken up
+    REQUIRE(stats.find("gw_list_seq 2\n") != std::string::npos);
+    CHECK(stats.find("gw_pop_caches_down 1\n") != std::string::npos);
+    Wire client = Wire::to(daemon.port());
+    for (int i = 1; i <= 12; ++i) {
+        client.send(dispatch(i, read_of(i)));
+        CHECK(read_reply(client).place == 0);
+    }
+    CHECK(b.requests() == 12);
+    CHECK_FALSE(fleet.a.called());
+}
