--- a/tests/daemon/service_test.cpp
+++ b/tests/daemon/service_test.cpp
@@ -37,20 +37,6 @@
     return all.starts_with("HTTP/1.1 ") ? std::stoi(all.substr(9, 3)) : 0;
 }
 
-// A socket that listens as the platform's would, on a port of its own.
-int listening_socket(int& port) {
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof at;
-    if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || listen(fd, 256) != 0 ||
-        getsockname(fd, reinterpret_cast<sockaddr*>(&at), &length) != 0)
-        throw std::runtime_error("no listener");
-    port = ntohs(at.sin_port);
-    return fd;
-}
-
 std::string answer_to(const Req& req) {
     return req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled,meter=inflight:1;x1:0.1 2\r\nok\r\n";
 }
@@ -89,6 +75,16 @@
     std::thread accepting_;
 };
 
+Fields read_of(int n);
+
+// Sends `count` reads of objects of their own, one after the other, and checks that each is served.
+void served_reads(Wire& client, int count) {
+    for (int i = 1; i <= count; ++i) {
+        client.send(dispatch(i, read_of(i)));
+        CHECK(read_reply(client).place == 0);
+    }
+}
+
 Fields read_of(int n) {
     char id[17], subject[17];
     const auto at = static_cast<unsigned>(n);
@@ -138,10 +134,7 @@
     Daemon daemon(with_ops(fleet.hosts()), {});
     REQUIRE(call(daemon.ops_port(), "POST", "/ops/pop-caches/down/s-a") == 200);
     Wire client = Wire::to(daemon.port());
-    for (int i = 1; i <= 12; ++i) {
-        client.send(dispatch(i, read_of(i)));
-        CHECK(read_reply(client).place == 0);
-    }
+    served_reads(client, 12);
     CHECK(b.requests() == 12);
     CHECK_FALSE(fleet.a.called());
 }
@@ -157,10 +150,7 @@
     Answering b(fleet.b);
     Daemon fresh(with_ops(fleet.hosts()), {{}, {}, file});
     Wire client = Wire::to(fresh.port());
-    for (int i = 1; i <= 12; ++i) {
-        client.send(dispatch(i, read_of(i)));
-        CHECK(read_reply(client).place == 0);
-    }
+    served_reads(client, 12);
     CHECK_FALSE(fleet.a.called());
     CHECK(call(fresh.ops_port(), "POST", "/ops/pop-caches/up/s-a") == 200);
 }
@@ -196,8 +186,8 @@
 
 TEST_CASE("the clients' socket is taken from a descriptor handed in, and only from a listener") {
     TwoCaches fleet;
-    int port = 0;
-    const int fd = listening_socket(port);
+    Peer platform;  // holds the clients' socket as the platform does
+    const int fd = platform.fd(), port = platform.port();
     {
         Answering a(fleet.a), b(fleet.b);
         Daemon daemon(with_ops(fleet.hosts(), dup(fd)), {});
@@ -206,7 +196,6 @@
         client.send(dispatch(1, read_of(1)));
         CHECK(read_reply(client).place == 0);
     }
-    ::close(fd);
     const int udp = socket(AF_INET, SOCK_DGRAM, 0), unbound = socket(AF_INET, SOCK_STREAM, 0);
     for (const int wrong : {udp, unbound, 999}) {
         auto config = with_ops(fleet.hosts(), wrong);
@@ -218,8 +207,8 @@
 TEST_CASE("a new process takes over the handed-in socket and no request of a steady client is lost") {
     TwoCaches fleet;
     Answering a(fleet.a), b(fleet.b);
-    int port = 0;
-    const int fd = listening_socket(port);
+    Peer platform;
+    const int fd = platform.fd(), port = platform.port();
     std::atomic<bool> going = true;
     std::atomic<int> answered = 0, lost = 0;
     auto old = std::make_unique<Daemon>(with_ops(fleet.hosts(), dup(fd)), sumackeel::daemon::Files{});
@@ -244,7 +233,6 @@
     going = false;
     steady.join();
     old.reset();
-    ::close(fd);
     CHECK(lost == 0);
     MESSAGE("answered " << answered.load() << ", lost " << lost.load());
 }
@@ -284,10 +272,7 @@
     REQUIRE(stats.find("gw_list_seq 2\n") != std::string::npos);
     CHECK(stats.find("gw_pop_caches_down 1\n") != std::string::npos);
     Wire client = Wire::to(daemon.port());
-    for (int i = 1; i <= 12; ++i) {
-        client.send(dispatch(i, read_of(i)));
-        CHECK(read_reply(client).place == 0);
-    }
+    served_reads(client, 12);
     CHECK(b.requests() == 12);
     CHECK_FALSE(fleet.a.called());
 }
--- a/tests/daemon/support.h
+++ b/tests/daemon/support.h
@@ -173,6 +173,7 @@
         }
     }
     std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    int port() const { return port_; }
     int fd() const { return fd_; }
 
   private:
