--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -58,13 +58,17 @@
     const Handle handle = requests_.add(std::move(request));
     Request& taken = *requests_.find(handle);
     taken.name = arrival.id = name_of(handle);
-    const Micros guard =
-        last_word_ > 0 ? std::min(taken.deadline - kGuard, last_word_) : taken.deadline - kGuard;
-    taken.guard = deadlines_.set(guard, [this, handle] { time_up(handle); });
+    taken.guard = guard(handle, taken.deadline);
     events_.push_back(std::move(arrival));
     return handle;
 }
 
+// The core's own answer comes just before the client gives up, or at the last word where that is sooner.
+base::Deadlines::Key Core::guard(Handle handle, Micros deadline) {
+    const Micros at = last_word_ > 0 ? std::min(deadline - kGuard, last_word_) : deadline - kGuard;
+    return deadlines_.set(at, [this, handle] { time_up(handle); });
+}
+
 void Core::last_word_by(Micros at) {
     last_word_ = at;
     std::vector<Handle> later;
@@ -74,7 +78,7 @@
     for (const Handle handle : later) {
         Request& request = *requests_.find(handle);
         deadlines_.drop(request.guard);
-        request.guard = deadlines_.set(at, [this, handle] { time_up(handle); });
+        request.guard = guard(handle, request.deadline);
     }
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -151,6 +151,7 @@
     void attempt(const nettlethread::Serve& serve);
     void finish(Handle request, Reply reply);
     void time_up(Handle request);
+    Deadlines::Key guard(Handle request, Micros deadline);
     Handle named(std::string_view name) const;
 
     nettlethread::Settings settings_;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -5,7 +5,7 @@
 #include <cstdio>
 #include <fstream>
 #include <mutex>
-#include <sstream>
+#include <optional>
 #include <thread>
 #include <utility>
 
--- a/src/daemon/fleet.h
+++ b/src/daemon/fleet.h
@@ -32,7 +32,7 @@
     const membership::View& view() const { return view_; }
     // Taken out by the operators: told to the module as draining whatever the change log says, until lifted.
     void set_bans(const std::set<std::string>& bans);
-    bool listed(const std::string& id) const { return view_.find(id) != nullptr || bans_.contains(id); }
+    bool listed(const std::string& id) const { return view_.find(id) != nullptr; }
 
   private:
     void start_keeping(const config::SavedList& list);
--- a/tests/daemon/service_test.cpp
+++ b/tests/daemon/service_test.cpp
@@ -75,16 +75,6 @@
     std::thread accepting_;
 };
 
-Fields read_of(int n);
-
-// Sends `count` reads of objects of their own, one after the other, and checks that each is served.
-void served_reads(Wire& client, int count) {
-    for (int i = 1; i <= count; ++i) {
-        client.send(dispatch(i, read_of(i)));
-        CHECK(read_reply(client).place == 0);
-    }
-}
-
 Fields read_of(int n) {
     char id[17], subject[17];
     const auto at = static_cast<unsigned>(n);
@@ -95,6 +85,14 @@
     return fields;
 }
 
+// Sends `count` reads of objects of their own, one after the other, and checks that each is served.
+void served_reads(Wire& client, int count) {
+    for (int i = 1; i <= count; ++i) {
+        client.send(dispatch(i, read_of(i)));
+        CHECK(read_reply(client).place == 0);
+    }
+}
+
 }  // namespace
 
 TEST_CASE("the operators' calls answer on their own address, each with its yes or no") {
--- a/tests/daemon/signed_test.cpp
+++ b/tests/daemon/signed_test.cpp
@@ -282,7 +282,8 @@
         R"({"signed_front":{"listen":"127.0.0.1:0","host":"cache.example.org","audience":"cache.example.org",
             "link_issuers":["lessons"],"token_issuers":["school"],"one_time":"local","keys":"keys.json"}})");
     const std::string config_file = folder.write("config.json", config_text(hosts));
-    Daemon daemon(hosts, {}, sumackeel::config::load_operator(operator_file), {config_file, operator_file, {}});
+    Daemon daemon(hosts, {}, sumackeel::config::load_operator(operator_file),
+                  {config_file, operator_file, {}});
     const sumackeel::config::SignedFront front = setup();
     const Gate signer(front);
     sumackeel::front_signed::Target target;
