Give up at once what can't be sent whole before the last word or the client's end

The trace shows that all of them came after SIGTERM on kept connections that never go idle, and that the module was told the client's full time for them. Ruled out: requests held by the module (none of those open at SIGTERM was cut), boxes that were reset or fills that hang (one to three an upgrade joined a slow fill). Sizes that are not told are no ground to refuse. Tests: LastWord.RefusesAtOnceWhatCanNotEndByThen and ChoiceTest.WhatCanNotBeSentWhole..., both fail without the change (checked). 197 of 197 pass.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -105,7 +105,8 @@
 
     std::size_t open_requests() const { return requests_.size(); }
     // The process is to be gone by `at`: what the module has not answered by then gets the core's own last
-    // word (out of time) at `at`, so that no client is left with a connection that dies unanswered.
+    // word (out of time) at `at`, so that no client is left with a connection that dies unanswered. Requests
+    // taken from now on have until then and no longer: what can't end by `at` is refused at once.
     void last_word_by(Micros at);
     // Danger: caches know a request by its client's id alone. Two open under one id would get each other's
     // answers, so fronts turn the second away.
--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -145,6 +145,8 @@
         request.work = work_of(arrival);
         request.arrived = now_;
         request.deadline = now_ + arrival.grace;
+        const auto sending = static_cast<Micros>(arrival.size_kb > 0 ? request.work : 0);  // no guess
+        request.latest = request.deadline - kEndMargin - std::max(kLeastUse, sending);
         request.aim_at =
             now_ + std::min<Micros>(arrival.grace,
                                     service.aim + static_cast<Micros>(service.aim_stretch * request.work));
@@ -282,8 +284,7 @@
         Copy* copy = copies_.find(key);
         if (!copy || copy->leader != id) return;
         copy->leader.clear();
-        std::deque<std::string> rest;
-        rest.swap(copy->waiters);
+        std::deque<std::string> rest = std::exchange(copy->waiters, {});
         while (!rest.empty() && !requests_.contains(rest.front())) rest.pop_front();
         if (rest.empty()) return;
         const std::string next = rest.front();
@@ -314,7 +315,7 @@
     // ---- the pick ----
     void dispatch(Request& request) {
         const bool out_of_tries = static_cast<int>(request.attempts.size()) >= set_.most_tries;
-        if (out_of_tries || now_ + kEndMargin + kLeastUse >= request.deadline) return give_up(request);
+        if (out_of_tries || now_ >= request.latest) return give_up(request);
         Copy* copy = cacheable(request) ? &copies_.touch(request.key) : nullptr;
         const bool shared = copy && fill_shared(*copy, request) && copy->leader != request.arrival.id;
         if (shared && !may_join(*copy, request) && request.may_hold && copy->waiters.size() < kMostWaiters)
@@ -339,8 +340,7 @@
         request.held = true;
         copy.waiters.push_back(request.arrival.id);
         const double bound = kHoldShareOfAim * static_cast<double>(request.aim_at - request.arrived);
-        const Micros until = std::min(now_ + static_cast<Micros>(bound), request.deadline - kEndMargin);
-        act(SetTimer{until, request.serial});
+        act(SetTimer{std::min(now_ + static_cast<Micros>(bound), request.latest), request.serial});
     }
 
     void lead(const Request& request, Copy& copy, const Plan& plan) {
@@ -952,7 +952,7 @@
         const Micros wait = kBackoff << std::min<std::size_t>(tries - 2, 4);
         const Micros at = now_ + wait / 2 + jitter(wait / 2);
         // Danger: a wait past the client's patience leaves the request without an answer.
-        if (at + kEndMargin + kLeastUse >= request.deadline) return give_up(request);
+        if (at >= request.latest) return give_up(request);
         act(SetTimer{at, request.serial});
     }
 
--- a/src/nettlethread/state.h
+++ b/src/nettlethread/state.h
@@ -99,6 +99,7 @@
     std::string key;
     double work = 0;
     Micros deadline = 0, aim_at = 0, arrived = 0;
+    Micros latest = 0;  // sent off after this not even a copy at hand, at full pace, would be whole in time
     std::vector<Attempt> attempts;
     bool held = false;  // waits for another's fill
     bool may_hold = true;
--- a/tests/core/last_word_test.cpp
+++ b/tests/core/last_word_test.cpp
@@ -42,13 +42,13 @@
         core.tell(std::move(news));
         core.run();
     }
-    void take() {
+    void take(double size_kb = 40) {
         core::Ask ask;
         ask.service = 0;  // video: 6 s until the client gives up
         ask.id = "00000000000000c1";
         ask.object = "7f3a9c21e0b4d655";
         ask.left = 6'000'000;
-        ask.size_kb = 40;
+        ask.size_kb = size_kb;
         core.take(std::move(ask), told, 1);
         core.run();
     }
@@ -76,6 +76,20 @@
     EXPECT_EQ(world.told.answers.size(), 1u);
 }
 
+// Seen on an upgrade: clients went on sending on kept connections until the last word, which then cut every
+// long video that had just come, 2 s after its client could have had it from the new process.
+TEST(LastWord, RefusesAtOnceWhatCanNotEndByThen) {
+    World world;
+    world.core.last_word_by(world.clock.now() + 500'000);
+    const double kb_a_second = world.config.site.settings.pace_kb_per_s;
+    world.take(0.1 * kb_a_second);
+    EXPECT_EQ(world.upstream.sent, 1);  // 0.1 s at full pace: there is time for it
+    world.take(0.6 * kb_a_second);
+    EXPECT_EQ(world.upstream.sent, 1);
+    ASSERT_EQ(world.told.answers.size(), 1u);
+    EXPECT_EQ(world.told.answers.front(), core::Answered::refused);
+}
+
 TEST(LastWord, LeavesRequestsAloneWhileNoEndIsNear) {
     World world;
     world.take();
--- a/tests/nettlethread/choice_test.cpp
+++ b/tests/nettlethread/choice_test.cpp
@@ -288,7 +288,7 @@
 }
 
 TEST_F(ChoiceTest, ARetryNeverWaitsPastTheClientsPatience) {
-    bench.ask("r1", "x");
+    bench.ask("r1", "x", 40);
     std::string at = bench.served().cache;
     bench.now += 3'800 * kMs;
     bench.end("r1", at, Verdict::error, 0);
@@ -299,6 +299,15 @@
     EXPECT_TRUE(bench.all<SetTimer>().empty());
 }
 
+// Guards: sent again with less time left than its bytes take at full pace, it could only end late.
+TEST_F(ChoiceTest, WhatCanNotBeSentWholeInTheTimeLeftIsGivenUpAtOnce) {
+    bench.ask("r1", "x", 300);  // 0.3 s at full pace
+    const std::string at = bench.served().cache;
+    bench.now += 3'720 * kMs;
+    bench.end("r1", at, Verdict::error, 0);
+    EXPECT_EQ(bench.all<Refuse>().size(), 1u);
+}
+
 TEST_F(ChoiceTest, TheLastTimeOutEndsBeforeTheClientGivesUp) {
     bench.ask("r1", "x", 3'000);
     EXPECT_LT(bench.served().timeout, 4 * kSecond);
