--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -1,5 +1,7 @@
 #include "core/core.h"
 
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <charconv>
 #include <exception>
@@ -29,7 +31,15 @@
 }  // namespace
 
 Core::Core(const nettlethread::Settings& settings, std::uint64_t seed, Clock& clock, Deadlines& deadlines)
-    : settings_(settings), router_(settings, seed), clock_(clock), deadlines_(deadlines) {}
+    : settings_(settings), router_(settings, seed), clock_(clock), deadlines_(deadlines) {
+    log::debug("settings zone={} hubs={} proxies={} pace={:.0f} parents={} origin={}", settings_.my_zone,
+               fmt::join(settings_.zone_hub, ","), fmt::join(settings_.zone_instances, ","),
+               settings_.pace_kb_per_s, settings_.parent_kind, settings_.origin_kind);
+    for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
+        const nettlethread::ClassSettings& c = settings_.classes[i];
+        log::debug("class place={} aim_us={} stretch={:.2f} give_up_us={}", i, c.aim, c.aim_stretch, c.give_up);
+    }
+}
 
 Handle Core::named(std::string_view name) const {
     Handle handle;
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -190,6 +190,9 @@
             pool_.retire(placed.entry.cache);
         else if (!placed.address.empty())
             pool_.place(placed.entry.cache, placed.address);
+        const nettlethread::CacheEntry& e = placed.entry;
+        log::debug("member id={} zone={} kind={} weight={:.2f} state={} since_us={}", e.cache, e.zone, e.kind,
+                   e.weight, static_cast<int>(e.state), e.since);
         news.entries.push_back(placed.entry);
     }
     if (!news.entries.empty()) core_.tell(std::move(news));
