Count an attempt out late against its box only while that box is silent

Lines at fault: the loop over target.flights in late(), and observe_late() in blame(), which taught the same from the time-out. Change: Flight::due() is when its answer should have come; a target heard after it lost that answer alone. Tests: two in choice_test, each fails with its half of the change taken out (checked).

--- a/include/nettlethread/router.h
+++ b/include/nettlethread/router.h
@@ -208,7 +208,7 @@
     bool source_holds = false;  // the source gives only what it holds
     bool parent_skips = false;  // the parent keeps no copy
     bool renew = false;         // fetch an ageing copy anew while serving it
-    std::string source;         // the cache itself: no fill
+    std::string source = {};    // the cache itself: no fill
     int rank = 0;
 };
 struct SetTimer {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -37,7 +37,8 @@
                settings_.pace_kb_per_s, settings_.parent_kind, settings_.origin_kind);
     for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
         const nettlethread::ClassSettings& c = settings_.classes[i];
-        log::debug("class place={} aim_us={} stretch={:.2f} give_up_us={}", i, c.aim, c.aim_stretch, c.give_up);
+        log::debug("class place={} aim_us={} stretch={:.2f} give_up_us={}", i, c.aim, c.aim_stretch,
+                   c.give_up);
     }
 }
 
--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -691,7 +691,8 @@
     double late(const Target& target) const {
         double value = late_faded(target);
         for (const Flight* flight : target.flights)  // those still out tell of a hang before any answer does
-            value = std::max(value, ratio_so_far(target, *flight) / (flight->fill ? 2 : 1));
+            if (target.heard <= flight->due())
+                value = std::max(value, ratio_so_far(target, *flight) / (flight->fill ? 2 : 1));
         return std::clamp(value, 0.5, kMostLate);
     }
 
@@ -856,12 +857,12 @@
             // was expected may have been a fill, so the way it took counts, not the guess.
             const bool quick = outcome.took <= kQuickRefusal && outcome.note == Note::none;
             const Note note = outcome.note == Note::none ? Note::source_refused : outcome.note;
-            !source || quick ? failed(cache, 1) : blame(cache, source, true, note, 0);
+            !source || quick ? failed(cache, 1) : blame(cache, source, true, note, 0, 0);
         } else if (verdict == Verdict::timed_out
                        ? ratio > kSlowFailure
                        : verdict == Verdict::error || verdict == Verdict::broken_off ||
                              verdict == Verdict::not_connected) {
-            blame(cache, source, fill, outcome.note, ratio);
+            blame(cache, source, fill, outcome.note, ratio, flight.due());
         }
         // Danger: a trial whose end taught nothing would keep its breaker half open for good.
         cache.health.trial_out = false;
@@ -871,7 +872,7 @@
     // Danger: blaming a cache for its source's failure ejects healthy caches one after another. The note
     // decides; where it is silent, a fill that failed only after a wait was given up on its source, and a
     // quick failure goes to the more suspect of the two.
-    void blame(Target& cache, Target* source, bool fill, Note note, double ratio) {
+    void blame(Target& cache, Target* source, bool fill, Note note, double ratio, Micros due) {
         if (fill && note == Note::origin_failed && origin_) return failed(*origin_, 1);
         const bool told =
             note == Note::source_lost || note == Note::source_refused || note == Note::origin_failed;
@@ -881,7 +882,8 @@
                 (source->health.failing + 0.05) / (source->health.failing + cache.health.failing + 0.1);
         if (on_source > 0) failed(*source, note == Note::source_lost ? kToldLost : on_source);
         if (on_source < 1) failed(cache, 1 - on_source);
-        if (ratio > kSlowFailure) observe_late(fill ? *source : cache, ratio);
+        Target& slow = fill ? *source : cache;
+        if (ratio > kSlowFailure && slow.heard <= due) observe_late(slow, ratio);
     }
 
     // ---- attempts ----
@@ -906,10 +908,7 @@
         }
         if (request.arrival.object.empty())
             return act(LookUp{request.arrival.id, cache.entry.cache, timeout(request, plan)});
-        Serve serve;
-        serve.id = request.arrival.id;
-        serve.timeout = timeout(request, plan);
-        serve.cache = cache.entry.cache;
+        Serve serve{.id = request.arrival.id, .timeout = timeout(request, plan), .cache = cache.entry.cache};
         serve.source = plan.source ? plan.source->entry.cache : cache.entry.cache;
         if (copy) {
             serve.age = oldest_allowed(request, plan.stale);
--- a/src/nettlethread/state.h
+++ b/src/nettlethread/state.h
@@ -50,6 +50,9 @@
     double on_link = 0;         // the chance that it takes a part of the link in: a joiner does not
     bool fill = false;          // may wait for a source
     bool origin_trial = false;  // may reach an origin that is being tried again
+
+    // A target that was heard after this lost the one answer alone; one that was not may hang.
+    Micros due() const { return sent + static_cast<Micros>(expected); }
 };
 
 // Lateness and failures of one target, with its circuit breaker.
--- a/tests/nettlethread/choice_test.cpp
+++ b/tests/nettlethread/choice_test.cpp
@@ -299,6 +299,57 @@
     EXPECT_TRUE(bench.all<SetTimer>().empty());
 }
 
+// Seen on the last incident: one answer in a hundred never came, from every box alike, and each sent the
+// large objects of a healthy box to others, to be filled there once more.
+TEST_F(ChoiceTest, OneLostAnswerDrivesNobodyFromABoxThatAnswersOthers) {
+    for (const bool answers_others : {true, false}) {
+        Bench one;
+        one.list({cache("a"), cache("b"), cache("c"), parent("p"), origin()});
+        one.ask("first", "x", 40);
+        const std::string home = one.served().cache;
+        one.now += 70 * kMs;
+        one.end("first", home, Verdict::served);
+        one.ask("lost", "x", 40);
+        EXPECT_EQ(one.served().cache, home);
+        one.now += 100 * kMs;
+        one.ask("other", "x", 40);
+        EXPECT_EQ(one.served().cache, home);
+        one.now += 70 * kMs;
+        if (answers_others) one.end("other", home, Verdict::served);
+        one.now += 200 * kMs;
+        one.ask("large", "x", 600);
+        EXPECT_EQ(one.served().cache == home, answers_others);
+    }
+}
+
+// Guards: the time-out of an answer that was lost alone is no word on how fast its box is.
+TEST_F(ChoiceTest, ALostAnswersTimeOutDoesNotMakeItsBoxLate) {
+    bench.list({cache("a"), cache("b"), cache("c"), parent("p"), origin()});
+    bench.ask("first", "x", 40);
+    const std::string home = bench.served().cache;
+    bench.now += 70 * kMs;
+    bench.end("first", home, Verdict::served);
+    int lost = 0;
+    for (int i = 0; lost < 2 && i < 100; ++i) {  // small objects that the same box holds
+        const std::string id = "r" + std::to_string(i), other = "other" + std::to_string(i);
+        bench.ask(id + "first", "y" + std::to_string(i), 40);
+        const std::string at = bench.served().cache;
+        bench.now += 70 * kMs;
+        bench.end(id + "first", at, Verdict::served);
+        if (at != home) continue;
+        ++lost;
+        bench.ask(id, "y" + std::to_string(i), 40);
+        bench.now += 400 * kMs;
+        bench.ask(other, "x", 40);
+        bench.now += 70 * kMs;
+        bench.end(other, home, Verdict::served);
+        bench.end(id, home, Verdict::timed_out);
+    }
+    ASSERT_EQ(lost, 2);
+    bench.ask("large", "x", 600);
+    EXPECT_EQ(bench.served().cache, home);
+}
+
 // Guards: sent again with less time left than its bytes take at full pace, it could only end late.
 TEST_F(ChoiceTest, WhatCanNotBeSentWholeInTheTimeLeftIsGivenUpAtOnce) {
     bench.ask("r1", "x", 300);  // 0.3 s at full pace
