--- a/src/cli/expect_command.cpp
+++ b/src/cli/expect_command.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <sstream>
 
 #include "config/read.h"
@@ -23,6 +24,9 @@
 
 namespace {
 
+// Transfers at full pace that a member's link fits; a link of a terabit a second has some 10,000.
+constexpr double kHeaviest = 1e6;
+
 // One event a line, as the change log tells them; its own "data:" in front is passed over.
 std::vector<config::Change> read_changes(const std::string& path, const config::Site& site) {
     std::vector<config::Change> changes;
@@ -64,6 +68,7 @@
     const config::Node root = config::read_toml(config::file_text(path), path);
     config::Change change;
     change.has_fleet = change.whole = true;
+    std::map<std::string, config::Place> named;
     for (const auto& [section, list] : std::get<config::Node::Table>(root.value)) {
         const auto where = [&](const config::Place& at) {
             return fmt::format("{}:{}:{}", path, at.line, at.column);
@@ -91,15 +96,23 @@
                         bad(where(value.place), fmt::format("no {} '{}' in the settings", what, *text));
                     return static_cast<int>(found - names.begin());
                 };
-                if (key == "name" && text && !text->empty())
+                if (key == "name" && text && !text->empty()) {
                     placed.entry.cache = *text;
+                    const auto [before, fresh] = named.emplace(*text, value.place);
+                    if (!fresh)
+                        bad(where(value.place),
+                            fmt::format("'{}' is named twice, first in line {}", *text, before->second.line));
+                }
                 else if (key == "at")
                     placed.entry.zone = place(site.zones, "zone");
                 else if (key == "kind")
                     placed.entry.kind = place(site.kinds, "kind");
-                else if (key == "weight" && (whole || real))
+                else if (key == "weight" && (whole || real)) {
                     placed.entry.weight = whole ? static_cast<double>(*whole) : *real;
-                else
+                    // Negated, so that what is no number at all does not pass either.
+                    if (!(placed.entry.weight > 0 && placed.entry.weight <= kHeaviest))
+                        bad(where(value.place), fmt::format("a weight is above 0 and {} at most", kHeaviest));
+                } else
                     bad(where(value.key_place), "name, at, weight and kind are read, not " + key);
             }
             if (placed.entry.cache.empty() || placed.entry.zone < 0)
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -202,6 +202,7 @@
         if (placed.entry.state == CacheState::ready && seeds_.size() < set_.most_members)
             seeds_.insert(placed.entry.cache);
     }
+    seed_seq_ = std::max(seed_seq_, list.seq);
     all_touched_ = true;
 }
 
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -10,6 +10,7 @@
 // events.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -120,6 +121,8 @@
     // The number to take the change log up behind after a restart: what is doubted is asked for again.
     std::int64_t resume_behind() const { return doubt_ ? doubt_->change.seq - 1 : last_seq_; }
     std::int64_t last_seq() const { return last_seq_; }
+    // The newest list that any member is known from, a seed list too: for people, not to resume behind.
+    std::int64_t newest_list() const { return std::max(last_seq_, seed_seq_); }
     std::size_t size() const { return members_.size(); }
     std::size_t count(Use use, Micros now) const;
     bool doubting() const { return doubt_.has_value(); }
@@ -169,7 +172,7 @@
     std::map<std::string, KeptPurge> purges_;
     PurgesByAge purges_by_age_;
     std::optional<Doubt> doubt_;
-    std::int64_t last_seq_ = 0, whole_at_ = 0;
+    std::int64_t last_seq_ = 0, whole_at_ = 0, seed_seq_ = 0;
     std::int64_t forgotten_to_ = 0;  // words up to here on members not known are of forgotten gone ones
     std::size_t gone_ = 0;
     Micros sure_at_ = 0;
--- a/tests/cli/expect_command_test.sh
+++ b/tests/cli/expect_command_test.sh
@@ -68,6 +68,24 @@
 has "other-2"
 [ "$(status "$program" expect diff $fleet --new-fleet "$root/example/term.toml")" = 0 ] || fail "diff of the same"
 [ "$(status "$program" expect replay "$work/sound.toml")" = 2 ] || fail "a replay of no case"
+# Faults of a fleet's description are named where they stand.
+sed 's/name = "s-2"/name = "s-1"/' "$root/example/term.toml" > "$work/twice.toml"
+[ "$(status "$program" expect run "$work/sound.toml" --config "$root/example/config.json" --fleet "$work/twice.toml")" = 2 ] ||
+    fail "a name used twice"
+has "twice.toml:8:8: 's-1' is named twice, first in line 3"
+for weight in -8 0 nan inf 2e6; do
+    sed "s/weight = 8/weight = $weight/" "$root/example/term.toml" > "$work/light.toml"
+    [ "$(status "$program" expect run "$work/sound.toml" --config "$root/example/config.json" --fleet "$work/light.toml")" = 2 ] ||
+        fail "a weight of $weight"
+    has "light.toml:5:10: a weight is above 0"
+done
+# README says which of the example's expectations break, and under which change: it is run as it stands there.
+try=$(sed -n '/^## Expectations/,/^## /s/^ *sed \(.*\) example\/term.toml > .*/\1/p' "$root/README.md")
+[ -n "$try" ] || fail "README's example of a mistake is gone"
+eval "sed $try" < "$root/example/term.toml" > "$work/readme.toml"
+readme() { status "$program" expect run "$root/example/expectations.toml" --config "$root/example/config.json" --fleet "$1" --quiet; }
+[ "$(readme "$root/example/term.toml")" = 0 ] || fail "the example holds"
+[ "$(readme "$work/readme.toml")" = 1 ] || fail "README's mistake is not flagged"
 # The gate at a start: what breaks an expectation does not begin to serve.
 printf '[expectations]\nfile = "strict.toml"\ngate = "start"\n' > "$work/operator.toml"
 sed 's/"127.0.0.1:9090"/"127.0.0.1:0"/' "$root/example/config.json" > "$work/config.json"
--- a/tests/daemon/signed_test.cpp
+++ b/tests/daemon/signed_test.cpp
@@ -146,10 +146,10 @@
 TEST_CASE("a link that expires in flight still ends in one answer") {
     Site site;
     const double expires_in = 0.3;
+    const double expired = now() + expires_in;  // or a little later: signing takes its time
     // Large, so that the attempt itself has time long beyond the link's.
     const std::string link = site.link("/video/7f3a9c21e0b4d655/3?set=17&need=20000", expires_in),
                       ana = site.token();
-    const double expired = now() + expires_in;
     Wire client = Wire::to(site.daemon.signed_port());
     client.send(request("GET", link, ana));
     Wire cache = site.cache.accept();
--- a/tests/membership/view_test.cpp
+++ b/tests/membership/view_test.cpp
@@ -286,6 +286,17 @@
     EXPECT_EQ(old.use_of("a", kStart), Use::none);
 }
 
+// Seen by an operator: the stats said list 0 while the seed list's members were in use.
+TEST(View, ASeedListIsTheNewestListForPeopleButNoPlaceToResumeBehind) {
+    View view(options());
+    view.seed(fleet(3, true, {kA, kB, kLibrary}), kStart);
+    EXPECT_EQ(view.newest_list(), 3);
+    EXPECT_EQ(view.resume_behind(), 0);
+    view.apply(fleet(2, true, {kB}), kStart);
+    EXPECT_EQ(view.newest_list(), 3);
+    EXPECT_EQ(view.resume_behind(), 2);
+}
+
 // ---- purges ----
 
 TEST(View, PurgesThatMatterAreKeptAndTheNewestTimeCounts) {
