--- a/src/cli/expect_command.cpp
+++ b/src/cli/expect_command.cpp
@@ -102,8 +102,7 @@
                     if (!fresh)
                         bad(where(value.place),
                             fmt::format("'{}' is named twice, first in line {}", *text, before->second.line));
-                }
-                else if (key == "at")
+                } else if (key == "at")
                     placed.entry.zone = place(site.zones, "zone");
                 else if (key == "kind")
                     placed.entry.kind = place(site.kinds, "kind");
