--- a/bench/fleet_log.py
+++ b/bench/fleet_log.py
@@ -25,7 +25,7 @@
             words = line.split(" ", 4)
             # The bench puts its own clock before the program's line.
             if len(words) == 5 and words[2] in ("debug", "info", "warn", "error"):
-                yield path.stem, float(words[0]), words[3], words[4]
+                yield path.stem, float(words[0].strip("[]")), words[3], words[4]
 
 
 def table(title, rows):
