--- a/bench/link_bytes.py
+++ b/bench/link_bytes.py
@@ -7,7 +7,8 @@
 All figures are shares of the bytes that clients asked for (KB as the requests tell them, enrolments left out). Printed
 are the shares by how answers came to be; those filled over the school's link by whether the fill could have been
 spared; the late ones (answered after the class's aim and stretch) by box and by how; and, from first attempts, how many
-objects were asked of more than one box of their school.
+objects were asked of more than one box of their school. A process that was replaced writes into the same file as its
+successor for a while; on such days the attempts of both are mixed up, and many show as open.
 """
 import argparse
 import collections
