--- a/tests/nettlethread/choice_test.cpp
+++ b/tests/nettlethread/choice_test.cpp
@@ -299,8 +299,8 @@
     EXPECT_TRUE(bench.all<SetTimer>().empty());
 }
 
-// Seen on the last incident: one answer in a hundred never came, from every box alike, and each sent the
-// large objects of a healthy box to others, to be filled there once more.
+// Seen on the last incident: some answers never came, from every box alike, and each sent the large objects
+// of a healthy box to others, to be filled there once more.
 TEST_F(ChoiceTest, OneLostAnswerDrivesNobodyFromABoxThatAnswersOthers) {
     for (const bool answers_others : {true, false}) {
         Bench one;
