One reader of the debug log for both of bench's counts; node's list read once

Need, on reading the change again: bench/link_bytes.py wrote again the names of verdicts and notes, the pattern and the walk over the lines that bench/fleet_log.py has, kept fields nobody read, and its page described one figure wrongly (objects by boxes that served them, not by first attempts). tests/layout/node_folders.sh took node out of the deploy file twice, once for each folder. Change: link_bytes imports fleet_log, which runs only when called and may now be executed as its page says; verdicts and notes have fleet_log's names in the output. The layout test reads the list once.

--- a/bench/fleet_log.py
+++ b/bench/fleet_log.py
@@ -77,4 +77,5 @@
         print(f"  {name:14} " + " ".join(f"{k}={v}" for k, v in sorted(row.items())))
 
 
-main()
+if __name__ == "__main__":
+    main()
--- a/bench/link_bytes.py
+++ b/bench/link_bytes.py
@@ -6,48 +6,40 @@
 FOLDER holds one file *.log for each proxy, each line with the time since the start before it (in brackets or bare).
 All figures are shares of the bytes that clients asked for (KB as the requests tell them, enrolments left out). Printed
 are the shares by how answers came to be; those filled over the school's link by whether the fill could have been
-spared; the late ones (answered after the class's aim and stretch) by box and by how; and, from first attempts, how many
-objects were asked of more than one box of their school. A process that was replaced writes into the same file as its
+spared; how many objects were served by more than one box of their school; and the late ones (answered after the
+class's aim and stretch) by first box and by how. Classes are named in the order of the settings of this site. A process that was replaced writes into the same file as its
 successor for a while; on such days the attempts of both are mixed up, and many show as open.
 """
 import argparse
 import collections
-import pathlib
-import re
 
-VERDICTS = ["served", "error", "full", "timed out", "not connected", "broken off", "called off", "never sent", "missing"]
-NOTES = ["none", "hit", "filled", "filled by origin", "joined", "past fresh", "refused", "lost", "lacks", "no place",
-         "origin failed"]
-FILLS = ("filled", "filled by origin")
-PAIR = re.compile(r"(\w+)=(\S*)")
+from fleet_log import NOTES, PAIR, VERDICTS, lines
+
+CLASSES = ["video", "sheet", "enrol"]
+FILLS = ("filled", "far")  # by a parent, by the origin behind it
 
 
 def read(folder):
     """Requests by (proxy, start, name), and each proxy's settings and zone."""
-    requests, settings, classes = {}, {}, {}
-    for path in sorted(pathlib.Path(folder).glob("*.log")):
-        start = 0
-        for line in path.read_text(errors="replace").splitlines():
-            words = line.split(" ", 4)
-            if len(words) < 5 or words[2] != "debug":
-                continue
-            at, word, pairs = float(words[0].strip("[]")), words[3], dict(PAIR.findall(words[4]))
-            if word == "settings":
-                start += 1
-                settings[path.stem] = {"zone": pairs["zone"], "pace": float(pairs["pace"])}
-            elif word == "class":
-                classes[pairs["place"]] = (int(pairs["aim_us"]) / 1e6, float(pairs["stretch"]))
-            elif word == "sent":
-                one = requests.setdefault((path.stem, start, pairs["req"]), {
-                    "at": at, "cls": pairs["cls"], "kb": float(pairs["kb"]), "object": pairs["object"], "tries": []})
-                one["tries"].append({"at": at, "box": pairs["at"], "via": pairs["via"], "how": "open"})
-            elif word in ("ended", "answered"):
-                one = requests.get((path.stem, start, pairs["req"]))
-                if one and word == "ended":
-                    verdict, note = VERDICTS[int(pairs["verdict"])], NOTES[int(pairs["note"])]
-                    one["tries"][int(pairs["n"])].update(end=at, how=note if verdict == "served" else verdict)
-                elif one:
-                    one["answered"] = at
+    requests, settings, classes, starts = {}, {}, {}, collections.Counter()
+    for proxy, at, word, rest in lines(folder):
+        pairs = dict(PAIR.findall(rest))
+        key = (proxy, starts[proxy], pairs.get("req"))
+        one = requests.get(key)
+        if word == "settings":
+            starts[proxy] += 1
+            settings[proxy] = {"zone": pairs["zone"], "pace": float(pairs["pace"])}
+        elif word == "class":
+            classes[CLASSES[int(pairs["place"])]] = (int(pairs["aim_us"]) / 1e6, float(pairs["stretch"]))
+        elif word == "sent":
+            one = requests.setdefault(key, {"at": at, "cls": pairs["cls"], "kb": float(pairs["kb"]),
+                                            "object": pairs["object"], "tries": []})
+            one["tries"].append({"box": pairs["at"], "how": "open"})
+        elif word == "ended" and one:
+            verdict, note = VERDICTS[int(pairs["verdict"])], NOTES[int(pairs["note"])]
+            one["tries"][int(pairs["n"])].update(end=at, how=note if verdict == "served" else verdict)
+        elif word == "answered" and one:
+            one["answered"] = at
     return requests, settings, classes
 
 
@@ -55,7 +47,7 @@
     """Each fill over a link, by whether a copy of its object had been served in its school before."""
     asked = collections.Counter(one["object"] for one in requests.values())
     served = sorted(((t["end"], settings[key[0]]["zone"], one, t) for key, one in requests.items() for t in one["tries"]
-                     if t["how"] in FILLS + ("hit", "joined", "past fresh")), key=lambda s: s[0])
+                     if t["how"] in FILLS + ("hit", "joined", "old")), key=lambda s: s[0])
     boxes, anywhere, shares = collections.defaultdict(set), set(), collections.Counter()
     for _, zone, one, attempt in served:
         here = boxes[zone, one["object"]]
@@ -80,8 +72,7 @@
     flags = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     flags.add_argument("folder")
     everything, settings, classes = read(flags.parse_args().folder)
-    order = {name: str(place) for place, name in enumerate(["video", "sheet", "enrol"])}
-    requests = {key: one for key, one in everything.items() if one["object"].split("/")[0] and one["cls"] != "enrol"}
+    requests = {key: one for key, one in everything.items() if one["cls"] != "enrol"}
     total = sum(one["kb"] for one in requests.values()) or 1
     by_how = collections.Counter()
     for one in requests.values():
@@ -93,8 +84,8 @@
     print(f"{sum(len(b) > 1 for b in boxes.values())} of {len(boxes)} objects were served by more than one box of a school")
     late, all_of = collections.Counter(), collections.Counter()
     for key, one in everything.items():
-        aim, stretch = classes.get(order.get(one["cls"], ""), (0, 0))
-        first, last = one["tries"][0], one["tries"][-1]
+        aim, stretch = classes.get(one["cls"], (0, 0))
+        first = one["tries"][0]
         all_of[first["box"]] += 1
         sending = one["kb"] / settings[key[0]]["pace"]
         if "answered" in one and aim > 0 and one["answered"] - one["at"] > aim + stretch * sending:
--- a/tests/layout/node_folders.sh
+++ b/tests/layout/node_folders.sh
@@ -3,13 +3,14 @@
 # emulator, which `run` does not hold. Usage: node_folders.sh ROOT
 set -eu
 cd "$1"
+named=$(sed -n 's/^node = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",')
 bad=0
 for folder in src/*/; do
     folder=${folder%/}
     case $folder in src/sim | src/emulator) continue ;; esac
-    sed -n 's/^node = //p' deploy/balancer.toml | grep -qF "\"$folder\"" || { echo "node lacks $folder"; bad=1; }
+    echo " $named " | grep -qF " $folder " || { echo "node lacks $folder"; bad=1; }
 done
-for name in $(sed -n 's/^node = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",'); do
+for name in $named; do
     [ -e "$name" ] || { echo "node names $name, which is not there"; bad=1; }
 done
 exit $bad
