--- a/bench/fleet_log.py
+++ b/bench/fleet_log.py
@@ -56,7 +56,7 @@
             at_target[pairs["at"]]["sent"] += 1
             if pairs["via"]:
                 at_target[pairs["via"]]["named"] += 1
-        elif word == "ended":
+        elif word == "ended" and "verdict" in pairs:  # not the process's own last line
             verdict, note = VERDICTS[int(pairs["verdict"])], NOTES[int(pairs["note"])]
             span["ended"][verdict if note == "none" else f"{verdict[:4]}.{note}"] += 1
             at_target[pairs["at"]][verdict] += 1
