--- a/include/nettlethread/router.h
+++ b/include/nettlethread/router.h
@@ -193,8 +193,13 @@
     Micros age = 0;
     std::string object;  // empty: the whole group
 };
+// How many routers there are now, for all that they bound together.
+struct GroupNews {
+    int instances = 1;
+    std::vector<int> zone_instances;  // in each zone
+};
 using Event = std::variant<ListNews, Arrival, ClientLeft, PeerNews, TimerDue, ProbeAnswer, StreamStarted,
-                           Outcome, Purge>;
+                           Outcome, Purge, GroupNews>;
 
 // Actions.
 struct LookUp {
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -31,6 +31,9 @@
         return last_;
     }
 
+    // For test builds: the system's Unix clock is read as so far off from now on, in all of the process.
+    static void set_off(Micros by) { off_ = by; }
+
     // The system's clock as it stands, which may step either way: for what other processes will read.
     Micros wall() const { return read_().wall; }
 
@@ -40,10 +43,12 @@
 
     static Reading system() {
         using std::chrono::duration_cast, std::chrono::microseconds;
-        return {duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch()).count(),
-                duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count()};
+        return {
+            duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch()).count() + off_,
+            duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count()};
     }
 
+    static inline Micros off_ = 0;
     Reading (*read_)() = system;
     Micros last_ = 0, steady_ = 0;
 };
--- /dev/null
+++ b/src/base/files.cpp
@@ -0,0 +1,85 @@
+#include "base/files.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+
+namespace sumackeel::base {
+
+File::File(const std::string& path, int flags) : fd_(::open(path.c_str(), flags | O_CLOEXEC, 0600)) {}
+File::~File() {
+    if (fd_ >= 0) ::close(fd_);
+}
+
+std::string failed(const char* what, const std::string& path) {
+    return fmt::format("{} {}: {}", path, what, std::strerror(errno));
+}
+
+namespace {
+
+bool write_all(int fd, std::string_view bytes) {
+    while (!bytes.empty()) {
+        const ssize_t written = ::write(fd, bytes.data(), bytes.size());
+        if (written < 0 && errno == EINTR) continue;
+        if (written <= 0) return false;
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return true;
+}
+
+}  // namespace
+
+std::string put_in_place(const std::string& folder, const std::string& unfinished, const std::string& final,
+                         std::string_view bytes) {
+    const std::string from = folder + '/' + unfinished, to = folder + '/' + final;
+    std::error_code ignored;
+    std::filesystem::create_directories(folder, ignored);
+    {
+        const File file(from, O_WRONLY | O_CREAT | O_TRUNC);
+        if (!file.open()) return failed("can't be made", from);
+        if (!write_all(file.fd(), bytes)) return failed("can't be written", from);
+        if (::fsync(file.fd()) != 0) return failed("can't be put on disk", from);
+    }
+    if (::rename(from.c_str(), to.c_str()) != 0) return failed("can't be renamed", from);
+    const File all(folder, O_RDONLY | O_DIRECTORY);
+    if (!all.open() || ::fsync(all.fd()) != 0) return failed("can't be put on disk", folder);
+    return {};
+}
+
+Reading read_plain(const std::string& path, std::size_t most, std::string& bytes, std::string& fault) {
+    const File file(path, O_RDONLY | O_NONBLOCK);  // a pipe by that name must not hold us
+    const bool missing = !file.open() && errno == ENOENT;
+    struct stat about {};
+    if (!file.open() || ::fstat(file.fd(), &about) != 0) {
+        fault = failed("can't be opened", path);
+        return missing ? Reading::missing : Reading::unreadable;
+    }
+    const auto size = static_cast<std::size_t>(about.st_size);
+    if (!S_ISREG(about.st_mode) || size > most) {
+        fault = S_ISREG(about.st_mode) ? fmt::format("{} has {} bytes, {} at the most", path, size, most)
+                                       : path + " is no plain file";
+        return Reading::unfit;
+    }
+    bytes.resize(size);
+    std::size_t have = 0;
+    while (have < size) {
+        const ssize_t got = ::read(file.fd(), bytes.data() + have, size - have);
+        if (got < 0 && errno == EINTR) continue;
+        if (got < 0) {
+            fault = failed("can't be read", path);
+            return Reading::unreadable;
+        }
+        if (got == 0) break;
+        have += static_cast<std::size_t>(got);
+    }
+    bytes.resize(have);
+    return Reading::done;
+}
+
+}  // namespace sumackeel::base
--- /dev/null
+++ b/src/base/files.h
@@ -0,0 +1,38 @@
+// Files that are on disk once they were said to be. All calls block on the disk; none throws.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace sumackeel::base {
+
+// A descriptor that closes itself.
+class File {
+  public:
+    File(const std::string& path, int flags);
+    ~File();
+    File(const File&) = delete;
+    File& operator=(const File&) = delete;
+    int fd() const { return fd_; }
+    bool open() const { return fd_ >= 0; }
+
+  private:
+    int fd_;
+};
+
+// "PATH WHAT: the system's reason".
+std::string failed(const char* what, const std::string& path);
+
+// Writes `unfinished` in `folder`, which is made if it is missing, and gives it the name `final` once it is
+// on disk. Whatever the moment of a crash, `final` is what it was or what it is to be. Empty: done; else what
+// went wrong.
+std::string put_in_place(const std::string& folder, const std::string& unfinished, const std::string& final,
+                         std::string_view bytes);
+
+enum class Reading { done, missing, unreadable, unfit };  // unfit: no plain file, or too long
+
+// The bytes of a plain file of `most` bytes at the most; unless it is done, `fault` says what went wrong.
+Reading read_plain(const std::string& path, std::size_t most, std::string& bytes, std::string& fault);
+
+}  // namespace sumackeel::base
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -17,7 +17,9 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/version.h"
 #include "cli/expect_command.h"
+#include "cli/group_command.h"
 #include "cli/list_command.h"
 #include "cli/store_command.h"
 #include "config/config.h"
@@ -31,8 +33,6 @@
 
 namespace {
 
-constexpr const char* kVersion = "sumackeel 0.3.0";
-
 int wrong(const std::string& what) {
     fmt::print(stderr, "sumackeel: {}\n", what);
     return 2;
@@ -73,6 +73,11 @@
     return list_command(list);
 }
 
+int group(const Flags& flags) {
+    if (flags.at.empty()) return wrong("no proxy: give --at ADDRESS, its operators' address");
+    return group_command(flags.at, flags.words, flags.json) ? 0 : 1;
+}
+
 int store(const Flags& flags) {
     if (flags.at.empty()) return wrong("no member: give --at ADDRESS");
     return store_command(flags.at, flags.words) ? 0 : 1;
@@ -120,6 +125,8 @@
     from_platform(config);
     const auto setup = flags.setup.empty() ? config::Operator{} : config::load_operator(flags.setup);
     if (setup.signed_front) front_signed::Gate{*setup.signed_front};  // its keys must be usable
+    if (setup.test_clock_offset_s != 0)
+        base::Clock::set_off(static_cast<base::Micros>(setup.test_clock_offset_s * 1e6));
     if (setup.old_form)
         log::warn("{}: JSON is read for this version only, the next one reads TOML", flags.setup);
     if (setup.expectations) {
@@ -209,6 +216,14 @@
                 files(sub), json(sub);
                 sub.add_option("words", flags_.words, "show FILE, verify FILE or diff OLD NEW");
             });
+        command(
+            "group", "The group of edge proxies as one of them sees it: show, watch or leave",
+            [this] { return group(flags_); },
+            [this](CLI::App& sub) {
+                json(sub);
+                sub.add_option("-a,--at", flags_.at, "The operators' address of that proxy");
+                sub.add_option("words", flags_.words, "show (the default), watch or leave");
+            });
         expect();
         command(
             "keys", "Print the page on the operator's file",
@@ -217,7 +232,8 @@
             "completion", "Print completion for bash", [this] { return print_completion(app_), 0; },
             [](CLI::App&) {});
         command(
-            "version", "Print the version", [] { return fmt::print("{}\n", kVersion), 0; }, [](CLI::App&) {});
+            "version", "Print the version", [] { return fmt::print("sumackeel {}\n", base::kVersion), 0; },
+            [](CLI::App&) {});
         command(
             "help", "Print this and end", [this] { return fmt::print("{}", app_.help()), 0; },
             [](CLI::App&) {});
--- /dev/null
+++ b/src/cli/group_command.cpp
@@ -0,0 +1,62 @@
+#include "cli/group_command.h"
+
+#include <fmt/format.h>
+#include <json/json.h>
+
+#include <chrono>
+#include <cstdio>
+#include <thread>
+
+#include "cli/ops_call.h"
+#include "config/config.h"
+
+namespace sumackeel::cli {
+
+namespace {
+
+std::string names_of(const Json::Value& list) {
+    std::string text;
+    for (const Json::Value& name : list) text += (text.empty() ? "" : ",") + name.asString();
+    return text.empty() ? "-" : text;
+}
+
+void print(const Json::Value& root) {
+    const Json::Value& counters = root["counters"];
+    const double up = std::max(1.0, root["up_s"].asDouble());
+    fmt::print(
+        "{} of group {}: {}, {} ({} of {} reached), health {} (0 is sound), start {}, {:.0f} B/s out\n",
+        root["name"].asString(), root["group"].asString(), root["state"].asString(), root["side"].asString(),
+        root["reached"].asInt(), root["size"].asInt(), root["health"].asInt(), root["start"].asUInt64(),
+        counters["bytes_out"].asDouble() / up);
+    fmt::print("{:<16} {:<8} {:>9} {:>9} {:<8} {:<10} {:<8} {}\n", "member", "state", "since_s", "heard_s",
+               "reached", "zone", "version", "doubted by");
+    for (const Json::Value& one : root["members"])
+        fmt::print("{:<16} {:<8} {:>9.1f} {:>9} {:<8} {:<10} {:<8} {}\n", one["name"].asString(),
+                   one["state"].asString(), one["since_s"].asDouble(),
+                   one.isMember("heard_s") ? fmt::format("{:.1f}", one["heard_s"].asDouble()) : "never",
+                   one["direct"].asBool() ? "directly" : "not", one["zone"].asString(),
+                   one["version"].asString(), names_of(one["doubted_by"]));
+}
+
+}  // namespace
+
+bool group_command(const std::string& address, const std::vector<std::string>& words, bool json) {
+    const std::string word = words.empty() ? "show" : words.front();
+    if (words.size() > 1 || (word != "show" && word != "watch" && word != "leave"))
+        throw config::ConfigError("group takes show, watch or leave");
+    const bool leave = word == "leave";
+    for (;;) {
+        const OpsAnswer answer =
+            ops_call(address, leave ? "POST" : "GET", leave ? "/ops/group/leave" : "/ops/group");
+        if (answer.status == 404) throw config::ConfigError(address + " has no peers: [peers] is off there");
+        if (leave || json || answer.status != 200)
+            fmt::print("{}", answer.body);
+        else
+            print(config::parse(answer.body, address));
+        std::fflush(stdout);
+        if (word != "watch") return answer.status == 200;
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+    }
+}
+
+}  // namespace sumackeel::cli
--- /dev/null
+++ b/src/cli/ops_call.cpp
@@ -0,0 +1,68 @@
+#include "cli/ops_call.h"
+
+#include <http_parser.h>
+
+#include "config/config.h"
+#include "net/stream.h"
+
+namespace sumackeel::cli {
+
+namespace {
+
+constexpr base::Micros kPatience = 5'000'000;
+constexpr std::size_t kLongest = 16 << 20;
+
+struct Caller : net::Stream::Owner {
+    net::Loop& loop;
+    std::string request;
+    http_parser parser{};
+    http_parser_settings settings{};
+    OpsAnswer answer;
+    bool whole = false;
+
+    Caller(net::Loop& l, std::string r) : loop(l), request(std::move(r)) {
+        http_parser_init(&parser, HTTP_RESPONSE);
+        parser.data = this;
+        http_parser_settings_init(&settings);
+        settings.on_body = [](http_parser* p, const char* at, std::size_t length) {
+            auto* self = static_cast<Caller*>(p->data);
+            self->answer.body.append(at, length);
+            return self->answer.body.size() > kLongest ? 1 : 0;
+        };
+        settings.on_message_complete = [](http_parser* p) {
+            auto* self = static_cast<Caller*>(p->data);
+            self->answer.status = static_cast<int>(p->status_code);
+            self->whole = true;
+            return 0;
+        };
+    }
+    void opened(net::Stream& stream) override { stream.write(request); }
+    void received(net::Stream& stream, std::string_view bytes) override {
+        http_parser_execute(&parser, &settings, bytes.data(), bytes.size());
+        if (!whole && HTTP_PARSER_ERRNO(&parser) == HPE_OK) return;
+        stream.close();
+        loop.stop();
+    }
+    void gone(net::Stream&, net::Gone) override {
+        http_parser_execute(&parser, &settings, nullptr, 0);
+        loop.stop();
+    }
+};
+
+}  // namespace
+
+OpsAnswer ops_call(const std::string& address, const std::string& method, const std::string& path) {
+    sockaddr_in to{};
+    if (!net::read_address(address, to)) throw config::ConfigError("no address of a proxy: " + address);
+    net::Loop loop;
+    net::Budget budget(4);
+    Caller caller(loop, method + " " + path + " HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\n\r\n");
+    if (!net::Stream::connect(loop, budget, to, caller))
+        throw config::ConfigError("no connection to " + address);
+    loop.deadlines().set(loop.clock().now() + kPatience, [&loop] { loop.stop(); });
+    loop.run();
+    if (!caller.whole) throw config::ConfigError(address + " does not answer");
+    return std::move(caller.answer);
+}
+
+}  // namespace sumackeel::cli
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -25,6 +25,9 @@
          "A list of cache boxes kept on disk, to start from while discovery is down. Off unless this is "
          "there. "
          "See operating/saved-list.md."},
+        {"peers",
+         "The other edge proxies of this installation, and how this one talks with them. Off unless this is "
+         "there. See operating/group.md."},
         {"expectations",
          "What must hold of where requests go, checked before a configuration is taken up. Off unless this "
          "is "
@@ -35,6 +38,9 @@
 const std::vector<Key>& keys() {
     constexpr double kAny = 1e9;
     static const std::vector<Key> all{
+#ifdef SUMACKEEL_TEST_KEYS
+        {"", "test_clock_offset_s", Type::number, false, -kAny, kAny, "0", "", ""},  // on no page
+#endif
         {"", "redis", Type::address, false, 0, 0, "", "", "Redis, for links that hold for one use."},
 
         {"signed_front", "listen", Type::address, true, 0, 0, "", "", "Where its clients connect."},
@@ -100,6 +106,38 @@
         {"saved_list", "origin_per_s", Type::number, false, 0, kAny, "5", "",
          "Reads a second that all proxies together may send straight to the origin while no box may be used. "
          "Keep it well under what makes the origin stop. 0: none."},
+
+        {"peers", "group", Type::text, true, 0, 0, "", "",
+         "Name of the group, 40 characters at most. Words of another group are passed over."},
+        {"peers", "name", Type::text, false, 0, 0, "", "",
+         "This member's name, none other's in the group. Default: the platform's name."},
+        {"peers", "listen", Type::address, true, 0, 0, "", "",
+         "Where the others reach this one: datagrams and streams at one port."},
+        {"peers", "advertise", Type::address, false, 0, 0, "", "",
+         "What the others are told in place of `listen`, where they see another address."},
+        {"peers", "seeds", Type::addresses, false, 0, 64, "[]", "",
+         "Members to join through. Any one that answers will do; none: this one is the first."},
+        {"peers", "reach", Type::named_addresses, false, 0, 4096, "", "",
+         "By the address that a member tells: where this one reaches it instead."},
+        {"peers", "key", Type::path, true, 0, 0, "", "",
+         "File of the key that all members have, 16 bytes at least; a key a line: the first is used, all are "
+         "accepted."},
+        {"peers", "folder", Type::path, true, 0, 0, "", "",
+         "Where this member's start number is kept; made if it is missing. For this member alone."},
+        {"peers", "period_ms", Type::whole, false, 20, 60'000, "1000", "", "Between two probes."},
+        {"peers", "probe_timeout_ms", Type::whole, false, 5, 30'000, "400", "",
+         "For a direct answer; then others are asked to try. Half of `period_ms` at most."},
+        {"peers", "indirect", Type::whole, false, 0, 10, "3", "", "How many others are asked to try."},
+        {"peers", "votes", Type::whole, false, 1, 5, "2", "",
+         "Members that must say that they can't reach one before it counts as dead."},
+        {"peers", "exchange_s", Type::number, false, 0.1, 3600, "30", "",
+         "Between two exchanges of all that is known, with a member by chance."},
+        {"peers", "forget_s", Type::number, false, 1, 604'800, "3600", "",
+         "How long a dead or left member is remembered, and asked whether it is back."},
+        {"peers", "settle_s", Type::number, false, 1, 86'400, "60", "",
+         "In which the count of proxies falls to what is there, where most are there."},
+        {"peers", "bytes_per_s", Type::number, false, 1'500, 10'000'000, "4000", "",
+         "Cap on what this member sends. At the cap the least urgent is dropped first, and counted."},
         {"expectations", "file", Type::path, true, 0, 0, "", "", "The file of expectations."},
         {"expectations", "gate", Type::word, false, 0, 0, "\"warn\"", "start reload warn",
          "What a broken one does: `start` refuses to start, `reload` refuses a reload too, `warn` only says "
@@ -428,7 +466,7 @@
                               : fmt::format("\n## {}\n\n", section.doc);
         page += "| key | type | range | default | what it is for |\n| --- | --- | --- | --- | --- |\n";
         for (const Key& key : keys())
-            if (std::string_view(section.name) == key.section)
+            if (std::string_view(section.name) == key.section && *key.doc)
                 page +=
                     fmt::format("| `{}` | {} | {} | {} | {} |\n", key.name, name_of(key.type), range_of(key),
                                 key.required     ? "required"
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -112,6 +112,37 @@
     return list;
 }
 
+Peers read_peers(const Settings& file, const std::filesystem::path& folder) {
+    const char* at = "peers";
+    Peers peers;
+    peers.group = file.text(at, "group");
+    peers.name = file.text(at, "name");
+    peers.listen = file.text(at, "listen");
+    peers.advertise = file.text(at, "advertise");
+    peers.key_file = path_of(file, at, "key", folder);
+    peers.folder = path_of(file, at, "folder", folder);
+    peers.seeds = file.list(at, "seeds");
+    peers.reach = file.named(at, "reach");
+    peers.period = file.whole(at, "period_ms") * 1000;
+    peers.probe_timeout = file.whole(at, "probe_timeout_ms") * 1000;
+    peers.indirect = static_cast<int>(file.whole(at, "indirect"));
+    peers.votes = static_cast<int>(file.whole(at, "votes"));
+    peers.exchange_every = seconds(file, at, "exchange_s");
+    peers.forget = seconds(file, at, "forget_s");
+    peers.settle = seconds(file, at, "settle_s");
+    peers.bytes_per_s = file.number(at, "bytes_per_s");
+    if (2 * peers.probe_timeout > peers.period)
+        bad(file.where(at, "probe_timeout_ms"), "over half of period_ms: no time is left to ask others");
+    // Names go over the wire and into lines of the log.
+    const auto sound = [](const std::string& text, std::size_t most) {
+        return text.size() <= most &&
+               std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > ' ' && c < 0x7f; });
+    };
+    if (!sound(peers.group, 40)) bad(file.where(at, "group"), "over 40 characters, or blanks in it");
+    if (!sound(peers.name, 64)) bad(file.where(at, "name"), "over 64 characters, or blanks in it");
+    return peers;
+}
+
 Expectations read_expectations(const Settings& file, const std::filesystem::path& folder) {
     const char* at = "expectations";
     Expectations all;
@@ -139,7 +170,11 @@
     result.old_form = is_json(text);
     const Settings file = check(result.old_form ? read_json(text, path) : read_toml(text, path), path);
     result.redis = file.text("", "redis");
+#ifdef SUMACKEEL_TEST_KEYS
+    result.test_clock_offset_s = file.number("", "test_clock_offset_s");
+#endif
     if (file.has("store")) result.store = read_store(file, folder);
+    if (file.has("peers")) result.peers = read_peers(file, folder);
     if (file.has("signed_front")) result.signed_front = read_signed_front(file, folder);
     if (file.has("discovery")) result.discovery = read_discovery(file);
     if (file.has("saved_list")) result.saved_list = read_saved_list(file, folder);
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -58,6 +59,19 @@
     double origin_per_s = 5;  // of all instances together
 };
 
+// The other edge proxies of this installation, and how this one talks with them.
+struct Peers {
+    std::string group, name;  // name: empty: the platform's
+    std::string listen, advertise, key_file, folder;
+    std::vector<std::string> seeds;
+    std::map<std::string, std::string>
+        reach;  // by the address a member tells, where this one reaches it instead
+    nettlethread::Micros period = 1'000'000, probe_timeout = 400'000, exchange_every = 30'000'000,
+                         forget = 3'600'000'000, settle = 60'000'000;
+    int indirect = 3, votes = 2;
+    double bytes_per_s = 4'000;
+};
+
 // What must hold of where requests go, checked before a configuration is taken up.
 struct Expectations {
     enum class Gate { start, reload, warn };  // refuse a start; a reload too; only say it
@@ -67,12 +81,14 @@
 };
 
 struct Operator {
-    bool old_form = false;  // the file was JSON, which the next version does not read
-    std::string redis;      // address; needed for links for one use by "redis"
+    bool old_form = false;           // the file was JSON, which the next version does not read
+    std::string redis;               // address; needed for links for one use by "redis"
+    double test_clock_offset_s = 0;  // in test builds alone: how far off this process reads its clock
     std::optional<Discovery> discovery;
     std::optional<SavedList> saved_list;
     std::optional<Expectations> expectations;
     std::optional<Store> store;
+    std::optional<Peers> peers;
     std::optional<SignedFront> signed_front;
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/version.h"
 #include "core/core.h"
 #include "core/one_time.h"
 #include "daemon/expectation_gate.h"
@@ -18,6 +19,7 @@
 #include "front_platform/front.h"
 #include "front_signed/front.h"
 #include "ops/board.h"
+#include "peers/peers.h"
 #include "store/member.h"
 #include "store/redis_one_time.h"
 #include "upstream/pool.h"
@@ -45,8 +47,32 @@
 // loop's own, the change log and the operators' callers (front_ops::Front::kPlaces) are in the reserve.
 constexpr int kReserve = 24;
 
+// Of the peers: one for datagrams and one listener; their streams are within the servers' part.
+constexpr int kForPeers = 2;
+
 int for_servers(int sockets, const config::Operator& setup) {
-    return sockets - sockets / 2 - kReserve - (setup.signed_front ? setup.signed_front->connections : 0);
+    return sockets - sockets / 2 - kReserve - (setup.signed_front ? setup.signed_front->connections : 0) -
+           (setup.peers ? kForPeers : 0);
+}
+
+// How many proxies each zone has by the settings, under the zones' names.
+std::map<std::string, int> counts_of(const config::Site& site) {
+    std::map<std::string, int> counts;
+    for (std::size_t i = 0; i < site.zones.size() && i < site.settings.zone_instances.size(); ++i)
+        if (site.settings.zone_instances[i] > 0) counts[site.zones[i]] = site.settings.zone_instances[i];
+    return counts;
+}
+
+// A group's count as the module takes it; zones that the settings don't name count in the whole alone.
+nettlethread::GroupNews group_news(const config::Site& site, const std::map<std::string, int>& counts) {
+    nettlethread::GroupNews news{.instances = 0, .zone_instances = std::vector<int>(site.zones.size())};
+    for (const auto& [zone, count] : counts) {
+        news.instances += count;
+        const auto place = std::find(site.zones.begin(), site.zones.end(), zone);
+        if (place != site.zones.end())
+            news.zone_instances[static_cast<std::size_t>(place - site.zones.begin())] = count;
+    }
+    return news;
 }
 
 std::optional<ops::Board> load_hand_over(const std::string& path) {
@@ -102,6 +128,7 @@
     std::unique_ptr<Fleet> fleet;
     ops::Board board;
     std::unique_ptr<front_ops::Front> ops_front;
+    std::unique_ptr<peers::Peers> peers;  // off unless the operator's file names them
     uv_signal_t term{}, hangup{};
     uv_async_t told{};
     std::atomic<bool> end_told = false, reload_told = false, stop_told = false;
@@ -152,6 +179,7 @@
             signed_front = std::make_unique<front_signed::Front>(loop, core, c.site, *setup.signed_front,
                                                                  one_time.get(), c.seed, std::move(live));
         }
+        if (setup.peers) start_peers(*setup.peers);
         if (!c.ops.empty())
             ops_front = std::make_unique<front_ops::Front>(
                 loop, c.ops, [this](const ops::Call& call) { return take_call(call); });
@@ -182,6 +210,20 @@
             &hangup, [](uv_signal_t* handle, int) { static_cast<Parts*>(handle->data)->reload(); }, SIGHUP);
     }
 
+    void start_peers(config::Peers talk) {
+        if (talk.name.empty()) talk.name = config.name.empty() ? "proxy" : config.name;
+        const auto zone = static_cast<std::size_t>(std::max(0, config.site.settings.my_zone));
+        peers = std::make_unique<peers::Peers>(
+            loop, sockets, talk, zone < config.site.zones.size() ? config.site.zones[zone] : "",
+            base::kVersion, config.seed, counts_of(config.site), config.inherited_fd >= 0,
+            [this](const std::map<std::string, int>& counts) {
+                auto news = group_news(config.site, counts);
+                log::info("group: {} proxies are counted", news.instances);
+                core.tell(std::move(news));
+                core.run();
+            });
+    }
+
     // Both files are read before anything is changed: one that can't be used leaves all as it was. What the
     // module was made with, the addresses listened on and the store hold until the next start.
     void reload() try {
@@ -242,6 +284,11 @@
     }
 
     ops::Reply take_call(const ops::Call& call) {
+        if (peers && call.path == "/ops/group" && call.method == "GET") return {200, peers->as_json(), false};
+        if (peers && call.path == "/ops/group/leave" && call.method == "POST") {
+            peers->leave();
+            return {200, "left\n", false};
+        }
         const ops::Figures figures{.requests_open = core.open_requests(),
                                    .connections = front.connections(),
                                    .pop_caches_listed = fleet->view().size(),
@@ -273,6 +320,8 @@
         if (config.inherited_fd >= 0) front.stop_listening();
         log::info("told to end: {} requests open", core.open_requests());
         if (signed_front) signed_front->leaving();
+        // Where the socket was handed in another process goes on under this name: that is no leave.
+        if (peers) config.inherited_fd >= 0 ? peers->silent() : peers->leave();
         fleet->leaving();
         look_for_end();
     }
--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -221,6 +221,7 @@
         if (found != targets_.end()) note_report(found->second, answer.load);
     }
 
+    void on(const GroupNews& n) { set_.instances = n.instances, set_.zone_instances = n.zone_instances; }
     void on(const PeerNews&) {}  // none is asked for
 
     // ---- the fill table ----
--- /dev/null
+++ b/src/peers/peers.h
@@ -0,0 +1,91 @@
+// The sockets between edge proxies: datagrams of the group, exchanges of whole states over streams, both at
+// one address. Owns the group, its start number on disk and its cap on bytes. Off unless peers are named.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "config/operator.h"
+#include "group/group.h"
+#include "net/stream.h"
+#include "peers/meter.h"
+#include "peers/start_number.h"
+#include "peers/wire.h"
+
+namespace sumackeel::peers {
+
+struct Figures {
+    std::uint64_t datagrams_out = 0, datagrams_in = 0, bytes_out = 0, bytes_in = 0;
+    std::uint64_t exchanges = 0, exchanges_same = 0, exchanges_failed = 0;
+    std::uint64_t not_sent = 0;     // by the system
+    std::uint64_t capped[4] = {};   // by group::Urgency: dropped, or its news left out, at the cap
+    std::uint64_t bad[kBads] = {};  // by Bad
+};
+
+class Peers {
+  public:
+    // How many proxies there are by zone, each time that it changes.
+    using Counted = std::function<void(const std::map<std::string, int>& by_zone)>;
+
+    // Throws where the address, the key or the folder can't be used. `counted_at_first`: what the settings
+    // say by zone. `wait_for_address`: another process of this proxy may hold the address until it ends.
+    Peers(net::Loop& loop, net::Budget& sockets, const config::Peers& setup, const std::string& zone,
+          const std::string& version, std::uint64_t seed, std::map<std::string, int> counted_at_first,
+          bool wait_for_address, Counted counted);
+    ~Peers();
+    Peers(const Peers&) = delete;
+    Peers& operator=(const Peers&) = delete;
+
+    void leave();   // tells the others, then is silent
+    void silent();  // without a word: the process that takes over goes on under this name
+    std::string as_json() const;
+    const group::Group& group() const { return group_; }
+    int port() const;
+
+  private:
+    struct Exchange;
+
+    bool listen();
+    void listen_later();
+    void close();
+    void came(std::string_view bytes);
+    void pump();
+    void arm();
+    void send(const group::Outgoing& out);
+    void join();
+    void exchange(const std::string& address, const std::string& name);
+    void ended(Exchange& exchange, bool done);
+    std::string reached_at(const std::string& told) const;
+    void raise_start(std::uint64_t at_least);
+    void tell_changes();
+    base::Micros steady() const;
+    bool on() const { return udp_ != nullptr; }
+
+    net::Loop& loop_;
+    net::Budget& sockets_;
+    const config::Peers setup_;
+    const Codec codec_;
+    StartNumber number_;
+    std::mt19937_64 rng_;
+    group::Group group_;
+    Seen seen_;
+    Counted counted_;
+    std::map<std::string, int> told_;
+    Meter datagrams_, exchanges_cap_;
+    std::uint64_t sequence_ = 0;
+    Figures figures_;
+    uv_udp_t* udp_ = nullptr;
+    std::unique_ptr<net::Listener> listener_;
+    std::vector<std::unique_ptr<Exchange>> exchanges_;
+    std::optional<base::Deadlines::Key> timer_, bind_timer_;
+    std::vector<std::string> to_call_;  // seeds of the round under way
+    base::Micros next_join_ = 0, began_ = 0;
+    bool first_round_ = true, joined_ = false, said_displaced_ = false, gone_ = false;
+};
+
+}  // namespace sumackeel::peers
--- /dev/null
+++ b/src/peers/wire.h
@@ -0,0 +1,81 @@
+// What peers say on the wire: MessagePack within a frame that carries a version and a message code
+// (HMAC-SHA-256, its first 16 bytes) by a key that all members have. docs/design/group.md has it byte by
+// byte.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "group/messages.h"
+
+namespace sumackeel::peers {
+
+constexpr std::uint8_t kVersion = 1;
+constexpr std::size_t kLongestDatagram = 1'400;  // beyond any that is sent
+constexpr std::size_t kLongestFrame = 4 << 20;   // a whole state of kMostMembers fits
+constexpr std::size_t kLongestGroup = 40;
+constexpr std::size_t kLeastKey = 16;  // bytes
+
+// The first key codes what is sent, all of them check what comes: so a key is changed in two steps.
+struct Keys {
+    std::vector<std::string> all;
+};
+// A key a line, kLeastKey bytes at least. Throws ConfigError.
+Keys load_keys(const std::string& path);
+
+enum class Bad { malformed, foreign, code, replayed, oversized };
+constexpr int kBads = 5;
+const char* name_of(Bad bad);
+
+// One datagram with what makes it unlike all others of its sender.
+struct Numbered {
+    group::Datagram datagram;
+    std::uint64_t start = 0, sequence = 0;
+};
+
+// A step of an exchange of whole states.
+enum class Step : std::uint8_t { hello = 1, same = 2, state = 3 };
+struct Frame {
+    Step step = Step::hello;
+    std::string to;  // empty: whoever listens there, from one that joins
+    std::uint64_t digest = 0;
+    group::Whole whole;  // `from` always; the rest in a state
+};
+
+class Codec {
+  public:
+    Codec(std::string group, Keys keys) : group_(std::move(group)), keys_(std::move(keys)) {}
+
+    std::string datagram(const Numbered& numbered) const;
+    // With its length before it.
+    std::string frame(const Frame& frame) const;
+    // None: `bad` says why.
+    std::optional<Numbered> read_datagram(std::string_view bytes, Bad& bad) const;
+    std::optional<Frame> read_frame(std::string_view bytes, Bad& bad) const;  // without its length
+
+  private:
+    std::string sealed(std::uint8_t type, std::string_view body) const;
+    std::optional<std::string_view> opened(std::uint8_t type, std::string_view bytes, Bad& bad) const;
+
+    std::string group_;
+    Keys keys_;
+};
+
+// Which datagrams of each sender have come: a second one, one of an earlier start and one too far behind are
+// replayed. Bounded by the number of members.
+class Seen {
+  public:
+    bool fresh(const std::string& from, std::uint64_t start, std::uint64_t sequence);
+
+  private:
+    struct Window {
+        std::uint64_t start = 0, highest = 0, before = 0;  // before: bit i: highest - 1 - i has come
+    };
+    std::map<std::string, Window> windows_;
+};
+
+}  // namespace sumackeel::peers
--- a/tests/daemon/handover_test.py
+++ b/tests/daemon/handover_test.py
@@ -18,75 +18,7 @@
 import threading
 import time
 
-BOUND_S = 10  # a wait longer than this is a hang, and fails the test
-
-
-def cache_box(listener, served):
-    """A pop cache that answers each request at once, a thread a connection."""
-    def serve(conn):
-        with conn, conn.makefile("rb") as lines:
-            while line := lines.readline():
-                words = line.decode().split()
-                if words and words[0] == "REQ":
-                    lines.read(int(words[3]) + 2)
-                    served[0] += 1
-                    conn.sendall(f"{words[1]} DONE digest=e1,dated=1764576000123,tell=pulled 2\r\nok\r\n".encode())
-    while True:
-        try:
-            conn, _ = listener.accept()
-        except OSError:
-            return
-        threading.Thread(target=serve, args=(conn,), daemon=True).start()
-
-
-def be(value, width):
-    return value.to_bytes(width, "big")
-
-
-def tstr(text):
-    return be(len(text), 4) + text
-
-
-def dispatch(seqid, request_id, subject):
-    fields = {b"kind": b"sheet", b"req": request_id, b"timeout": b"3000", b"subject": subject,
-              b"slice": b"0", b"set": b"17", b"need": b"40"}
-    body = be(0x80010001, 4) + tstr(b"dispatch") + be(seqid, 4)
-    body += be(13, 1) + be(1, 2) + be(11, 1) + be(11, 1) + be(len(fields), 4)
-    for key, value in fields.items():
-        body += tstr(key) + tstr(value)
-    body += be(11, 1) + be(2, 2) + tstr(b"") + be(0, 1)
-    return be(len(body), 4) + body
-
-
-def exactly(conn, count):
-    data = b""
-    while len(data) < count:
-        more = conn.recv(count - len(data))
-        if not more:
-            raise ConnectionError("closed in the middle")
-        data += more
-    return data
-
-
-def reply_place(conn):
-    """0 Answer, 1 Busy, 2 Failed: the field of the result."""
-    frame = exactly(conn, struct.unpack(">I", exactly(conn, 4))[0])
-    name = struct.unpack(">I", frame[4:8])[0]
-    return struct.unpack(">h", frame[8 + name + 5:8 + name + 7])[0]
-
-
-def ops_call(port, method, path, body=None):
-    try:
-        with socket.create_connection(("127.0.0.1", port), timeout=BOUND_S) as conn:
-            conn.sendall(f"{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
-            answer = b""
-            while chunk := conn.recv(4096):
-                answer += chunk
-            if body is not None:
-                body.append(answer.split(b"\r\n\r\n", 1)[1].decode())
-            return int(answer.split()[1])
-    except OSError:
-        return 0
+from wire import BOUND_S, cache_box, dispatch, ops_call, reply_place, settings_for
 
 
 def free_port():
@@ -109,13 +41,7 @@
     clients.bind(("127.0.0.1", 0))
     clients.listen(512)
     port = clients.getsockname()[1]
-    settings = json.load(open(os.path.join(os.path.dirname(__file__), "..", "..", "example", "config.json")))
-    hosts = [{"host": name, "dial": box_at, "site": site, "class": kind, "block": 1, "health": "SERVING",
-              "share": 8, "born_ms": 0}
-             for name, site, kind in (("s-a", "edge-1", "small"), ("s-b", "edge-1", "small"),
-                                      ("s-parent", "coast", "parent"), ("s-origin", "coast", "origin"))]
-    settings.update({"name": "n0", "listen": f"127.0.0.1:{port}", "changelog": "",
-                     "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"seq": 1, "whole": True, "hosts": hosts}}]}})
+    settings = settings_for("n0", f"127.0.0.1:{port}", lambda _: box_at)
     config = os.path.join(folder, "config.json")
     with open(config, "w") as out:
         json.dump(settings, out)
--- /dev/null
+++ b/tests/daemon/wire.py
@@ -0,0 +1,99 @@
+"""What tests in Python share: the platform's wire from a client's side, stand-in pop caches, the operators' calls.
+
+Everything stays on loopback; waits are bounded by BOUND_S, which only turns a hang into a failure.
+"""
+import json
+import os
+import socket
+import struct
+import threading
+
+BOUND_S = 10  # a wait longer than this is a hang, and fails the test
+ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..")
+
+
+def cache_box(listener, served, seen=None):
+    """A pop cache that answers each request at once, a thread a connection. `seen` hears of each request."""
+    def serve(conn):
+        with conn, conn.makefile("rb") as lines:
+            while line := lines.readline():
+                words = line.decode().split()
+                if words and words[0] == "REQ":
+                    lines.read(int(words[3]) + 2)
+                    served[0] += 1
+                    if seen:
+                        seen(words[1], dict(item.split("=", 1) for item in words[2].split(",") if "=" in item))
+                    conn.sendall(f"{words[1]} DONE digest=e1,dated=1764576000123,tell=pulled 2\r\nok\r\n".encode())
+    while True:
+        try:
+            conn, _ = listener.accept()
+        except OSError:
+            return
+        threading.Thread(target=serve, args=(conn,), daemon=True).start()
+
+
+def be(value, width):
+    return value.to_bytes(width, "big")
+
+
+def tstr(text):
+    return be(len(text), 4) + text
+
+
+def dispatch(seqid, request_id, subject, kind=b"sheet"):
+    fields = {b"kind": kind, b"req": request_id, b"timeout": b"3000", b"subject": subject,
+              b"slice": b"0", b"set": b"17", b"need": b"40"}
+    body = be(0x80010001, 4) + tstr(b"dispatch") + be(seqid, 4)
+    body += be(13, 1) + be(1, 2) + be(11, 1) + be(11, 1) + be(len(fields), 4)
+    for key, value in fields.items():
+        body += tstr(key) + tstr(value)
+    body += be(11, 1) + be(2, 2) + tstr(b"") + be(0, 1)
+    return be(len(body), 4) + body
+
+
+def exactly(conn, count):
+    data = b""
+    while len(data) < count:
+        more = conn.recv(count - len(data))
+        if not more:
+            raise ConnectionError("closed in the middle")
+        data += more
+    return data
+
+
+def reply(conn):
+    """Sequence number and place of one answer: 0 Answer, 1 Busy, 2 Failed."""
+    frame = exactly(conn, struct.unpack(">I", exactly(conn, 4))[0])
+    name = struct.unpack(">I", frame[4:8])[0]
+    return struct.unpack(">ih", frame[8 + name:8 + name + 4] + frame[8 + name + 5:8 + name + 7])
+
+
+def reply_place(conn):
+    return reply(conn)[1]
+
+
+def ops_call(port, method, path, body=None, host="127.0.0.1", bound=BOUND_S):
+    """The status, 0 where nobody answers; what was answered goes into the list `body`."""
+    try:
+        with socket.create_connection((host, port), timeout=bound) as conn:
+            conn.sendall(f"{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+            answer = b""
+            while chunk := conn.recv(4096):
+                answer += chunk
+            if body is not None:
+                body.append(answer.split(b"\r\n\r\n", 1)[1].decode())
+            return int(answer.split()[1])
+    except OSError:
+        return 0
+
+
+def settings_for(name, listen, boxes, known_as=(("s-a", "edge-1", "small"), ("s-b", "edge-1", "small"),
+                                                 ("s-parent", "coast", "parent"), ("s-origin", "coast", "origin"))):
+    """The example's configuration for a proxy before stand-ins; `boxes` gives the address of each by its id."""
+    with open(os.path.join(ROOT, "example", "config.json"), encoding="utf-8") as file:
+        settings = json.load(file)
+    hosts = [{"host": box, "dial": boxes(box), "site": site, "class": kind, "block": 1, "health": "SERVING",
+              "share": 8, "born_ms": 0} for box, site, kind in known_as]
+    settings.update({"name": name, "listen": listen, "changelog": "",
+                     "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"seq": 1, "whole": True, "hosts": hosts}}]}})
+    return settings
--- /dev/null
+++ b/tests/fleet/harness.py
@@ -0,0 +1,540 @@
+"""Several real processes of the program on loopback, links between them that a test steers, stand-in pop caches
+and clients with a checker. Scenarios (scenarios/*.toml) are data; what they may say is the Steps class.
+
+Each scenario has a loopback network of its own, so that any number run beside each other.
+"""
+import json
+import os
+import re
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "daemon"))
+from relay import Relay  # noqa: E402
+from wire import cache_box, dispatch, ops_call, reply, settings_for  # noqa: E402
+
+CLIENTS, OPS, PEERS = 9000, 9001, 9002  # ports, at each member's own address
+LOOK_EVERY_S = 0.05
+STARTED_WITHIN_S = 30
+
+
+class Failed(Exception):
+    """What must hold does not."""
+
+
+def own_network():
+    """A /24 of loopback that no other test holds: the first address whose guard's port is free."""
+    for turn in range(2000):
+        number = (os.getpid() + 7919 * turn) % 62000
+        net = f"127.{1 + number // 250}.{1 + number % 250}"
+        guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            guard.bind((f"{net}.254", 9))
+            return net, guard
+        except OSError:
+            guard.close()
+    raise Failed("no free loopback network")
+
+
+class Boxes:
+    """Stand-in pop caches, a parent and an origin at one address. Counts what ran, `enrol` by request."""
+
+    def __init__(self, host):
+        self.listener = socket.socket()
+        self.listener.bind((host, 0))
+        self.listener.listen(256)
+        self.at = "%s:%d" % self.listener.getsockname()
+        self.lock, self.enrols, self.served = threading.Lock(), {}, [0]
+        threading.Thread(target=cache_box, args=(self.listener, self.served, self.see), daemon=True).start()
+
+    def see(self, request, fields):
+        if request.startswith("e"):
+            with self.lock:
+                self.enrols[request] = self.enrols.get(request, 0) + 1
+
+
+class Client(threading.Thread):
+    """Asks one proxy again and again, one request at a time; each has one answer, or a reason to have none."""
+
+    def __init__(self, member, pause=0.02):
+        super().__init__(daemon=True)
+        self.member, self.pause, self.going = member, pause, True
+        self.answered = self.other = self.excused = 0
+        self.wrong = []
+
+    def run(self):
+        conn, sequence, number = None, 0, 0
+        while self.going:
+            number += 1
+            enrol = number % 10 == 0
+            ident = f"{'e' if enrol else 'a'}{self.member.index:03x}{os.getpid() % 65536:04x}{number:08x}"
+            faults = self.member.faults
+            try:
+                if conn is None:
+                    conn, sequence = socket.create_connection((self.member.host, CLIENTS), timeout=4), 0
+                sequence += 1
+                conn.sendall(dispatch(sequence, ident.encode(), b"%016x" % (number * 7919 % 997),
+                                      b"enrol" if enrol else b"sheet"))
+                got, place = reply(conn)
+                if got != sequence:
+                    self.wrong.append(f"{ident}: an answer for number {got} instead of {sequence}")
+                if place == 0:
+                    self.answered += 1
+                else:
+                    self.other += 1
+            except (OSError, ConnectionError):
+                if conn:
+                    conn.close()
+                fresh, conn = sequence <= 1, None
+                # A process that is stopped, killed or ending answers nobody; on a connection kept for long the
+                # proxy may close just as we send, before it has read anything.
+                if faults != self.member.faults or self.member.faulted or not fresh:
+                    self.excused += 1
+                else:
+                    self.wrong.append(f"{ident}: no answer from {self.member.name}")
+            time.sleep(self.pause)
+        if conn:
+            conn.close()
+
+
+class Member:
+    def __init__(self, fleet, index, name=None):
+        self.fleet, self.index, self.name = fleet, index, name or f"n{index}"
+        self.host = f"{fleet.net}.{index + 1}"
+        self.folder = os.path.join(fleet.folder, f"m{index}")
+        os.makedirs(self.folder, exist_ok=True)
+        self.log = os.path.join(self.folder, "log")
+        self.process, self.faults, self.faulted, self.extra = None, 0, True, {}
+        self.inherited = None  # the clients' listening socket, handed in
+        self.ops_port = OPS
+
+    def write_files(self):
+        fleet = self.fleet
+        settings = settings_for(self.name, f"{self.host}:{CLIENTS}", lambda _: fleet.boxes.at)
+        settings["seed"] = f"{fleet.seed + self.index:016x}"
+        settings["settings"]["instances"] = fleet.members
+        settings["settings"]["family_info"]["count_by_zone"] = [0, fleet.members]
+        with open(os.path.join(self.folder, "config.json"), "w", encoding="utf-8") as out:
+            json.dump(settings, out)
+        keys = {"group": "school", "name": self.name, "listen": f"{self.host}:{PEERS}", "key": "key", "folder": "state",
+                "period_ms": 200, "probe_timeout_ms": 80, "exchange_s": 3, **fleet.peers, **self.extra}
+        key = keys.pop("key_text", "a key that all members share")
+        offset = keys.pop("clock_offset_s", 0)
+        with open(os.path.join(self.folder, "key"), "w", encoding="utf-8") as out:
+            out.write(key + "\n")
+        reach = {f"{other.host}:{PEERS}": fleet.relayed(self, other) for other in fleet.all if other is not self}
+        seeds = [fleet.relayed(self, other) for other in fleet.all if other is not self][:8]
+        with open(os.path.join(self.folder, "operator.toml"), "w", encoding="utf-8") as out:
+            out.write("# written by the fleet bench\n")
+            if offset:
+                out.write(f"test_clock_offset_s = {offset}\n")
+            if fleet.peers_on:
+                out.write("[peers]\n")
+                for key, value in keys.items():
+                    out.write(f"{key} = {json.dumps(value)}\n")
+                out.write(f"seeds = {json.dumps(seeds)}\n")
+                out.write("reach = { %s }\n" % ", ".join(f"{json.dumps(k)} = {json.dumps(v)}" for k, v in reach.items()))
+
+    def start(self, **extra):
+        self.extra.update(extra)
+        self.write_files()
+        env = dict(os.environ, GW_CONFIG=os.path.join(self.folder, "config.json"), TMPDIR=self.folder,
+                   GW_OPS=f"{self.host}:{self.ops_port}")
+        env.pop("GW_INHERITED_FD", None)
+        fds = []
+        if self.inherited:
+            env["GW_INHERITED_FD"], fds = str(self.inherited.fileno()), [self.inherited.fileno()]
+        with open(self.log, "a", encoding="utf-8") as log:
+            self.process = subprocess.Popen([self.fleet.program, "serve", "--operator",
+                                             os.path.join(self.folder, "operator.toml")], env=env, stderr=log,
+                                            pass_fds=fds)
+        return self
+
+    def ready(self, within=STARTED_WITHIN_S):
+        end = time.monotonic() + within
+        while ops_call(self.ops_port, "GET", "/ops/readiness", host=self.host, bound=2) != 200:
+            if self.process.poll() is not None:
+                raise Failed(f"{self.name} ended with {self.process.returncode}: {self.tail()}")
+            if time.monotonic() > end:
+                raise Failed(f"{self.name} is not ready within {within} s")
+            time.sleep(LOOK_EVERY_S)
+        self.faulted = False
+
+    def tail(self):
+        with open(self.log, encoding="utf-8", errors="replace") as log:
+            return " | ".join(log.read().splitlines()[-5:])
+
+    def fault(self, number):
+        self.faults += 1
+        self.faulted = True
+        self.process.send_signal(number)
+
+    def group(self):
+        """What the member says of the group; None where it does not answer."""
+        body = []
+        status = ops_call(self.ops_port, "GET", "/ops/group", body, host=self.host, bound=2)
+        return json.loads(body[0]) if status == 200 else None
+
+    def running(self):
+        return self.process is not None and self.process.poll() is None and not self.faulted
+
+    def seen_changes(self):
+        """(seer, member, state) of each change in its log."""
+        with open(self.log, encoding="utf-8", errors="replace") as log:
+            return [(self.name, *found.groups())
+                    for found in re.finditer(r"group: (\S+) is (\w+) \(was", log.read())]
+
+
+class Fleet:
+    def __init__(self, program, scenario, seed):
+        self.program, self.seed = program, seed
+        self.members = scenario.get("members", 5)
+        self.peers, self.peers_on = scenario.get("peers", {}), scenario.get("peers_on", True)
+        self.net, self.guard = own_network()
+        self.folder = tempfile.mkdtemp(prefix="sumackeel-fleet-")
+        self.boxes = Boxes(f"{self.net}.250")
+        self.all = []
+        names = scenario.get("names", {})
+        for index in range(self.members):
+            self.all.append(Member(self, index, names.get(str(index))))
+        for index, extra in scenario.get("member", {}).items():
+            self.all[int(index)].extra.update(extra)
+        places = {}
+        if self.peers_on:
+            for a in self.all:
+                for b in self.all:
+                    if a is not b:
+                        places[(a.index, b.index)] = ((f"{self.net}.200", self.port(a, b)), (b.host, PEERS))
+        self.relay = Relay(places, seed)
+        self.relay.start()
+        self.clients = []
+
+    def port(self, a, b):
+        return 10000 + a.index * 64 + b.index
+
+    def relayed(self, a, b):
+        return f"{self.net}.200:{self.port(a, b)}"
+
+    def pick(self, words):
+        """Members by name or number: "n1", 1, a list of them, or "all"."""
+        if words == "all":
+            return list(self.all)
+        words = words if isinstance(words, list) else [words]
+        return [self.all[word if isinstance(word, int) else int(word[1:])] for word in words]
+
+    def links(self, a, b):
+        return [self.relay.links[(x.index, y.index)] for x in self.pick(a) for y in self.pick(b) if x is not y]
+
+    def with_traffic(self):
+        for member in self.all:
+            client = Client(member)
+            client.start()
+            self.clients.append(client)
+
+    def check_traffic(self):
+        for client in self.clients:
+            client.going = False
+        for client in self.clients:
+            client.join(timeout=10)
+        wrong = [line for client in self.clients for line in client.wrong]
+        twice = {ident: count for ident, count in self.boxes.enrols.items() if count > 1}
+        answered = sum(client.answered for client in self.clients)
+        print(f"traffic: answered {answered}, refused or failed {sum(c.other for c in self.clients)}, "
+              f"without an answer for a reason {sum(c.excused for c in self.clients)}, wrong {len(wrong)}, "
+              f"enrol run {len(self.boxes.enrols)}, twice {len(twice)}")
+        if wrong or twice:
+            raise Failed(f"traffic: {wrong[:5]} {list(twice)[:5]}")
+        if self.clients and answered == 0:
+            raise Failed("traffic: nothing was answered at all")
+
+    def close(self, keep):
+        for client in self.clients:
+            client.going = False
+        for member in self.all:
+            if member.process and member.process.poll() is None:
+                member.process.kill()
+                member.process.wait()
+        self.relay.going = False
+        self.relay.join(timeout=2)
+        self.boxes.listener.close()
+        self.guard.close()
+        if keep:
+            print(f"files of this run are in {self.folder}")
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def states(said):
+    return {one["name"]: one for one in said["members"]}
+
+
+class Steps:
+    """One function for each step that a scenario may have; the keys beside `do` are its arguments."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+
+    def eventually(self, within, what, holds):
+        """Looks until `holds()` says yes; what it last said otherwise is in the complaint."""
+        end, said = time.monotonic() + within, "nothing"
+        while True:
+            said = holds()
+            if said is True:
+                return
+            if time.monotonic() > end:
+                raise Failed(f"{what}: not within {within} s: {said}")
+            time.sleep(LOOK_EVERY_S)
+
+    # Processes.
+    def start(self, who, **extra):
+        chosen = self.fleet.pick(who)
+        for member in chosen:
+            member.start(**extra)
+        for member in chosen:
+            member.ready()
+
+    def stop(self, who):
+        for member in self.fleet.pick(who):
+            member.fault(signal.SIGSTOP)
+
+    def cont(self, who):
+        for member in self.fleet.pick(who):
+            member.process.send_signal(signal.SIGCONT)
+            member.faulted = False
+
+    def kill(self, who):
+        chosen = self.fleet.pick(who)
+        for member in chosen:
+            member.fault(signal.SIGKILL)
+        for member in chosen:
+            member.process.wait()
+
+    def end(self, who, within=10):
+        for member in self.fleet.pick(who):
+            member.fault(signal.SIGTERM)
+        for member in self.fleet.pick(who):
+            if member.process.wait(timeout=within) != 0:
+                raise Failed(f"{member.name} ended with {member.process.returncode}")
+
+    def starve(self, who, seconds, run, rest):
+        """Runs for `run` seconds, then not for `rest`, again and again: a core that others take."""
+        end = time.monotonic() + seconds
+        members = self.fleet.pick(who)
+        while time.monotonic() < end:
+            for member in members:
+                member.fault(signal.SIGSTOP)
+            time.sleep(rest)
+            self.cont(who)
+            time.sleep(run)
+
+    def copy(self, who, of):
+        """Another process under the name of `of`."""
+        for member in self.fleet.pick(who):
+            member.name = self.fleet.pick(of)[0].name
+        self.start(who)
+
+    def hand_in(self, who):
+        """From now on its clients' listening socket is the test's, as the platform holds it."""
+        for member in self.fleet.pick(who):
+            member.inherited = socket.socket()
+            member.inherited.bind((member.host, CLIENTS))
+            member.inherited.listen(512)
+
+    def replace(self, who):
+        """A second process beside the first, which then gets SIGTERM, as at an upgrade."""
+        for member in self.fleet.pick(who):
+            old = member.process
+            ops_at, member.ops_port = member.ops_port, member.ops_port + 10
+            member.start()
+            member.ready()
+            old.send_signal(signal.SIGTERM)
+            if old.wait(timeout=10) != 0:
+                raise Failed(f"the process before on {ops_at} ended with {old.returncode}")
+
+    def forget_disk(self, who):
+        for member in self.fleet.pick(who):
+            shutil.rmtree(os.path.join(member.folder, "state"), ignore_errors=True)
+
+    def damage_disk(self, who, text):
+        for member in self.fleet.pick(who):
+            with open(os.path.join(member.folder, "state", "start"), "w", encoding="utf-8") as out:
+                out.write(text)
+
+    # Links.
+    def lose(self, share, a="all", b="all"):
+        for link in self.fleet.links(a, b):
+            link.loss = share
+
+    def delay(self, seconds, jitter=0.0, a="all", b="all"):
+        for link in self.fleet.links(a, b):
+            link.delay, link.jitter = seconds, jitter
+
+    def twice(self, share):
+        for link in self.fleet.links("all", "all"):
+            link.twice = share
+
+    def cut(self, a, b, both=False):
+        for link in self.fleet.links(a, b) + (self.fleet.links(b, a) if both else []):
+            link.cut = True
+
+    def heal(self):
+        for link in self.fleet.links("all", "all"):
+            link.cut, link.loss, link.delay, link.jitter, link.twice = False, 0.0, 0.0, 0.0, 0.0
+
+    def keep(self, on=True):
+        self.fleet.relay.keep = on
+
+    def play_again(self, a, b):
+        for one in self.fleet.pick(a):
+            for other in self.fleet.pick(b):
+                if one is not other:
+                    self.fleet.relay.play_again((one.index, other.index))
+
+    def inject(self, to, length, count=20):
+        """Bytes that are no datagram of the group's, at the length given."""
+        target = self.fleet.pick(to)[0]
+        source = next(member for member in self.fleet.all if member is not target)
+        for number in range(count):
+            data = bytes(self.fleet.relay.random.randrange(256) for _ in range(length))
+            self.fleet.relay.inject((source.index, target.index), data if number % 2 else b"SG\x01\x01" + data)
+
+    def during(self, seconds):
+        """How long the fault of the steps before lasts."""
+        time.sleep(seconds)
+
+    # What must hold.
+    def agree(self, within, who="all", alive=None):
+        """All of `who` that run see exactly each other (or `alive`) as alive."""
+        chosen = self.fleet.pick(who)
+
+        def holds():
+            running = [member for member in chosen if member.running()]
+            wanted = {m.name for m in (self.fleet.pick(alive) if alive is not None else running)}
+            for member in running:
+                said = member.group()
+                if said is None:
+                    return f"{member.name} does not answer"
+                there = {name for name, one in states(said).items() if one["state"] == "alive"}
+                if there != wanted - {member.name} or said["state"] != "alive":
+                    others = {n: (o["state"], o["doubted_by"]) for n, o in states(said).items() if n not in there}
+                    return f"{member.name} ({said['state']}) sees {sorted(there)} and {others}"
+            return True
+        self.eventually(within, "agree", holds)
+
+    def sees(self, who, member, state, within, by=None, start=None):
+        """Each of `who` sees `member` in `state` (a word or several), doubted by `by` among others."""
+        wanted = state if isinstance(state, list) else [state]
+
+        def holds():
+            for seer in self.fleet.pick(who):
+                if seer.name == member or not seer.running():
+                    continue
+                said = seer.group()
+                one = states(said).get(member) if said else None
+                if one is None or one["state"] not in wanted:
+                    return f"{seer.name} sees {one}"
+                if by is not None and not set(by) <= set(one["doubted_by"]):
+                    return f"{seer.name}: doubted by {one['doubted_by']}"
+                if start is not None and one["start"] != start:
+                    return f"{seer.name}: start {one['start']}"
+            return True
+        self.eventually(within, f"{member} {state}", holds)
+
+    def says(self, who, within=0, **wanted):
+        """Each of `who` says these of itself, as `side = "minority"`; a number is what it is at least."""
+        def holds():
+            for member in self.fleet.pick(who):
+                said = member.group()
+                for key, value in wanted.items():
+                    have = said
+                    for part in key.split("__"):
+                        have = have.get(part) if isinstance(have, dict) else None
+                    number = isinstance(value, (int, float)) and not isinstance(value, bool)
+                    if have is None or (have < value if number else have != value):
+                        return f"{member.name}: {key} is {have}, not {value}"
+            return True
+        self.eventually(within, "says", holds)
+
+    def some_says(self, who, within=0, **wanted):
+        """At least one of `who` says these of itself."""
+        def holds():
+            complaints = []
+            for member in self.fleet.pick(who):
+                try:
+                    self.says([member.index], 0, **wanted)
+                    return True
+                except Failed as fault:
+                    complaints.append(str(fault))
+            return complaints
+        self.eventually(within, "some says", holds)
+
+    def counts(self, who, zone, within, **wanted):
+        """How many proxies each of `who` counts in a zone, exactly."""
+        def holds():
+            found = {member.name: member.group()["counts"].get(zone) for member in self.fleet.pick(who)}
+            return all(count == wanted["is"] for count in found.values()) or f"{found}"
+        self.eventually(within, "counts", holds)
+
+    def sockets(self, who, tcp, udp):
+        """How many sockets of its own each holds that listen or take datagrams, from the system's tables."""
+        for member in self.fleet.pick(who):
+            mine = set()
+            for name in os.listdir(f"/proc/{member.process.pid}/fd"):
+                try:
+                    mine.add(os.readlink(f"/proc/{member.process.pid}/fd/{name}"))
+                except OSError:
+                    pass
+            counts = {}
+            for table, state in (("tcp", "0A"), ("udp", None)):
+                with open(f"/proc/{member.process.pid}/net/{table}", encoding="utf-8") as file:
+                    rows = [line.split() for line in file.readlines()[1:]]
+                counts[table] = sum(1 for row in rows
+                                    if f"socket:[{row[9]}]" in mine and (state is None or row[3] == state))
+            if counts != {"tcp": tcp, "udp": udp}:
+                raise Failed(f"{member.name} holds {counts}")
+
+    def wakes(self, who, seconds, most=None, least=None):
+        """How often an idle process goes to sleep in so many seconds: a timer more would show."""
+        def count(member):
+            with open(f"/proc/{member.process.pid}/status", encoding="utf-8") as file:
+                return int(re.search(r"^voluntary_ctxt_switches:\s+(\d+)", file.read(), re.M).group(1))
+        members = self.fleet.pick(who)
+        before = [count(member) for member in members]
+        time.sleep(seconds)
+        for member, first in zip(members, before):
+            times = count(member) - first
+            print(f"{member.name} woke {times} times in {seconds} s")
+            if (most is not None and times > most) or (least is not None and times < least):
+                raise Failed(f"{member.name} woke {times} times in {seconds} s, {least} to {most} wanted")
+
+    def ops(self, who, path, status, method="GET"):
+        for member in self.fleet.pick(who):
+            got = ops_call(member.ops_port, method, path, host=member.host)
+            if got != status:
+                raise Failed(f"{member.name}: {method} {path} gives {got}, not {status}")
+
+    def command(self, who, words, status=0, holds=""):
+        """`sumackeel WORDS --at` the member's operators' address."""
+        for member in self.fleet.pick(who):
+            done = subprocess.run([self.fleet.program, *words, "--at", f"{member.host}:{member.ops_port}"], text=True,
+                                  capture_output=True, timeout=20, check=False)
+            if done.returncode != status or holds not in done.stdout + done.stderr:
+                raise Failed(f"{words}: status {done.returncode}, {done.stdout} {done.stderr}")
+
+
+def never(fleet, rules):
+    """Rules "SEER sees MEMBER STATE", each with * for any: no log may hold such a change."""
+    for rule in rules:
+        seer, _, member, state = rule.split()
+        for one in fleet.all:
+            if not os.path.exists(one.log):
+                continue
+            for who, whom, what in one.seen_changes():
+                if seer in ("*", who) and member in ("*", whom) and what == state:
+                    raise Failed(f"never '{rule}': {who} saw {whom} {what}")
