--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -21,6 +21,7 @@
 #include "cli/expect_command.h"
 #include "cli/group_command.h"
 #include "cli/list_command.h"
+#include "cli/rollout_command.h"
 #include "cli/store_command.h"
 #include "config/config.h"
 #include "config/keys.h"
@@ -44,7 +45,7 @@
     std::string link_key, subject_key, student_key, student, one_time, at;
     std::vector<std::string> words;
     double expires_in = 600;
-    bool json = false;
+    bool json = false, force = false;
     ExpectFlags expect;
 };
 
@@ -78,6 +79,11 @@
     return group_command(flags.at, flags.words, flags.json) ? 0 : 1;
 }
 
+int rollout(const Flags& flags) {
+    if (flags.at.empty()) return wrong("no proxy: give --at ADDRESS, its operators' address");
+    return rollout_command(flags.at, flags.words, flags.force, flags.json) ? 0 : 1;
+}
+
 int store(const Flags& flags) {
     if (flags.at.empty()) return wrong("no member: give --at ADDRESS");
     return store_command(flags.at, flags.words) ? 0 : 1;
@@ -224,6 +230,15 @@
                 sub.add_option("-a,--at", flags_.at, "The operators' address of that proxy");
                 sub.add_option("words", flags_.words, "show (the default), watch or leave");
             });
+        command(
+            "rollout", "Who is out and why, and leaves: show, down ID, up ID, drain, undrain",
+            [this] { return rollout(flags_); },
+            [this](CLI::App& sub) {
+                json(sub);
+                sub.add_option("-a,--at", flags_.at, "The operators' address of a proxy");
+                sub.add_flag("--force", flags_.force, "Also where the rules say no; kept on record");
+                sub.add_option("words", flags_.words, "show (the default), down ID, up ID, drain or undrain");
+            });
         expect();
         command(
             "keys", "Print the page on the operator's file",
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -28,6 +28,10 @@
         {"peers",
          "The other edge proxies of this installation, and how this one talks with them. Off unless this is "
          "there. See operating/group.md."},
+        {"agreed",
+         "Who of the proxies and pop caches may leave, agreed by all. Needs [peers]. Off unless this is "
+         "there. "
+         "See operating/rollout.md."},
         {"expectations",
          "What must hold of where requests go, checked before a configuration is taken up. Off unless this "
          "is "
@@ -138,6 +142,33 @@
          "In which the count of proxies falls to what is there, where most are there."},
         {"peers", "bytes_per_s", Type::number, false, 1'500, 10'000'000, "4000", "",
          "Cap on what this member sends. At the cap the least urgent is dropped first, and counted."},
+
+        {"agreed", "folder", Type::path, true, 0, 0, "", "",
+         "Where a voter's log lies; made if it is missing. For this proxy alone, on a disk that lasts."},
+        {"agreed", "voters", Type::named_addresses, true, 1, 7, "", "",
+         "Three or five members by name, with the address at which they reach each other for the log. The "
+         "same "
+         "at all proxies; the others ask them."},
+        {"agreed", "election_ms", Type::whole, false, 100, 60'000, "1000", "",
+         "Without a word of the leader for so long, up to twice, another one is elected."},
+        {"agreed", "gone_counts_s", Type::number, false, 0, 86'400, "600", "",
+         "A pop cache that the change log has called gone counts as out for so long, then as no member."},
+        {"agreed", "proxies_school_out", Type::whole, false, 1, 1'000, "1", "",
+         "So many proxies of a school may be out at once, for whatever reason; never its last."},
+        {"agreed", "proxies_school_share", Type::number, false, 0, 1, "0.5", "",
+         "And at most this share of a school by weight, where more than one is out."},
+        {"agreed", "proxies_fleet_out", Type::whole, false, 1, 10'000, "4", "",
+         "So many proxies of all may be out at once."},
+        {"agreed", "proxies_between_s", Type::number, false, 0, 86'400, "0", "",
+         "Seconds from one's return to the next one's leave, in a school."},
+        {"agreed", "pop_caches_school_out", Type::whole, false, 1, 1'000, "1", "",
+         "So many pop caches of a school may be out at once, for whatever reason; never its last."},
+        {"agreed", "pop_caches_school_share", Type::number, false, 0, 1, "0.5", "",
+         "And at most this share of a school by weight, where more than one is out."},
+        {"agreed", "pop_caches_fleet_out", Type::whole, false, 1, 10'000, "4", "",
+         "So many pop caches of all may be out at once."},
+        {"agreed", "pop_caches_between_s", Type::number, false, 0, 86'400, "0", "",
+         "Seconds from one's return to the next one's leave, in a school."},
         {"expectations", "file", Type::path, true, 0, 0, "", "", "The file of expectations."},
         {"expectations", "gate", Type::word, false, 0, 0, "\"warn\"", "start reload warn",
          "What a broken one does: `start` refuses to start, `reload` refuses a reload too, `warn` only says "
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -143,6 +143,26 @@
     return peers;
 }
 
+Agreed read_agreed(const Settings& file, const std::filesystem::path& folder) {
+    const char* at = "agreed";
+    Agreed agreed;
+    agreed.folder = path_of(file, at, "folder", folder);
+    agreed.voters = file.named(at, "voters");
+    agreed.election_ms = static_cast<unsigned>(file.whole(at, "election_ms"));
+    agreed.gone_counts = seconds(file, at, "gone_counts_s");
+    const auto rules = [&](const std::string& of) {
+        LeaveRules all;
+        all.school_out = static_cast<int>(file.whole(at, of + "_school_out"));
+        all.fleet_out = static_cast<int>(file.whole(at, of + "_fleet_out"));
+        all.school_share = file.number(at, of + "_school_share");
+        all.between = static_cast<Micros>(file.number(at, of + "_between_s") * 1e6);
+        return all;
+    };
+    agreed.proxies = rules("proxies");
+    agreed.pop_caches = rules("pop_caches");
+    return agreed;
+}
+
 Expectations read_expectations(const Settings& file, const std::filesystem::path& folder) {
     const char* at = "expectations";
     Expectations all;
@@ -175,6 +195,8 @@
 #endif
     if (file.has("store")) result.store = read_store(file, folder);
     if (file.has("peers")) result.peers = read_peers(file, folder);
+    if (file.has("agreed")) result.agreed = read_agreed(file, folder);
+    if (result.agreed && !result.peers) bad(file.where("agreed", "voters"), "given, and [peers] is missing");
     if (file.has("signed_front")) result.signed_front = read_signed_front(file, folder);
     if (file.has("discovery")) result.discovery = read_discovery(file);
     if (file.has("saved_list")) result.saved_list = read_saved_list(file, folder);
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -72,6 +72,22 @@
     double bytes_per_s = 4'000;
 };
 
+// Who may be out at once, of one kind.
+struct LeaveRules {
+    int school_out = 1, fleet_out = 4;
+    double school_share = 0.5;
+    nettlethread::Micros between = 0;
+};
+
+// The log on which the proxies agree who may leave.
+struct Agreed {
+    std::string folder;
+    std::map<std::string, std::string> voters;  // names of members, and where they reach each other for it
+    unsigned election_ms = 1'000;
+    nettlethread::Micros gone_counts = 600'000'000;
+    LeaveRules proxies, pop_caches;
+};
+
 // What must hold of where requests go, checked before a configuration is taken up.
 struct Expectations {
     enum class Gate { start, reload, warn };  // refuse a start; a reload too; only say it
@@ -89,6 +105,7 @@
     std::optional<Expectations> expectations;
     std::optional<Store> store;
     std::optional<Peers> peers;
+    std::optional<Agreed> agreed;
     std::optional<SignedFront> signed_front;
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -15,10 +15,12 @@
 #include "core/one_time.h"
 #include "daemon/expectation_gate.h"
 #include "daemon/fleet.h"
+#include "daemon/leaves.h"
 #include "front_ops/front.h"
 #include "front_platform/front.h"
 #include "front_signed/front.h"
 #include "ops/board.h"
+#include "peers/agreed.h"
 #include "peers/peers.h"
 #include "store/member.h"
 #include "store/redis_one_time.h"
@@ -42,6 +44,10 @@
 // A hand-over file is a few lines; one far longer is none of ours.
 constexpr std::streamsize kLongestHandOver = 2 << 20;
 constexpr Micros kLookForEnd = 20'000;
+// Where leaves are agreed on: what voters know is waited for this long before this proxy says that it is
+// ready.
+constexpr Micros kLearnWithin = 3'000'000;
+constexpr Micros kGiveBackAgain = 500'000;
 
 // The platform's clients hold a third at most. They get half, for those that only connect; the log file, the
 // loop's own, the change log and the operators' callers (front_ops::Front::kPlaces) are in the reserve.
@@ -129,6 +135,10 @@
     ops::Board board;
     std::unique_ptr<front_ops::Front> ops_front;
     std::unique_ptr<peers::Peers> peers;  // off unless the operator's file names them
+    std::unique_ptr<Leaves> leaves;
+    std::unique_ptr<peers::Agreed> agreed;
+    bool leaving = false;      // an own drain was asked for, and holds or may yet be granted
+    bool giving_back = false;  // of our own lease, under way
     uv_signal_t term{}, hangup{};
     uv_async_t told{};
     std::atomic<bool> end_told = false, reload_told = false, stop_told = false;
@@ -150,6 +160,7 @@
     ~Parts() {
         ending = true;
         if (checking.joinable()) checking.join();
+        if (agreed) agreed->shut();  // while all that its callbacks touch is there
     }
 
     Parts(const config::Config& c, const config::Operator& setup, Files read_from)
@@ -180,17 +191,13 @@
                                                                  one_time.get(), c.seed, std::move(live));
         }
         if (setup.peers) start_peers(*setup.peers);
+        if (setup.agreed) start_agreed(*setup.agreed);
         if (!c.ops.empty())
             ops_front = std::make_unique<front_ops::Front>(
-                loop, c.ops, [this](const ops::Call& call) { return take_call(call); });
-        // Ready once all listen and what the process before handed over is taken up.
-        board.able();
-        if (auto old = load_hand_over(files.hand_over)) {
-            board.take_over(*old);
-            log::info("hand-over taken: {} pop caches down, {}", board.bans().size(),
-                      ops::name_of(board.phase()));
-        }
-        carry_out();
+                loop, c.ops, [this](const ops::Call& call, const front_ops::Later& later) {
+                    return take_call(call, later);
+                });
+        become_able(loop.clock().now() + kLearnWithin);
         loop.each_turn([this] { core.run(); });
         uv_async_init(loop.raw(), &told, [](uv_async_t* handle) {
             auto* self = static_cast<Parts*>(handle->data);
@@ -224,6 +231,104 @@
             });
     }
 
+    // Ready once all listen, what the process before handed over is taken up, and what was agreed on
+    // meanwhile is known: a proxy that was away learns the fleet's bans before clients are sent to it. Not
+    // for ever: where no voter answers it serves by what it knows.
+    void become_able(Micros until) {
+        if (agreed && !agreed->known() && loop.clock().now() < until) {
+            loop.deadlines().set(loop.clock().now() + kLookForEnd, [this, until] {
+                if (!told_to_end) become_able(until);
+            });
+            return;
+        }
+        if (agreed && !agreed->known()) log::warn("agreed: no voter answers; serving by what is known");
+        board.able();
+        if (auto old = load_hand_over(files.hand_over)) {
+            board.take_over(*old);
+            log::info("hand-over taken: {} pop caches down, {}", board.bans().size(),
+                      ops::name_of(board.phase()));
+        }
+        leaving = board.drain_told();
+        carry_out();
+        give_back_own();
+    }
+
+    void start_agreed(const config::Agreed& setup) {
+        leaves = std::make_unique<Leaves>(config.site, setup.gone_counts);
+        agreed = std::make_unique<peers::Agreed>(
+            loop, *peers, setup,
+            [this](rollout::Kind kind) {
+                return kind == rollout::Kind::proxy ? leaves->proxies(peers->group(), board.sending_away())
+                                                    : leaves->pop_caches(fleet->view(), loop.clock().now());
+            },
+            [this](const rollout::State& state) {
+                log::info("agreed: revision {}, {} out by lease", state.revision(), state.leases().size());
+                carry_out();
+                give_back_own();
+            });
+    }
+
+    // A lease of this proxy that serves again, or was replaced by a process that does, is given back by
+    // itself.
+    void give_back_own() {
+        const std::string& name = peers ? peers->group().self().name : config.name;
+        if (!agreed || leaving || giving_back || !board.ready() ||
+            !agreed->state().find(rollout::Kind::proxy, name))
+            return;
+        giving_back = true;
+        agreed->back(rollout::Kind::proxy, name, name, [this](const std::optional<rollout::Answer>& answer) {
+            giving_back = false;
+            if (answer) return;
+            loop.deadlines().set(loop.clock().now() + kGiveBackAgain, [this] { give_back_own(); });
+        });
+    }
+
+    // The operators' calls where leaves are agreed on: answered once that is done, within a second.
+    bool take_leave(const ops::Call& call, const front_ops::Later& later) {
+        const std::string_view path = call.path.substr(0, call.path.find('?'));
+        const bool forced = call.path.ends_with("?force=1");
+        const ops::Asked asked = ops::asked_in(path);
+        if (call.method != "POST" || asked.what == ops::Asked::What::other) return false;
+        using What = ops::Asked::What;
+        const bool drain = asked.what == What::drain_start || asked.what == What::drain_stop;
+        if (!drain && (!ops::sound_id(asked.id) || !fleet->listed(asked.id)))
+            return false;  // owed a no as before
+        const std::string self = peers->group().self().name;
+        const auto kind = drain ? rollout::Kind::proxy : rollout::Kind::pop_cache;
+        const std::string member = drain ? self : asked.id;
+        if (asked.what == What::down || asked.what == What::drain_start) {
+            if (drain) leaving = true;
+            agreed->ask(kind, member, self, forced,
+                        [this, later, drain, member](const std::optional<rollout::Answer>& answer) {
+                            later(left(answer, drain, member));
+                        });
+        } else {
+            if (drain) leaving = false, board.drain_stop(), changed_board();
+            agreed->back(kind, member, self, [later, member](const std::optional<rollout::Answer>& answer) {
+                later(answer ? ops::Reply{200, "up " + member + "\n", false}
+                             : ops::Reply{503, "no majority of the voters answered, call again\n", false});
+            });
+        }
+        return true;
+    }
+
+    ops::Reply left(const std::optional<rollout::Answer>& answer, bool drain, const std::string& member) {
+        const bool granted = answer && answer->how == rollout::How::granted;
+        if (drain && granted) board.drain_start(), changed_board();
+        if (drain && !granted) leaving = board.drain_told();
+        if (!answer) return {503, "no majority of the voters answered, call again\n", false};
+        if (granted) return {200, fmt::format("{} out by lease {}\n", member, answer->number), false};
+        return {409,
+                fmt::format("not now: {}{}{}\n", answer->reason,
+                            answer->waits_for.empty() ? "" : "; out: ", fmt::join(answer->waits_for, ",")),
+                false};
+    }
+
+    void changed_board() {
+        carry_out();
+        save_hand_over(files.hand_over, board);
+    }
+
     // Both files are read before anything is changed: one that can't be used leaves all as it was. What the
     // module was made with, the addresses listened on and the store hold until the next start.
     void reload() try {
@@ -283,11 +388,15 @@
         log::info("configuration read anew");
     }
 
-    ops::Reply take_call(const ops::Call& call) {
-        if (peers && call.path == "/ops/group" && call.method == "GET") return {200, peers->as_json(), false};
+    std::optional<ops::Reply> take_call(const ops::Call& call, const front_ops::Later& later) {
+        if (agreed && call.path == "/ops/rollout" && call.method == "GET")
+            return ops::Reply{200, agreed->as_json(), false};
+        if (agreed && take_leave(call, later)) return std::nullopt;
+        if (peers && call.path == "/ops/group" && call.method == "GET")
+            return ops::Reply{200, peers->as_json(), false};
         if (peers && call.path == "/ops/group/leave" && call.method == "POST") {
             peers->leave();
-            return {200, "left\n", false};
+            return ops::Reply{200, "left\n", false};
         }
         const ops::Figures figures{.requests_open = core.open_requests(),
                                    .connections = front.connections(),
@@ -297,15 +406,18 @@
             board, call, [this](const std::string& id) { return fleet->listed(id); }, figures);
         if (reply.changed) {
             log::info("ops: {} {}: {}", call.method, call.path, reply.status);
-            carry_out();
-            save_hand_over(files.hand_over, board);
+            changed_board();
         }
         return reply;
     }
 
     // What the board says, done: bans to the module, clients sent away while draining or ending.
     void carry_out() {
-        fleet->set_bans(board.bans());
+        std::set<std::string> bans = board.bans();
+        if (agreed)
+            for (const auto& [key, lease] : agreed->state().leases())
+                if (key.first == rollout::Kind::pop_cache) bans.insert(key.second);
+        fleet->set_bans(bans);
         front.send_away(board.sending_away());
         front.set_ready(board.ready());
         if (signed_front) signed_front->send_away(board.sending_away());
--- a/src/front_ops/front.cpp
+++ b/src/front_ops/front.cpp
@@ -79,7 +79,13 @@
         if (fault != HPE_OK && fault != HPE_PAUSED) return answer(stream, {400, "the call can't be read\n"});
         if (!whole) return front.door_.now(*this, net::Doing::sending);
         const ops::Call call{http_method_str(static_cast<http_method>(parser.method)), url};
-        answer(stream, front.taker_(call));
+        answered = true;
+        front.door_.now(*this, net::Doing::busy);  // no longer one to let go for room
+        const auto reply = front.taker_(call, [owner = &front, me = number()](const ops::Reply& late) {
+            auto* caller = static_cast<Caller*>(owner->door_.find(me));
+            if (caller && caller->stream()) caller->answer(*caller->stream(), late);
+        });
+        if (reply) answer(stream, *reply);
     }
 
     void answer(net::Stream& stream, const ops::Reply& reply) {
--- a/src/front_ops/front.h
+++ b/src/front_ops/front.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "net/door.h"
@@ -11,8 +12,9 @@
 
 namespace sumackeel::front_ops {
 
-// Each call to the operators' address, answered from the loop's thread.
-using Taker = std::function<ops::Reply(const ops::Call& call)>;
+// Each call to the operators' address, answered from the loop's thread: at once, or (none) by `later`, once.
+using Later = std::function<void(const ops::Reply&)>;
+using Taker = std::function<std::optional<ops::Reply>(const ops::Call& call, Later later)>;
 
 class Front {
   public:
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -11,6 +11,7 @@
 
 Loop::Loop() {
     std::signal(SIGPIPE, SIG_IGN);  // a write to a closed connection is an error like any other
+    std::signal(SIGXFSZ, SIG_IGN);  // and so is one to a file that may not grow
     if (uv_loop_init(&loop_) != 0) throw std::runtime_error("no event loop can be made");
     loop_.data = this;
     uv_timer_init(&loop_, &timer_);
--- a/src/ops/calls.cpp
+++ b/src/ops/calls.cpp
@@ -27,6 +27,14 @@
 
 }  // namespace
 
+Asked asked_in(std::string_view path) {
+    if (path.starts_with(kDown)) return {Asked::What::down, std::string(path.substr(kDown.size()))};
+    if (path.starts_with(kUp)) return {Asked::What::up, std::string(path.substr(kUp.size()))};
+    if (path == "/ops/drain/start") return {Asked::What::drain_start, {}};
+    if (path == "/ops/drain/stop") return {Asked::What::drain_stop, {}};
+    return {};
+}
+
 Reply take_call(Board& board, const Call& call, const Listed& listed, const Figures& figures) {
     const std::string_view path = call.path.substr(0, call.path.find('?'));
     const bool get = call.method == "GET", post = call.method == "POST";
@@ -47,20 +55,16 @@
                             figures.connections),
                 false};
     }
-    const bool down = path.starts_with(kDown), up = path.starts_with(kUp);
-    if (down || up) {
-        if (!post) return wrong_method("POST");
-        const std::string_view id = path.substr((down ? kDown : kUp).size());
-        const std::string key(id);
-        if (!sound_id(id)) return {400, "no pop cache id in the path\n", false};
-        const bool ever = listed && listed(key);
-        return said(down ? board.ban(id, ever) : board.lift(id, ever), down ? "down" : "up", id);
-    }
-    if (path == "/ops/drain/start" || path == "/ops/drain/stop") {
-        if (!post) return wrong_method("POST");
-        return drained(path.ends_with("start") ? board.drain_start() : board.drain_stop(), board);
-    }
-    return {404, fmt::format("no call {}\n", path), false};
+    const Asked asked = asked_in(path);
+    using What = Asked::What;
+    if (asked.what == What::other) return {404, fmt::format("no call {}\n", path), false};
+    if (!post) return wrong_method("POST");
+    if (asked.what == What::drain_start) return drained(board.drain_start(), board);
+    if (asked.what == What::drain_stop) return drained(board.drain_stop(), board);
+    if (!sound_id(asked.id)) return {400, "no pop cache id in the path\n", false};
+    const bool down = asked.what == What::down, ever = listed && listed(asked.id);
+    return said(down ? board.ban(asked.id, ever) : board.lift(asked.id, ever), down ? "down" : "up",
+                asked.id);
 }
 
 }  // namespace sumackeel::ops
--- a/src/ops/calls.h
+++ b/src/ops/calls.h
@@ -27,6 +27,13 @@
     std::int64_t list_seq = 0;  // the number of the newest change the list has taken
 };
 
+// What a path of the operators' calls asks for.
+struct Asked {
+    enum class What { other, down, up, drain_start, drain_stop } what = What::other;
+    std::string id;  // down, up: the pop cache
+};
+Asked asked_in(std::string_view path);
+
 using Listed = std::function<bool(const std::string& id)>;
 
 Reply take_call(Board& board, const Call& call, const Listed& listed, const Figures& figures);
--- /dev/null
+++ b/src/peers/agreed.cpp
@@ -0,0 +1,487 @@
+#include "peers/agreed.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <cstring>
+#include <filesystem>
+#include <msgpack.hpp>
+#include <stdexcept>
+
+#include "base/log.h"
+#include "peers/raft_transport.h"
+
+namespace sumackeel::peers {
+
+using base::Micros;
+using rollout::Answer;
+using rollout::Kind;
+
+namespace {
+
+// Calls of operators are answered within 1 s; what is not agreed on by then is answered with no.
+constexpr Micros kPatience = 850'000;
+constexpr Micros kOneTry = 350'000;     // one voter, of several
+constexpr Micros kTryAgain = 60'000;    // while there is no leader
+constexpr Micros kPollEvery = 250'000;  // of those that do not vote: bans reach them within 1 s
+constexpr unsigned kSnapshotAfter = 512, kTrailing = 128;  // entries; each is some KB at most
+constexpr std::size_t kSegment = 1 << 20;
+
+constexpr const char* kWishVerb = "wish";
+constexpr const char* kStateVerb = "state";
+
+struct Wanted {
+    bool back = false, forced = false;
+    Kind kind = Kind::proxy;
+    std::string member, by;
+};
+
+std::string encode(const Wanted& wanted) {
+    msgpack::sbuffer buffer;
+    msgpack::packer out(buffer);
+    out.pack_array(5);
+    out.pack(wanted.back), out.pack(wanted.forced), out.pack(static_cast<int>(wanted.kind));
+    out.pack(wanted.member), out.pack(wanted.by);
+    return {buffer.data(), buffer.size()};
+}
+
+// Of a voter to one that asked: whether it could, who leads, and what came of it.
+struct Said {
+    bool done = false;
+    std::string leader, body;
+};
+
+std::string encode(const Said& said) {
+    msgpack::sbuffer buffer;
+    msgpack::packer out(buffer);
+    out.pack_array(3);
+    out.pack(said.done), out.pack(said.leader), out.pack(said.body);
+    return {buffer.data(), buffer.size()};
+}
+
+const msgpack::object_array& list_of(const msgpack::object_handle& handle, std::size_t size) {
+    if (handle.get().type != msgpack::type::ARRAY || handle.get().via.array.size < size)
+        throw std::runtime_error("an answer that can't be read");
+    return handle.get().via.array;
+}
+
+Wanted wanted_in(const std::string& body) {
+    const auto handle = msgpack::unpack(body.data(), body.size());
+    const auto& at = list_of(handle, 5);
+    Wanted wanted{at.ptr[0].as<bool>(), at.ptr[1].as<bool>(), Kind::proxy, at.ptr[3].as<std::string>(),
+                  at.ptr[4].as<std::string>()};
+    const int kind = at.ptr[2].as<int>();
+    if (kind < 0 || kind > 1 || wanted.member.size() > rollout::kLongestName ||
+        wanted.by.size() > rollout::kLongestName)
+        throw std::runtime_error("a wish that can't be read");
+    wanted.kind = static_cast<Kind>(kind);
+    return wanted;
+}
+
+Said said_in(const std::string& body) {
+    const auto handle = msgpack::unpack(body.data(), body.size());
+    const auto& at = list_of(handle, 3);
+    return {at.ptr[0].as<bool>(), at.ptr[1].as<std::string>(), at.ptr[2].as<std::string>()};
+}
+
+rollout::Rules rules_of(const config::LeaveRules& rules) {
+    return {rules.school_out, rules.school_share, rules.fleet_out, rules.between};
+}
+
+// Danger: the library reads entries that come together at steps of eight bytes, and sends them without; a
+// length between would have it read past the end. What is added is behind the MessagePack and never looked
+// at.
+raft_buffer buffer_of(const std::string& bytes) {
+    const std::size_t padded = (bytes.size() + 7) / 8 * 8;
+    raft_buffer buffer{raft_calloc(1, padded), padded};
+    if (buffer.base) std::memcpy(buffer.base, bytes.data(), bytes.size());
+    return buffer;
+}
+
+}  // namespace
+
+struct Agreed::Wish {
+    Wanted wanted;
+    Told told;
+    Micros until = 0;
+    bool settled = false;
+};
+
+// One of those that vote: the library's log, disk and elections, and the state that it drives.
+struct Agreed::Voter {
+    Agreed& owner;
+    RaftTransport transport;
+    raft_io io{};
+    raft_fsm fsm{};
+    raft raft_{};
+    rollout::State state;
+    Answer last;  // of the command applied just now, for who proposed it
+    bool started = false, failed = false, closed = false, up = false;
+
+    // Danger: the library (0.15) follows a pointer into nothing when an append of its own as leader fails on
+    // disk. So it is never told: the log is closed instead, and this member asks the others from then on.
+    struct Appending {
+        raft_io_append request{};
+        raft_io_append* told = nullptr;
+        raft_io_append_cb cb = nullptr;
+        Voter* voter = nullptr;
+    };
+    decltype(raft_io::append) real_append = nullptr;
+
+    void guard_appends() {
+        real_append = io.append;
+        io.append = [](raft_io* on, raft_io_append* request, const raft_entry entries[], unsigned count,
+                       raft_io_append_cb cb) {
+            auto* self = static_cast<Voter*>(static_cast<raft*>(on->data)->data);
+            auto* appending = new Appending{{}, request, cb, self};
+            appending->request.data = appending;
+            const int result = self->real_append(
+                on, &appending->request, entries, count, [](raft_io_append* done, int status) {
+                    const std::unique_ptr<Appending> whole(static_cast<Appending*>(done->data));
+                    if (status == 0 || whole->voter->closed) return whole->cb(whole->told, status);
+                    whole->voter->give_up(status);
+                });
+            if (result != 0) delete appending;
+            return result;
+        };
+    }
+
+    void give_up(int status) {
+        if (std::exchange(failed, true)) return;
+        log::error(
+            "agreed: the log in {} can't be written ({}); this proxy votes no more until it is started anew",
+            owner.setup_.folder, raft_strerror(status));
+        const std::weak_ptr<bool> alive = owner.alive_;
+        owner.loop_.deadlines().set(owner.loop_.clock().now(), [this, alive] {
+            if (alive.expired()) return;
+            close();
+            owner.stop_voting();
+        });
+    }
+
+    struct Applying {
+        struct raft_apply request {};
+        std::function<void(std::optional<Answer>)> done;
+    };
+
+    Voter(Agreed& o, const std::string& name)
+        : owner(o), transport(o.loop_, o.peers_.codec(), address_of(name), [this](const std::string& told) {
+              return owner.peers_.reached_at(told);
+          }) {
+        const std::string& folder = owner.setup_.folder;
+        std::error_code ignored;
+        std::filesystem::create_directories(folder, ignored);
+        must(raft_uv_init(&io, owner.loop_.raw(), folder.c_str(), transport.raw()), "the folder");
+        raft_uv_set_segment_size(&io, kSegment);
+        raft_uv_set_connect_retry_delay(&io, 200);
+        fsm.version = 1;
+        fsm.data = this;
+        fsm.apply = [](raft_fsm* f, const raft_buffer* buf, void** result) {
+            return static_cast<Voter*>(f->data)->apply({static_cast<const char*>(buf->base), buf->len},
+                                                       result);
+        };
+        fsm.snapshot = [](raft_fsm* f, raft_buffer* bufs[], unsigned* count) {
+            *bufs = static_cast<raft_buffer*>(raft_malloc(sizeof(raft_buffer)));
+            if (!*bufs) return RAFT_NOMEM;
+            (*bufs)[0] = buffer_of(static_cast<Voter*>(f->data)->state.encode());
+            *count = 1;
+            return (*bufs)[0].base ? 0 : RAFT_NOMEM;
+        };
+        fsm.restore = [](raft_fsm* f, raft_buffer* buf) {
+            auto* self = static_cast<Voter*>(f->data);
+            try {
+                self->state = rollout::State::decode({static_cast<const char*>(buf->base), buf->len});
+            } catch (const std::exception& wrong) {
+                log::error("agreed: a snapshot can't be read: {}", wrong.what());
+                return RAFT_MALFORMED;
+            }
+            raft_free(buf->base);
+            self->owner.changed_(self->state);
+            return 0;
+        };
+        must(raft_init(&raft_, &io, &fsm, id_of(name), address_of(name).c_str()), "the log");
+        raft_.data = this;
+        guard_appends();
+        up = true;
+        raft_set_pre_vote(&raft_, true);
+        raft_set_election_timeout(&raft_, owner.setup_.election_ms);
+        raft_set_heartbeat_timeout(&raft_, std::max(20U, owner.setup_.election_ms / 5));
+        raft_set_snapshot_threshold(&raft_, kSnapshotAfter);
+        raft_set_snapshot_trailing(&raft_, kTrailing);
+        raft_configuration voters;
+        raft_configuration_init(&voters);
+        for (const auto& [voter, address] : owner.setup_.voters)
+            raft_configuration_add(&voters, id_of(voter), address.c_str(), RAFT_VOTER);
+        const int made = raft_bootstrap(&raft_, &voters);
+        raft_configuration_close(&voters);
+        if (made != 0 && made != RAFT_CANTBOOTSTRAP)
+            must(made, "the first entry");  // else there is a log already
+        must(raft_start(&raft_), "the start");
+        started = true;
+    }
+
+    void must(int result, const char* what) {
+        if (result == 0) return;
+        const std::string why = up ? raft_errmsg(&raft_) : io.errmsg;
+        shut();
+        throw std::runtime_error(
+            fmt::format("agreed: {} in {}: {} ({})", what, owner.setup_.folder, raft_strerror(result), why));
+    }
+
+    // Begins to close; what the library still has to end, it ends on the loop.
+    void close() {
+        if (!up || std::exchange(closed, true)) return;
+        raft_close(&raft_, [](raft* r) {
+            auto* self = static_cast<Voter*>(r->data);
+            raft_uv_close(&self->io);
+            self->up = false;
+        });
+    }
+    // Not from within a call of the loop.
+    void shut() {
+        close();
+        while (up) uv_run(owner.loop_.raw(), UV_RUN_ONCE);
+        if (!closed && io.impl) raft_uv_close(&io);  // made, but never taken into use
+        closed = true;
+    }
+    ~Voter() { shut(); }
+
+    std::string address_of(const std::string& name) const { return owner.setup_.voters.at(name); }
+    static raft_id id_of(const std::string& name) {
+        return std::max<raft_id>(1, raft_digest(name.c_str(), 0));
+    }
+
+    int apply(std::string_view command, void** result) {
+        const std::uint64_t before = state.revision();
+        *result = nullptr;
+        try {
+            last = rollout::apply(state, command);
+            *result = &last;
+        } catch (const std::exception& wrong) {
+            // The same on each member: it changes nothing anywhere.
+            log::error("agreed: {}", wrong.what());
+        }
+        if (state.revision() != before) owner.changed_(state);
+        return 0;
+    }
+
+    bool votes() const { return started && !failed; }
+    bool leads() { return votes() && raft_state(&raft_) == RAFT_LEADER; }
+
+    std::string leader() {
+        raft_id id = 0;
+        const char* address = nullptr;
+        if (votes()) raft_leader(&raft_, &id, &address);
+        for (const auto& [name, at] : owner.setup_.voters)
+            if (id != 0 && id_of(name) == id) return name;
+        return {};
+    }
+
+    void propose(const Wanted& wanted, std::function<void(std::optional<Answer>)> done) {
+        const Micros now = owner.loop_.clock().now();
+        std::string command;
+        if (wanted.back)
+            command = rollout::encode(rollout::Back{wanted.kind, wanted.member, wanted.by, now});
+        else
+            command = rollout::encode(rollout::Ask{
+                wanted.kind, wanted.member, wanted.by, wanted.forced, now,
+                rules_of(wanted.kind == Kind::proxy ? owner.setup_.proxies : owner.setup_.pop_caches),
+                owner.world_(wanted.kind)});
+        auto* applying = new Applying{{}, std::move(done)};
+        applying->request.data = applying;
+        const raft_buffer buffer = buffer_of(command);
+        const int failed = raft_apply(
+            &raft_, &applying->request, &buffer, 1, [](struct raft_apply* request, int status, void* result) {
+                const std::unique_ptr<Applying> whole(static_cast<Applying*>(request->data));
+                const auto* answer = static_cast<const Answer*>(result);
+                whole->done(status == 0 && answer ? std::optional(*answer) : std::nullopt);
+            });
+        if (failed == 0) return;
+        raft_free(buffer.base);
+        const std::unique_ptr<Applying> whole(applying);
+        whole->done(std::nullopt);
+    }
+};
+
+Agreed::Agreed(net::Loop& loop, Peers& peers, const config::Agreed& setup, World world, Changed changed)
+    : loop_(loop), peers_(peers), setup_(setup), world_(std::move(world)), changed_(std::move(changed)) {
+    const std::string& name = peers_.group().self().name;
+    if (setup_.voters.contains(name)) voter_ = std::make_unique<Voter>(*this, name);
+    peers_.on_call([this](const std::string& from, const std::string& verb, const std::string& body,
+                          const Peers::Say& say) { take(from, verb, body, say); });
+    log::info("agreed: {} {}", name, voter_ ? "votes" : "asks those that vote");
+    if (!voter_) poll();
+}
+
+Agreed::~Agreed() {
+    shut();
+}
+
+void Agreed::shut() {
+    alive_.reset();
+    peers_.on_call(nullptr);
+    if (poll_) loop_.deadlines().drop(*poll_), poll_.reset();
+    if (voter_) voter_->shut();
+}
+
+// From now on this one asks the others, beginning with what it knows.
+void Agreed::stop_voting() {
+    heard_ = voter_->state;
+    known_ = true;
+    poll();
+}
+
+bool Agreed::votes() const {
+    return voter_ && voter_->votes();
+}
+const rollout::State& Agreed::state() const {
+    return votes() ? voter_->state : heard_;
+}
+std::string Agreed::leader() const {
+    return votes() ? voter_->leader() : leader_;
+}
+bool Agreed::known() const {
+    return votes() ? !voter_->leader().empty() : known_;
+}
+
+void Agreed::ask(Kind kind, const std::string& member, const std::string& by, bool forced, Told told) {
+    pursue(std::make_shared<Wish>(
+        Wish{{false, forced, kind, member, by}, std::move(told), loop_.clock().now() + kPatience, false}));
+}
+
+void Agreed::back(Kind kind, const std::string& member, const std::string& by, Told told) {
+    pursue(std::make_shared<Wish>(
+        Wish{{true, false, kind, member, by}, std::move(told), loop_.clock().now() + kPatience, false}));
+}
+
+void Agreed::settle(const std::shared_ptr<Wish>& wish, std::optional<Answer> answer) {
+    if (!std::exchange(wish->settled, true)) wish->told(std::move(answer));
+}
+
+void Agreed::later(std::shared_ptr<Wish> wish) {
+    const std::weak_ptr<bool> alive = alive_;
+    loop_.deadlines().set(loop_.clock().now() + kTryAgain, [this, alive, wish] {
+        if (!alive.expired()) pursue(wish);
+    });
+}
+
+// One try after another until it is agreed on or the time is over. Danger: a try whose answer was lost may
+// have been agreed on; that is why asking again gives the same lease, and giving back twice does nothing.
+void Agreed::pursue(std::shared_ptr<Wish> wish) {
+    const Micros now = loop_.clock().now();
+    if (wish->settled) return;
+    if (now >= wish->until) return settle(wish, std::nullopt);
+    const std::weak_ptr<bool> alive = alive_;
+    if (voter_ && voter_->leads()) {
+        loop_.deadlines().set(wish->until, [this, alive, wish] {
+            if (!alive.expired()) settle(wish, std::nullopt);
+        });
+        return voter_->propose(wish->wanted, [this, alive, wish](std::optional<Answer> answer) {
+            if (alive.expired()) return;
+            answer ? settle(wish, std::move(answer)) : later(wish);
+        });
+    }
+    std::string to = leader();
+    if (to.empty() || to == peers_.group().self().name) {
+        auto voter = setup_.voters.begin();
+        std::advance(voter, static_cast<std::ptrdiff_t>(next_voter_++ % setup_.voters.size()));
+        to = voter->first;
+    }
+    if (to == peers_.group().self().name) return later(wish);
+    peers_.call(to, kWishVerb, encode(wish->wanted), std::min(kOneTry, wish->until - now),
+                [this, alive, wish](std::optional<std::string> body) {
+                    if (alive.expired()) return;
+                    leader_.clear();
+                    if (!body) return later(wish);
+                    try {
+                        const Said said = said_in(*body);
+                        leader_ = said.leader;
+                        if (said.done) return settle(wish, rollout::decode_answer(said.body));
+                    } catch (const std::exception& wrong) {
+                        log::warn("agreed: {}", wrong.what());
+                    }
+                    later(wish);
+                });
+}
+
+void Agreed::take(const std::string& from, const std::string& verb, const std::string& body,
+                  const Peers::Say& say) {
+    const auto no = [&] { say(encode(Said{false, leader(), {}})); };
+    if (!votes()) return no();
+    try {
+        if (verb == kStateVerb) {
+            const std::uint64_t have = std::stoull(body);
+            const bool news = have != voter_->state.revision();
+            return say(encode(Said{known(), leader(), news ? voter_->state.encode() : std::string{}}));
+        }
+        if (verb != kWishVerb || !voter_->leads()) return no();
+        voter_->propose(wanted_in(body),
+                        [say, self = peers_.group().self().name](std::optional<Answer> answer) {
+                            say(encode(Said{answer.has_value(), answer ? self : std::string{},
+                                            answer ? rollout::encode(*answer) : std::string{}}));
+                        });
+    } catch (const std::exception& wrong) {
+        log::warn("agreed: a question of {}: {}", from, wrong.what());
+        no();
+    }
+}
+
+// Who does not vote asks one voter after another for the state, and keeps the newest it has heard.
+void Agreed::poll() {
+    auto voter = setup_.voters.begin();
+    std::advance(voter, static_cast<std::ptrdiff_t>(next_voter_++ % setup_.voters.size()));
+    const std::weak_ptr<bool> alive = alive_;
+    poll_ = loop_.deadlines().set(loop_.clock().now() + kPollEvery, [this] { poll(); });
+    peers_.call(voter->first, kStateVerb, std::to_string(heard_.revision()), kPollEvery,
+                [this, alive](std::optional<std::string> body) {
+                    if (alive.expired() || !body) return;
+                    try {
+                        const Said said = said_in(*body);
+                        if (!said.leader.empty()) leader_ = said.leader;
+                        known_ = known_ || said.done;
+                        if (!said.body.empty()) hold(rollout::State::decode(said.body));
+                    } catch (const std::exception& wrong) {
+                        log::warn("agreed: {}", wrong.what());
+                    }
+                });
+}
+
+void Agreed::hold(rollout::State state) {
+    if (state.revision() <= heard_.revision()) return;  // of a voter that is behind
+    heard_ = std::move(state);
+    changed_(heard_);
+}
+
+std::string Agreed::as_json() const {
+    Json::Value root;
+    root["member"] = peers_.group().self().name;
+    root["votes"] = votes();
+    root["leads"] = voter_ && voter_->leads();
+    root["leader"] = leader();
+    root["known"] = known();
+    root["revision"] = Json::UInt64{state().revision()};
+    root["last_lease"] = Json::UInt64{state().last_number()};
+    const auto listed = [](const rollout::Lease& lease) {
+        Json::Value one;
+        one["number"] = Json::UInt64{lease.number}, one["kind"] = name_of(lease.kind);
+        one["member"] = lease.member, one["school"] = lease.school, one["by"] = lease.by;
+        one["since"] = static_cast<double>(lease.since) / 1e6, one["forced"] = lease.forced;
+        return one;
+    };
+    root["leases"] = root["forced"] = root["out"] = Json::Value(Json::arrayValue);
+    for (const auto& [key, lease] : state().leases()) root["leases"].append(listed(lease));
+    for (const rollout::Lease& lease : state().forced()) root["forced"].append(listed(lease));
+    for (const Kind kind : {Kind::proxy, Kind::pop_cache})
+        for (const rollout::Seen& seen : world_(kind)) {
+            if (!seen.out) continue;
+            Json::Value one;
+            one["member"] = seen.name, one["kind"] = name_of(kind), one["school"] = seen.school,
+            one["why"] = seen.why;
+            root["out"].append(one);
+        }
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, root) + "\n";
+}
+
+}  // namespace sumackeel::peers
--- /dev/null
+++ b/src/peers/agreed.h
@@ -0,0 +1,69 @@
+// The agreed log: a few of the proxies vote (the raft library, on this loop), the others ask them. What it
+// holds is src/rollout's state; who may leave is decided there. Off unless the operator's file has [agreed].
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/operator.h"
+#include "peers/peers.h"
+#include "rollout/rollout.h"
+
+namespace sumackeel::peers {
+
+class Agreed {
+  public:
+    using World = std::function<std::vector<rollout::Seen>(rollout::Kind)>;  // as this member sees it now
+    using Changed = std::function<void(const rollout::State&)>;
+    // None: no majority answered in time. It may have been agreed on all the same; asking again tells.
+    using Told = std::function<void(std::optional<rollout::Answer>)>;
+
+    // Throws where the folder or the address can't be used. Peers must outlive this.
+    Agreed(net::Loop& loop, Peers& peers, const config::Agreed& setup, World world, Changed changed);
+    ~Agreed();
+    Agreed(const Agreed&) = delete;
+    Agreed& operator=(const Agreed&) = delete;
+
+    // Told within a second, from the loop.
+    void ask(rollout::Kind kind, const std::string& member, const std::string& by, bool forced, Told told);
+    void back(rollout::Kind kind, const std::string& member, const std::string& by, Told told);
+
+    const rollout::State& state() const;
+    bool known() const;  // the state was heard from a voter, or is a voter's own that has met a leader
+    std::string leader() const;  // a member's name; empty: none is known
+    std::string as_json() const;
+    // Closes the log; the loop is run until that is done. Nothing is told any more.
+    void shut();
+
+  private:
+    struct Wish;
+    struct Voter;
+
+    void pursue(std::shared_ptr<Wish> wish);
+    void later(std::shared_ptr<Wish> wish);
+    void settle(const std::shared_ptr<Wish>& wish, std::optional<rollout::Answer> answer);
+    void take(const std::string& from, const std::string& verb, const std::string& body,
+              const Peers::Say& say);
+    void poll();
+    void stop_voting();
+    bool votes() const;
+    void hold(rollout::State state);
+
+    net::Loop& loop_;
+    Peers& peers_;
+    const config::Agreed setup_;
+    World world_;
+    Changed changed_;
+    std::unique_ptr<Voter> voter_;  // null: this one does not vote
+    rollout::State heard_;          // of one that does not vote
+    bool known_ = false;
+    std::string leader_;
+    std::size_t next_voter_ = 0;
+    std::optional<base::Deadlines::Key> poll_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace sumackeel::peers
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr std::size_t kMostExchanges = 8;  // under way at a time, of others' making and our own
+constexpr std::size_t kMostExchanges = 32;  // under way at a time, of others' making and our own
+constexpr std::size_t kMostAskings = 64;    // questions of ours under way; beyond it they fail at once
 constexpr Micros kExchangePatience = 3'000'000;
 constexpr Micros kBindAgain = 200'000;   // while the process before this one holds the address
 constexpr int kAloneAfter = 5;           // periods without an answer from any seed
@@ -80,6 +81,8 @@
     net::Stream* stream = nullptr;
     bool ours, over = false, timed = true;
     std::string name, in;  // name: with whom, where that is known
+    Call asked;            // a question that came in place of an exchange
+    std::uint64_t number = 0;
     base::Deadlines::Key by;
 
     Exchange(Peers& p, bool o, std::string n) : peers(p), ours(o), name(std::move(n)) {
@@ -120,8 +123,10 @@
             }
             if (in.size() < 4 + length) return;
             Bad bad{};
-            const auto frame = peers.codec_.read_frame(std::string_view(in).substr(4, length), bad);
+            const std::string bytes = in.substr(4, length);
             in.erase(0, 4 + length);
+            if (!ours && Codec::is_call(bytes)) return take_call(bytes);
+            const auto frame = peers.codec_.read_frame(bytes, bad);
             if (!frame) {
                 ++peers.figures_.bad[static_cast<int>(bad)];
                 return end(false);
@@ -130,6 +135,44 @@
         }
     }
 
+    // One question a stream: the answer goes back on it, and it is closed.
+    void take_call(const std::string& bytes) {
+        Bad bad{};
+        const auto call = peers.codec_.read_call(bytes, bad);
+        const std::string& self = peers.group_.self().name;
+        if (call && (call->to != self || call->answer))
+            bad = Bad::foreign;
+        else if (call && !peers.calls_seen_.fresh(call->from, call->start, call->sequence))
+            bad = Bad::replayed;
+        else if (call && peers.take_) {
+            asked = *call;
+            const std::weak_ptr<bool> alive = peers.alive_;
+            Peers* owner = &peers;
+            const std::uint64_t me = number = ++peers.calls_;
+            return peers.take_(call->from, call->verb, call->body, [alive, owner, me](std::string answer) {
+                if (alive.expired()) return;
+                for (const auto& one : owner->exchanges_)
+                    if (one->number == me) return one->answer(std::move(answer));
+            });
+        }
+        ++peers.figures_.bad[static_cast<int>(bad)];
+        end(false);
+    }
+    void answer(std::string body) {
+        if (over || !stream) return;
+        Call back{.from = peers.group_.self().name,
+                  .to = asked.from,
+                  .start = asked.start,
+                  .sequence = asked.sequence,
+                  .answer = true,
+                  .verb = asked.verb,
+                  .body = std::move(body)};
+        std::string bytes = peers.codec_.call(back);
+        peers.figures_.bytes_out += bytes.size();
+        stream->write(std::move(bytes));
+        finish();
+    }
+
     void take(const Frame& frame) {
         const std::string& self = peers.group_.self().name;
         if (!frame.to.empty() && frame.to != self) {
@@ -171,6 +214,87 @@
     }
 };
 
+// One question of ours: a stream, the answer, or the end of patience.
+struct Peers::Asking : net::Stream::Owner {
+    Peers& peers;
+    net::Stream* stream = nullptr;
+    Call call;
+    std::string in;
+    Done done;
+    base::Deadlines::Key by;
+    bool timed = true;
+
+    Asking(Peers& p, Call c, base::Micros patience, Done d)
+        : peers(p), call(std::move(c)), done(std::move(d)) {
+        by = peers.loop_.deadlines().set(peers.loop_.clock().now() + patience, [this] { end({}); });
+    }
+    ~Asking() override {
+        if (timed) peers.loop_.deadlines().drop(by);
+        if (stream) stream->close();
+    }
+    void opened(net::Stream&) override {
+        std::string bytes = peers.codec_.call(call);
+        peers.figures_.bytes_out += bytes.size();
+        stream->write(std::move(bytes));
+    }
+    void received(net::Stream&, std::string_view bytes) override {
+        peers.figures_.bytes_in += bytes.size();
+        in += bytes;
+        if (in.size() < 4) return;
+        std::size_t length = 0;
+        for (std::size_t i = 0; i < 4; ++i) length = length << 8 | static_cast<unsigned char>(in[i]);
+        if (length <= kLongestFrame && in.size() < 4 + length) return;
+        Bad bad = Bad::oversized;
+        const auto back = length > kLongestFrame
+                              ? std::nullopt
+                              : peers.codec_.read_call(std::string_view(in).substr(4, length), bad);
+        const bool ours = back && back->answer && back->from == call.to && back->to == call.from &&
+                          back->start == call.start && back->sequence == call.sequence;
+        if (!ours) ++peers.figures_.bad[static_cast<int>(back ? Bad::foreign : bad)];
+        end(ours ? std::optional(back->body) : std::nullopt);
+    }
+    void gone(net::Stream&, net::Gone) override {
+        stream = nullptr;
+        end({});
+    }
+    // Danger: called from within the stream's own calls, so it is let go from the loop.
+    void end(std::optional<std::string> answer) {
+        if (!std::exchange(timed, false)) return;
+        peers.loop_.deadlines().drop(by);
+        if (stream) std::exchange(stream, nullptr)->close();
+        const auto found = std::find_if(peers.askings_.begin(), peers.askings_.end(),
+                                        [&](const auto& one) { return one.get() == this; });
+        if (found != peers.askings_.end()) {
+            std::shared_ptr<Asking> last(found->release());
+            peers.askings_.erase(found);
+            peers.loop_.deadlines().set(peers.loop_.clock().now(), [last] {});
+        }
+        if (const Done tell = std::exchange(done, nullptr)) tell(std::move(answer));
+    }
+};
+
+void Peers::call(const std::string& to, const std::string& verb, std::string body, base::Micros patience,
+                 Done done) {
+    const std::string told = group_.address_of(to);
+    sockaddr_in at{};
+    auto asking = std::make_unique<Asking>(*this,
+                                           Call{.from = group_.self().name,
+                                                .to = to,
+                                                .start = group_.self().stamp.start,
+                                                .sequence = ++calls_,
+                                                .answer = false,
+                                                .verb = verb,
+                                                .body = std::move(body)},
+                                           patience, std::move(done));
+    if (on() && !told.empty() && net::read_address(reached_at(told), at) && askings_.size() < kMostAskings)
+        asking->stream = net::Stream::connect(loop_, sockets_, at, *asking);
+    if (!asking->stream) {  // told from the loop all the same, at once
+        loop_.deadlines().drop(asking->by);
+        asking->by = loop_.deadlines().set(loop_.clock().now(), [one = asking.get()] { one->end({}); });
+    }
+    askings_.push_back(std::move(asking));
+}
+
 Peers::Peers(net::Loop& loop, net::Budget& sockets, const config::Peers& setup, const std::string& zone,
              const std::string& version, std::uint64_t seed, std::map<std::string, int> counted_at_first,
              bool wait_for_address, Counted counted)
@@ -208,6 +332,7 @@
     for (auto* key : {&timer_, &bind_timer_})
         if (*key) loop_.deadlines().drop(**key), key->reset();
     exchanges_.clear();
+    askings_.clear();
     listener_.reset();
     if (!udp_) return;
     udp_->data = nullptr;
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -41,6 +41,21 @@
     Peers(const Peers&) = delete;
     Peers& operator=(const Peers&) = delete;
 
+    // Questions between members, over streams. `take` answers those that come, at once or later, from the
+    // loop.
+    using Say = std::function<void(std::string answer)>;
+    using Take = std::function<void(const std::string& from, const std::string& verb, const std::string& body,
+                                    Say say)>;
+    void on_call(Take take) { take_ = std::move(take); }
+    // `done` is told once, from the loop: the answer, or none within `patience`.
+    using Done = std::function<void(std::optional<std::string> answer)>;
+    void call(const std::string& to, const std::string& verb, std::string body, base::Micros patience,
+              Done done);
+
+    const Codec& codec() const { return codec_; }
+    const config::Peers& setup() const { return setup_; }
+    // Where this one reaches what tells that address.
+    std::string reached_at(const std::string& told) const;
     void leave();   // tells the others, then is silent
     void silent();  // without a word: the process that takes over goes on under this name
     std::string as_json() const;
@@ -49,6 +64,7 @@
 
   private:
     struct Exchange;
+    struct Asking;
 
     bool listen();
     void listen_later();
@@ -60,7 +76,6 @@
     void join();
     void exchange(const std::string& address, const std::string& name);
     void ended(Exchange& exchange, bool done);
-    std::string reached_at(const std::string& told) const;
     void raise_start(std::uint64_t at_least);
     void tell_changes();
     base::Micros steady() const;
@@ -82,6 +97,11 @@
     uv_udp_t* udp_ = nullptr;
     std::unique_ptr<net::Listener> listener_;
     std::vector<std::unique_ptr<Exchange>> exchanges_;
+    std::vector<std::unique_ptr<Asking>> askings_;
+    Take take_;
+    Seen calls_seen_;
+    std::uint64_t calls_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for answers that come later
     std::optional<base::Deadlines::Key> timer_, bind_timer_;
     std::vector<std::string> to_call_;  // seeds of the round under way
     base::Micros next_join_ = 0, began_ = 0;
--- /dev/null
+++ b/src/peers/raft_transport.cpp
@@ -0,0 +1,228 @@
+#include "peers/raft_transport.h"
+
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+#include "base/log.h"
+
+namespace sumackeel::peers {
+
+namespace {
+
+constexpr std::size_t kNonce = 16, kCode = 16, kAddress = 64;
+constexpr std::size_t kHello = 8 + kAddress + kCode;  // id, address, code over nonce, id and address
+constexpr std::size_t kMostHands = 32;
+constexpr base::Micros kHandPatience = 1'000'000;
+constexpr int kBacklog = 64;
+
+}  // namespace
+
+// Who listens sends a nonce; who connects answers with its id, its address and the code of all three. Exactly
+// as many bytes as that are read, so that the first of the log stay in the socket.
+struct RaftTransport::Hand {
+    RaftTransport& owner;
+    uv_tcp_t* tcp = static_cast<uv_tcp_t*>(raft_malloc(sizeof(uv_tcp_t)));  // the library frees it
+    uv_connect_t connecting{};
+    uv_write_t writing{};
+    raft_uv_connect* request = nullptr;  // ours; null: it came in
+    raft_uv_connect_cb cb = nullptr;
+    std::array<unsigned char, kNonce> nonce{};
+    std::array<char, kHello> hello{};
+    std::size_t have = 0;
+    base::Deadlines::Key by;
+
+    explicit Hand(RaftTransport& o) : owner(o) {
+        uv_tcp_init(owner.loop_.raw(), tcp);
+        tcp->data = this;
+        connecting.data = writing.data = this;
+        by = owner.loop_.deadlines().set(owner.loop_.clock().now() + kHandPatience,
+                                         [this] { drop(RAFT_NOCONNECTION); });
+        owner.hands_.push_back(this);
+    }
+
+    std::string said(raft_id id) const {  // what the code is over
+        std::string text(reinterpret_cast<const char*>(nonce.data()), kNonce);
+        for (int shift = 0; shift < 64; shift += 8) text += static_cast<char>(id >> shift);
+        text.append(hello.data() + 8, kAddress);
+        return text;
+    }
+
+    void read(char* into, std::size_t most) {
+        reading_into = into, reading_most = most;
+        have = 0;
+        uv_read_start(
+            reinterpret_cast<uv_stream_t*>(tcp),
+            [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
+                auto* self = static_cast<Hand*>(handle->data);
+                *buffer = uv_buf_init(self->reading_into + self->have,
+                                      static_cast<unsigned>(self->reading_most - self->have));
+            },
+            [](uv_stream_t* stream, ssize_t count, const uv_buf_t*) {
+                auto* self = static_cast<Hand*>(stream->data);
+                if (count < 0) return self->drop(RAFT_NOCONNECTION);
+                self->have += static_cast<std::size_t>(count);
+                if (self->have < self->reading_most) return;
+                uv_read_stop(stream);
+                self->request ? self->answer() : self->judge();
+            });
+    }
+
+    void write(const char* bytes, std::size_t size, uv_write_cb done) {
+        const uv_buf_t buffer = uv_buf_init(const_cast<char*>(bytes), static_cast<unsigned>(size));
+        if (uv_write(&writing, reinterpret_cast<uv_stream_t*>(tcp), &buffer, 1, done) != 0)
+            drop(RAFT_NOCONNECTION);
+    }
+
+    void answer() {  // ours: the nonce has come
+        hello.fill(0);
+        for (int i = 0; i < 8; ++i)
+            hello[static_cast<std::size_t>(i)] = static_cast<char>(owner.id_ >> (8 * i));
+        std::memcpy(hello.data() + 8, owner.address_.data(), std::min(kAddress - 1, owner.address_.size()));
+        const std::string code = owner.codec_.code(said(owner.id_));
+        std::memcpy(hello.data() + 8 + kAddress, code.data(), kCode);
+        write(hello.data(), hello.size(), [](uv_write_t* request, int status) {
+            auto* self = static_cast<Hand*>(request->data);
+            if (self->dropped) return;
+            status == 0 ? self->give() : self->drop(RAFT_NOCONNECTION);
+        });
+    }
+
+    void judge() {  // it came in: the hello is there
+        raft_id id = 0;
+        for (int i = 7; i >= 0; --i)
+            id = id << 8 | static_cast<unsigned char>(hello[static_cast<std::size_t>(i)]);
+        const std::string_view code(hello.data() + 8 + kAddress, kCode);
+        hello[8 + kAddress - 1] = 0;
+        if (id == 0 || !owner.codec_.holds(said(id), code)) {
+            ++owner.refused_;
+            return drop(RAFT_NOCONNECTION);
+        }
+        const std::string address(hello.data() + 8);
+        uv_tcp_t* stream = release();
+        owner.accepted_(&owner.transport_, id, address.c_str(), reinterpret_cast<uv_stream_t*>(stream));
+        owner.closed(this);
+    }
+
+    uv_tcp_t* release() {
+        owner.loop_.deadlines().drop(by);
+        return std::exchange(tcp, nullptr);
+    }
+
+    void give() {
+        const auto told = cb;
+        auto* what = request;
+        uv_tcp_t* stream = release();
+        owner.closed(this);
+        told(what, reinterpret_cast<uv_stream_t*>(stream), 0);
+    }
+
+    void drop(int status) {
+        if (std::exchange(dropped, true)) return;
+        owner.loop_.deadlines().drop(by);
+        result = status;
+        uv_close(reinterpret_cast<uv_handle_t*>(tcp), [](uv_handle_t* handle) {
+            auto* self = static_cast<Hand*>(handle->data);
+            raft_free(handle);
+            const auto told = self->cb;
+            auto* what = self->request;
+            const int status = self->result;
+            RaftTransport& transport = self->owner;
+            transport.closed(self);
+            if (told) told(what, nullptr, status);
+        });
+    }
+
+    char* reading_into = nullptr;
+    std::size_t reading_most = 0;
+    bool dropped = false;
+    int result = 0;
+};
+
+RaftTransport::RaftTransport(net::Loop& loop, const Codec& codec, std::string listen,
+                             std::function<std::string(const std::string&)> reach)
+    : loop_(loop), codec_(codec), listen_(std::move(listen)), reach_(std::move(reach)) {
+    transport_.impl = this;  // `data` is the library's
+    transport_.init = [](raft_uv_transport* t, raft_id id, const char* address) {
+        auto* self = static_cast<RaftTransport*>(t->impl);
+        self->id_ = id, self->address_ = address;
+        return 0;
+    };
+    transport_.listen = [](raft_uv_transport* t, raft_uv_accept_cb cb) {
+        auto* self = static_cast<RaftTransport*>(t->impl);
+        self->accepted_ = cb;
+        sockaddr_in at{};
+        if (!net::read_address(self->listen_, at)) return RAFT_INVALID;
+        self->listener_ = new uv_tcp_t;
+        uv_tcp_init(self->loop_.raw(), self->listener_);
+        self->listener_->data = self;
+        if (uv_tcp_bind(self->listener_, reinterpret_cast<const sockaddr*>(&at), 0) != 0) return RAFT_IOERR;
+        const int failed = uv_listen(
+            reinterpret_cast<uv_stream_t*>(self->listener_), kBacklog, [](uv_stream_t* server, int status) {
+                auto* owner = static_cast<RaftTransport*>(server->data);
+                if (status != 0 || owner->closing_) return;
+                if (owner->hands_.size() >= kMostHands) owner->hands_.front()->drop(RAFT_NOCONNECTION);
+                auto* hand = new Hand(*owner);
+                if (uv_accept(server, reinterpret_cast<uv_stream_t*>(hand->tcp)) != 0 ||
+                    RAND_bytes(hand->nonce.data(), kNonce) != 1)
+                    return hand->drop(RAFT_NOCONNECTION);
+                hand->write(reinterpret_cast<const char*>(hand->nonce.data()), kNonce,
+                            [](uv_write_t* request, int written) {
+                                auto* self = static_cast<Hand*>(request->data);
+                                if (self->dropped) return;
+                                written == 0 ? self->read(self->hello.data(), kHello)
+                                             : self->drop(RAFT_NOCONNECTION);
+                            });
+            });
+        return failed == 0 ? 0 : RAFT_IOERR;
+    };
+    transport_.connect = [](raft_uv_transport* t, raft_uv_connect* request, raft_id, const char* address,
+                            raft_uv_connect_cb cb) {
+        auto* self = static_cast<RaftTransport*>(t->impl);
+        sockaddr_in to{};
+        if (self->closing_ || !net::read_address(self->reach_(address), to)) return RAFT_NOCONNECTION;
+        auto* hand = new Hand(*self);
+        hand->request = request, hand->cb = cb;
+        if (uv_tcp_connect(&hand->connecting, hand->tcp, reinterpret_cast<const sockaddr*>(&to),
+                           [](uv_connect_t* connecting, int status) {
+                               auto* made = static_cast<Hand*>(connecting->data);
+                               if (made->dropped) return;
+                               if (status != 0) return made->drop(RAFT_NOCONNECTION);
+                               uv_tcp_nodelay(made->tcp, 1);
+                               made->read(reinterpret_cast<char*>(made->nonce.data()), kNonce);
+                           }) != 0)
+            hand->drop(RAFT_NOCONNECTION);
+        return 0;
+    };
+    transport_.close = [](raft_uv_transport* t, raft_uv_transport_close_cb cb) {
+        auto* self = static_cast<RaftTransport*>(t->impl);
+        self->closing_ = true;
+        self->close_cb_ = cb;
+        const auto hands = self->hands_;
+        for (Hand* hand : hands) hand->drop(RAFT_CANCELED);
+        if (!self->listener_) return self->finish_close();
+        uv_close(reinterpret_cast<uv_handle_t*>(self->listener_), [](uv_handle_t* handle) {
+            auto* owner = static_cast<RaftTransport*>(handle->data);
+            delete reinterpret_cast<uv_tcp_t*>(handle);
+            owner->listener_ = nullptr;
+            owner->finish_close();
+        });
+    };
+}
+
+RaftTransport::~RaftTransport() = default;
+
+void RaftTransport::closed(Hand* hand) {
+    std::erase(hands_, hand);
+    delete hand;
+    if (closing_) finish_close();
+}
+
+void RaftTransport::finish_close() {
+    if (listener_ || !hands_.empty() || !close_cb_) return;
+    std::exchange(close_cb_, nullptr)(&transport_);
+}
+
+}  // namespace sumackeel::peers
--- a/src/peers/wire.cpp
+++ b/src/peers/wire.cpp
@@ -25,7 +25,7 @@
 
 constexpr std::string_view kMagic = "SG";
 constexpr std::size_t kCode = 16, kHead = 4 + kCode;
-constexpr std::uint8_t kDatagramType = 1, kFrameType = 2;
+constexpr std::uint8_t kDatagramType = 1, kFrameType = 2, kCallType = 3;
 constexpr std::size_t kLongestKeyFile = 4096;
 
 struct Broken : std::runtime_error {
@@ -45,6 +45,12 @@
     return {reinterpret_cast<const char*>(code.data()), kCode};
 }
 
+std::string with_length(const std::string& bytes) {
+    std::string framed;
+    for (int shift = 24; shift >= 0; shift -= 8) framed += static_cast<char>(bytes.size() >> shift);
+    return framed + bytes;
+}
+
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
 void pack(Packer& out, const Word& word) {
@@ -231,10 +237,51 @@
     out.pack(static_cast<std::uint8_t>(frame.step)), out.pack(frame.digest);
     pack_all(out, frame.whole.words);
     pack_all(out, frame.whole.doubts);
-    const std::string bytes = sealed(kFrameType, {body.data(), body.size()});
-    std::string framed;
-    for (int shift = 24; shift >= 0; shift -= 8) framed += static_cast<char>(bytes.size() >> shift);
-    return framed + bytes;
+    return with_length(sealed(kFrameType, {body.data(), body.size()}));
+}
+
+bool Codec::is_call(std::string_view bytes) {
+    return bytes.size() > 3 && static_cast<std::uint8_t>(bytes[3]) == kCallType;
+}
+
+std::string Codec::call(const Call& call) const {
+    msgpack::sbuffer body;
+    Packer out(body);
+    out.pack_array(8);
+    out.pack(group_), out.pack(call.from), out.pack(call.to), out.pack(call.start), out.pack(call.sequence);
+    out.pack(call.answer), out.pack(call.verb), out.pack(call.body);
+    return with_length(sealed(kCallType, {body.data(), body.size()}));
+}
+
+std::optional<Call> Codec::read_call(std::string_view bytes, Bad& bad) const {
+    const auto body = opened(kCallType, bytes, bad);
+    if (!body) return std::nullopt;
+    try {
+        bad = Bad::malformed;
+        const auto handle = msgpack::unpack(body->data(), body->size(), nullptr, nullptr,
+                                            msgpack::unpack_limit(8, 0, kLongestCall, kLongestCall, 0, 2));
+        const auto& at = array_of(handle.get(), 8);
+        if (at.ptr[0].as<std::string>() != group_) {
+            bad = Bad::foreign;
+            return std::nullopt;
+        }
+        return Call{text_in(at.ptr[1], false),     text_in(at.ptr[2], false), at.ptr[3].as<std::uint64_t>(),
+                    at.ptr[4].as<std::uint64_t>(), at.ptr[5].as<bool>(),      text_in(at.ptr[6], false),
+                    at.ptr[7].as<std::string>()};
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string Codec::code(std::string_view text) const {
+    return code_of(keys_.all.front(), text, "");
+}
+
+bool Codec::holds(std::string_view text, std::string_view code) const {
+    return code.size() == kCode &&
+           std::any_of(keys_.all.begin(), keys_.all.end(), [&](const std::string& key) {
+               return CRYPTO_memcmp(code_of(key, text, "").data(), code.data(), kCode) == 0;
+           });
 }
 
 std::optional<Frame> Codec::read_frame(std::string_view bytes, Bad& bad) const {
--- a/src/peers/wire.h
+++ b/src/peers/wire.h
@@ -46,6 +46,15 @@
     group::Whole whole;  // `from` always; the rest in a state
 };
 
+// A question to one member and its answer, each in a frame of its own on a stream.
+struct Call {
+    std::string from, to;
+    std::uint64_t start = 0, sequence = 0;  // of the one that asks: no question is taken twice
+    bool answer = false;                    // else a question
+    std::string verb, body;
+};
+constexpr std::size_t kLongestCall = 4 << 20;
+
 class Codec {
   public:
     Codec(std::string group, Keys keys) : group_(std::move(group)), keys_(std::move(keys)) {}
@@ -56,6 +65,12 @@
     // None: `bad` says why.
     std::optional<Numbered> read_datagram(std::string_view bytes, Bad& bad) const;
     std::optional<Frame> read_frame(std::string_view bytes, Bad& bad) const;  // without its length
+    std::string call(const Call& call) const;                                 // with its length before it
+    std::optional<Call> read_call(std::string_view bytes, Bad& bad) const;    // without its length
+    static bool is_call(std::string_view bytes);                              // by its head alone
+    // The code of something by the first key, and whether a code is one by any of them.
+    std::string code(std::string_view text) const;
+    bool holds(std::string_view text, std::string_view code) const;
 
   private:
     std::string sealed(std::uint8_t type, std::string_view body) const;
--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -19,7 +20,7 @@
 from relay import Relay  # noqa: E402
 from wire import cache_box, dispatch, ops_call, reply, settings_for  # noqa: E402
 
-CLIENTS, OPS, PEERS = 9000, 9001, 9002  # ports, at each member's own address
+CLIENTS, OPS, PEERS, VOTES = 9000, 9001, 9002, 9003  # ports, at each member's own address
 LOOK_EVERY_S = 0.05
 STARTED_WITHIN_S = 30
 
@@ -67,6 +68,7 @@
         self.member, self.pause, self.going = member, pause, True
         self.answered = self.other = self.excused = 0
         self.wrong = []
+        self.keep_times = None  # a list: seconds of each that was answered
 
     def run(self):
         conn, sequence, number = None, 0, 0
@@ -79,6 +81,7 @@
                 if conn is None:
                     conn, sequence = socket.create_connection((self.member.host, CLIENTS), timeout=4), 0
                 sequence += 1
+                sent = time.perf_counter()
                 conn.sendall(dispatch(sequence, ident.encode(), b"%016x" % (number * 7919 % 997),
                                       b"enrol" if enrol else b"sheet"))
                 got, place = reply(conn)
@@ -86,6 +89,8 @@
                     self.wrong.append(f"{ident}: an answer for number {got} instead of {sequence}")
                 if place == 0:
                     self.answered += 1
+                    if self.keep_times is not None:
+                        self.keep_times.append(time.perf_counter() - sent)
                 else:
                     self.other += 1
             except (OSError, ConnectionError):
@@ -112,11 +117,13 @@
         self.log = os.path.join(self.folder, "log")
         self.process, self.faults, self.faulted, self.extra = None, 0, True, {}
         self.inherited = None  # the clients' listening socket, handed in
-        self.ops_port = OPS
+        self.ops_port, self.starts = OPS, 0
 
     def write_files(self):
         fleet = self.fleet
-        settings = settings_for(self.name, f"{self.host}:{CLIENTS}", lambda _: fleet.boxes.at)
+        known = [(name, "edge-1", "small") for name in fleet.pop_caches or ("s-a", "s-b")]
+        settings = settings_for(self.name, f"{self.host}:{CLIENTS}", fleet.box_at,
+                                known + [("s-parent", "coast", "parent"), ("s-origin", "coast", "origin")])
         settings["seed"] = f"{fleet.seed + self.index:016x}"
         settings["settings"]["instances"] = fleet.members
         settings["settings"]["family_info"]["count_by_zone"] = [0, fleet.members]
@@ -128,7 +135,10 @@
         offset = keys.pop("clock_offset_s", 0)
         with open(os.path.join(self.folder, "key"), "w", encoding="utf-8") as out:
             out.write(key + "\n")
-        reach = {f"{other.host}:{PEERS}": fleet.relayed(self, other) for other in fleet.all if other is not self}
+        others = [other for other in fleet.all if other is not self]
+        reach = {f"{other.host}:{PEERS}": fleet.relayed(self, other) for other in others}
+        if fleet.agreed is not None:
+            reach.update({f"{other.host}:{VOTES}": fleet.relayed(self, other, 20000) for other in others})
         seeds = [fleet.relayed(self, other) for other in fleet.all if other is not self][:8]
         with open(os.path.join(self.folder, "operator.toml"), "w", encoding="utf-8") as out:
             out.write("# written by the fleet bench\n")
@@ -140,11 +150,22 @@
                     out.write(f"{key} = {json.dumps(value)}\n")
                 out.write(f"seeds = {json.dumps(seeds)}\n")
                 out.write("reach = { %s }\n" % ", ".join(f"{json.dumps(k)} = {json.dumps(v)}" for k, v in reach.items()))
+            if fleet.agreed is not None:
+                agreed = {"folder": "agreed", "election_ms": 400, **fleet.agreed}
+                voters = fleet.all[:agreed.pop("voting", 3)]
+                out.write("[agreed]\n")
+                for key, value in agreed.items():
+                    out.write(f"{key} = {json.dumps(value)}\n")
+                out.write("voters = { %s }\n" % ", ".join(f'{one.name} = "{one.host}:{VOTES}"' for one in voters))
 
-    def start(self, **extra):
+    def start(self, replaces=False, **extra):
         self.extra.update(extra)
         self.write_files()
-        env = dict(os.environ, GW_CONFIG=os.path.join(self.folder, "config.json"), TMPDIR=self.folder,
+        # As on the platform: empty at each start, but kept where one process replaces another.
+        self.starts += 0 if replaces else 1
+        scratch = os.path.join(self.folder, f"tmp{self.starts}")
+        os.makedirs(scratch, exist_ok=True)
+        env = dict(os.environ, GW_CONFIG=os.path.join(self.folder, "config.json"), TMPDIR=scratch,
                    GW_OPS=f"{self.host}:{self.ops_port}")
         env.pop("GW_INHERITED_FD", None)
         fds = []
@@ -195,10 +216,15 @@
     def __init__(self, program, scenario, seed):
         self.program, self.seed = program, seed
         self.members = scenario.get("members", 5)
+        self.agreed = scenario.get("agreed")  # settings of [agreed], and `voting`: how many of the first vote
+        self.pop_caches = scenario.get("pop_caches")  # ids of the school's; default: two
         self.peers, self.peers_on = scenario.get("peers", {}), scenario.get("peers_on", True)
         self.net, self.guard = own_network()
         self.folder = tempfile.mkdtemp(prefix="sumackeel-fleet-")
         self.boxes = Boxes(f"{self.net}.250")
+        self.box_of = {}  # pop caches of their own, by id, where it matters who is asked
+        for number, name in enumerate(self.pop_caches or ()):
+            self.box_of[name] = Boxes(f"{self.net}.{210 + number}")
         self.all = []
         names = scenario.get("names", {})
         for index in range(self.members):
@@ -211,15 +237,21 @@
                 for b in self.all:
                     if a is not b:
                         places[(a.index, b.index)] = ((f"{self.net}.200", self.port(a, b)), (b.host, PEERS))
+                        if self.agreed is not None:
+                            places[(a.index, b.index, "votes")] = ((f"{self.net}.200", self.port(a, b) + 20000),
+                                                                   (b.host, VOTES))
         self.relay = Relay(places, seed)
         self.relay.start()
         self.clients = []
 
+    def box_at(self, name):
+        return self.box_of.get(name, self.boxes).at
+
     def port(self, a, b):
         return 10000 + a.index * 64 + b.index
 
-    def relayed(self, a, b):
-        return f"{self.net}.200:{self.port(a, b)}"
+    def relayed(self, a, b, more=0):
+        return f"{self.net}.200:{self.port(a, b) + more}"
 
     def pick(self, words):
         """Members by name or number: "n1", 1, a list of them, or "all"."""
@@ -229,7 +261,8 @@
         return [self.all[word if isinstance(word, int) else int(word[1:])] for word in words]
 
     def links(self, a, b):
-        return [self.relay.links[(x.index, y.index)] for x in self.pick(a) for y in self.pick(b) if x is not y]
+        return [link for x in self.pick(a) for y in self.pick(b) if x is not y
+                for pair, link in self.relay.links.items() if pair[:2] == (x.index, y.index)]
 
     def with_traffic(self):
         for member in self.all:
@@ -243,11 +276,15 @@
         for client in self.clients:
             client.join(timeout=10)
         wrong = [line for client in self.clients for line in client.wrong]
-        twice = {ident: count for ident, count in self.boxes.enrols.items() if count > 1}
+        ran = {}
+        for boxes in [self.boxes, *self.box_of.values()]:
+            for ident, count in boxes.enrols.items():
+                ran[ident] = ran.get(ident, 0) + count
+        twice = {ident: count for ident, count in ran.items() if count > 1}
         answered = sum(client.answered for client in self.clients)
         print(f"traffic: answered {answered}, refused or failed {sum(c.other for c in self.clients)}, "
               f"without an answer for a reason {sum(c.excused for c in self.clients)}, wrong {len(wrong)}, "
-              f"enrol run {len(self.boxes.enrols)}, twice {len(twice)}")
+              f"enrol run {len(ran)}, twice {len(twice)}")
         if wrong or twice:
             raise Failed(f"traffic: {wrong[:5]} {list(twice)[:5]}")
         if self.clients and answered == 0:
@@ -262,7 +299,8 @@
                 member.process.wait()
         self.relay.going = False
         self.relay.join(timeout=2)
-        self.boxes.listener.close()
+        for boxes in [self.boxes, *self.box_of.values()]:
+            boxes.listener.close()
         self.guard.close()
         if keep:
             print(f"files of this run are in {self.folder}")
@@ -351,7 +389,7 @@
         for member in self.fleet.pick(who):
             old = member.process
             ops_at, member.ops_port = member.ops_port, member.ops_port + 10
-            member.start()
+            member.start(replaces=True)
             member.ready()
             old.send_signal(signal.SIGTERM)
             if old.wait(timeout=10) != 0:
@@ -366,6 +404,46 @@
             with open(os.path.join(member.folder, "state", "start"), "w", encoding="utf-8") as out:
                 out.write(text)
 
+    def damage_log(self, who, how):
+        """The newest file of a voter's log loses its second half, or has a byte changed in what is written of it."""
+        for member in self.fleet.pick(who):
+            folder = os.path.join(member.folder, "agreed")
+            names = [name for name in os.listdir(folder) if not name.startswith("metadata")]
+            path = max((os.path.join(folder, name) for name in names), key=lambda at: (os.path.getmtime(at), at))
+            with open(path, "r+b") as file:
+                data = file.read()
+                written = len(data.rstrip(b"\0"))
+                print(f"{how} {os.path.basename(path)}: {written} bytes written of {len(data)}")
+                if how == "cut":
+                    file.truncate(max(8, written // 2))
+                else:
+                    file.seek(written // 2)
+                    file.write(bytes([data[written // 2] ^ 0x20]))
+
+    def start_or_say(self, who, holds):
+        """Starts; one that does not must have ended with status 2 and said why."""
+        for member in self.fleet.pick(who):
+            member.start()
+            try:
+                member.ready()
+            except Failed:
+                if member.process.poll() != 2 or holds not in member.tail():
+                    raise
+                print(f"{member.name} said: {member.tail()[-200:]}")
+
+    def renew_log(self, who):
+        """A voter is replaced: ended where it runs, its folder emptied, started anew to be filled by the others."""
+        for member in self.fleet.pick(who):
+            if member.process.poll() is None:
+                self.kill(member.index)
+            shutil.rmtree(os.path.join(member.folder, "agreed"), ignore_errors=True)
+        self.start(who)
+
+    def fill_disk(self, who):
+        """Files of this process can't grow past what they are: each write beyond fails."""
+        for member in self.fleet.pick(who):
+            resource.prlimit(member.process.pid, resource.RLIMIT_FSIZE, (0, 0))
+
     # Links.
     def lose(self, share, a="all", b="all"):
         for link in self.fleet.links(a, b):
@@ -481,6 +559,94 @@
             return all(count == wanted["is"] for count in found.values()) or f"{found}"
         self.eventually(within, "counts", holds)
 
+    # Leaves.
+    def rollout(self, member):
+        body = []
+        status = ops_call(member.ops_port, "GET", "/ops/rollout", body, host=member.host, bound=2)
+        return json.loads(body[0]) if status == 200 else None
+
+    def together(self, calls, yes, within=1.2):
+        """Calls ["n0", "/ops/..."] at one instant through different proxies: so many of them are answered yes."""
+        answers, gate = [None] * len(calls), threading.Barrier(len(calls))
+
+        def call(place, who, path):
+            member = self.fleet.pick(who)[0]
+            gate.wait()
+            began, body = time.monotonic(), []
+            status = ops_call(member.ops_port, "POST", path, body, host=member.host)
+            answers[place] = (status, body[0].strip() if body else "", time.monotonic() - began)
+        threads = [threading.Thread(target=call, args=(place, *one)) for place, one in enumerate(calls)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        print(answers)
+        if sum(1 for status, _, _ in answers if status == 200) != yes:
+            raise Failed(f"together: {answers}, {yes} yes wanted")
+        if any(took > within for _, _, took in answers):
+            raise Failed(f"together: late: {answers}")
+
+    def call(self, who, path, status, holds="", within=0):
+        """One operator's call, again until `within` where it is not answered so at first."""
+        def holds_now():
+            member, body = self.fleet.pick(who)[0], []
+            got = ops_call(member.ops_port, "POST", path, body, host=member.host)
+            said = body[0].strip() if body else ""
+            return (got == status and holds in said) or f"{got} {said}"
+        self.eventually(within, f"call {path}", holds_now)
+
+    def leases(self, who, are, within, leader=None):
+        """Each of `who` that runs knows exactly these members as out by lease."""
+        def holds():
+            for member in self.fleet.pick(who):
+                if not member.running():
+                    continue
+                said = self.rollout(member)
+                have = sorted(one["member"] for one in said["leases"]) if said else None
+                if have != sorted(are) or (leader is not None and (said["leader"] == "") == leader):
+                    return f"{member.name} knows {have}, leader '{said['leader'] if said else None}'"
+            return True
+        self.eventually(within, "leases", holds)
+
+    def fault_leader(self, do_what):
+        """kill or stop whoever leads."""
+        def led():
+            for member in self.fleet.all:
+                said = self.rollout(member) if member.running() else None
+                if said and said["leads"]:
+                    self.led = member
+                    return True
+            return "nobody leads"
+        self.eventually(10, "leader", led)
+        print(f"the leader is {self.led.name}")
+        getattr(self, do_what)(self.led.index)
+
+    def led_serves(self):
+        self.ops(self.led.index, "/ops/readiness", 200)
+
+    def cont_led(self):
+        self.cont(self.led.index)
+
+    def call_led(self, **words):
+        self.call(self.led.index, **words)
+
+    def start_led(self):
+        self.start(self.led.index)
+
+    def quiet(self, box, after, seconds):
+        """From `after` seconds on the pop cache is asked nothing for so long, by anybody."""
+        time.sleep(after)
+        before = self.fleet.box_of[box].served[0]
+        time.sleep(seconds)
+        asked = self.fleet.box_of[box].served[0] - before
+        if asked:
+            raise Failed(f"{box} was asked {asked} times")
+
+    def asked(self, box, within):
+        """The pop cache is asked again."""
+        before = self.fleet.box_of[box].served[0]
+        self.eventually(within, f"{box} asked", lambda: self.fleet.box_of[box].served[0] > before or "nothing")
+
     def sockets(self, who, tcp, udp):
         """How many sockets of its own each holds that listen or take datagrams, from the system's tables."""
         for member in self.fleet.pick(who):
--- a/tests/fleet/relay.py
+++ b/tests/fleet/relay.py
@@ -28,15 +28,16 @@
         self.selector, self.due, self.order = selectors.DefaultSelector(), [], 0
         self.lock, self.going = threading.RLock(), True
         for pair, (at, to) in places.items():
-            datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            datagrams.bind(at)
-            datagrams.setblocking(False)
+            if len(pair) == 2:
+                datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                datagrams.bind(at)
+                datagrams.setblocking(False)
+                self.selector.register(datagrams, selectors.EVENT_READ, ("datagram", pair, to))
             streams = socket.socket()
             streams.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             streams.bind(at)
             streams.listen(16)
             streams.setblocking(False)
-            self.selector.register(datagrams, selectors.EVENT_READ, ("datagram", pair, to))
             self.selector.register(streams, selectors.EVENT_READ, ("accept", pair, to))
 
     def run(self):
@@ -92,7 +93,8 @@
         self.later(0, sock, data, to)
 
     def broken(self, pair):
-        return self.links[pair].cut or self.links.get(pair[::-1], self.links[pair]).cut
+        back = (pair[1], pair[0], *pair[2:])
+        return self.links[pair].cut or self.links[back].cut
 
     def on_accept(self, listener, pair, to):
         near, _ = listener.accept()
