Agreed log: one process at a folder, also across an upgrade; bounds against made-up numbers

Cause: in an upgrade on a handed-in socket the new process of a voter would have opened the log that the old one still writes, or failed to start since the address was held (read over, then shown by agreed_upgraded). A member that is wrong could drive another's incarnation to where it can't be gone past.

Change: a voter holds a lock on its folder, gives it back when it is told to end, and the new process asks the others until it has it (Agreed::vote_later). The lock of the saved list is a piece of base/files now and serves both. Numbers off the wire are bounded; a refutation near the bound takes a later start. The table of senders makes room instead of turning newcomers away. Who does not vote asks less often in a large group.

--- a/src/base/files.cpp
+++ b/src/base/files.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -82,4 +83,19 @@
     return Reading::done;
 }
 
+FolderLock::FolderLock(const std::string& folder) {
+    std::error_code ignored;
+    std::filesystem::create_directories(folder, ignored);
+    const std::string path = folder + "/lock";
+    fd_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    if (fd_ < 0)
+        fault_ = failed("can't be opened", path);
+    else if (::flock(fd_, LOCK_EX | LOCK_NB) != 0)
+        fault_ = path + " is held by another program";
+}
+
+FolderLock::~FolderLock() {
+    if (fd_ >= 0) ::close(fd_);
+}
+
 }  // namespace sumackeel::base
--- a/src/base/files.h
+++ b/src/base/files.h
@@ -35,4 +35,18 @@
 // The bytes of a plain file of `most` bytes at the most; unless it is done, `fault` says what went wrong.
 Reading read_plain(const std::string& path, std::size_t most, std::string& bytes, std::string& fault);
 
+// Held for as long as this lives: two programs on one folder would remove each other's generations.
+class FolderLock {
+  public:
+    explicit FolderLock(const std::string& folder);  // makes the folder
+    ~FolderLock();
+    FolderLock(const FolderLock&) = delete;
+    FolderLock& operator=(const FolderLock&) = delete;
+    const std::string& fault() const { return fault_; }  // empty: it is held
+
+  private:
+    int fd_ = -1;
+    std::string fault_;
+};
+
 }  // namespace sumackeel::base
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -256,7 +256,7 @@
     void start_agreed(const config::Agreed& setup) {
         leaves = std::make_unique<Leaves>(config.site, setup.gone_counts);
         agreed = std::make_unique<peers::Agreed>(
-            loop, *peers, setup,
+            loop, *peers, setup, config.inherited_fd >= 0,
             [this](rollout::Kind kind) {
                 return kind == rollout::Kind::proxy ? leaves->proxies(peers->group(), board.sending_away())
                                                     : leaves->pop_caches(fleet->view(), loop.clock().now());
@@ -433,6 +433,7 @@
         log::info("told to end: {} requests open", core.open_requests());
         if (signed_front) signed_front->leaving();
         // Where the socket was handed in another process goes on under this name: that is no leave.
+        if (agreed) agreed->close();
         if (peers) config.inherited_fd >= 0 ? peers->silent() : peers->leave();
         fleet->leaving();
         look_for_end();
--- a/src/daemon/fleet.h
+++ b/src/daemon/fleet.h
@@ -49,7 +49,7 @@
     membership::View view_;
     std::string site_;
     std::optional<saved_list::Loading> loading_;
-    std::shared_ptr<saved_list::FolderLock> lock_;
+    std::shared_ptr<base::FolderLock> lock_;
     std::unique_ptr<saved_list::Keeper> keeper_;
     std::unique_ptr<feed::Feed> feed_;
     std::optional<base::Deadlines::Key> next_publish_;
--- a/src/group/group.cpp
+++ b/src/group/group.cpp
@@ -494,6 +494,8 @@
 
 void Group::refute(std::uint64_t over) {
     self_.stamp.incarnation = over + 1;
+    if (over >= kMostIncarnation / 2)
+        wants_start_ = self_.stamp.start + 1;  // made up: a later start begins anew
     ++figures_.refuted;
     worse(1);
 }
--- a/src/group/messages.h
+++ b/src/group/messages.h
@@ -20,6 +20,13 @@
     auto operator<=>(const Stamp&) const = default;
 };
 
+// Numbers beyond these are nobody's: one that is wrong could otherwise drive another's to where it can't be
+// gone past.
+constexpr std::uint64_t kMostStart = 1ULL << 62, kMostIncarnation = 1ULL << 62;
+inline bool sound(const Stamp& stamp) {
+    return stamp.start <= kMostStart && stamp.incarnation <= kMostIncarnation;
+}
+
 enum class Phase : std::uint8_t { joining, alive, left };  // what a member says of itself
 
 // A member's own word of itself. Nobody else makes one; others pass it on as it is.
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -8,6 +8,7 @@
 #include <msgpack.hpp>
 #include <stdexcept>
 
+#include "base/files.h"
 #include "base/log.h"
 #include "peers/raft_transport.h"
 
@@ -21,9 +22,11 @@
 
 // Calls of operators are answered within 1 s; what is not agreed on by then is answered with no.
 constexpr Micros kPatience = 850'000;
-constexpr Micros kOneTry = 350'000;     // one voter, of several
-constexpr Micros kTryAgain = 60'000;    // while there is no leader
-constexpr Micros kPollEvery = 250'000;  // of those that do not vote: bans reach them within 1 s
+constexpr Micros kOneTry = 350'000;   // one voter, of several
+constexpr Micros kTryAgain = 60'000;  // while there is no leader
+// Of those that do not vote: bans reach them within 1 s. Stretched where they are many, up to the longest.
+constexpr Micros kPollEvery = 250'000, kPollEach = 2'000, kPollLongest = 900'000;
+constexpr Micros kVoteLater = 200'000;                     // while the process before this one has the folder
 constexpr unsigned kSnapshotAfter = 512, kTrailing = 128;  // entries; each is some KB at most
 constexpr std::size_t kSegment = 1 << 20;
 
@@ -110,6 +113,8 @@
 // One of those that vote: the library's log, disk and elections, and the state that it drives.
 struct Agreed::Voter {
     Agreed& owner;
+    const std::string self;
+    std::unique_ptr<base::FolderLock> lock;
     RaftTransport transport;
     raft_io io{};
     raft_fsm fsm{};
@@ -165,13 +170,18 @@
     };
 
     Voter(Agreed& o, const std::string& name)
-        : owner(o), transport(o.loop_, o.peers_.codec(), address_of(name), [this](const std::string& told) {
-              return owner.peers_.reached_at(told);
-          }) {
+        : owner(o),
+          self(name),
+          transport(o.loop_, o.peers_.codec(), address_of(name),
+                    [this](const std::string& told) { return owner.peers_.reached_at(told); }) {}
+
+    // Takes the folder and starts. Empty: done; else what went wrong, and this is to be closed.
+    std::string open() {
         const std::string& folder = owner.setup_.folder;
-        std::error_code ignored;
-        std::filesystem::create_directories(folder, ignored);
-        must(raft_uv_init(&io, owner.loop_.raw(), folder.c_str(), transport.raw()), "the folder");
+        lock = std::make_unique<base::FolderLock>(folder);
+        if (!lock->fault().empty()) return lock->fault();
+        if (const int made = raft_uv_init(&io, owner.loop_.raw(), folder.c_str(), transport.raw()); made != 0)
+            return fault_of(made, "the folder");
         raft_uv_set_segment_size(&io, kSegment);
         raft_uv_set_connect_retry_delay(&io, 200);
         fsm.version = 1;
@@ -199,7 +209,8 @@
             self->owner.changed_(self->state);
             return 0;
         };
-        must(raft_init(&raft_, &io, &fsm, id_of(name), address_of(name).c_str()), "the log");
+        if (const int made = raft_init(&raft_, &io, &fsm, id_of(self), address_of(self).c_str()); made != 0)
+            return fault_of(made, "the log");
         raft_.data = this;
         guard_appends();
         up = true;
@@ -215,17 +226,15 @@
         const int made = raft_bootstrap(&raft_, &voters);
         raft_configuration_close(&voters);
         if (made != 0 && made != RAFT_CANTBOOTSTRAP)
-            must(made, "the first entry");  // else there is a log already
-        must(raft_start(&raft_), "the start");
+            return fault_of(made, "the first entry");  // else there is one
+        if (const int ran = raft_start(&raft_); ran != 0) return fault_of(ran, "the start");
         started = true;
+        return {};
     }
 
-    void must(int result, const char* what) {
-        if (result == 0) return;
-        const std::string why = up ? raft_errmsg(&raft_) : io.errmsg;
-        shut();
-        throw std::runtime_error(
-            fmt::format("agreed: {} in {}: {} ({})", what, owner.setup_.folder, raft_strerror(result), why));
+    std::string fault_of(int result, const char* what) {
+        return fmt::format("agreed: {} in {}: {} ({})", what, owner.setup_.folder, raft_strerror(result),
+                           up ? raft_errmsg(&raft_) : io.errmsg);
     }
 
     // Begins to close; what the library still has to end, it ends on the loop.
@@ -235,6 +244,7 @@
             auto* self = static_cast<Voter*>(r->data);
             raft_uv_close(&self->io);
             self->up = false;
+            self->lock.reset();  // whoever waits for the folder may have it now
         });
     }
     // Not from within a call of the loop.
@@ -243,6 +253,7 @@
         while (up) uv_run(owner.loop_.raw(), UV_RUN_ONCE);
         if (!closed && io.impl) raft_uv_close(&io);  // made, but never taken into use
         closed = true;
+        lock.reset();
     }
     ~Voter() { shut(); }
 
@@ -265,7 +276,7 @@
         return 0;
     }
 
-    bool votes() const { return started && !failed; }
+    bool votes() const { return started && !failed && !closed; }
     bool leads() { return votes() && raft_state(&raft_) == RAFT_LEADER; }
 
     std::string leader() {
@@ -303,20 +314,50 @@
     }
 };
 
-Agreed::Agreed(net::Loop& loop, Peers& peers, const config::Agreed& setup, World world, Changed changed)
+Agreed::Agreed(net::Loop& loop, Peers& peers, const config::Agreed& setup, bool wait_for_folder, World world,
+               Changed changed)
     : loop_(loop), peers_(peers), setup_(setup), world_(std::move(world)), changed_(std::move(changed)) {
     const std::string& name = peers_.group().self().name;
-    if (setup_.voters.contains(name)) voter_ = std::make_unique<Voter>(*this, name);
     peers_.on_call([this](const std::string& from, const std::string& verb, const std::string& body,
                           const Peers::Say& say) { take(from, verb, body, say); });
-    log::info("agreed: {} {}", name, voter_ ? "votes" : "asks those that vote");
-    if (!voter_) poll();
+    if (setup_.voters.contains(name)) {
+        voter_ = std::make_unique<Voter>(*this, name);
+        // Danger: two processes at one log would ruin it. The one before this one gives the folder back when
+        // it is told to end; until then this one asks the others.
+        if (wait_for_folder) {
+            vote_later();
+        } else if (const std::string wrong = voter_->open(); !wrong.empty()) {
+            voter_->shut();
+            throw std::runtime_error(wrong);
+        }
+    }
+    log::info("agreed: {} {}", name, votes() ? "votes" : "asks those that vote");
+    if (!votes()) poll();
+}
+
+void Agreed::vote_later() {
+    const std::weak_ptr<bool> alive = alive_;
+    loop_.deadlines().set(loop_.clock().now() + kVoteLater, [this, alive] {
+        if (alive.expired()) return;
+        if (!base::FolderLock(setup_.folder).fault().empty()) return vote_later();
+        if (const std::string wrong = voter_->open(); !wrong.empty()) {
+            log::error("{}; this proxy does not vote", wrong);
+            voter_->failed = true;
+            return voter_->close();
+        }
+        if (poll_) loop_.deadlines().drop(*poll_), poll_.reset();
+        log::info("agreed: {} votes now", peers_.group().self().name);
+    });
 }
 
 Agreed::~Agreed() {
     shut();
 }
 
+void Agreed::close() {
+    if (voter_) voter_->close();
+}
+
 void Agreed::shut() {
     alive_.reset();
     peers_.on_call(nullptr);
@@ -431,8 +472,10 @@
     auto voter = setup_.voters.begin();
     std::advance(voter, static_cast<std::ptrdiff_t>(next_voter_++ % setup_.voters.size()));
     const std::weak_ptr<bool> alive = alive_;
-    poll_ = loop_.deadlines().set(loop_.clock().now() + kPollEvery, [this] { poll(); });
-    peers_.call(voter->first, kStateVerb, std::to_string(heard_.revision()), kPollEvery,
+    const Micros every =
+        std::clamp(kPollEach * static_cast<Micros>(peers_.group().size()), kPollEvery, kPollLongest);
+    poll_ = loop_.deadlines().set(loop_.clock().now() + every, [this] { poll(); });
+    peers_.call(voter->first, kStateVerb, std::to_string(heard_.revision()), every,
                 [this, alive](std::optional<std::string> body) {
                     if (alive.expired() || !body) return;
                     try {
--- a/src/peers/agreed.h
+++ b/src/peers/agreed.h
@@ -21,8 +21,10 @@
     // None: no majority answered in time. It may have been agreed on all the same; asking again tells.
     using Told = std::function<void(std::optional<rollout::Answer>)>;
 
-    // Throws where the folder or the address can't be used. Peers must outlive this.
-    Agreed(net::Loop& loop, Peers& peers, const config::Agreed& setup, World world, Changed changed);
+    // Throws where the folder or the address can't be used. Peers must outlive this. `wait_for_folder`:
+    // another process of this proxy may hold it until that one is told to end.
+    Agreed(net::Loop& loop, Peers& peers, const config::Agreed& setup, bool wait_for_folder, World world,
+           Changed changed);
     ~Agreed();
     Agreed(const Agreed&) = delete;
     Agreed& operator=(const Agreed&) = delete;
@@ -35,7 +37,9 @@
     bool known() const;  // the state was heard from a voter, or is a voter's own that has met a leader
     std::string leader() const;  // a member's name; empty: none is known
     std::string as_json() const;
-    // Closes the log; the loop is run until that is done. Nothing is told any more.
+    // Stops voting, and gives the folder back once the log is closed.
+    void close();
+    // The same at once; the loop is run until that is done. Nothing is told any more.
     void shut();
 
   private:
@@ -49,6 +53,7 @@
               const Peers::Say& say);
     void poll();
     void stop_voting();
+    void vote_later();
     bool votes() const;
     void hold(rollout::State state);
 
--- a/src/peers/wire.cpp
+++ b/src/peers/wire.cpp
@@ -91,6 +91,7 @@
     word.name = text_in(at.ptr[0], false), word.address = text_in(at.ptr[1], false);
     word.zone = text_in(at.ptr[2]), word.version = text_in(at.ptr[3]);
     word.stamp = {at.ptr[4].as<std::uint64_t>(), at.ptr[5].as<std::uint64_t>()};
+    need(group::sound(word.stamp));
     word.life = at.ptr[6].as<std::uint64_t>();
     const auto phase = at.ptr[7].as<std::uint8_t>();
     need(phase <= static_cast<std::uint8_t>(Phase::left));
@@ -100,6 +101,7 @@
 
 Doubt doubt_in(const msgpack::object& object) {
     const auto& at = array_of(object, 7);
+    need(group::sound({at.ptr[3].as<std::uint64_t>(), at.ptr[4].as<std::uint64_t>()}));
     return {.by = text_in(at.ptr[0], false),
             .about = text_in(at.ptr[1], false),
             .by_start = at.ptr[2].as<std::uint64_t>(),
@@ -312,14 +314,18 @@
 bool Seen::fresh(const std::string& from, std::uint64_t start, std::uint64_t sequence) {
     const auto found = windows_.find(from);
     if (found == windows_.end()) {
-        if (windows_.size() >= group::kMostMembers) return false;
-        windows_[from] = {start, sequence, 0};
+        if (windows_.size() >= group::kMostMembers)  // the one that was silent the longest makes room
+            windows_.erase(
+                std::min_element(windows_.begin(), windows_.end(),
+                                 [](const auto& a, const auto& b) { return a.second.used < b.second.used; }));
+        windows_[from] = {start, sequence, 0, ++uses_};
         return true;
     }
     Window& window = found->second;
+    window.used = ++uses_;
     if (start != window.start) {
         if (start < window.start) return false;
-        window = {start, sequence, 0};
+        window = {start, sequence, 0, uses_};
         return true;
     }
     if (sequence > window.highest) {
--- a/src/peers/wire.h
+++ b/src/peers/wire.h
@@ -88,9 +88,11 @@
 
   private:
     struct Window {
-        std::uint64_t start = 0, highest = 0, before = 0;  // before: bit i: highest - 1 - i has come
+        std::uint64_t start = 0, highest = 0, before = 0,
+                      used = 0;  // before: bit i: highest - 1 - i has come
     };
     std::map<std::string, Window> windows_;
+    std::uint64_t uses_ = 0;
 };
 
 }  // namespace sumackeel::peers
--- a/src/saved_list/folder.cpp
+++ b/src/saved_list/folder.cpp
@@ -1,8 +1,6 @@
 #include "saved_list/folder.h"
 
-#include <fcntl.h>
 #include <fmt/format.h>
-#include <sys/file.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -108,19 +106,4 @@
     return path + '/' + Folder::name_of(generations.empty() ? 0 : generations.front());
 }
 
-FolderLock::FolderLock(const std::string& folder) {
-    std::error_code ignored;
-    std::filesystem::create_directories(folder, ignored);
-    const std::string path = folder + "/lock";
-    fd_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-    if (fd_ < 0)
-        fault_ = base::failed("can't be opened", path);
-    else if (::flock(fd_, LOCK_EX | LOCK_NB) != 0)
-        fault_ = path + " is held by another program";
-}
-
-FolderLock::~FolderLock() {
-    if (fd_ >= 0) ::close(fd_);
-}
-
 }  // namespace sumackeel::saved_list
--- a/src/saved_list/folder.h
+++ b/src/saved_list/folder.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/files.h"
 #include "membership/saved.h"
 
 namespace sumackeel::saved_list {
@@ -18,8 +19,6 @@
     membership::Fault fault;
 };
 
-class FolderLock;
-
 // What a folder held.
 struct Found {
     std::optional<membership::Snapshot> list;  // the newest that can be used
@@ -29,8 +28,8 @@
     std::size_t left_out = 0;                  // members of zones or kinds no longer known
     std::vector<Passed> passed;                // newer ones that can't
     std::vector<membership::Snapshot>
-        warnings;                      // of those passed over for the clock alone: drains and purges
-    std::shared_ptr<FolderLock> lock;  // set by Loading
+        warnings;                            // of those passed over for the clock alone: drains and purges
+    std::shared_ptr<base::FolderLock> lock;  // set by Loading
 };
 
 class Folder {
@@ -57,18 +56,4 @@
 // The newest generation where `path` is a folder, good or not; else the path itself. For tools.
 std::string newest_in(const std::string& path);
 
-// Held for as long as this lives: two programs on one folder would remove each other's generations.
-class FolderLock {
-  public:
-    explicit FolderLock(const std::string& folder);  // makes the folder
-    ~FolderLock();
-    FolderLock(const FolderLock&) = delete;
-    FolderLock& operator=(const FolderLock&) = delete;
-    const std::string& fault() const { return fault_; }  // empty: it is held
-
-  private:
-    int fd_ = -1;
-    std::string fault_;
-};
-
 }  // namespace sumackeel::saved_list
--- a/src/saved_list/keeper.cpp
+++ b/src/saved_list/keeper.cpp
@@ -154,7 +154,7 @@
         Found found;
         try {
             found = folder.read(names, site, wall_now);
-            found.lock = std::make_shared<FolderLock>(folder.path());
+            found.lock = std::make_shared<base::FolderLock>(folder.path());
         } catch (const std::exception& wrong) {
             found.passed.push_back({folder.path(), {membership::Fault::Kind::unreadable, wrong.what()}});
         }
--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -5,6 +5,7 @@
 """
 import json
 import os
+import random
 import re
 import resource
 import shutil
@@ -621,6 +622,77 @@
         print(f"the leader is {self.led.name}")
         getattr(self, do_what)(self.led.index)
 
+    def storm(self, seconds, most, least):
+        """Callers, each with a pop cache of its own, take it out and back through any proxy, while members are stopped,
+        killed, cut off and healed by chance. Judged from here alone: from a yes until the way back is asked for it
+        is out, and no more than `most` are at any instant; at least `least` leaves were granted in all."""
+        chance, end, lock = random.Random(self.fleet.seed), time.monotonic() + seconds, threading.Lock()
+        spans, taken = [], {member.index: threading.Lock() for member in self.fleet.all}
+
+        def somebody():
+            running = [member for member in self.fleet.all if member.running()]
+            with lock:
+                return chance.choice(running) if running else self.fleet.all[0]
+
+        def ask(path):
+            member = somebody()
+            return ops_call(member.ops_port, "POST", path, host=member.host, bound=2)
+
+        def caller(box):
+            while time.monotonic() < end:
+                if ask(f"/ops/pop-caches/down/{box}") == 200:
+                    since = time.monotonic()
+                    with lock:
+                        hold = chance.uniform(0.1, 0.5)
+                    time.sleep(hold)
+                    spans.append((since, time.monotonic(), box))
+                # Also after a no: without a majority it may have been granted all the same.
+                while ask(f"/ops/pop-caches/up/{box}") != 200 and time.monotonic() < end + 20:
+                    time.sleep(LOOK_EVERY_S)
+
+        def fault():
+            while time.monotonic() < end:
+                with lock:
+                    member, what = chance.choice(self.fleet.all), chance.choice(["stop", "kill", "cut", "cut"])
+                    last, rest = chance.uniform(0.3, 1.5), chance.uniform(0.2, 0.8)
+                with taken[member.index]:
+                    if what == "stop":
+                        self.stop(member.index)
+                        time.sleep(last)
+                        self.cont(member.index)
+                    elif what == "kill":
+                        self.kill(member.index)
+                        time.sleep(last / 2)
+                        self.start(member.index)
+                    else:
+                        self.cut(member.index, "all", both=True)
+                        time.sleep(last)
+                        self.heal()
+                time.sleep(rest)
+
+        workers = [threading.Thread(target=caller, args=(box,)) for box in self.fleet.box_of]
+        workers.append(threading.Thread(target=fault))
+        for worker in workers:
+            worker.start()
+        for worker in workers:
+            worker.join()
+        self.heal()
+        edges = sorted([(since, 1, box) for since, _, box in spans] + [(until, -1, box) for _, until, box in spans])
+        out = highest = 0
+        for _, step, _ in edges:
+            out += step
+            highest = max(highest, out)
+        print(f"{len(spans)} leaves granted, {highest} out at most")
+        if highest > most or len(spans) < least:
+            raise Failed(f"storm: {highest} out at once, {len(spans)} granted")
+
+    def rules(self, **wanted):
+        """Another operator's file for all: each is started anew with it, one after another."""
+        self.fleet.agreed.update(wanted)
+        for member in self.fleet.all:
+            self.end(member.index)
+            self.start(member.index)
+
     def led_serves(self):
         self.ops(self.led.index, "/ops/readiness", 200)
 
--- a/tests/saved_list/folder_test.cpp
+++ b/tests/saved_list/folder_test.cpp
@@ -186,9 +186,9 @@
 }
 
 TEST_F(ListFolder, TwoProgramsOnOneFolderAreToldApart) {
-    const FolderLock first(path_);
+    const base::FolderLock first(path_);
     EXPECT_EQ(first.fault(), "");
-    const FolderLock second(path_);
+    const base::FolderLock second(path_);
     EXPECT_NE(second.fault().find("held by another program"), std::string::npos);
 }
 
@@ -330,7 +330,8 @@
     ASSERT_TRUE(found);
     EXPECT_EQ(found->list->last_seq, 3);
     EXPECT_EQ(found->lock->fault(), "");
-    EXPECT_NE(FolderLock(path_).fault(), "");  // locked before anything is written, however slow the disk
+    EXPECT_NE(base::FolderLock(path_).fault(),
+              "");  // locked before anything is written, however slow the disk
     EXPECT_FALSE(loading.take(std::chrono::milliseconds(0)));
 }
 
