--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -55,10 +55,12 @@
 
 // Of the peers: one for datagrams and one listener; their streams are within the servers' part.
 constexpr int kForPeers = 2;
+// Of the agreed log: connections with up to six other voters both ways, those that are coming up, its files.
+constexpr int kForAgreed = 32;
 
 int for_servers(int sockets, const config::Operator& setup) {
     return sockets - sockets / 2 - kReserve - (setup.signed_front ? setup.signed_front->connections : 0) -
-           (setup.peers ? kForPeers : 0);
+           (setup.peers ? kForPeers : 0) - (setup.agreed ? kForAgreed : 0);
 }
 
 // How many proxies each zone has by the settings, under the zones' names.
@@ -314,7 +316,14 @@
 
     ops::Reply left(const std::optional<rollout::Answer>& answer, bool drain, const std::string& member) {
         const bool granted = answer && answer->how == rollout::How::granted;
-        if (drain && granted) board.drain_start(), changed_board();
+        if (drain && granted) {
+            if (board.drain_start() != ops::Said::yes) {  // it ends, or is not ready yet: the lease goes back
+                leaving = false;
+                agreed->back(rollout::Kind::proxy, member, member, [](const auto&) {});
+                return {409, fmt::format("not while {}\n", ops::name_of(board.phase())), false};
+            }
+            changed_board();
+        }
         if (drain && !granted) leaving = board.drain_told();
         if (!answer) return {503, "no majority of the voters answered, call again\n", false};
         if (granted) return {200, fmt::format("{} out by lease {}\n", member, answer->number), false};
--- a/src/peers/raft_transport.cpp
+++ b/src/peers/raft_transport.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::size_t kNonce = 16, kCode = 16, kAddress = 64;
 constexpr std::size_t kHello = 8 + kAddress + kCode;  // id, address, code over nonce, id and address
-constexpr std::size_t kMostHands = 32;
+constexpr std::size_t kMostHands = 12;                // those that are coming up; beyond it the oldest goes
 constexpr base::Micros kHandPatience = 1'000'000;
 constexpr int kBacklog = 64;
 
