--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -21,6 +21,7 @@
 #include "cli/expect_command.h"
 #include "cli/group_command.h"
 #include "cli/list_command.h"
+#include "cli/release_command.h"
 #include "cli/rollout_command.h"
 #include "cli/store_command.h"
 #include "config/config.h"
@@ -47,6 +48,7 @@
     double expires_in = 600;
     bool json = false, force = false;
     ExpectFlags expect;
+    ReleaseFlags release;
 };
 
 // Prints a link, or a token, signed by the operator's keys: for course pages' own tests and for trying out.
@@ -84,6 +86,13 @@
     return rollout_command(flags.at, flags.words, flags.force, flags.json) ? 0 : 1;
 }
 
+int release(const Flags& flags) {
+    if (flags.at.empty()) return wrong("no proxy: give --at ADDRESS, its operators' address");
+    ReleaseFlags of = flags.release;
+    of.at = flags.at, of.words = flags.words, of.force = flags.force, of.json = flags.json;
+    return release_command(of);
+}
+
 int store(const Flags& flags) {
     if (flags.at.empty()) return wrong("no member: give --at ADDRESS");
     return store_command(flags.at, flags.words) ? 0 : 1;
@@ -237,7 +246,20 @@
                 json(sub);
                 sub.add_option("-a,--at", flags_.at, "The operators' address of a proxy");
                 sub.add_flag("--force", flags_.force, "Also where the rules say no; kept on record");
-                sub.add_option("words", flags_.words, "show (the default), down ID, up ID, drain or undrain");
+                sub.add_option("words", flags_.words,
+                               "show (the default), explain MEMBER, down ID, up ID, drain or undrain");
+            });
+        command(
+            "release", "Releases in waves: start PLAN, status, list, halt, resume, back, wait",
+            [this] { return release(flags_); },
+            [this](CLI::App& sub) {
+                json(sub);
+                sub.add_option("-a,--at", flags_.at, "The operators' address of a proxy");
+                sub.add_option("-m,--member", flags_.release.member, "wait: for whose turn");
+                sub.add_option("--timeout", flags_.release.timeout_s, "wait: seconds; default: 3600");
+                sub.add_flag("--force", flags_.force, "wait: also where the rules say no; kept on record");
+                sub.add_option("words", flags_.words,
+                               "start PLAN, status (the default), list, halt, resume, back or wait");
             });
         expect();
         command(
--- a/src/cli/ops_call.cpp
+++ b/src/cli/ops_call.cpp
@@ -1,5 +1,6 @@
 #include "cli/ops_call.h"
 
+#include <fmt/format.h>
 #include <http_parser.h>
 
 #include "config/config.h"
@@ -51,12 +52,14 @@
 
 }  // namespace
 
-OpsAnswer ops_call(const std::string& address, const std::string& method, const std::string& path) {
+OpsAnswer ops_call(const std::string& address, const std::string& method, const std::string& path,
+                   const std::string& body) {
     sockaddr_in to{};
     if (!net::read_address(address, to)) throw config::ConfigError("no address of a proxy: " + address);
     net::Loop loop;
     net::Budget budget(4);
-    Caller caller(loop, method + " " + path + " HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\n\r\n");
+    Caller caller(loop, fmt::format("{} {} HTTP/1.1\r\nHost: ops\r\nContent-Length: {}\r\n\r\n{}", method,
+                                    path, body.size(), body));
     if (!net::Stream::connect(loop, budget, to, caller))
         throw config::ConfigError("no connection to " + address);
     loop.deadlines().set(loop.clock().now() + kPatience, [&loop] { loop.stop(); });
--- a/src/cli/ops_call.h
+++ b/src/cli/ops_call.h
@@ -11,6 +11,7 @@
 };
 
 // Throws ConfigError where there is no such address, nobody answers in time, or the answer can't be read.
-OpsAnswer ops_call(const std::string& address, const std::string& method, const std::string& path);
+OpsAnswer ops_call(const std::string& address, const std::string& method, const std::string& path,
+                   const std::string& body = {});
 
 }  // namespace sumackeel::cli
--- /dev/null
+++ b/src/cli/release_command.cpp
@@ -0,0 +1,109 @@
+#include "cli/release_command.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <json/json.h>
+
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include "cli/ops_call.h"
+#include "config/config.h"
+
+namespace sumackeel::cli {
+
+namespace {
+
+constexpr int kNothingToDo = 3;
+constexpr std::chrono::milliseconds kAskAgain{500};
+
+std::string text_of(const Json::Value& value, const char* name) {
+    return value[name].asString();
+}
+
+void print_one(const Json::Value& one) {
+    fmt::print("{:>4} {} of {} from {} to {}: {}{}, wave {} of {}, since {:%Y-%m-%d %H:%M:%S} UTC ({})\n",
+               one["number"].asUInt64(), text_of(one, "name"), text_of(one, "what"), text_of(one, "from"),
+               text_of(one, "to"), text_of(one, "stage"),
+               one.isMember("held") ? " while " + text_of(one, "held") : "", one["wave"].asUInt64(),
+               one["waves"].asUInt64(), fmt::gmtime(static_cast<std::time_t>(one["since"].asDouble())),
+               text_of(one, "reason"));
+}
+
+void print_sum(const Json::Value& active, const char* name) {
+    if (!active.isMember(name)) return;
+    const Json::Value& sum = active[name];
+    fmt::print("{:<8} {} members, {} requests: {} in time, {} refused, {} failed, own time {} us\n", name,
+               sum["members"].asUInt64(), sum["requests"].asUInt64(), sum["in_time"].asUInt64(),
+               sum["refused"].asUInt64(), sum["failed"].asUInt64(), sum["own_us"].asUInt64());
+}
+
+void print_status(const Json::Value& root) {
+    if (!root.isMember("active")) return fmt::print("no release is under way\n");
+    const Json::Value& active = root["active"];
+    print_one(active);
+    for (const Json::Value& one : active["members"])
+        fmt::print("  wave {} {:<16} {:<10} runs {}{}\n", one["wave"].asUInt64(), text_of(one, "name"),
+                   text_of(one, "state"), text_of(one, "runs"),
+                   one.isMember("lease") ? fmt::format(", lease {}", one["lease"].asUInt64()) : "");
+    print_sum(active, "changed"), print_sum(active, "others");
+}
+
+std::string file_text(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) throw config::ConfigError("can't read " + path);
+    return text.str();
+}
+
+// Asks until it is the member's turn, there is nothing to do, or the time is over. The proxy asked may be
+// away.
+int wait(const ReleaseFlags& flags) {
+    if (flags.member.empty()) throw config::ConfigError("release wait needs --member NAME");
+    const auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(flags.timeout_s);
+    std::string said, before;
+    for (;; std::this_thread::sleep_for(kAskAgain)) {
+        try {
+            const OpsAnswer answer = ops_call(
+                flags.at, "POST", "/ops/release/turn/" + flags.member + (flags.force ? "?force=1" : ""));
+            said = answer.body;
+            if (answer.status == 200) return fmt::print("{}", said), 0;
+            if (answer.status == 404) return fmt::print("{}", said), kNothingToDo;
+        } catch (const config::ConfigError& fault) {
+            said = std::string(fault.what()) + "\n";
+        }
+        if (said != before) fmt::print(stderr, "{}", before = said);
+        if (std::chrono::steady_clock::now() >= end) return fmt::print("{}", said), 1;
+    }
+}
+
+}  // namespace
+
+int release_command(const ReleaseFlags& flags) {
+    const std::string word = flags.words.empty() ? "status" : flags.words.front();
+    const bool start = word == "start", look = word == "status" || word == "list";
+    const bool order = start || word == "halt" || word == "resume" || word == "back";
+    if (flags.words.size() != (start ? 2 : flags.words.empty() ? 0 : 1) || !(look || order || word == "wait"))
+        throw config::ConfigError("release takes start PLAN, status, list, halt, resume, back or wait");
+    if (word == "wait") return wait(flags);
+    const OpsAnswer answer =
+        look ? ops_call(flags.at, "GET", "/ops/release")
+             : ops_call(flags.at, "POST", "/ops/release/" + word, start ? file_text(flags.words[1]) : "");
+    if (answer.status == 404)
+        throw config::ConfigError(flags.at + " agrees on nothing: [agreed] is off there");
+    if (!look || flags.json || answer.status != 200) {
+        fmt::print("{}", answer.body);
+        return answer.status == 200 ? 0 : 1;
+    }
+    const Json::Value root = config::parse(answer.body, flags.at);
+    if (word == "status") return print_status(root), 0;
+    for (const Json::Value& one : root["past"]) print_one(one);
+    if (root.isMember("active")) print_one(root["active"]);
+    return 0;
+}
+
+}  // namespace sumackeel::cli
--- a/src/cli/rollout_command.cpp
+++ b/src/cli/rollout_command.cpp
@@ -36,14 +36,15 @@
                      bool json) {
     const std::string word = words.empty() ? "show" : words.front();
     const bool show = word == "show", drain = word == "drain" || word == "undrain";
-    const bool of_one = word == "down" || word == "up";
+    const bool explain = word == "explain", of_one = word == "down" || word == "up" || explain;
     if (words.size() > (of_one ? 2 : 1) || (of_one && words.size() < 2) || !(show || drain || of_one))
-        throw config::ConfigError("rollout takes show, down ID, up ID, drain or undrain");
-    const std::string path = show     ? "/ops/rollout"
-                             : of_one ? "/ops/pop-caches/" + word + "/" + words[1]
-                                      : std::string("/ops/drain/") + (word == "drain" ? "start" : "stop");
+        throw config::ConfigError("rollout takes show, explain MEMBER, down ID, up ID, drain or undrain");
+    const std::string path = show      ? "/ops/rollout"
+                             : explain ? "/ops/rollout/explain/" + words[1]
+                             : of_one  ? "/ops/pop-caches/" + word + "/" + words[1]
+                                       : std::string("/ops/drain/") + (word == "drain" ? "start" : "stop");
     const OpsAnswer answer =
-        ops_call(address, show ? "GET" : "POST", path + (force && !show ? "?force=1" : ""));
+        ops_call(address, show || explain ? "GET" : "POST", path + (force && !show ? "?force=1" : ""));
     if (show && answer.status == 404)
         throw config::ConfigError(address + " agrees on nothing: [agreed] is off there");
     if (!show || json || answer.status != 200)
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -115,6 +115,9 @@
          "Name of the group, 40 characters at most. Words of another group are passed over."},
         {"peers", "name", Type::text, false, 0, 0, "", "",
          "This member's name, none other's in the group. Default: the platform's name."},
+        {"peers", "version", Type::text, false, 0, 0, "", "",
+         "What this proxy says that it runs, for releases of settings too; default: the program's version. "
+         "Read anew at a reload."},
         {"peers", "listen", Type::address, true, 0, 0, "", "",
          "Where the others reach this one: datagrams and streams at one port."},
         {"peers", "advertise", Type::address, false, 0, 0, "", "",
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -123,6 +123,7 @@
     peers.folder = path_of(file, at, "folder", folder);
     peers.seeds = file.list(at, "seeds");
     peers.reach = file.named(at, "reach");
+    peers.version = file.text(at, "version");
     peers.period = file.whole(at, "period_ms") * 1000;
     peers.probe_timeout = file.whole(at, "probe_timeout_ms") * 1000;
     peers.indirect = static_cast<int>(file.whole(at, "indirect"));
@@ -139,6 +140,7 @@
                std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > ' ' && c < 0x7f; });
     };
     if (!sound(peers.group, 40)) bad(file.where(at, "group"), "over 40 characters, or blanks in it");
+    if (!sound(peers.version, 64)) bad(file.where(at, "version"), "over 64 characters, or blanks in it");
     if (!sound(peers.name, 64)) bad(file.where(at, "name"), "over 64 characters, or blanks in it");
     return peers;
 }
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -63,6 +63,7 @@
 struct Peers {
     std::string group, name;  // name: empty: the platform's
     std::string listen, advertise, key_file, folder;
+    std::string version;  // what it says that it runs; empty: the program's
     std::vector<std::string> seeds;
     std::map<std::string, std::string>
         reach;  // by the address a member tells, where this one reaches it instead
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -3,6 +3,7 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <bit>
 #include <charconv>
 #include <exception>
 
@@ -123,6 +124,12 @@
     const std::uint64_t cookie = request->cookie;
     log::debug("answered req={} how={} attempts={} left_us={}", request->name, static_cast<int>(reply.how),
                request->attempts, request->deadline - clock_.now());
+    ++figures_.answered[static_cast<std::size_t>(reply.how)];
+    if (reply.how == Answered::served || reply.how == Answered::same) {
+        const Micros took = clock_.now() - (request->deadline - request->ask.left);
+        const auto place = std::bit_width(static_cast<std::uint64_t>(std::max<Micros>(0, took - 1)) / 1'000);
+        ++figures_.took[std::min<std::size_t>(figures_.took.size() - 1, static_cast<std::size_t>(place))];
+    }
     ids_.erase(request->ask.id);
     requests_.remove(handle);
     asker->answer(cookie, std::move(reply));
@@ -253,6 +260,10 @@
     if (forbidden || limit <= 0 || request->attempts > settings_.most_tries)
         return ended(handle, Ending{.verdict = limit <= 0 ? Verdict::timed_out : Verdict::never_sent});
     request->out.push_back(handle);
+    if (request->attempts == 1) {
+        figures_.own_us += static_cast<std::uint64_t>(std::max<Micros>(0, request->ask.left - left));
+        ++figures_.sent;
+    }
     attempts_.find(handle)->limit = deadlines_.set(now + limit, [this, handle] {
         const bool written = upstream_->stop(handle);
         ended(handle, Ending{.verdict = written ? Verdict::timed_out : Verdict::not_connected});
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -2,6 +2,7 @@
 // exactly one final answer. It knows no wire: fronts hand it requests, upstream carries its attempts.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -78,6 +79,14 @@
     std::int64_t dated_ms = 0;  // Unix time at which the origin gave out this copy; 0: not told
 };
 
+// What came of requests since the start.
+struct Figures {
+    std::uint64_t answered[5] = {};  // by Answered
+    std::array<std::uint64_t, 16>
+        took{};  // of those served: up to 2^i ms; the last one takes all that is longer
+    std::uint64_t own_us = 0, sent = 0;  // from taking a request to its first attempt, summed; of how many
+};
+
 class Upstream {
   public:
     virtual ~Upstream() = default;
@@ -104,6 +113,7 @@
     void run();                            // works off what has come in
 
     std::size_t open_requests() const { return requests_.size(); }
+    const Figures& figures() const { return figures_; }
     // The process is to be gone by `at`: what the module has not answered by then gets the core's own last
     // word (out of time) at `at`, so that no client is left with a connection that dies unanswered. Requests
     // taken from now on have until then and no longer: what can't end by `at` is refused at once.
@@ -167,6 +177,7 @@
     std::deque<nettlethread::Event> events_;
     std::vector<nettlethread::Action> actions_;
     bool running_ = false;
+    Figures figures_;
     Micros last_word_ = 0;  // 0: no end is near
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -22,6 +22,7 @@
 #include "ops/board.h"
 #include "peers/agreed.h"
 #include "peers/peers.h"
+#include "peers/releases.h"
 #include "store/member.h"
 #include "store/redis_one_time.h"
 #include "upstream/pool.h"
@@ -139,6 +140,7 @@
     std::unique_ptr<peers::Peers> peers;  // off unless the operator's file names them
     std::unique_ptr<Leaves> leaves;
     std::unique_ptr<peers::Agreed> agreed;
+    std::unique_ptr<peers::Releases> releases;
     bool leaving = false;      // an own drain was asked for, and holds or may yet be granted
     bool giving_back = false;  // of our own lease, under way
     uv_signal_t term{}, hangup{};
@@ -196,9 +198,11 @@
         if (setup.agreed) start_agreed(*setup.agreed);
         if (!c.ops.empty())
             ops_front = std::make_unique<front_ops::Front>(
-                loop, c.ops, [this](const ops::Call& call, const front_ops::Later& later) {
+                loop, c.ops,
+                [this](const ops::Call& call, const front_ops::Later& later) {
                     return take_call(call, later);
-                });
+                },
+                agreed ? front_ops::Front::kLongestPlan : front_ops::Front::kLongestCall);
         become_able(loop.clock().now() + kLearnWithin);
         loop.each_turn([this] { core.run(); });
         uv_async_init(loop.raw(), &told, [](uv_async_t* handle) {
@@ -224,8 +228,8 @@
         const auto zone = static_cast<std::size_t>(std::max(0, config.site.settings.my_zone));
         peers = std::make_unique<peers::Peers>(
             loop, sockets, talk, zone < config.site.zones.size() ? config.site.zones[zone] : "",
-            base::kVersion, config.seed, counts_of(config.site), config.inherited_fd >= 0,
-            [this](const std::map<std::string, int>& counts) {
+            talk.version.empty() ? base::kVersion : talk.version, config.seed, counts_of(config.site),
+            config.inherited_fd >= 0, [this](const std::map<std::string, int>& counts) {
                 auto news = group_news(config.site, counts);
                 log::info("group: {} proxies are counted", news.instances);
                 core.tell(std::move(news));
@@ -252,7 +256,7 @@
         }
         leaving = board.drain_told();
         carry_out();
-        give_back_own();
+        follow_own();
     }
 
     void start_agreed(const config::Agreed& setup) {
@@ -266,8 +270,44 @@
             [this](const rollout::State& state) {
                 log::info("agreed: revision {}, {} out by lease", state.revision(), state.leases().size());
                 carry_out();
-                give_back_own();
+                follow_own();
+                if (releases) releases->changed();
             });
+        releases = std::make_unique<peers::Releases>(
+            loop, *peers, *agreed, [this] { return tally(); }, [this] { return board.ready(); });
+    }
+
+    rollout::Tally tally() const {
+        const core::Figures& figures = core.figures();
+        const auto count = [&](core::Answered how) { return figures.answered[static_cast<int>(how)]; };
+        rollout::Tally all;
+        all.served = count(core::Answered::served) + count(core::Answered::same);
+        all.refused = count(core::Answered::refused);
+        all.failed = count(core::Answered::failed) + count(core::Answered::out_of_time);
+        all.took = figures.took, all.own_us = figures.own_us, all.sent = figures.sent;
+        std::size_t resident = 0;
+        if (uv_resident_set_memory(&resident) == 0) all.memory_kb = resident / 1024;
+        return all;
+    }
+
+    // The lease of a release's turn sends this process's clients away. Once that is done, by a process that
+    // replaced the one that had the turn or by settings read anew, the drain ends and the lease is given
+    // back.
+    void follow_own() {
+        if (!agreed) return;
+        const group::Word& self = peers->group().self();
+        const rollout::Lease* lease = agreed->state().find(rollout::Kind::proxy, self.name);
+        const rollout::Release* release = agreed->state().releases().active();
+        if (lease && lease->release != 0 && board.phase() != ops::Phase::starting) {
+            const bool done =
+                self.stamp.start > lease->start || !release || self.version == release->wanted();
+            if (done == leaving) {
+                leaving = !done;
+                done ? board.drain_stop() : board.drain_start();
+                changed_board();
+            }
+        }
+        give_back_own();
     }
 
     // A lease of this proxy that serves again, or was replaced by a process that does, is given back by
@@ -314,6 +354,67 @@
         return true;
     }
 
+    // Releases: what is said of them, and what operators and installers ask.
+    std::optional<ops::Reply> take_release(const ops::Call& call, const front_ops::Later& later) {
+        const bool forced = call.path.ends_with("?force=1");
+        std::string_view word = call.path.substr(0, call.path.find('?'));
+        word.remove_prefix(std::min(word.size(), std::string_view("/ops/release").size()));
+        if (word.empty() && call.method == "GET") return ops::Reply{200, releases->as_json(), false};
+        if (call.method != "POST") return ops::Reply{405, "POST alone\n", false};
+        constexpr std::string_view kTurn = "/turn/";
+        if (word.starts_with(kTurn)) {
+            const std::string member(word.substr(kTurn.size()));
+            if (!ops::sound_id(member)) return ops::Reply{400, "no member in the path\n", false};
+            agreed->turn(member, forced, [this, later, member](const std::optional<rollout::Answer>& answer) {
+                if (answer && answer->how == rollout::How::nothing)
+                    return later({404, fmt::format("nothing to do: {}\n", answer->reason), false});
+                const bool own = member == peers->group().self().name;
+                if (own && answer && answer->how == rollout::How::granted && !std::exchange(leaving, true))
+                    board.drain_start(), changed_board();  // at once, before the log tells
+                later(left(answer, false, member));
+            });
+            return std::nullopt;
+        }
+        rollout::Order order{
+            .verb = rollout::Verb::start, .by = peers->group().self().name, .plan = {}, .there = {}};
+        for (const auto verb : {rollout::Verb::halt, rollout::Verb::resume, rollout::Verb::back})
+            if (word.substr(std::min<std::size_t>(1, word.size())) == name_of(verb)) order.verb = verb;
+        if (order.verb == rollout::Verb::start && word != "/start")
+            return ops::Reply{404, fmt::format("no call {}\n", call.path), false};
+        if (order.verb == rollout::Verb::start) try {
+                std::vector<std::string> all;
+                for (const rollout::Seen& seen : leaves->proxies(peers->group(), false))
+                    all.push_back(seen.name);
+                std::sort(all.begin(), all.end());
+                order.plan = rollout::read_plan(std::string(call.body), "plan", all);
+            } catch (const std::exception& wrong) {
+                return ops::Reply{400, fmt::format("{}\n", wrong.what()), false};
+            }
+        agreed->order(order, [later, verb = order.verb](const std::optional<rollout::Answer>& answer) {
+            if (!answer) return later({503, "no majority of the voters answered, call again\n", false});
+            if (answer->how != rollout::How::granted)
+                return later({409, fmt::format("not now: {}\n", answer->reason), false});
+            later({200, fmt::format("release {}: {}\n", answer->number, name_of(verb)), false});
+        });
+        return std::nullopt;
+    }
+
+    ops::Reply explain(const std::string& member) const {
+        const auto answer = agreed->explain(member);
+        if (!answer) return {404, fmt::format("nobody knows {}\n", member), false};
+        const rollout::Lease* held = agreed->state().find(rollout::Kind::proxy, member);
+        if (!held) held = agreed->state().find(rollout::Kind::pop_cache, member);
+        if (held)
+            return {200,
+                    fmt::format("{} is out by lease {}, asked for by {}\n", member, held->number, held->by),
+                    false};
+        if (answer->how == rollout::How::granted) return {200, fmt::format("{} may leave\n", member), false};
+        return {200,
+                fmt::format("{} may not leave: {}{}{}\n", member, answer->reason,
+                            answer->waits_for.empty() ? "" : "; out: ", fmt::join(answer->waits_for, ",")),
+                false};
+    }
+
     ops::Reply left(const std::optional<rollout::Answer>& answer, bool drain, const std::string& member) {
         const bool granted = answer && answer->how == rollout::How::granted;
         if (drain && granted) {
@@ -326,7 +427,11 @@
         }
         if (drain && !granted) leaving = board.drain_told();
         if (!answer) return {503, "no majority of the voters answered, call again\n", false};
-        if (granted) return {200, fmt::format("{} out by lease {}\n", member, answer->number), false};
+        if (granted)
+            return {200,
+                    fmt::format("{} out by lease {}{}{}\n", member, answer->number,
+                                answer->reason.empty() ? "" : ", to run ", answer->reason),
+                    false};
         return {409,
                 fmt::format("not now: {}{}{}\n", answer->reason,
                             answer->waits_for.empty() ? "" : "; out: ", fmt::join(answer->waits_for, ",")),
@@ -393,6 +498,10 @@
         front.set_limits(front_limits(fresh.config));
         if (signed_front && fresh.setup.signed_front) signed_front->renew(*fresh.setup.signed_front);
         fleet->renew(fresh.config, fresh.setup);
+        if (peers && fresh.setup.peers) {
+            peers->runs(fresh.setup.peers->version.empty() ? base::kVersion : fresh.setup.peers->version);
+            follow_own();
+        }
         core.run();
         log::info("configuration read anew");
     }
@@ -400,6 +509,10 @@
     std::optional<ops::Reply> take_call(const ops::Call& call, const front_ops::Later& later) {
         if (agreed && call.path == "/ops/rollout" && call.method == "GET")
             return ops::Reply{200, agreed->as_json(), false};
+        constexpr std::string_view kExplain = "/ops/rollout/explain/";
+        if (agreed && call.path.starts_with(kExplain) && call.method == "GET")
+            return explain(std::string(call.path.substr(kExplain.size())));
+        if (agreed && call.path.starts_with("/ops/release")) return take_release(call, later);
         if (agreed && take_leave(call, later)) return std::nullopt;
         if (peers && call.path == "/ops/group" && call.method == "GET")
             return ops::Reply{200, peers->as_json(), false};
--- a/src/front_ops/front.cpp
+++ b/src/front_ops/front.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// A call is a line and a few headers; anything larger is no operator's.
-constexpr std::size_t kLongestCall = 8 * 1024;
 // Each answer is due within 1 s; a caller that has not sent its call whole by then never will.
 constexpr base::Micros kPatience = 1'000'000;
 
@@ -44,7 +42,7 @@
 struct Front::Caller : net::Guest {
     Front& front;
     http_parser parser{};
-    std::string url;
+    std::string url, body;
     std::size_t read = 0;
     bool whole = false, answered = false;
 
@@ -61,6 +59,10 @@
                 static_cast<Caller*>(p->data)->url.append(at, n);
                 return 0;
             };
+            s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+                static_cast<Caller*>(p->data)->body.append(at, n);
+                return 0;
+            };
             s.on_message_complete = [](http_parser* p) {
                 static_cast<Caller*>(p->data)->whole = true;
                 http_parser_pause(p, 1);
@@ -73,12 +75,13 @@
 
     void received(net::Stream& stream, std::string_view bytes) override {
         if (answered) return;  // one call a connection: what follows it is not read
-        if ((read += bytes.size()) > kLongestCall) return answer(stream, {431, "the call is too long\n"});
+        if ((read += bytes.size()) > front.longest_call_)
+            return answer(stream, {431, "the call is too long\n"});
         http_parser_execute(&parser, &calls(), bytes.data(), bytes.size());
         const auto fault = HTTP_PARSER_ERRNO(&parser);
         if (fault != HPE_OK && fault != HPE_PAUSED) return answer(stream, {400, "the call can't be read\n"});
         if (!whole) return front.door_.now(*this, net::Doing::sending);
-        const ops::Call call{http_method_str(static_cast<http_method>(parser.method)), url};
+        const ops::Call call{http_method_str(static_cast<http_method>(parser.method)), url, body};
         answered = true;
         front.door_.now(*this, net::Doing::busy);  // no longer one to let go for room
         const auto reply = front.taker_(call, [owner = &front, me = number()](const ops::Reply& late) {
@@ -98,8 +101,9 @@
     void left() override {}
 };
 
-Front::Front(net::Loop& loop, const std::string& listen, Taker taker)
+Front::Front(net::Loop& loop, const std::string& listen, Taker taker, std::size_t longest_call)
     : taker_(std::move(taker)),
+      longest_call_(longest_call),
       door_(loop, listen, kPlaces, {.request = kPatience, .idle = kPatience, .reading = kPatience},
             [this] { return std::make_unique<Caller>(*this); }) {}
 
--- a/src/front_ops/front.h
+++ b/src/front_ops/front.h
@@ -22,7 +22,11 @@
     // A third of the daemon's reserve of 24 descriptors.
     static constexpr int kPlaces = 8;
 
-    Front(net::Loop& loop, const std::string& listen, Taker taker);
+    // A call is a line and a few headers, and where releases are on at most a plan; anything larger is no
+    // operator's.
+    static constexpr std::size_t kLongestCall = 8 * 1024, kLongestPlan = 64 * 1024;
+
+    Front(net::Loop& loop, const std::string& listen, Taker taker, std::size_t longest_call = kLongestCall);
     int port() const { return door_.port(); }
     void stop_listening() { door_.stop_listening(); }
     std::size_t connections() const { return door_.connections(); }
@@ -30,6 +34,7 @@
   private:
     struct Caller;
     Taker taker_;
+    std::size_t longest_call_;
     net::Door door_;
 };
 
--- a/src/group/group.cpp
+++ b/src/group/group.cpp
@@ -438,6 +438,13 @@
     wants_start_ = 0;
 }
 
+void Group::runs(Micros now, const std::string& version) {
+    if (version == self_.version) return;
+    notice(now);
+    self_.version = version;
+    ++self_.stamp.incarnation;
+}
+
 void Group::take_doubt(const Doubt& doubt, const std::string& teller) {
     if (doubt.about == self_.name) {
         if (doubt.on && doubt.stamp.start == self_.stamp.start &&
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -99,6 +99,8 @@
     // Its own start number is to be raised to this on disk, after which restarted() is called; 0: no.
     std::uint64_t wants_start() const { return wants_start_; }
     void restarted(Micros now, std::uint64_t start);
+    // Runs another version from now on: a fresher word of its own.
+    void runs(Micros now, const std::string& version);
     int health() const { return health_; }
     std::vector<Seen> seen() const;
     std::optional<State> state_of(const std::string& name) const;
--- a/src/ops/calls.h
+++ b/src/ops/calls.h
@@ -12,7 +12,7 @@
 namespace sumackeel::ops {
 
 struct Call {
-    std::string_view method, path;
+    std::string_view method, path, body = {};
 };
 
 struct Reply {
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -5,11 +5,11 @@
 #include <algorithm>
 #include <cstring>
 #include <filesystem>
-#include <msgpack.hpp>
 #include <stdexcept>
 
 #include "base/files.h"
 #include "base/log.h"
+#include "base/packed.h"
 #include "peers/raft_transport.h"
 
 namespace sumackeel::peers {
@@ -33,20 +33,9 @@
 constexpr const char* kWishVerb = "wish";
 constexpr const char* kStateVerb = "state";
 
-struct Wanted {
-    bool back = false, forced = false;
-    Kind kind = Kind::proxy;
-    std::string member, by;
-};
-
-std::string encode(const Wanted& wanted) {
-    msgpack::sbuffer buffer;
-    msgpack::packer out(buffer);
-    out.pack_array(5);
-    out.pack(wanted.back), out.pack(wanted.forced), out.pack(static_cast<int>(wanted.kind));
-    out.pack(wanted.member), out.pack(wanted.by);
-    return {buffer.data(), buffer.size()};
-}
+// What somebody wants of the leader.
+enum class What : std::uint8_t { leave, back, turn, order };
+constexpr std::size_t kMostBody = 1 << 20;
 
 // Of a voter to one that asked: whether it could, who leads, and what came of it.
 struct Said {
@@ -55,36 +44,17 @@
 };
 
 std::string encode(const Said& said) {
-    msgpack::sbuffer buffer;
-    msgpack::packer out(buffer);
-    out.pack_array(3);
-    out.pack(said.done), out.pack(said.leader), out.pack(said.body);
-    return {buffer.data(), buffer.size()};
-}
-
-const msgpack::object_array& list_of(const msgpack::object_handle& handle, std::size_t size) {
-    if (handle.get().type != msgpack::type::ARRAY || handle.get().via.array.size < size)
-        throw std::runtime_error("an answer that can't be read");
-    return handle.get().via.array;
-}
-
-Wanted wanted_in(const std::string& body) {
-    const auto handle = msgpack::unpack(body.data(), body.size());
-    const auto& at = list_of(handle, 5);
-    Wanted wanted{at.ptr[0].as<bool>(), at.ptr[1].as<bool>(), Kind::proxy, at.ptr[3].as<std::string>(),
-                  at.ptr[4].as<std::string>()};
-    const int kind = at.ptr[2].as<int>();
-    if (kind < 0 || kind > 1 || wanted.member.size() > rollout::kLongestName ||
-        wanted.by.size() > rollout::kLongestName)
-        throw std::runtime_error("a wish that can't be read");
-    wanted.kind = static_cast<Kind>(kind);
-    return wanted;
+    base::Packed out;
+    return out.array(3).add(said.done, said.leader, said.body).bytes();
 }
 
 Said said_in(const std::string& body) {
-    const auto handle = msgpack::unpack(body.data(), body.size());
-    const auto& at = list_of(handle, 3);
-    return {at.ptr[0].as<bool>(), at.ptr[1].as<std::string>(), at.ptr[2].as<std::string>()};
+    const base::Unpacked whole = base::unpacked(body, 16, kLongestCall);
+    base::Fields at = whole.fields(3);
+    Said said;
+    said.done = at.next<bool>(), said.leader = at.text(rollout::kLongestName);
+    said.body = at.text(kLongestCall);
+    return said;
 }
 
 rollout::Rules rules_of(const config::LeaveRules& rules) {
@@ -103,6 +73,35 @@
 
 }  // namespace
 
+struct Agreed::Wanted {
+    What what = What::leave;
+    bool forced = false;
+    Kind kind = Kind::proxy;
+    std::string member, by;
+    std::string body;         // an order, as the log holds it
+    rollout::Runs runs = {};  // of a proxy that asks for itself
+
+    std::string encode() const {
+        base::Packed out;
+        return out.array(8)
+            .add(static_cast<int>(what), forced, static_cast<int>(kind), member, by, body, runs.start,
+                 runs.version)
+            .bytes();
+    }
+    static Wanted read(const std::string& bytes) {
+        const base::Unpacked whole = base::unpacked(bytes, 16, kMostBody);
+        base::Fields at = whole.fields(8);
+        Wanted wanted;
+        wanted.what = at.word(What::order), wanted.forced = at.next<bool>();
+        wanted.kind = at.word(Kind::pop_cache);
+        wanted.member = at.text(rollout::kLongestName), wanted.by = at.text(rollout::kLongestName);
+        wanted.body = at.text(kMostBody);
+        wanted.runs.start = at.next<std::uint64_t>();
+        wanted.runs.version = at.text(rollout::kLongestName);
+        return wanted;
+    }
+};
+
 struct Agreed::Wish {
     Wanted wanted;
     Told told;
@@ -288,16 +287,29 @@
         return {};
     }
 
-    void propose(const Wanted& wanted, std::function<void(std::optional<Answer>)> done) {
+    // What is wanted as a command, with all that it is judged by.
+    std::string command_of(const Wanted& wanted) {
         const Micros now = owner.loop_.clock().now();
-        std::string command;
-        if (wanted.back)
-            command = rollout::encode(rollout::Back{wanted.kind, wanted.member, wanted.by, now});
-        else
-            command = rollout::encode(rollout::Ask{
-                wanted.kind, wanted.member, wanted.by, wanted.forced, now,
-                rules_of(wanted.kind == Kind::proxy ? owner.setup_.proxies : owner.setup_.pop_caches),
-                owner.world_(wanted.kind)});
+        if (wanted.what == What::back)
+            return rollout::encode(rollout::Back{wanted.kind, wanted.member, wanted.by, now, wanted.runs});
+        if (wanted.what == What::order) {
+            rollout::Order order = rollout::order_in(wanted.body);
+            order.now = now, order.there.clear();
+            for (const rollout::Seen& seen : owner.world_(Kind::proxy))
+                if (!seen.out) order.there.push_back(seen.name);
+            return rollout::encode(order);
+        }
+        return rollout::encode(owner.ask_of(wanted));
+    }
+
+    void propose(const Wanted& wanted, std::function<void(std::optional<Answer>)> done) {
+        // Without a release there is no turn; asked as a plain leave it would be granted.
+        if (wanted.what == What::turn && !state.releases().active())
+            return done(Answer{rollout::How::nothing, 0, "no release is under way", {}});
+        propose(command_of(wanted), std::move(done));
+    }
+
+    void propose(const std::string& command, std::function<void(std::optional<Answer>)> done) {
         auto* applying = new Applying{{}, std::move(done)};
         applying->request.data = applying;
         const raft_buffer buffer = buffer_of(command);
@@ -318,8 +330,9 @@
                Changed changed)
     : loop_(loop), peers_(peers), setup_(setup), world_(std::move(world)), changed_(std::move(changed)) {
     const std::string& name = peers_.group().self().name;
-    peers_.on_call([this](const std::string& from, const std::string& verb, const std::string& body,
-                          const Peers::Say& say) { take(from, verb, body, say); });
+    for (const char* verb : {kWishVerb, kStateVerb})
+        peers_.on_call(verb, [this](const std::string& from, const std::string& of, const std::string& body,
+                                    const Peers::Say& say) { take(from, of, body, say); });
     if (setup_.voters.contains(name)) {
         voter_ = std::make_unique<Voter>(*this, name);
         // Danger: two processes at one log would ruin it. The one before this one gives the folder back when
@@ -360,7 +373,7 @@
 
 void Agreed::shut() {
     alive_.reset();
-    peers_.on_call(nullptr);
+    for (const char* verb : {kWishVerb, kStateVerb}) peers_.no_calls(verb);
     if (poll_) loop_.deadlines().drop(*poll_), poll_.reset();
     if (voter_) voter_->shut();
 }
@@ -385,14 +398,72 @@
     return votes() ? !voter_->leader().empty() : known_;
 }
 
-void Agreed::ask(Kind kind, const std::string& member, const std::string& by, bool forced, Told told) {
+bool Agreed::leads() const {
+    return voter_ && voter_->leads();
+}
+
+rollout::Ask Agreed::ask_of(const Wanted& wanted) const {
+    rollout::Ask ask{
+        wanted.kind,         wanted.member,
+        wanted.by,           wanted.forced,
+        loop_.clock().now(), rules_of(wanted.kind == Kind::proxy ? setup_.proxies : setup_.pop_caches),
+        world_(wanted.kind)};
+    if (wanted.kind != Kind::proxy) return ask;
+    ask.runs = runs_of(wanted.member);
+    if (wanted.runs.start >= ask.runs.start) ask.runs = wanted.runs;
+    const rollout::Release* release = state().releases().active();
+    if (wanted.what == What::turn && release)
+        ask.release = release->number, ask.by = "release " + release->plan.name;
+    return ask;
+}
+
+std::optional<Answer> Agreed::explain(const std::string& member) const {
+    for (const Kind kind : {Kind::proxy, Kind::pop_cache}) {
+        const rollout::Ask ask = ask_of({What::leave, false, kind, member, {}, {}, {}});
+        const bool known = std::any_of(ask.world.begin(), ask.world.end(),
+                                       [&](const rollout::Seen& seen) { return seen.name == member; });
+        if (known || state().find(kind, member)) return state().judge(ask);
+    }
+    return std::nullopt;
+}
+
+rollout::Runs Agreed::runs_of(const std::string& member) const {
+    const group::Word word = peers_.word_of(member);
+    rollout::Runs runs{word.stamp.start, word.version};
+    const rollout::Release* release = state().releases().active();
+    if (!release) return runs;
+    const auto told = release->told.find(member);
+    return told != release->told.end() && told->second.start > runs.start ? told->second : runs;
+}
+
+void Agreed::want(Wanted wanted, Told told) {
+    const group::Word& self = peers_.group().self();
+    if (wanted.kind == Kind::proxy && wanted.member == self.name)
+        wanted.runs = {self.stamp.start, self.version};
     pursue(std::make_shared<Wish>(
-        Wish{{false, forced, kind, member, by}, std::move(told), loop_.clock().now() + kPatience, false}));
+        Wish{std::move(wanted), std::move(told), loop_.clock().now() + kPatience, false}));
+}
+
+void Agreed::ask(Kind kind, const std::string& member, const std::string& by, bool forced, Told told) {
+    want({What::leave, forced, kind, member, by, {}, {}}, std::move(told));
 }
 
 void Agreed::back(Kind kind, const std::string& member, const std::string& by, Told told) {
-    pursue(std::make_shared<Wish>(
-        Wish{{true, false, kind, member, by}, std::move(told), loop_.clock().now() + kPatience, false}));
+    want({What::back, false, kind, member, by, {}, {}}, std::move(told));
+}
+
+void Agreed::turn(const std::string& member, bool forced, Told told) {
+    want({What::turn, forced, Kind::proxy, member, {}, {}}, std::move(told));
+}
+
+void Agreed::order(const rollout::Order& order, Told told) {
+    want({What::order, false, Kind::proxy, {}, order.by, rollout::encode(order), {}}, std::move(told));
+}
+
+void Agreed::step(rollout::Step step, Told told) {
+    if (!leads()) return told(std::nullopt);
+    step.now = loop_.clock().now();
+    voter_->propose(rollout::encode(step), std::move(told));
 }
 
 void Agreed::settle(const std::shared_ptr<Wish>& wish, std::optional<Answer> answer) {
@@ -429,7 +500,7 @@
         to = voter->first;
     }
     if (to == peers_.group().self().name) return later(wish);
-    peers_.call(to, kWishVerb, encode(wish->wanted), std::min(kOneTry, wish->until - now),
+    peers_.call(to, kWishVerb, wish->wanted.encode(), std::min(kOneTry, wish->until - now),
                 [this, alive, wish](std::optional<std::string> body) {
                     if (alive.expired()) return;
                     leader_.clear();
@@ -456,7 +527,7 @@
             return say(encode(Said{known(), leader(), news ? voter_->state.encode() : std::string{}}));
         }
         if (verb != kWishVerb || !voter_->leads()) return no();
-        voter_->propose(wanted_in(body),
+        voter_->propose(Wanted::read(body),
                         [say, self = peers_.group().self().name](std::optional<Answer> answer) {
                             say(encode(Said{answer.has_value(), answer ? self : std::string{},
                                             answer ? rollout::encode(*answer) : std::string{}}));
--- a/src/peers/agreed.h
+++ b/src/peers/agreed.h
@@ -29,10 +29,22 @@
     Agreed(const Agreed&) = delete;
     Agreed& operator=(const Agreed&) = delete;
 
-    // Told within a second, from the loop.
+    // Each is told within a second, from the loop.
     void ask(rollout::Kind kind, const std::string& member, const std::string& by, bool forced, Told told);
     void back(rollout::Kind kind, const std::string& member, const std::string& by, Told told);
 
+    // A turn of the release under way, for whoever changes `member`.
+    void turn(const std::string& member, bool forced, Told told);
+    void order(const rollout::Order& order, Told told);
+    // Of a leader alone.
+    void step(rollout::Step step, Told told);
+    // What a leave of it would be answered now, by what this one knows; none: nobody knows it.
+    std::optional<rollout::Answer> explain(const std::string& member) const;
+    bool leads() const;
+
+    // What a proxy runs, by the freshest word of it that is known here.
+    rollout::Runs runs_of(const std::string& member) const;
+
     const rollout::State& state() const;
     bool known() const;  // the state was heard from a voter, or is a voter's own that has met a leader
     std::string leader() const;  // a member's name; empty: none is known
@@ -45,7 +57,10 @@
   private:
     struct Wish;
     struct Voter;
+    struct Wanted;
 
+    void want(Wanted wanted, Told told);
+    rollout::Ask ask_of(const Wanted& wanted) const;
     void pursue(std::shared_ptr<Wish> wish);
     void later(std::shared_ptr<Wish> wish);
     void settle(const std::shared_ptr<Wish>& wish, std::optional<rollout::Answer> answer);
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -35,8 +35,8 @@
     return options;
 }
 
-group::Word word_of(const config::Peers& setup, const std::string& zone, const std::string& version,
-                    std::uint64_t start, std::uint64_t life) {
+group::Word first_word(const config::Peers& setup, const std::string& zone, const std::string& version,
+                       std::uint64_t start, std::uint64_t life) {
     return {.name = setup.name,
             .address = setup.advertise.empty() ? setup.listen : setup.advertise,
             .zone = zone,
@@ -113,20 +113,13 @@
         if (over) return;
         peers.figures_.bytes_in += bytes.size();
         in += bytes;
-        while (!over && in.size() >= 4) {
-            std::size_t length = 0;
-            for (int i = 0; i < 4; ++i)
-                length = length << 8 | static_cast<unsigned char>(in[static_cast<std::size_t>(i)]);
-            if (length > kLongestFrame) {
-                ++peers.figures_.bad[static_cast<int>(Bad::oversized)];
-                return end(false);
-            }
-            if (in.size() < 4 + length) return;
-            Bad bad{};
-            const std::string bytes = in.substr(4, length);
-            in.erase(0, 4 + length);
-            if (!ours && Codec::is_call(bytes)) return take_call(bytes);
-            const auto frame = peers.codec_.read_frame(bytes, bad);
+        while (!over) {
+            bool oversized = false;
+            const auto whole = take_frame(in, oversized);
+            if (!whole && !oversized) return;
+            if (whole && !ours && Codec::is_call(*whole)) return take_call(*whole);
+            Bad bad = Bad::oversized;
+            const auto frame = whole ? peers.codec_.read_frame(*whole, bad) : std::nullopt;
             if (!frame) {
                 ++peers.figures_.bad[static_cast<int>(bad)];
                 return end(false);
@@ -144,12 +137,13 @@
             bad = Bad::foreign;
         else if (call && !peers.calls_seen_.fresh(call->from, call->start, call->sequence))
             bad = Bad::replayed;
-        else if (call && peers.take_) {
+        else if (const auto take = call ? peers.takes_.find(call->verb) : peers.takes_.end();
+                 take != peers.takes_.end()) {
             asked = *call;
             const std::weak_ptr<bool> alive = peers.alive_;
             Peers* owner = &peers;
             const std::uint64_t me = number = ++peers.calls_;
-            return peers.take_(call->from, call->verb, call->body, [alive, owner, me](std::string answer) {
+            return take->second(call->from, call->verb, call->body, [alive, owner, me](std::string answer) {
                 if (alive.expired()) return;
                 for (const auto& one : owner->exchanges_)
                     if (one->number == me) return one->answer(std::move(answer));
@@ -240,14 +234,11 @@
     void received(net::Stream&, std::string_view bytes) override {
         peers.figures_.bytes_in += bytes.size();
         in += bytes;
-        if (in.size() < 4) return;
-        std::size_t length = 0;
-        for (std::size_t i = 0; i < 4; ++i) length = length << 8 | static_cast<unsigned char>(in[i]);
-        if (length <= kLongestFrame && in.size() < 4 + length) return;
+        bool oversized = false;
+        const auto whole = take_frame(in, oversized);
+        if (!whole && !oversized) return;
         Bad bad = Bad::oversized;
-        const auto back = length > kLongestFrame
-                              ? std::nullopt
-                              : peers.codec_.read_call(std::string_view(in).substr(4, length), bad);
+        const auto back = whole ? peers.codec_.read_call(*whole, bad) : std::nullopt;
         const bool ours = back && back->answer && back->from == call.to && back->to == call.from &&
                           back->start == call.start && back->sequence == call.sequence;
         if (!ours) ++peers.figures_.bad[static_cast<int>(back ? Bad::foreign : bad)];
@@ -257,18 +248,11 @@
         stream = nullptr;
         end({});
     }
-    // Danger: called from within the stream's own calls, so it is let go from the loop.
     void end(std::optional<std::string> answer) {
         if (!std::exchange(timed, false)) return;
         peers.loop_.deadlines().drop(by);
         if (stream) std::exchange(stream, nullptr)->close();
-        const auto found = std::find_if(peers.askings_.begin(), peers.askings_.end(),
-                                        [&](const auto& one) { return one.get() == this; });
-        if (found != peers.askings_.end()) {
-            std::shared_ptr<Asking> last(found->release());
-            peers.askings_.erase(found);
-            peers.loop_.deadlines().set(peers.loop_.clock().now(), [last] {});
-        }
+        peers.let_go(peers.askings_, *this);
         if (const Done tell = std::exchange(done, nullptr)) tell(std::move(answer));
     }
 };
@@ -304,7 +288,7 @@
       codec_(setup.group, load_keys(setup.key_file)),
       number_(setup.folder),
       rng_(seed ^ 0x9e3779b97f4a7c15ULL),
-      group_(options_of(setup), word_of(setup, zone, version, next_start(number_), new_life()), rng_(),
+      group_(options_of(setup), first_word(setup, zone, version, next_start(number_), new_life()), rng_(),
              steady()),
       counted_(std::move(counted)),
       told_(counted_at_first),
@@ -540,7 +524,17 @@
     exchanges_.push_back(std::move(exchange));
 }
 
-// Danger: called from within the exchange's own calls, so it is let go from the loop.
+// Danger: called from within the stream's own calls, so it is let go from the loop.
+template <typename Owner>
+void Peers::let_go(std::vector<std::unique_ptr<Owner>>& all, Owner& one) {
+    const auto found =
+        std::find_if(all.begin(), all.end(), [&](const auto& other) { return other.get() == &one; });
+    if (found == all.end()) return;
+    std::shared_ptr<Owner> last(found->release());
+    all.erase(found);
+    loop_.deadlines().set(loop_.clock().now(), [last] {});
+}
+
 void Peers::ended(Exchange& exchange, bool done) {
     if (std::exchange(exchange.timed, false)) loop_.deadlines().drop(exchange.by);
     if (exchange.ours && !done) ++figures_.exchanges_failed;
@@ -548,13 +542,19 @@
         group_.joined(steady());
         log::info("group: joined, {} members known", group_.size());
     }
-    const auto found = std::find_if(exchanges_.begin(), exchanges_.end(),
-                                    [&](const auto& one) { return one.get() == &exchange; });
-    if (found != exchanges_.end()) {
-        std::shared_ptr<Exchange> last(found->release());
-        exchanges_.erase(found);
-        loop_.deadlines().set(loop_.clock().now(), [last] {});
-    }
+    let_go(exchanges_, exchange);
+    if (!gone_) pump();
+}
+
+group::Word Peers::word_of(const std::string& name) const {
+    if (name == group_.self().name) return group_.self();
+    for (const group::Seen& seen : group_.seen())
+        if (seen.word.name == name) return seen.word;
+    return {};
+}
+
+void Peers::runs(const std::string& version) {
+    group_.runs(steady(), version);
     if (!gone_) pump();
 }
 
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -41,12 +41,13 @@
     Peers(const Peers&) = delete;
     Peers& operator=(const Peers&) = delete;
 
-    // Questions between members, over streams. `take` answers those that come, at once or later, from the
-    // loop.
+    // Questions between members, over streams. `take` answers those of a verb that come, at once or later,
+    // from the loop.
     using Say = std::function<void(std::string answer)>;
     using Take = std::function<void(const std::string& from, const std::string& verb, const std::string& body,
                                     Say say)>;
-    void on_call(Take take) { take_ = std::move(take); }
+    void on_call(const std::string& verb, Take take) { takes_[verb] = std::move(take); }
+    void no_calls(const std::string& verb) { takes_.erase(verb); }
     // `done` is told once, from the loop: the answer, or none within `patience`.
     using Done = std::function<void(std::optional<std::string> answer)>;
     void call(const std::string& to, const std::string& verb, std::string body, base::Micros patience,
@@ -56,10 +57,13 @@
     const config::Peers& setup() const { return setup_; }
     // Where this one reaches what tells that address.
     std::string reached_at(const std::string& told) const;
-    void leave();   // tells the others, then is silent
+    void runs(const std::string& version);  // from now on, as it says of itself
+    void leave();                           // tells the others, then is silent
     void silent();  // without a word: the process that takes over goes on under this name
     std::string as_json() const;
     const group::Group& group() const { return group_; }
+    // Of a member as it is known here, this one too; empty where it is not.
+    group::Word word_of(const std::string& name) const;
     int port() const;
 
   private:
@@ -76,6 +80,8 @@
     void join();
     void exchange(const std::string& address, const std::string& name);
     void ended(Exchange& exchange, bool done);
+    template <typename Owner>
+    void let_go(std::vector<std::unique_ptr<Owner>>& all, Owner& one);
     void raise_start(std::uint64_t at_least);
     void tell_changes();
     base::Micros steady() const;
@@ -98,7 +104,7 @@
     std::unique_ptr<net::Listener> listener_;
     std::vector<std::unique_ptr<Exchange>> exchanges_;
     std::vector<std::unique_ptr<Asking>> askings_;
-    Take take_;
+    std::map<std::string, Take> takes_;  // by verb
     Seen calls_seen_;
     std::uint64_t calls_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for answers that come later
--- a/src/peers/wire.cpp
+++ b/src/peers/wire.cpp
@@ -311,6 +311,17 @@
     }
 }
 
+std::optional<std::string> take_frame(std::string& in, bool& oversized) {
+    if (in.size() < 4) return std::nullopt;
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < 4; ++i) length = length << 8 | static_cast<unsigned char>(in[i]);
+    oversized = length > kLongestFrame;
+    if (oversized || in.size() < 4 + length) return std::nullopt;
+    std::string frame = in.substr(4, length);
+    in.erase(0, 4 + length);
+    return frame;
+}
+
 bool Seen::fresh(const std::string& from, std::uint64_t start, std::uint64_t sequence) {
     const auto found = windows_.find(from);
     if (found == windows_.end()) {
--- a/src/peers/wire.h
+++ b/src/peers/wire.h
@@ -80,6 +80,11 @@
     Keys keys_;
 };
 
+// Takes the first whole frame off what has come of a stream, without its length. None: it is not whole yet,
+// or
+// (`oversized`) it never will be.
+std::optional<std::string> take_frame(std::string& in, bool& oversized);
+
 // Which datagrams of each sender have come: a second one, one of an earlier start and one too far behind are
 // replayed. Bounded by the number of members.
 class Seen {
--- /dev/null
+++ b/src/rollout/release.cpp
@@ -0,0 +1,246 @@
+#include "rollout/release.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "config/config.h"
+#include "config/tree.h"
+
+namespace sumackeel::rollout {
+
+namespace {
+
+constexpr std::size_t kLongestMember = 64, kLongestVersion = 64;
+
+// Reads a plan's table: each key at most once, each of its type, none that is not known.
+class PlanReader {
+  public:
+    PlanReader(const config::Node& root, std::string file)
+        : table_(std::get<config::Node::Table>(root.value)), file_(std::move(file)) {}
+
+    [[noreturn]] void wrong(const std::string& key, const std::string& what) const {
+        const auto found = table_.find(key);
+        const config::Place at = found == table_.end() ? config::Place{1, 1} : found->second.place;
+        throw config::ConfigError(fmt::format("{}:{}:{}: {}: {}", file_, at.line, at.column, key, what));
+    }
+    const config::Node* find(const std::string& key) {
+        known_.insert(key);
+        const auto found = table_.find(key);
+        return found == table_.end() ? nullptr : &found->second;
+    }
+    std::string text(const std::string& key, const std::string& otherwise) {
+        const config::Node* node = find(key);
+        if (!node) return otherwise.empty() ? (wrong(key, "is missing"), "") : otherwise;
+        const auto* value = std::get_if<std::string>(&node->value);
+        const bool sound =
+            value && !value->empty() && value->size() <= kLongestVersion &&
+            std::all_of(value->begin(), value->end(), [](unsigned char c) { return c > ' ' && c < 0x7f; });
+        if (!sound) wrong(key, "a string of 1 to 64 printable characters without blanks is wanted");
+        return *value;
+    }
+    double number(const std::string& key, double otherwise, double least, double most) {
+        const config::Node* node = find(key);
+        if (!node) return otherwise;
+        const auto* whole = std::get_if<std::int64_t>(&node->value);
+        const auto* part = std::get_if<double>(&node->value);
+        const double value = whole ? static_cast<double>(*whole) : part ? *part : std::nan("");
+        if (!(value >= least && value <= most))
+            wrong(key, fmt::format("a number from {} to {} is wanted", least, most));
+        return value;
+    }
+    void finish() const {
+        for (const auto& [key, node] : table_)
+            if (!known_.contains(key)) wrong(key, "no such key in a plan");
+    }
+
+  private:
+    const config::Node::Table& table_;
+    const std::string file_;
+    std::set<std::string> known_;
+};
+
+std::vector<std::string> read_members(PlanReader& plan, const std::vector<std::string>& all) {
+    const config::Node* node = plan.find("members");
+    if (!node) return all;
+    const auto* list = std::get_if<config::Node::List>(&node->value);
+    if (!list || list->empty() || list->size() > kMostOfRelease)
+        plan.wrong("members", "a list of names is wanted");
+    std::vector<std::string> members;
+    for (const config::Node& one : *list) {
+        const auto* name = std::get_if<std::string>(&one.value);
+        if (!name || name->empty() || name->size() > kLongestMember)
+            plan.wrong("members", "a name is wanted");
+        if (std::find(members.begin(), members.end(), *name) != members.end())
+            plan.wrong("members", *name + " stands there twice");
+        members.push_back(*name);
+    }
+    return members;
+}
+
+// [1, 3, "25%"]: so many members each, or a share of all; what is left makes the last wave.
+std::vector<std::size_t> read_waves(PlanReader& plan, std::size_t members) {
+    std::vector<std::size_t> waves;
+    std::size_t left = members;
+    const auto add = [&](std::size_t count) {
+        count = std::min(std::max<std::size_t>(1, count), left);
+        if (count > 0) waves.push_back(count), left -= count;
+    };
+    const config::Node* node = plan.find("waves");
+    const auto* list = node ? std::get_if<config::Node::List>(&node->value) : nullptr;
+    if (node && !list) plan.wrong("waves", "a list like [1, 3, \"25%\"] is wanted");
+    if (!node) add(1);
+    for (const config::Node& one : list ? *list : config::Node::List{}) {
+        const auto* count = std::get_if<std::int64_t>(&one.value);
+        const auto* share = std::get_if<std::string>(&one.value);
+        int percent = 0;
+        const bool is_share = share && share->size() <= 4 && share->ends_with("%") &&
+                              std::all_of(share->begin(), share->end() - 1,
+                                          [](unsigned char c) { return c >= '0' && c <= '9'; }) &&
+                              share->size() > 1 && (percent = std::stoi(*share)) >= 1 && percent <= 100;
+        if (!is_share && !(count && *count > 0))
+            plan.wrong("waves", "each is a number of members, or a share like \"25%\"");
+        add(is_share ? (members * static_cast<std::size_t>(percent) + 99) / 100
+                     : static_cast<std::size_t>(std::min<std::int64_t>(*count, kMostOfRelease)));
+    }
+    if (left > 0) add(left);
+    return waves;
+}
+
+}  // namespace
+
+Sum& Sum::operator+=(const Sum& other) {
+    requests += other.requests, in_time += other.in_time, refused += other.refused, failed += other.failed;
+    own_us += other.own_us, sent += other.sent, memory_kb += other.memory_kb, members += other.members;
+    return *this;
+}
+
+std::size_t Plan::upto(std::size_t wave) const {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < waves.size() && i <= wave; ++i) count += waves[i];
+    return count;
+}
+
+Plan read_plan(const std::string& text, const std::string& file, const std::vector<std::string>& all) {
+    const config::Node root = config::read_toml(text, file);
+    PlanReader from(root, file);
+    Plan plan;
+    plan.name = from.text("name", ""), plan.what = from.text("what", "program");
+    if (plan.what != "program" && plan.what != "settings" && plan.what != "fleet")
+        from.wrong("what", "program, settings or fleet is wanted");
+    plan.from = from.text("from", ""), plan.to = from.text("to", "");
+    if (plan.from == plan.to) from.wrong("to", "is what runs before as well");
+    plan.members = read_members(from, all);
+    plan.waves = read_waves(from, plan.members.size());
+    const auto micros = [&](const char* key, double otherwise, double most) {
+        return static_cast<Micros>(from.number(key, otherwise, 0.001, most) * 1e6);
+    };
+    plan.soak = micros("soak_s", 60, 86'400), plan.patience = micros("patience_s", 900, 604'800);
+    plan.gate.in_time = static_cast<Micros>(from.number("in_time_ms", 1'024, 1, 32'768)) * 1'000;
+    plan.gate.late = from.number("late", plan.gate.late, 0, 1);
+    plan.gate.failures = from.number("failures", plan.gate.failures, 0, 1);
+    plan.gate.refusals = from.number("refusals", plan.gate.refusals, 0, 1);
+    plan.gate.own_time = from.number("own_time", plan.gate.own_time, 1, 1'000);
+    plan.gate.memory = from.number("memory", plan.gate.memory, 1, 1'000);
+    plan.gate.least = static_cast<std::uint64_t>(from.number("least_requests", 200, 1, 1e9));
+    from.finish();
+    if (plan.members.empty()) from.wrong("members", "nobody is there");
+    return plan;
+}
+
+const char* name_of(Stage stage) {
+    constexpr const char* names[] = {"changing", "soaking", "going back", "halted", "done", "back"};
+    return names[static_cast<std::size_t>(stage)];
+}
+
+const char* name_of(Verb verb) {
+    constexpr const char* names[] = {"start", "halt", "resume", "back"};
+    return names[static_cast<std::size_t>(verb)];
+}
+
+bool Release::has(const std::string& member) const {
+    return std::find(plan.members.begin(), plan.members.end(), member) != plan.members.end();
+}
+
+std::string Release::no_turn(const std::string& member) const {
+    if (stage == Stage::halted) return fmt::format("release {} is halted: {}", plan.name, reason);
+    if (stage == Stage::soaking) return fmt::format("wave {} of {} soaks", wave + 1, plan.waves.size());
+    if (stage == Stage::going_back) return {};
+    const auto found = std::find(plan.members.begin(), plan.members.end(), member);
+    if (found - plan.members.begin() < static_cast<std::ptrdiff_t>(plan.upto(wave))) return {};
+    return fmt::format("wave {} of {} is changed first", wave + 1, plan.waves.size());
+}
+
+void Releases::enter(Stage stage, Micros now, const std::string& reason, const std::string& by) {
+    if (stage == Stage::halted) active_->held = active_->stage;
+    active_->stage = stage, active_->since = now, active_->reason = reason, active_->by = by;
+    ++active_->steps;
+}
+
+std::string Releases::start(const Order& order) {
+    const Plan& plan = order.plan;
+    std::size_t sum = 0;
+    for (const std::size_t wave : plan.waves) sum += wave;
+    if (plan.members.empty() || plan.waves.empty() || sum != plan.members.size() || plan.from == plan.to)
+        return "the plan does not add up";
+    for (const std::string& member : plan.members)
+        if (std::find(order.there.begin(), order.there.end(), member) == order.there.end())
+            return fmt::format("{} is not there", member);
+    active_.emplace();
+    active_->number = ++last_, active_->plan = plan;
+    enter(Stage::changing, order.now, "started", order.by);
+    return {};
+}
+
+std::string Releases::apply(const Order& order) {
+    if (order.verb == Verb::start) {
+        if (!active_) return start(order);
+        if (active_->plan == order.plan) return {};  // asked again
+        return fmt::format("release {} is under way ({})", active_->plan.name, name_of(active_->stage));
+    }
+    if (!active_) return "no release is under way";
+    const bool halted = active_->stage == Stage::halted;
+    switch (order.verb) {
+        case Verb::start:
+            break;
+        case Verb::halt:
+            if (!halted) enter(Stage::halted, order.now, "told to halt", order.by);
+            break;
+        case Verb::resume:
+            if (!halted) return fmt::format("release {} is not halted", active_->plan.name);
+            active_->without.clear();
+            for (const std::string& member : active_->plan.members)
+                if (std::find(order.there.begin(), order.there.end(), member) == order.there.end())
+                    active_->without.push_back(member);
+            enter(active_->held, order.now, "told to go on", order.by);
+            break;
+        case Verb::back:
+            if (active_->stage != Stage::going_back)
+                enter(Stage::going_back, order.now, "told to go back", order.by);
+            break;
+    }
+    return {};
+}
+
+void Releases::returned(std::uint64_t release, const std::string& member, const Runs& runs) {
+    if (active_ && active_->number == release && runs.start > 0 && active_->has(member))
+        active_->told[member] = runs;
+}
+
+bool Releases::apply(const Step& step) {
+    if (!active_ || active_->number != step.release || active_->steps != step.behind ||
+        active_->stage == Stage::halted || step.wave >= active_->plan.waves.size())
+        return false;
+    active_->wave = step.wave;
+    if (step.base) active_->base = step.base;
+    enter(step.to, step.now, step.reason.substr(0, kLongestReason), {});
+    if (!active_->over()) return true;
+    if (past_.size() >= kMostPast) past_.erase(past_.begin());
+    past_.push_back(std::move(*active_));
+    active_.reset();
+    return true;
+}
+
+}  // namespace sumackeel::rollout
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -18,11 +18,10 @@
 #include <vector>
 
 #include "base/time.h"
+#include "rollout/release.h"
 
 namespace sumackeel::rollout {
 
-using base::Micros;
-
 constexpr std::size_t kMostLeases = 1'024;
 constexpr std::size_t kMostSeen = 4'096;   // members of one kind in a command
 constexpr std::size_t kMostRecords = 128;  // of what was done by force
@@ -57,11 +56,15 @@
     Micros now = 0;  // the leader's, microseconds of Unix time; never used to end a lease
     Rules rules;
     std::vector<Seen> world;  // all of this kind
+    // A turn's: the release (0: none's). Of a proxy: what it runs, as the leader knows it.
+    std::uint64_t release = 0;
+    Runs runs = {};
 };
 struct Back {
     Kind kind = Kind::proxy;
     std::string member, by;
     Micros now = 0;
+    Runs runs = {};  // of a proxy that gives back its own
 };
 
 struct Lease {
@@ -70,6 +73,8 @@
     std::string member, school, by;
     Micros since = 0;
     bool forced = false;
+    std::uint64_t release = 0;  // for whose turn; 0: none's
+    std::uint64_t start = 0;    // of the proxy that got it; a later one is a process that replaced that one
     bool operator==(const Lease&) const = default;
 };
 
@@ -77,7 +82,7 @@
 struct Answer {
     How how = How::nothing;
     std::uint64_t number = 0;            // granted: of the lease
-    std::string reason;                  // refused: which rule, in words
+    std::string reason;                  // refused, nothing: which rule, or why, in words
     std::vector<std::string> waits_for;  // refused: who is out
 };
 
@@ -85,6 +90,8 @@
   public:
     Answer apply(const Ask& ask);
     Answer apply(const Back& back);
+    Answer apply(const Order& order);  // number: of the release
+    Answer apply(const Step& step);
     // What an ask would get now, without a change.
     Answer judge(const Ask& ask) const;
 
@@ -94,6 +101,7 @@
     // Grows with each change.
     std::uint64_t revision() const { return revision_; }
     const std::vector<Lease>& forced() const { return forced_; }
+    const Releases& releases() const { return releases_; }
     bool operator==(const State&) const = default;
 
     // As bytes (MessagePack, with a version); throws std::runtime_error on bytes that are none.
@@ -105,6 +113,7 @@
     std::map<std::pair<Kind, std::string>, Micros> returned_;  // by school: the last return
     std::vector<Lease> forced_;                                // the newest kMostRecords
     std::uint64_t last_ = 0, revision_ = 0;
+    Releases releases_;
 };
 
 // Commands as the log holds them, with a version. decode throws std::runtime_error.
--- a/tests/daemon/wire.py
+++ b/tests/daemon/wire.py
@@ -7,14 +7,22 @@
 import socket
 import struct
 import threading
+import time
 
 BOUND_S = 10  # a wait longer than this is a hang, and fails the test
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..")
 
 
-def cache_box(listener, served, seen=None):
-    """A pop cache that answers each request at once, a thread a connection. `seen` hears of each request."""
+def cache_box(listener, served, seen=None, delay=0):
+    """A pop cache that answers each request at once, or `delay` seconds late, a thread a connection. `seen` hears
+    of each request."""
     def serve(conn):
+        try:
+            answer(conn)
+        except ConnectionError:  # its other end was killed
+            pass
+
+    def answer(conn):
         with conn, conn.makefile("rb") as lines:
             while line := lines.readline():
                 words = line.decode().split()
@@ -23,6 +31,7 @@
                     served[0] += 1
                     if seen:
                         seen(words[1], dict(item.split("=", 1) for item in words[2].split(",") if "=" in item))
+                    time.sleep(delay)
                     conn.sendall(f"{words[1]} DONE digest=e1,dated=1764576000123,tell=pulled 2\r\nok\r\n".encode())
     while True:
         try:
--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -47,13 +47,13 @@
 class Boxes:
     """Stand-in pop caches, a parent and an origin at one address. Counts what ran, `enrol` by request."""
 
-    def __init__(self, host):
+    def __init__(self, host, delay=0):
         self.listener = socket.socket()
         self.listener.bind((host, 0))
         self.listener.listen(256)
         self.at = "%s:%d" % self.listener.getsockname()
         self.lock, self.enrols, self.served = threading.Lock(), {}, [0]
-        threading.Thread(target=cache_box, args=(self.listener, self.served, self.see), daemon=True).start()
+        threading.Thread(target=cache_box, args=(self.listener, self.served, self.see, delay), daemon=True).start()
 
     def see(self, request, fields):
         if request.startswith("e"):
@@ -119,11 +119,13 @@
         self.process, self.faults, self.faulted, self.extra = None, 0, True, {}
         self.inherited = None  # the clients' listening socket, handed in
         self.ops_port, self.starts = OPS, 0
+        self.slow = False  # the program that it runs is one that answers late
 
     def write_files(self):
         fleet = self.fleet
         known = [(name, "edge-1", "small") for name in fleet.pop_caches or ("s-a", "s-b")]
-        settings = settings_for(self.name, f"{self.host}:{CLIENTS}", fleet.box_at,
+        settings = settings_for(self.name, f"{self.host}:{CLIENTS}",
+                                (lambda name: fleet.slow_boxes.at) if self.slow else fleet.box_at,
                                 known + [("s-parent", "coast", "parent"), ("s-origin", "coast", "origin")])
         settings["seed"] = f"{fleet.seed + self.index:016x}"
         settings["settings"]["instances"] = fleet.members
@@ -223,6 +225,7 @@
         self.net, self.guard = own_network()
         self.folder = tempfile.mkdtemp(prefix="sumackeel-fleet-")
         self.boxes = Boxes(f"{self.net}.250")
+        self.slow_boxes = Boxes(f"{self.net}.251", delay=0.1)
         self.box_of = {}  # pop caches of their own, by id, where it matters who is asked
         for number, name in enumerate(self.pop_caches or ()):
             self.box_of[name] = Boxes(f"{self.net}.{210 + number}")
@@ -278,7 +281,7 @@
             client.join(timeout=10)
         wrong = [line for client in self.clients for line in client.wrong]
         ran = {}
-        for boxes in [self.boxes, *self.box_of.values()]:
+        for boxes in [self.boxes, self.slow_boxes, *self.box_of.values()]:
             for ident, count in boxes.enrols.items():
                 ran[ident] = ran.get(ident, 0) + count
         twice = {ident: count for ident, count in ran.items() if count > 1}
@@ -300,7 +303,7 @@
                 member.process.wait()
         self.relay.going = False
         self.relay.join(timeout=2)
-        for boxes in [self.boxes, *self.box_of.values()]:
+        for boxes in [self.boxes, self.slow_boxes, *self.box_of.values()]:
             boxes.listener.close()
         self.guard.close()
         if keep:
@@ -686,6 +689,92 @@
         if highest > most or len(spans) < least:
             raise Failed(f"storm: {highest} out at once, {len(spans)} granted")
 
+    # Releases.
+    def plan(self, at, status=0, holds="", **plan):
+        """Starts a release by a plan of these keys, through `at`."""
+        path = os.path.join(self.fleet.folder, "plan.toml")
+        with open(path, "w", encoding="utf-8") as out:
+            for key, value in {"name": "spring", "from": "1", "to": "2", "in_time_ms": 128, "least_requests": 40,
+                               "soak_s": 2, "patience_s": 20, **plan}.items():
+                out.write(f"{key} = {json.dumps(value)}\n")
+        self.command(at, ["release", "start", path], status, holds)
+
+    def installers(self, who="all", slow=(), dead=(), wrong=()):
+        """An installer's script for each member, beside the steps that follow: waits for its turn, ends the process and
+        starts what it is told to run. Members in `slow` answer late under 2, those in `dead` are not started again
+        while under 2, those in `wrong` are started with 1 the first time. From a yes until it is ready a member is out;
+        the most that were at an instant is kept."""
+        lock, out = threading.Lock(), set()
+        self.most_out, self.installing = 0, True
+
+        def install(member):
+            wrongly = member.name in wrong
+            while self.installing:
+                others = [one for one in self.fleet.all if one.running()] or [member]
+                asked = member if member.running() else others[0]
+                done = subprocess.run([self.fleet.program, "release", "wait", "--member", member.name, "--timeout", "1",
+                                       "--at", f"{asked.host}:{asked.ops_port}"], text=True, capture_output=True,
+                                      timeout=30, check=False)
+                if done.returncode != 0:
+                    time.sleep(LOOK_EVERY_S)
+                    continue
+                with lock:
+                    out.add(member.name)
+                    self.most_out = max(self.most_out, len(out))
+                version = done.stdout.split(", to run ")[1].strip()
+                print(f"{member.name}: {done.stdout.strip()}")
+                member.faults, member.faulted = member.faults + 1, True
+                if member.process.poll() is None:
+                    member.process.send_signal(signal.SIGTERM)
+                member.process.wait()
+                if version == "2" and member.name in dead:
+                    return
+                member.slow = version == "2" and member.name in slow
+                member.start(version="1" if wrongly else version)
+                wrongly = False
+                member.ready()
+                with lock:
+                    out.discard(member.name)
+        self.workers = [threading.Thread(target=install, args=(one,), daemon=True) for one in self.fleet.pick(who)]
+        for worker in self.workers:
+            worker.start()
+
+    def end_installers(self, most):
+        """They end; no more than `most` were out at an instant."""
+        self.installing = False
+        for worker in self.workers:
+            worker.join(timeout=40)
+        print(f"{self.most_out} out at most")
+        if self.most_out > most:
+            raise Failed(f"{self.most_out} members were out at once, {most} may be")
+
+    def release(self, who, stage, within, reason="", runs=None):
+        """Each of `who` that runs knows the newest release in this stage; `runs`: what members say that they run."""
+        def holds():
+            for member in self.fleet.pick(who):
+                if not member.running():
+                    continue
+                body = []
+                if ops_call(member.ops_port, "GET", "/ops/release", body, host=member.host, bound=2) != 200:
+                    return f"{member.name} does not answer"
+                said = json.loads(body[0])
+                one = said.get("active") or (said["past"] or [{}])[-1]
+                if one.get("stage") != stage or reason not in one.get("reason", ""):
+                    return f"{member.name}: {one.get('stage')} ({one.get('reason')})"
+                versions = {name: seen["version"] for name, seen in states(member.group()).items()}
+                for name, version in (runs or {}).items():
+                    if versions.get(name, version) != version:
+                        return f"{member.name}: {name} runs {versions[name]}"
+            return True
+        self.eventually(within, f"release {stage}", holds)
+
+    def reload(self, who, **extra):
+        """Another operator's file, read anew by the running process."""
+        for member in self.fleet.pick(who):
+            member.extra.update(extra)
+            member.write_files()
+            member.process.send_signal(signal.SIGHUP)
+
     def rules(self, **wanted):
         """Another operator's file for all: each is started anew with it, one after another."""
         self.fleet.agreed.update(wanted)
