--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -49,6 +49,7 @@
     bool json = false, force = false;
     ExpectFlags expect;
     ReleaseFlags release;
+    RolloutFlags rollout;
 };
 
 // Prints a link, or a token, signed by the operator's keys: for course pages' own tests and for trying out.
@@ -83,7 +84,9 @@
 
 int rollout(const Flags& flags) {
     if (flags.at.empty()) return wrong("no proxy: give --at ADDRESS, its operators' address");
-    return rollout_command(flags.at, flags.words, flags.force, flags.json) ? 0 : 1;
+    RolloutFlags of = flags.rollout;
+    of.force = flags.force, of.json = flags.json;
+    return rollout_command(flags.at, flags.words, of) ? 0 : 1;
 }
 
 int release(const Flags& flags) {
@@ -246,8 +249,12 @@
                 json(sub);
                 sub.add_option("-a,--at", flags_.at, "The operators' address of a proxy");
                 sub.add_flag("--force", flags_.force, "Also where the rules say no; kept on record");
-                sub.add_option("words", flags_.words,
-                               "show (the default), explain MEMBER, down ID, up ID, drain or undrain");
+                sub.add_option(
+                    "words", flags_.words,
+                    "show (the default), explain MEMBER, simulate PLAN, down ID, up ID, drain or undrain");
+                sub.add_option("--change-s", flags_.rollout.change_s,
+                               "simulate: seconds from a turn to serving");
+                sub.add_option("--requests-per-s", flags_.rollout.requests_per_s, "simulate: of each proxy");
             });
         command(
             "release", "Releases in waves: start PLAN, status, list, halt, resume, back, wait",
--- a/src/cli/release_command.cpp
+++ b/src/cli/release_command.cpp
@@ -6,8 +6,6 @@
 
 #include <chrono>
 #include <cstdio>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
 #include "cli/ops_call.h"
@@ -52,14 +50,6 @@
     print_sum(active, "changed"), print_sum(active, "others");
 }
 
-std::string file_text(const std::string& path) {
-    std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file) throw config::ConfigError("can't read " + path);
-    return text.str();
-}
-
 // Asks until it is the member's turn, there is nothing to do, or the time is over. The proxy asked may be
 // away.
 int wait(const ReleaseFlags& flags) {
@@ -90,9 +80,9 @@
     if (flags.words.size() != (start ? 2 : flags.words.empty() ? 0 : 1) || !(look || order || word == "wait"))
         throw config::ConfigError("release takes start PLAN, status, list, halt, resume, back or wait");
     if (word == "wait") return wait(flags);
-    const OpsAnswer answer =
-        look ? ops_call(flags.at, "GET", "/ops/release")
-             : ops_call(flags.at, "POST", "/ops/release/" + word, start ? file_text(flags.words[1]) : "");
+    const OpsAnswer answer = look ? ops_call(flags.at, "GET", "/ops/release")
+                                  : ops_call(flags.at, "POST", "/ops/release/" + word,
+                                             start ? config::file_text(flags.words[1]) : "");
     if (answer.status == 404)
         throw config::ConfigError(flags.at + " agrees on nothing: [agreed] is off there");
     if (!look || flags.json || answer.status != 200) {
--- a/src/cli/rollout_command.cpp
+++ b/src/cli/rollout_command.cpp
@@ -4,8 +4,11 @@
 #include <fmt/format.h>
 #include <json/json.h>
 
+#include <algorithm>
+
 #include "cli/ops_call.h"
 #include "config/config.h"
+#include "rollout/rehearsal.h"
 
 namespace sumackeel::cli {
 
@@ -30,15 +33,54 @@
     if (root["leases"].empty() && root["out"].empty()) fmt::print("nobody is out\n");
 }
 
+// A plan played through with the proxies and rules as they are there now; nobody is touched.
+bool simulate(const std::string& path, const std::string& address, const RolloutFlags& flags) {
+    const OpsAnswer answer = ops_call(address, "GET", "/ops/rollout");
+    if (answer.status != 200)
+        throw config::ConfigError(address + " agrees on nothing: [agreed] is off there");
+    const Json::Value root = config::parse(answer.body, address);
+    rollout::Rehearsal given;
+    given.rules.school_out = root["rules"]["school_out"].asInt();
+    given.rules.school_share = root["rules"]["school_share"].asDouble();
+    given.rules.fleet_out = root["rules"]["fleet_out"].asInt();
+    given.rules.between = static_cast<base::Micros>(root["rules"]["between_s"].asDouble() * 1e6);
+    given.change = static_cast<base::Micros>(flags.change_s * 1e6);
+    given.requests_per_s = flags.requests_per_s;
+    std::vector<std::string> all;
+    for (const Json::Value& one : root["proxies"]) {
+        rollout::Seen seen;
+        seen.name = one["member"].asString(), seen.school = one["school"].asString();
+        seen.weight = one["weight"].asDouble(), seen.out = one["out"].asBool();
+        given.world.push_back(seen);
+        all.push_back(seen.name);
+    }
+    std::sort(all.begin(), all.end());
+    given.plan = rollout::read_plan(config::file_text(path), path, all);
+    const rollout::Rehearsed end = rollout::rehearse(given);
+    const auto seconds = [](base::Micros span) { return static_cast<double>(span) / 1e6; };
+    if (end.took == 0) return fmt::print("it would not start: {}\n", end.reason), false;
+    fmt::print("{} after {:.0f} s ({}): {} of {} changed\n", name_of(end.stage), seconds(end.took),
+               end.reason, end.changed, given.plan.members.size());
+    fmt::print(
+        "worst moment: {:.0f}% of {} by weight out, {:.0f} s after the start; {} proxies out at most\n",
+        100 * end.worst_share, end.worst_school, seconds(end.worst_at), end.most_out);
+    if (!end.waited.empty())
+        fmt::print("longest wait for a turn: {:.0f} s, {}\n", seconds(end.longest_wait), end.waited);
+    return end.stage == rollout::Stage::done;
+}
+
 }  // namespace
 
-bool rollout_command(const std::string& address, const std::vector<std::string>& words, bool force,
-                     bool json) {
+bool rollout_command(const std::string& address, const std::vector<std::string>& words,
+                     const RolloutFlags& flags) {
+    const bool force = flags.force, json = flags.json;
     const std::string word = words.empty() ? "show" : words.front();
     const bool show = word == "show", drain = word == "drain" || word == "undrain";
     const bool explain = word == "explain", of_one = word == "down" || word == "up" || explain;
+    if (word == "simulate" && words.size() == 2) return simulate(words[1], address, flags);
     if (words.size() > (of_one ? 2 : 1) || (of_one && words.size() < 2) || !(show || drain || of_one))
-        throw config::ConfigError("rollout takes show, explain MEMBER, down ID, up ID, drain or undrain");
+        throw config::ConfigError(
+            "rollout takes show, explain MEMBER, simulate PLAN, down ID, up ID, drain or undrain");
     const std::string path = show      ? "/ops/rollout"
                              : explain ? "/ops/rollout/explain/" + words[1]
                              : of_one  ? "/ops/pop-caches/" + word + "/" + words[1]
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -593,6 +593,17 @@
             one["why"] = seen.why;
             root["out"].append(one);
         }
+    // What a plan is rehearsed with.
+    root["rules"]["school_out"] = setup_.proxies.school_out;
+    root["rules"]["school_share"] = setup_.proxies.school_share;
+    root["rules"]["fleet_out"] = setup_.proxies.fleet_out;
+    root["rules"]["between_s"] = static_cast<double>(setup_.proxies.between) / 1e6;
+    for (const rollout::Seen& seen : world_(Kind::proxy)) {
+        Json::Value one;
+        one["member"] = seen.name, one["school"] = seen.school, one["weight"] = seen.weight,
+        one["out"] = seen.out;
+        root["proxies"].append(one);
+    }
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
     return Json::writeString(builder, root) + "\n";
--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -690,14 +690,21 @@
             raise Failed(f"storm: {highest} out at once, {len(spans)} granted")
 
     # Releases.
-    def plan(self, at, status=0, holds="", **plan):
-        """Starts a release by a plan of these keys, through `at`."""
+    def plan_file(self, plan):
         path = os.path.join(self.fleet.folder, "plan.toml")
         with open(path, "w", encoding="utf-8") as out:
             for key, value in {"name": "spring", "from": "1", "to": "2", "in_time_ms": 128, "least_requests": 40,
                                "soak_s": 2, "patience_s": 20, **plan}.items():
                 out.write(f"{key} = {json.dumps(value)}\n")
-        self.command(at, ["release", "start", path], status, holds)
+        return path
+
+    def plan(self, at, status=0, holds="", **plan):
+        """Starts a release by a plan of these keys, through `at`."""
+        self.command(at, ["release", "start", self.plan_file(plan)], status, holds)
+
+    def rehearse(self, at, holds, status=0, **plan):
+        """The same plan played through with the fleet as `at` sees it, before anyone is touched."""
+        self.command(at, ["rollout", "simulate", self.plan_file(plan), "--change-s", "3"], status, holds)
 
     def installers(self, who="all", slow=(), dead=(), wrong=()):
         """An installer's script for each member, beside the steps that follow: waits for its turn, ends the process and
