--- /dev/null
+++ b/src/base/generations.cpp
@@ -0,0 +1,66 @@
+#include "base/generations.h"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <filesystem>
+
+#include "base/files.h"
+
+namespace sumackeel::base {
+
+namespace {
+
+constexpr const char* kUnfinished = "unfinished.tmp";
+constexpr std::size_t kDigits = 16;
+
+}  // namespace
+
+std::string Generations::name_of(std::uint64_t generation) const {
+    return fmt::format("{}{:0{}}{}", prefix_, generation, kDigits, suffix_);
+}
+
+std::string Generations::path_of(std::uint64_t generation) const {
+    return folder_ + '/' + name_of(generation);
+}
+
+std::uint64_t Generations::generation_of(const std::string& name) const {
+    if (name.size() != prefix_.size() + kDigits + suffix_.size() || !name.starts_with(prefix_) ||
+        !name.ends_with(suffix_))
+        return 0;
+    std::uint64_t number = 0;
+    const char *begin = name.data() + prefix_.size(), *end = begin + kDigits;
+    const auto read = std::from_chars(begin, end, number);
+    return read.ec == std::errc{} && read.ptr == end ? number : 0;
+}
+
+std::vector<std::uint64_t> Generations::all() const {
+    std::vector<std::uint64_t> all;
+    std::error_code fault;
+    for (std::filesystem::directory_iterator it(folder_, fault), end; !fault && it != end;
+         it.increment(fault))
+        if (const auto number = generation_of(it->path().filename().string())) all.push_back(number);
+    std::sort(all.rbegin(), all.rend());
+    return all;
+}
+
+// Danger: each step only adds until the new generation is on disk under its own name. Whatever the moment of
+// a crash, the folder holds the old generations, or them and the new one; a file half written has no such
+// name.
+std::string Generations::write(std::string_view bytes, std::uint64_t generation, std::uint64_t keep) const {
+    const std::string fault = put_in_place(folder_, kUnfinished, name_of(generation), bytes);
+    if (!fault.empty()) return fault;
+    for (const std::uint64_t old : all())
+        if (old != generation && old != keep) ::unlink(path_of(old).c_str());
+    return {};
+}
+
+void Generations::set_aside(std::uint64_t generation) const {
+    const std::string path = path_of(generation);
+    std::rename(path.c_str(), (path + ".bad").c_str());
+}
+
+}  // namespace sumackeel::base
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -21,6 +21,7 @@
 #include "cli/expect_command.h"
 #include "cli/group_command.h"
 #include "cli/list_command.h"
+#include "cli/recovery_command.h"
 #include "cli/release_command.h"
 #include "cli/rollout_command.h"
 #include "cli/store_command.h"
@@ -268,6 +269,14 @@
                 sub.add_option("words", flags_.words,
                                "start PLAN, status (the default), list, halt, resume, back or wait");
             });
+        command(
+            "recovery", "The way back from a power loss: show, go STAGE, verify FOLDER",
+            [this] { return recovery_command(flags_.at, flags_.words, flags_.json); },
+            [this](CLI::App& sub) {
+                json(sub);
+                sub.add_option("-a,--at", flags_.at, "The operators' address of a proxy");
+                sub.add_option("words", flags_.words, "show (the default), go STAGE or verify FOLDER");
+            });
         expect();
         command(
             "keys", "Print the page on the operator's file",
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -32,6 +32,9 @@
          "Who of the proxies and pop caches may leave, agreed by all. Needs [peers]. Off unless this is "
          "there. "
          "See operating/rollout.md."},
+        {"recovery",
+         "The way back from a power loss, together with the other proxies. Needs [peers]. Off unless this is "
+         "there. See operating/recovery.md."},
         {"expectations",
          "What must hold of where requests go, checked before a configuration is taken up. Off unless this "
          "is "
@@ -172,6 +175,21 @@
          "So many pop caches of all may be out at once."},
         {"agreed", "pop_caches_between_s", Type::number, false, 0, 86'400, "0", "",
          "Seconds from one's return to the next one's leave, in a school."},
+        {"recovery", "folder", Type::path, true, 0, 0, "", "",
+         "Where bans, the drain and the names of members are kept, on a disk that lasts. Of this proxy "
+         "alone."},
+        {"recovery", "ask_s", Type::number, false, 0.1, 60, "5", "",
+         "How long a member that serves is asked for at a start before it is taken for a loss of power."},
+        {"recovery", "settle_s", Type::number, false, 0.1, 600, "10", "",
+         "How long the others, the list and a leader are waited for then."},
+        {"recovery", "prime_s", Type::number, false, 0.1, 3600, "20", "",
+         "How long fills go by the budget after that, at the most."},
+        {"recovery", "pause_s", Type::number, false, 1, 600, "5", "",
+         "A process that stood still for longer asks the others again before it vouches for purges."},
+        {"recovery", "fills_per_s", Type::number, false, 1, kAny, "200", "",
+         "Fills a second that all proxies together may begin while recovering; what the origin and the hubs "
+         "can bear cold."},
+
         {"expectations", "file", Type::path, true, 0, 0, "", "", "The file of expectations."},
         {"expectations", "gate", Type::word, false, 0, 0, "\"warn\"", "start reload warn",
          "What a broken one does: `start` refuses to start, `reload` refuses a reload too, `warn` only says "
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -165,6 +165,18 @@
     return agreed;
 }
 
+Recovery read_recovery(const Settings& file, const std::filesystem::path& folder) {
+    const char* at = "recovery";
+    Recovery all;
+    all.folder = path_of(file, at, "folder", folder);
+    all.ask = seconds(file, at, "ask_s");
+    all.settle = seconds(file, at, "settle_s");
+    all.prime = seconds(file, at, "prime_s");
+    all.pause = seconds(file, at, "pause_s");
+    all.fills_per_s = file.number(at, "fills_per_s");
+    return all;
+}
+
 Expectations read_expectations(const Settings& file, const std::filesystem::path& folder) {
     const char* at = "expectations";
     Expectations all;
@@ -199,6 +211,9 @@
     if (file.has("peers")) result.peers = read_peers(file, folder);
     if (file.has("agreed")) result.agreed = read_agreed(file, folder);
     if (result.agreed && !result.peers) bad(file.where("agreed", "voters"), "given, and [peers] is missing");
+    if (file.has("recovery")) result.recovery = read_recovery(file, folder);
+    if (result.recovery && !result.peers)
+        bad(file.where("recovery", "folder"), "given, and [peers] is missing");
     if (file.has("signed_front")) result.signed_front = read_signed_front(file, folder);
     if (file.has("discovery")) result.discovery = read_discovery(file);
     if (file.has("saved_list")) result.saved_list = read_saved_list(file, folder);
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -89,6 +89,13 @@
     LeaveRules proxies, pop_caches;
 };
 
+// The way back from a power loss.
+struct Recovery {
+    std::string folder;
+    nettlethread::Micros ask = 5'000'000, settle = 10'000'000, prime = 20'000'000, pause = 5'000'000;
+    double fills_per_s = 200;  // of all proxies together
+};
+
 // What must hold of where requests go, checked before a configuration is taken up.
 struct Expectations {
     enum class Gate { start, reload, warn };  // refuse a start; a reload too; only say it
@@ -107,6 +114,7 @@
     std::optional<Store> store;
     std::optional<Peers> peers;
     std::optional<Agreed> agreed;
+    std::optional<Recovery> recovery;
     std::optional<SignedFront> signed_front;
 };
 
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -74,6 +74,10 @@
     Request& taken = *requests_.find(handle);
     taken.name = arrival.id = name_of(handle);
     taken.guard = guard(handle, taken.deadline);
+    if (const auto come_back = gate_ ? gate_(taken.ask) : std::nullopt) {
+        turned_away_.emplace_back(handle, *come_back);
+        return handle;
+    }
     events_.push_back(std::move(arrival));
     return handle;
 }
@@ -189,6 +193,8 @@
 void Core::run() {
     if (running_) return;
     running_ = true;
+    for (const auto& [handle, come_back] : std::exchange(turned_away_, {}))
+        finish(handle, Reply{.how = Answered::refused, .come_back = come_back});
     while (!events_.empty()) {
         const nettlethread::Event event = std::move(events_.front());
         events_.pop_front();
@@ -275,6 +281,10 @@
     sending.source = serve.source == serve.cache ? std::string{} : serve.source;
     sending.limit = limit;
     sending.age = serve.age;
+    if (const Micros most = oldest_ ? oldest_() : 0; most > 0) {
+        const Micros usual = serve.age > 0 ? serve.age : settings_.classes[request->ask.service].fresh;
+        sending.age = usual > 0 ? std::min(usual, most) : most;
+    }
     sending.rank = serve.rank;
     sending.join = serve.join;
     sending.source_holds = serve.source_holds;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -7,9 +7,11 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -102,6 +104,11 @@
     Core(const nettlethread::Settings& settings, std::uint64_t seed, Clock& clock, Deadlines& deadlines);
 
     void attach(Upstream& upstream) { upstream_ = &upstream; }
+    // Asked of each request taken: none, or when to come back, and it is refused at once, unseen by the
+    // module.
+    void gate(std::function<std::optional<Micros>(const Ask&)> what) { gate_ = std::move(what); }
+    // The oldest copy that will do at all, as an age; 0: any.
+    void oldest(std::function<Micros()> age) { oldest_ = std::move(age); }
     // Told of each target that answers an attempt, with whatever answer: its process runs.
     void on_answer(std::function<void(const std::string& target)> what) { answered_ = std::move(what); }
 
@@ -174,6 +181,9 @@
     std::unordered_set<std::string> ids_;  // of the requests open, as clients name them
     Slots<Attempt> attempts_;
     std::function<void(const std::string&)> answered_;
+    std::function<std::optional<Micros>(const Ask&)> gate_;
+    std::function<Micros()> oldest_;
+    std::vector<std::pair<Handle, Micros>> turned_away_;  // by the gate, answered in the next run()
     std::deque<nettlethread::Event> events_;
     std::vector<nettlethread::Action> actions_;
     bool running_ = false;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -22,6 +22,7 @@
 #include "ops/board.h"
 #include "peers/agreed.h"
 #include "peers/peers.h"
+#include "peers/recovery.h"
 #include "peers/releases.h"
 #include "store/member.h"
 #include "store/redis_one_time.h"
@@ -48,6 +49,9 @@
 // Where leaves are agreed on: what voters know is waited for this long before this proxy says that it is
 // ready.
 constexpr Micros kLearnWithin = 3'000'000;
+// Purges are surely known where the list was confirmed this lately; sources speak each second.
+constexpr Micros kSureFor = 3'000'000;
+constexpr Micros kLookAtFleet = 200'000;
 constexpr Micros kGiveBackAgain = 500'000;
 
 // The platform's clients hold a third at most. They get half, for those that only connect; the log file, the
@@ -141,6 +145,7 @@
     std::unique_ptr<Leaves> leaves;
     std::unique_ptr<peers::Agreed> agreed;
     std::unique_ptr<peers::Releases> releases;
+    std::unique_ptr<peers::Recovery> recovery;
     bool leaving = false;      // an own drain was asked for, and holds or may yet be granted
     bool giving_back = false;  // of our own lease, under way
     uv_signal_t term{}, hangup{};
@@ -196,6 +201,7 @@
         }
         if (setup.peers) start_peers(*setup.peers);
         if (setup.agreed) start_agreed(*setup.agreed);
+        if (setup.recovery) start_recovery(*setup.recovery, setup.agreed.has_value());
         if (!c.ops.empty())
             ops_front = std::make_unique<front_ops::Front>(
                 loop, c.ops,
@@ -241,7 +247,8 @@
     // meanwhile is known: a proxy that was away learns the fleet's bans before clients are sent to it. Not
     // for ever: where no voter answers it serves by what it knows.
     void become_able(Micros until) {
-        if (agreed && !agreed->known() && loop.clock().now() < until) {
+        const bool learning = agreed && !agreed->known() && loop.clock().now() < until;
+        if (learning || (recovery && !recovery->ladder().ready())) {
             loop.deadlines().set(loop.clock().now() + kLookForEnd, [this, until] {
                 if (!told_to_end) become_able(until);
             });
@@ -254,11 +261,69 @@
             log::info("hand-over taken: {} pop caches down, {}", board.bans().size(),
                       ops::name_of(board.phase()));
         }
+        if (recovery) {
+            for (const std::string& id : recovery->kept().bans) board.ban(id, true);
+            if (recovery->kept().drain && !agreed) board.drain_start();
+        }
         leaving = board.drain_told();
         carry_out();
         follow_own();
     }
 
+    // The way back from a power loss. What one proxy kept binds from the first moment on, ready or not.
+    void start_recovery(const config::Recovery& setup, bool elects) {
+        std::vector<double> worths;
+        for (const auto& one : config.site.settings.classes)
+            if (!one.uncached) worths.push_back(one.points);
+        peers::Recovery::Hooks hooks;
+        hooks.purges = [this] {
+            const Micros now = loop.clock().now();
+            std::vector<peers::Recovery::Told> all;
+            for (const membership::Purge& purge : fleet->view().purges())
+                all.push_back({purge.object, purge.group, std::max<Micros>(0, now - purge.at)});
+            return all;
+        };
+        hooks.learn = [this](const std::vector<peers::Recovery::Told>& told) {
+            const Micros now = loop.clock().now();
+            std::vector<membership::Purge> purges;
+            for (const auto& one : told) purges.push_back({one.object, one.group, now - one.age});
+            fleet->learn(purges);
+        };
+        hooks.sure = [this] { return fleet->sure(kSureFor); };
+        hooks.proxies = [this] {
+            std::size_t count = 0;
+            for (const auto& [zone, here] : peers->group().share().counts())
+                count += static_cast<std::size_t>(here);
+            return count;
+        };
+        // Nobody serves: whoever answers now was out with all the others, and is cold.
+        hooks.entered = [this](recovery::Stage) {
+            if (recovery && recovery->ladder().stage() == recovery::Stage::settling) fleet->all_cold();
+            if (board.phase() != ops::Phase::starting) carry_out();
+        };
+        recovery = std::make_unique<peers::Recovery>(loop, *peers, setup, elects, std::move(worths),
+                                                     config.seed, std::move(hooks));
+        fleet->on_sure([this] { recovery->listed(); });
+        core.oldest([this] { return recovery->oldest(); });
+        core.gate([this](const core::Ask& ask) {
+            const auto& of = core.settings().classes[static_cast<std::size_t>(ask.service)];
+            return recovery->turn_away(
+                {.key = std::hash<std::string>{}(ask.object + '/' + std::to_string(ask.part)),
+                 .worth = of.points,
+                 .size_kb = ask.size_kb,
+                 .needs_copy = !of.uncached});
+        });
+        carry_out();
+        look_at_fleet();
+    }
+
+    // What the ladder waits for beside the others: the list, and a leader.
+    void look_at_fleet() {
+        if (fleet->sure(kSureFor)) recovery->listed();
+        if (agreed) recovery->led(!agreed->leader().empty());
+        loop.deadlines().set(loop.clock().now() + kLookAtFleet, [this] { look_at_fleet(); });
+    }
+
     void start_agreed(const config::Agreed& setup) {
         leaves = std::make_unique<Leaves>(config.site, setup.gone_counts);
         agreed = std::make_unique<peers::Agreed>(
@@ -441,6 +506,7 @@
     void changed_board() {
         carry_out();
         save_hand_over(files.hand_over, board);
+        if (recovery) recovery->keep(board.bans(), board.drain_told());
     }
 
     // Both files are read before anything is changed: one that can't be used leaves all as it was. What the
@@ -512,6 +578,16 @@
         constexpr std::string_view kExplain = "/ops/rollout/explain/";
         if (agreed && call.path.starts_with(kExplain) && call.method == "GET")
             return explain(std::string(call.path.substr(kExplain.size())));
+        if (recovery && call.path == "/ops/recovery" && call.method == "GET")
+            return ops::Reply{200, recovery->as_json(), false};
+        constexpr std::string_view kGo = "/ops/recovery/go/";
+        if (recovery && call.path.starts_with(kGo) && call.method == "POST") {
+            recovery::Stage stage{};
+            if (!recovery::stage_named(std::string(call.path.substr(kGo.size())), stage))
+                return ops::Reply{400, "no such stage\n", false};
+            recovery->go(stage, "an operator at " + peers->group().self().name);
+            return ops::Reply{200, fmt::format("{}\n", recovery::name_of(stage)), false};
+        }
         if (agreed && call.path.starts_with("/ops/release")) return take_release(call, later);
         if (agreed && take_leave(call, later)) return std::nullopt;
         if (peers && call.path == "/ops/group" && call.method == "GET")
@@ -536,6 +612,8 @@
     // What the board says, done: bans to the module, clients sent away while draining or ending.
     void carry_out() {
         std::set<std::string> bans = board.bans();
+        if (recovery && board.phase() == ops::Phase::starting)
+            bans.insert(recovery->kept().bans.begin(), recovery->kept().bans.end());
         if (agreed)
             for (const auto& [key, lease] : agreed->state().leases())
                 if (key.first == rollout::Kind::pop_cache) bans.insert(key.second);
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -39,8 +39,9 @@
         options.jitter = setup.discovery->jitter;
         options.follow = setup.discovery->follow;
     }
-    // Only where the list's age counts must a source show that it is not behind.
-    options.prove = setup.discovery || setup.saved_list;
+    // Only where the list's age counts, or purges must be surely known, must a source show that it is not
+    // behind.
+    options.prove = setup.discovery || setup.saved_list || setup.recovery;
     return options;
 }
 
@@ -166,6 +167,7 @@
 void Fleet::sure() {
     const bool first = !view_.live();
     view_.confirm(loop_.clock().now());
+    if (on_sure_) on_sure_();
     if (keeper_) first ? keeper_->changed() : keeper_->confirmed();
     if (!first) return;
     if (keeper_) log::info("list confirmed by a change log, {} members", view_.size());
@@ -186,6 +188,8 @@
     for (config::Placed placed : view_.changes(now)) {
         if (placed.entry.state == CacheState::ready && bans_.contains(placed.entry.cache))
             placed.entry.state = CacheState::draining;
+        if (cold_since_ > 0 && placed.entry.kind != config_.site.settings.origin_kind)
+            placed.entry.since = std::max(placed.entry.since, cold_since_);
         if (placed.entry.state == CacheState::gone)
             pool_.retire(placed.entry.cache);
         else if (!placed.address.empty())
@@ -206,6 +210,30 @@
         });
 }
 
+void Fleet::learn(const std::vector<membership::Purge>& purges) {
+    const Micros now = loop_.clock().now();
+    for (const membership::Purge& purge : purges) {
+        view_.learn(purge, now);
+        core_.tell(nettlethread::Purge{
+            .group = purge.group, .age = std::max<Micros>(0, now - purge.at), .object = purge.object});
+    }
+    if (keeper_ && !purges.empty()) keeper_->changed();
+    core_.run();
+}
+
+void Fleet::all_cold() {
+    cold_since_ = loop_.clock().now();
+    view_.retell_all();
+    publish();
+    core_.run();
+}
+
+bool Fleet::sure(Micros within) const {
+    if (!feed_) return true;  // the configuration alone tells
+    const Micros age = view_.age(loop_.clock().now());
+    return view_.live() && age >= 0 && age <= within;
+}
+
 void Fleet::set_bans(const std::set<std::string>& bans) {
     if (bans == bans_) return;
     for (const std::string& id : bans_)
--- a/src/daemon/fleet.h
+++ b/src/daemon/fleet.h
@@ -2,6 +2,7 @@
 // logs, whose changes go to the pool of connections and into the module; and the list kept on disk.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -32,6 +33,13 @@
     const membership::View& view() const { return view_; }
     // Taken out by the operators: told to the module as draining whatever the change log says, until lifted.
     void set_bans(const std::set<std::string>& bans);
+    // Purges that another proxy told, with their ages.
+    void learn(const std::vector<membership::Purge>& purges);
+    // Whoever started before now is taken to be cold since now.
+    void all_cold();
+    // The list was confirmed within the last `within`, or nobody is there to confirm it.
+    bool sure(base::Micros within) const;
+    void on_sure(std::function<void()> what) { on_sure_ = std::move(what); }
     bool listed(const std::string& id) const { return view_.find(id) != nullptr; }
 
   private:
@@ -54,6 +62,8 @@
     std::unique_ptr<feed::Feed> feed_;
     std::optional<base::Deadlines::Key> next_publish_;
     std::set<std::string> bans_;
+    base::Micros cold_since_ = 0;  // 0: nobody is taken to be cold
+    std::function<void()> on_sure_;
 };
 
 }  // namespace sumackeel::daemon
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -158,6 +158,11 @@
     return doubted ? Heard::doubted : no_room ? Heard::full : news ? Heard::taken : Heard::old;
 }
 
+void View::learn(const Purge& purge, Micros now) {
+    bool news = false;
+    put_purge(purge, now, news);
+}
+
 void View::load(const Snapshot& saved, Micros wall_now, Micros now) {
     const Micros since_taken = std::max<Micros>(0, wall_now - saved.taken_at);
     bool news = false, no_room = false;
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -102,8 +102,13 @@
     // A source that is sure to tell all of the newest list said that it lives.
     void confirm(Micros now);
     void answered(const std::string& id, Micros now);
+    // A purge that another proxy told.
+    void learn(const Purge& purge, Micros now);
     // The next changes() tells this member again, changed or not: something outside the view alters it.
     void retell(const std::string& id) { touched_.insert(id), retold_.insert(id); }
+    void retell_all() {
+        for (const auto& [id, member] : members_) retell(id);
+    }
     // What time alone brings: doubts that end, purges that no longer matter.
     void pass(Micros now);
 
--- /dev/null
+++ b/src/peers/recovery.cpp
@@ -0,0 +1,271 @@
+#include "peers/recovery.h"
+
+#include <fmt/format.h>
+#include <json/json.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "base/files.h"
+#include "base/log.h"
+#include "base/packed.h"
+
+namespace sumackeel::peers {
+
+using base::Micros;
+using recovery::Stage;
+
+namespace {
+
+constexpr const char* kVerb = "recovery";
+constexpr int kAnswerVersion = 1;
+constexpr Micros kTick = 50'000, kTickServing = 500'000;
+constexpr Micros kAskEvery = 200'000, kAnswerWithin = 1'000'000;
+constexpr std::size_t kAskAtOnce = 8;
+constexpr Micros kMembersEvery = 10'000'000;  // names of members go to disk this often at most,
+constexpr Micros kServedFor = 30'000'000;     // and only once the fleet has served this long
+constexpr std::size_t kMostPurges = 20'000;   // in one answer
+constexpr std::size_t kMostHands = 32;
+
+}  // namespace
+
+Micros Recovery::steady() {
+    return static_cast<Micros>(uv_hrtime() / 1000);
+}
+
+Recovery::Recovery(net::Loop& loop, Peers& peers, const config::Recovery& setup, bool elects,
+                   std::vector<double> worths, std::uint64_t seed, Hooks hooks)
+    : loop_(loop),
+      peers_(peers),
+      setup_(setup),
+      hooks_(std::move(hooks)),
+      files_(setup.folder, "kept-", ".sumkept"),
+      ladder_({.ask = setup.ask,
+               .settle = setup.settle,
+               .prime = setup.prime,
+               .pause = setup.pause,
+               .elects = elects},
+              steady()),
+      budget_(setup.fills_per_s, std::move(worths), seed ^ 0x7c15f39cc0605ceeULL),
+      unsure_since_(steady()) {
+    read();
+    ladder_.read(steady(), kept_.members.size());
+    peers_.on_call(kVerb, [this](const std::string&, const std::string&, const std::string&,
+                                 const Peers::Say& say) { say(answer()); });
+    log::info("recovery: {}, {} members were there, {} bans and {} kept", name_of(ladder_.stage()),
+              ladder_.before(), kept_.bans.size(), kept_.drain ? "a drain" : "no drain");
+    tick();
+}
+
+Recovery::~Recovery() {
+    peers_.no_calls(kVerb);
+    if (next_tick_) loop_.deadlines().drop(*next_tick_);
+}
+
+// The newest generation that is whole. A damaged one is named and set aside, never passed over without a
+// word.
+void Recovery::read() {
+    std::string text, fault;
+    for (const std::uint64_t generation : files_.all()) {
+        generation_ = std::max(generation_, generation);
+        if (base::read_plain(files_.path_of(generation), recovery::kLongestKept, text, fault) ==
+            base::Reading::done)
+            fault = recovery::decode(text, kept_);
+        if (fault.empty()) {
+            good_ = generation;
+            return;
+        }
+        log::error("recovery: {} is set aside, {}: bans and drains of the last moments may be missing",
+                   files_.path_of(generation), fault);
+        aside_.push_back(files_.path_of(generation) + ": " + fault);
+        files_.set_aside(generation);
+        fault.clear();
+    }
+}
+
+bool Recovery::write() {
+    const Micros began = steady();
+    std::string fault;
+    // Another process of this proxy writes until it ends; the lock is asked for anew each time.
+    if (!lock_ || !lock_->fault().empty()) lock_ = std::make_unique<base::FolderLock>(setup_.folder);
+    fault = lock_->fault();
+    if (fault.empty()) fault = files_.write(recovery::encode(kept_), generation_ + 1, good_);
+    longest_us_ = std::max(longest_us_, static_cast<std::uint64_t>(steady() - began));
+    if (fault != fault_ && !fault.empty()) log::error("recovery: nothing can be kept: {}", fault);
+    if (fault.empty() && !fault_.empty()) log::info("recovery: kept again");
+    fault_ = fault;
+    if (!fault.empty()) return false;
+    good_ = ++generation_;
+    ++written_;
+    return true;
+}
+
+bool Recovery::keep(const std::set<std::string>& bans, bool drain) {
+    if (bans == kept_.bans && drain == kept_.drain) return true;
+    kept_.bans = bans, kept_.drain = drain;
+    return write();
+}
+
+void Recovery::follow(Stage before) {
+    if (ladder_.stage() == before) return;
+    log::info("recovery: {} (was {}): {}", name_of(ladder_.stage()), name_of(before), ladder_.reason());
+    if (before == Stage::serving) unsure_since_ = steady();  // it was paused
+    kept_.stage = ladder_.stage();
+    write();
+    hooks_.entered(before);
+}
+
+void Recovery::tick() {
+    const Stage before = ladder_.stage();
+    const Micros now = steady();
+    ladder_.tick(now);
+    ladder_.counted(now, peers_.group().reached());
+    follow(before);
+    if (ladder_.stage() >= Stage::asking && (ladder_.stage() < Stage::priming || !ladder_.sure())) ask();
+    // Only a fleet that has served for a while says who belongs to it: during a second loss those from before
+    // the first still count.
+    if (ladder_.stage() == Stage::serving && now - ladder_.since() >= kServedFor &&
+        now - members_kept_ >= kMembersEvery) {
+        members_kept_ = now;
+        std::set<std::string> members{peers_.group().self().name};
+        for (const group::Seen& seen : peers_.group().seen())
+            if (seen.state != group::State::left && members.size() < recovery::kMostNames)
+                members.insert(seen.word.name);
+        if (members != kept_.members) kept_.members = std::move(members), write();
+    }
+    next_tick_ = loop_.deadlines().set(
+        loop_.clock().now() + (ladder_.stage() == Stage::serving ? kTickServing : kTick), [this] { tick(); });
+}
+
+// Some members at a time, one after another.
+void Recovery::ask() {
+    const Micros now = steady();
+    if (now - asked_ < kAskEvery) return;
+    std::vector<std::string> all;
+    for (const group::Seen& seen : peers_.group().seen())
+        if (seen.state == group::State::alive || seen.state == group::State::suspect ||
+            seen.state == group::State::joining)
+            all.push_back(seen.word.name);
+    if (all.empty()) return;
+    asked_ = now;
+    const std::weak_ptr<bool> alive = alive_;
+    for (std::size_t i = 0; i < std::min(all.size(), kAskAtOnce); ++i) {
+        const std::string& name = all[next_++ % all.size()];
+        ++asks_;
+        peers_.call(name, kVerb, {}, kAnswerWithin, [this, alive, name](std::optional<std::string> body) {
+            if (!alive.expired() && body) heard(name, *body);
+        });
+    }
+}
+
+void Recovery::heard(const std::string& from, const std::string& body) try {
+    const base::Unpacked whole = base::unpacked(body, kMostPurges, kLongestCall);
+    base::Fields at = whole.fields(7);
+    if (at.next<int>() != kAnswerVersion) return;
+    recovery::Heard heard;
+    heard.from = from, heard.stage = at.word(Stage::serving);
+    heard.living = at.next<bool>(), heard.sure = at.next<bool>();
+    at.next<std::uint64_t>(), at.next<std::uint64_t>();
+    std::vector<Told> purges;
+    for (base::Fields list = at.list(kMostPurges); list.left() > 0;) {
+        base::Fields one = list.array(3);
+        Told told;
+        told.object = one.text(64), told.group = one.next<int>();
+        told.age = std::max<Micros>(0, one.next<Micros>()) * 1'000;
+        purges.push_back(std::move(told));
+    }
+    ++answers_;
+    hooks_.learn(purges);  // before it is believed that all are known
+    const Stage before = ladder_.stage();
+    ladder_.answered(steady(), heard);
+    follow(before);
+} catch (const std::exception& wrong) {
+    log::warn("recovery: an answer of {}: {}", from, wrong.what());
+}
+
+std::string Recovery::answer() const {
+    std::vector<Told> purges = hooks_.purges();
+    const bool all = purges.size() <= kMostPurges;
+    if (!all) purges.resize(kMostPurges);
+    const bool sure = all && ladder_.stage() == Stage::serving && ladder_.sure() && hooks_.sure();
+    base::Packed out;
+    out.array(7).add(kAnswerVersion, static_cast<int>(ladder_.stage()),
+                     ladder_.living(peers_.group().reached()), sure, ladder_.back(), ladder_.before());
+    out.array(purges.size());
+    for (const Told& told : purges) out.array(3).add(told.object, told.group, told.age / 1'000);
+    return out.bytes();
+}
+
+void Recovery::listed() {
+    const Stage before = ladder_.stage();
+    ladder_.listed(steady());
+    follow(before);
+}
+
+void Recovery::led(bool leader) {
+    const Stage before = ladder_.stage();
+    ladder_.led(steady(), leader);
+    follow(before);
+}
+
+void Recovery::go(Stage stage, const std::string& by) {
+    const Stage before = ladder_.stage();
+    log::warn("recovery: {} by hand of {}", name_of(stage), by);
+    if (hands_.size() >= kMostHands) hands_.erase(hands_.begin());
+    hands_.push_back(fmt::format("{} to {} by {}", name_of(before), name_of(stage), by));
+    ladder_.go(steady(), stage, by);
+    follow(before);
+}
+
+std::optional<Micros> Recovery::turn_away(const recovery::Asked& asked) {
+    const Stage stage = ladder_.stage();
+    if (stage == Stage::serving) return std::nullopt;
+    const Micros now = steady();
+    // While it clears up what it missed, one that was only paused goes on with the first part.
+    double risen = ladder_.ready() ? 0 : -1;
+    if (stage == Stage::priming)
+        risen = static_cast<double>(now - ladder_.since()) /
+                static_cast<double>(std::max<Micros>(1, setup_.prime));
+    const std::size_t share = std::max(ladder_.before(), hooks_.proxies());
+    const auto away = budget_.turn_away(now, asked, share, risen, ladder_.latest() - now);
+    if (away) ladder_.turned_away(now);
+    return away;
+}
+
+Micros Recovery::oldest() const {
+    return ladder_.sure() ? 0 : std::max<Micros>(1'000, steady() - unsure_since_);
+}
+
+std::string Recovery::as_json() const {
+    const Micros now = steady();
+    Json::Value root;
+    root["stage"] = name_of(ladder_.stage());
+    root["since_s"] = static_cast<double>(now - ladder_.since()) / 1e6;
+    if (ladder_.stage() != Stage::serving)
+        root["latest_s"] = static_cast<double>(ladder_.latest() - now) / 1e6;
+    root["waits_for"] = ladder_.waits_for(), root["reason"] = ladder_.reason();
+    root["ready"] = ladder_.ready(), root["sure_of_purges"] = ladder_.sure();
+    root["back"] = Json::UInt64{ladder_.back()}, root["before"] = Json::UInt64{ladder_.before()};
+    Json::Value& kept = root["kept"];
+    kept["file"] = good_ > 0 ? files_.path_of(good_) : "", kept["fault"] = fault_;
+    kept["drain"] = kept_.drain, kept["members"] = Json::UInt64{kept_.members.size()};
+    kept["bans"] = Json::Value(Json::arrayValue);
+    for (const std::string& ban : kept_.bans) kept["bans"].append(ban);
+    root["set_aside"] = root["hands"] = Json::Value(Json::arrayValue);
+    for (const std::string& one : aside_) root["set_aside"].append(one);
+    for (const std::string& one : hands_) root["hands"].append(one);
+    Json::Value& counters = root["counters"];
+    const std::pair<const char*, std::uint64_t> all[] = {{"let_through", budget_.let_through()},
+                                                         {"turned_away", budget_.turned_away()},
+                                                         {"asks", asks_},
+                                                         {"answers", answers_},
+                                                         {"pauses", ladder_.pauses()},
+                                                         {"written", written_},
+                                                         {"longest_write_us", longest_us_}};
+    for (const auto& [name, value] : all) counters[name] = Json::UInt64{value};
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, root) + "\n";
+}
+
+}  // namespace sumackeel::peers
--- /dev/null
+++ b/src/recovery/ladder.h
@@ -0,0 +1,88 @@
+// The way back of one proxy, as a ladder of stages (docs/design/recovery.md). Pure: times are of a clock that
+// only runs on, microseconds.
+//
+// Promises: each stage ends by its latest moment, whatever comes or does not come; no stage waits for a
+// member that is itself on the ladder; from `priming` on clients are welcome.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "base/time.h"
+
+namespace sumackeel::recovery {
+
+using base::Micros;
+
+enum class Stage : std::uint8_t { reading, asking, settling, priming, serving };
+const char* name_of(Stage stage);
+// False: there is no such stage.
+bool stage_named(const std::string& name, Stage& stage);
+
+struct Options {
+    Micros ask = 5'000'000, settle = 10'000'000, prime = 20'000'000;  // latest: at the end of each stage
+    Micros pause = 5'000'000;                                         // own silence that counts as a pause
+    bool elects = false;  // there is an agreed log, whose leader is waited for
+};
+
+// What another member answered.
+struct Heard {
+    std::string from;
+    Stage stage = Stage::reading;
+    bool living = false;  // it serves, with most of the fleet round it
+    bool sure = false;    // its list was confirmed lately, so the purges it told are all there are
+};
+
+constexpr std::size_t kMostHeard = 4'096;
+constexpr Micros kReadWithin = 2'000'000;
+constexpr Micros kCalm =
+    3'000'000;  // of priming: nothing turned away for so long, and the rest is not needed
+
+class Ladder {
+  public:
+    Ladder(const Options& options, Micros now);
+
+    // Events, each told when it happened.
+    void read(Micros now, std::size_t before);  // the own files; how many members were there, this one too
+    void answered(Micros now, const Heard& heard);
+    void counted(Micros now, std::size_t back);  // members that are there, this one too
+    void listed(Micros now);                     // a change log confirmed the list of pop caches
+    void led(Micros now, bool leader);
+    void turned_away(Micros now) { turned_away_ = now; }
+    // An operator's hand: on to that stage, kept on record.
+    void go(Micros now, Stage stage, const std::string& by);
+    // Told at least each half second; a longer silence is a pause of this process.
+    void tick(Micros now);
+
+    Stage stage() const { return stage_; }
+    Micros since() const { return since_; }
+    Micros latest() const;          // when this stage ends by time; the far future while serving
+    std::string waits_for() const;  // in words; empty: nothing
+    bool ready() const { return stage_ >= Stage::priming || paused_; }
+    bool sure() const { return sure_; }   // purges are surely known
+    bool living(std::size_t back) const;  // as it tells others
+    std::size_t before() const { return before_; }
+    std::size_t back() const { return back_; }
+    // Why it is where it is: the last step in words.
+    const std::string& reason() const { return reason_; }
+    const std::string& by() const { return by_; }  // the last operator's hand; empty: none
+    std::uint64_t pauses() const { return pauses_; }
+
+  private:
+    void enter(Stage stage, Micros now, std::string reason);
+    void look(Micros now);
+    bool most(std::size_t back) const { return 2 * back > before_; }
+
+    const Options options_;
+    Stage stage_ = Stage::reading;
+    Micros since_ = 0, ticked_ = 0, turned_away_ = 0;
+    std::size_t before_ = 1, back_ = 1;
+    std::set<std::string> recovering_;  // answered, and is on the ladder
+    bool sure_ = false, listed_ = false, led_ = false, living_ = false, paused_ = false;
+    std::string reason_ = "started", by_;
+    std::uint64_t pauses_ = 0;
+};
+
+}  // namespace sumackeel::recovery
--- a/src/saved_list/folder.h
+++ b/src/saved_list/folder.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/files.h"
+#include "base/generations.h"
 #include "membership/saved.h"
 
 namespace sumackeel::saved_list {
@@ -34,7 +35,7 @@
 
 class Folder {
   public:
-    explicit Folder(std::string path) : path_(std::move(path)) {}
+    explicit Folder(std::string path);
 
     const std::string& path() const { return path_; }
     Found read(const membership::Names& names, const std::string& site, membership::Micros wall_now) const;
@@ -42,12 +43,9 @@
     // Empty: it is on disk; else what went wrong, and the folder is as it was.
     std::string write(const std::string& bytes, std::uint64_t generation, std::uint64_t keep) const;
 
-    static std::string name_of(std::uint64_t generation);
-    // 0: not the name of a generation.
-    static std::uint64_t generation_of(const std::string& name);
-
   private:
     std::string path_;
+    base::Generations lists_;
 };
 
 // A file's bytes; a fault where it can't be read or is too long to be a list.
--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -18,6 +18,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "daemon"))
+from power import ChangeLogs, Copies  # noqa: E402
 from relay import Relay  # noqa: E402
 from wire import cache_box, dispatch, ops_call, reply, settings_for  # noqa: E402
 
@@ -127,6 +128,9 @@
         settings = settings_for(self.name, f"{self.host}:{CLIENTS}",
                                 (lambda name: fleet.slow_boxes.at) if self.slow else fleet.box_at,
                                 known + [("s-parent", "coast", "parent"), ("s-origin", "coast", "origin")])
+        if fleet.logs:
+            settings["changelog"] = f"{fleet.net}.252:{8000 + self.index}"
+            settings["known"] = {"seq": 0, "results": []}
         settings["seed"] = f"{fleet.seed + self.index:016x}"
         settings["settings"]["instances"] = fleet.members
         settings["settings"]["family_info"]["count_by_zone"] = [0, fleet.members]
@@ -153,6 +157,10 @@
                     out.write(f"{key} = {json.dumps(value)}\n")
                 out.write(f"seeds = {json.dumps(seeds)}\n")
                 out.write("reach = { %s }\n" % ", ".join(f"{json.dumps(k)} = {json.dumps(v)}" for k, v in reach.items()))
+            if fleet.recovery is not None:
+                out.write('[saved_list]\nfolder = "list"\nsite = "school"\nsave_every_ms = 100\n[recovery]\n')
+                for key, value in {"folder": "kept", **fleet.recovery}.items():
+                    out.write(f"{key} = {json.dumps(value)}\n")
             if fleet.agreed is not None:
                 agreed = {"folder": "agreed", "election_ms": 400, **fleet.agreed}
                 voters = fleet.all[:agreed.pop("voting", 3)]
@@ -226,8 +234,13 @@
         self.folder = tempfile.mkdtemp(prefix="sumackeel-fleet-")
         self.boxes = Boxes(f"{self.net}.250")
         self.slow_boxes = Boxes(f"{self.net}.251", delay=0.1)
+        self.recovery = scenario.get("recovery")  # settings of [recovery]; boxes then hold copies, and lists come from
+        self.logs = ChangeLogs(self.net, self.members) if self.recovery is not None else None  # a change log for each
+        self.copies = Copies(self.net, [*(self.pop_caches or ("s-a", "s-b")), "s-parent", "s-origin"]) if self.logs else None
+        if self.logs:
+            self.logs.tell({"fleet": {"seq": 1, "whole": True, "hosts": self.hosts()}})
         self.box_of = {}  # pop caches of their own, by id, where it matters who is asked
-        for number, name in enumerate(self.pop_caches or ()):
+        for number, name in enumerate(() if self.copies else self.pop_caches or ()):
             self.box_of[name] = Boxes(f"{self.net}.{210 + number}")
         self.all = []
         names = scenario.get("names", {})
@@ -248,7 +261,14 @@
         self.relay.start()
         self.clients = []
 
+    def hosts(self, state="SERVING", names=None):
+        return [{"host": name, "dial": self.copies.at[name], "site": "edge-1" if name[2] != "p" and name != "s-origin"
+                 else "coast", "class": {"s-parent": "parent", "s-origin": "origin"}.get(name, "small"), "block": 1,
+                 "health": state, "share": 8, "born_ms": 0} for name in names or self.copies.at]
+
     def box_at(self, name):
+        if self.copies:
+            return self.copies.at[name]
         return self.box_of.get(name, self.boxes).at
 
     def port(self, a, b):
@@ -284,6 +304,8 @@
         for boxes in [self.boxes, self.slow_boxes, *self.box_of.values()]:
             for ident, count in boxes.enrols.items():
                 ran[ident] = ran.get(ident, 0) + count
+        if self.copies:
+            ran.update(self.copies.enrols)
         twice = {ident: count for ident, count in ran.items() if count > 1}
         answered = sum(client.answered for client in self.clients)
         print(f"traffic: answered {answered}, refused or failed {sum(c.other for c in self.clients)}, "
@@ -305,6 +327,9 @@
         self.relay.join(timeout=2)
         for boxes in [self.boxes, self.slow_boxes, *self.box_of.values()]:
             boxes.listener.close()
+        for one in (self.copies, self.logs):
+            if one:
+                one.close()
         self.guard.close()
         if keep:
             print(f"files of this run are in {self.folder}")
@@ -782,6 +807,140 @@
             member.write_files()
             member.process.send_signal(signal.SIGHUP)
 
+    # A loss of power.
+    def power_off(self):
+        """All processes at one instant, and what the boxes held."""
+        self.kill("all")
+        self.fleet.copies.forget()
+        self.off_at = time.time()
+
+    def power_on(self, who="all", over=0.0, **extra):
+        """Started in an order by chance within `over` seconds; not waited for."""
+        members = self.fleet.pick(who)
+        chance = random.Random(self.fleet.seed)
+        chance.shuffle(members)
+        self.on_at, self.first_on = time.time(), time.monotonic()
+        for place, member in enumerate(members):
+            wait = self.first_on + over * place / max(1, len(members) - 1) - time.monotonic()
+            time.sleep(max(0, wait))
+            member.start(**extra)
+
+    def recovery(self, member):
+        body = []
+        status = ops_call(member.ops_port, "GET", "/ops/recovery", body, host=member.host, bound=2)
+        return json.loads(body[0]) if status == 200 else None
+
+    def stage(self, who, stage, within, reason="", **wanted):
+        """Each of `who` that was started is on this stage of the ladder; `wanted`: keys of what it says."""
+        def holds():
+            for member in self.fleet.pick(who):
+                if member.process is None or member.process.poll() is not None:
+                    continue
+                said = self.recovery(member)
+                if not said or said["stage"] not in ([stage] if isinstance(stage, str) else stage):
+                    return f"{member.name}: {said and said['stage']} ({said and said['reason']})"
+                if reason not in said["reason"]:
+                    return f"{member.name}: {said['reason']}"
+                for key, value in wanted.items():
+                    if said.get(key) != value:
+                        return f"{member.name}: {key} is {said.get(key)}"
+                if said["ready"]:
+                    member.faulted = False
+            return True
+        self.eventually(within, f"stage {stage}", holds)
+        print(f"{time.monotonic() - getattr(self, 'first_on', time.monotonic()):.2f} s after the power")
+
+    def kept(self, who, within=0, **wanted):
+        """What each says that it kept: bans, drain, set_aside as a number."""
+        def holds():
+            for member in self.fleet.pick(who):
+                said = self.recovery(member)
+                have = {"bans": said["kept"]["bans"], "drain": said["kept"]["drain"], "fault": said["kept"]["fault"] != "",
+                        "set_aside": len(said["set_aside"]), "hands": len(said["hands"])}
+                for key, value in wanted.items():
+                    if have[key] != value:
+                        return f"{member.name}: {key} {have[key]}"
+            return True
+        self.eventually(within, "kept", holds)
+
+    def load(self, box, most, least=1):
+        """Fills that came to a hub or the origin since the power returned: at most so many in any second."""
+        found = self.fleet.copies.most_in_a_second(box, self.on_at)
+        print(f"{box}: {found} fills in the worst second")
+        if not least <= found <= most:
+            raise Failed(f"{box}: {found} fills in a second, {least} to {most} wanted")
+
+    def discovery(self, up, who="all"):
+        indices = [member.index for member in self.fleet.pick(who)]
+        (self.fleet.logs.bring_back if up else self.fleet.logs.take_away)(indices)
+
+    def purge(self, only=None):
+        """All objects of the clients' group, told to all or to one member alone."""
+        self.purged_at = time.time()
+        self.fleet.logs.tell({"invalidate": {"bucket": 17, "time": int(self.purged_at * 1000)}}, only)
+
+    def listed(self, box, state):
+        self.fleet.logs.tell({"fleet": {"seq": 100 + len(self.fleet.logs.events[0]), "whole": False,
+                                        "hosts": self.fleet.hosts(state, [box])}})
+
+    def empty_list(self):
+        self.fleet.logs.tell({"fleet": {"seq": 90, "whole": True, "hosts": []}})
+
+    def whole_list(self):
+        self.fleet.logs.tell({"fleet": {"seq": 95, "whole": True, "hosts": self.fleet.hosts()}})
+
+    def refill(self, seconds_old):
+        """Boxes come back with copies of all that clients ask for, as old as that: a loss that they outlived."""
+        dated = time.time() - seconds_old
+        with self.fleet.copies.lock:
+            for held in self.fleet.copies.held.values():
+                for item in range(997):
+                    held[(f"{item:016x}", "0")] = dated
+
+    def no_old_copy(self, since="purged_at", grace=0.35):
+        """From `grace` after the power's return no copy from before the purge, or before the loss, was served."""
+        bound = getattr(self, since)
+        begin = max(getattr(self, "on_at", 0), getattr(self, "purged_at", 0) + grace)
+        bad = [one for one in self.fleet.copies.served if one[0] > begin and one[2] < bound]
+        print(f"{len(self.fleet.copies.served)} copies served, {len(bad)} too old")
+        if bad:
+            raise Failed(f"{len(bad)} copies from before {since} were served, first {bad[0]}")
+
+    def not_asked(self, box):
+        """Nobody has asked that pop cache since the power returned."""
+        asked = [at for at, name in self.fleet.copies.asked if name == box and at > self.on_at]
+        if asked:
+            raise Failed(f"{box} was asked {len(asked)} times, first {asked[0] - self.on_at:.2f} s after the power")
+
+    def answers(self, who, within):
+        """A request to each of `who` is served."""
+        began = {client.member.name: client.answered for client in self.fleet.clients}
+        wanted = {member.name for member in self.fleet.pick(who)}
+        self.eventually(within, "answers", lambda: all(
+            client.answered > began[client.member.name] for client in self.fleet.clients
+            if client.member.name in wanted) or "not yet")
+
+    def damage_kept(self, who, how):
+        """The newest file of what is kept is cut in half, or has a byte changed."""
+        for member in self.fleet.pick(who):
+            folder = os.path.join(member.folder, "kept")
+            path = os.path.join(folder, max(name for name in os.listdir(folder) if name.endswith(".sumkept")))
+            with open(path, "r+b") as file:
+                data = file.read()
+                if how == "cut":
+                    file.truncate(len(data) // 2)
+                else:
+                    file.seek(len(data) // 2)
+                    file.write(bytes([data[len(data) // 2] ^ 1]))
+
+    def read_only(self, who):
+        """The folder of what is kept can't be written: a plain file stands in its place."""
+        for member in self.fleet.pick(who):
+            path = os.path.join(member.folder, "kept")
+            shutil.rmtree(path, ignore_errors=True)
+            with open(path, "w", encoding="utf-8") as out:
+                out.write("no folder\n")
+
     def rules(self, **wanted):
         """Another operator's file for all: each is started anew with it, one after another."""
         self.fleet.agreed.update(wanted)
--- /dev/null
+++ b/tests/recovery/recovery_test.cpp
@@ -0,0 +1,192 @@
+// The way back without a wire: the ladder over random histories, the budget's sums, and what is kept cut and
+// flipped everywhere.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+#include "recovery/budget.h"
+#include "recovery/kept.h"
+#include "recovery/ladder.h"
+
+namespace sumackeel::recovery {
+namespace {
+
+using base::kSecond;
+
+Ladder asked(std::size_t before, Options options = {}) {
+    Ladder ladder(options, 0);
+    ladder.read(0, before);
+    return ladder;
+}
+
+Heard from(const char* name, Stage stage, bool living = false, bool sure = false) {
+    return {name, stage, living, sure};
+}
+
+}  // namespace
+
+TEST(Recovery, OneRestartInALivingFleetServesWithTheFirstAnswer) {
+    Ladder ladder = asked(5);
+    EXPECT_FALSE(ladder.ready());
+    ladder.answered(100'000, from("n1", Stage::serving, true, true));
+    EXPECT_EQ(ladder.stage(), Stage::serving);
+    EXPECT_TRUE(ladder.sure());
+}
+
+TEST(Recovery, OneThatServesAlmostAloneIsNoLivingFleet) {
+    Ladder early = asked(5);
+    for (Micros now = 0; early.stage() != Stage::serving; now += 500'000) early.tick(now);
+    EXPECT_FALSE(early.living(2));
+    EXPECT_TRUE(early.living(3));
+    Ladder late = asked(5);
+    late.answered(100'000, from("n0", Stage::serving, false, true));
+    EXPECT_EQ(late.stage(), Stage::asking);
+    EXPECT_TRUE(late.sure()) << "its purges count all the same";
+}
+
+TEST(Recovery, AllOnTheLadderWaitForNobodyElse) {
+    Ladder ladder = asked(3);
+    ladder.answered(100'000, from("n1", Stage::asking));
+    ladder.answered(200'000, from("n2", Stage::reading));
+    EXPECT_EQ(ladder.stage(), Stage::settling);
+    ladder.counted(300'000, 2);
+    ladder.listed(400'000);
+    EXPECT_EQ(ladder.stage(), Stage::priming);
+    EXPECT_TRUE(ladder.ready());
+}
+
+TEST(Recovery, APauseIsNoticedAndClientsAreNotTurnedAwayForIt) {
+    Ladder ladder = asked(2);
+    ladder.answered(1, from("n1", Stage::serving, true, true));
+    ladder.tick(500'000);
+    ladder.tick(9 * kSecond);
+    EXPECT_EQ(ladder.stage(), Stage::asking);
+    EXPECT_TRUE(ladder.ready());
+    EXPECT_FALSE(ladder.sure());
+    EXPECT_FALSE(ladder.living(2));
+}
+
+// Whatever comes in whatever order, no stage outlasts its time, and purges are not sure without a sure word.
+TEST(Recovery, NoStageOutlastsItsTimeOver200Seeds) {
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        std::mt19937_64 chance(seed);
+        const Options options{
+            .ask = 2 * kSecond, .settle = 3 * kSecond, .prime = 4 * kSecond, .elects = seed % 2 == 0};
+        Ladder ladder(options, 0);
+        bool sure_word = false;
+        Micros served_at = -1;
+        for (Micros now = 0; now < 20 * kSecond; now += 100'000) {
+            switch (chance() % 8) {
+                case 0:
+                    ladder.read(now, chance() % 6);
+                    break;
+                case 1: {
+                    const auto stage = static_cast<Stage>(chance() % 5);
+                    const bool sure = chance() % 8 == 0;
+                    sure_word = sure_word || (sure && stage == Stage::serving);
+                    ladder.answered(now, {"n" + std::to_string(chance() % 6), stage, false, sure});
+                    break;
+                }
+                case 2:
+                    ladder.counted(now, chance() % 6);
+                    break;
+                case 3:
+                    ladder.led(now, chance() % 2 == 0);
+                    break;
+                case 4:
+                    ladder.turned_away(now);
+                    break;
+                default:
+                    break;
+            }
+            ladder.tick(now);
+            EXPECT_LT(now, ladder.latest());
+            if (!sure_word) {
+                EXPECT_FALSE(ladder.sure());
+            }
+            if (ladder.stage() == Stage::serving && served_at < 0) served_at = now;
+        }
+        ASSERT_GE(served_at, 0);
+        EXPECT_LE(served_at, kReadWithin + options.ask + options.settle + options.prime + kSecond);
+    }
+}
+
+// The sum over all proxies, a late majority among them, in any second.
+TEST(Recovery, BudgetHoldsOverTheWholeFleetOver200Seeds) {
+    constexpr double kAll = 200;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        std::mt19937_64 chance(seed);
+        const std::size_t proxies = 3 + chance() % 40;
+        std::vector<Budget> budgets;
+        std::vector<Micros> begins;
+        for (std::size_t i = 0; i < proxies; ++i) {
+            budgets.emplace_back(kAll, std::vector<double>{1, 2}, seed * 100 + i);
+            begins.push_back(static_cast<Micros>(chance() % 5'000) * 1'000);
+        }
+        std::vector<Micros> fills;
+        for (Micros now = 0; now < 8 * kSecond; now += 20'000)
+            for (std::size_t i = 0; i < proxies; ++i) {
+                if (now < begins[i]) continue;
+                const double risen = static_cast<double>(now - begins[i]) / 10e6;
+                const Asked one{
+                    .key = chance(), .worth = 1.0 + static_cast<double>(chance() % 2), .size_kb = 40};
+                if (!budgets[i].turn_away(now, one, proxies, risen, kSecond)) fills.push_back(now);
+                EXPECT_FALSE(budgets[i].turn_away(now, {.needs_copy = false}, proxies, -1, kSecond))
+                    << "enrol";
+            }
+        std::size_t first = 0, most = 0;
+        for (std::size_t last = 0; last < fills.size(); ++last) {
+            while (fills[last] - fills[first] > kSecond) ++first;
+            most = std::max(most, last - first + 1);
+        }
+        // A second's part and a bucket of each.
+        EXPECT_LE(most, kAll + static_cast<double>(proxies) *
+                                   std::max(1.0, kAll / static_cast<double>(proxies) / 2));
+        EXPECT_GT(most, kAll / 8);
+    }
+}
+
+TEST(Recovery, BudgetTurnsAwayTheLeastWorthFirstAndCountsAnObjectOnce) {
+    Budget budget(20, {1, 5}, 1);
+    int cheap = 0, dear = 0;
+    for (Micros now = 0; now < 10 * kSecond; now += 20'000) {
+        const auto key = static_cast<std::uint64_t>(now);
+        cheap += budget.turn_away(now, {.key = 2 * key, .worth = 1, .size_kb = 40}, 1, 1, kSecond) ? 0 : 1;
+        dear += budget.turn_away(now, {.key = 2 * key + 1, .worth = 5, .size_kb = 40}, 1, 1, kSecond) ? 0 : 1;
+    }
+    EXPECT_GT(dear, 10 * cheap);
+    const auto away = budget.turn_away(10 * kSecond, {.key = 7, .size_kb = 40}, 1, -1, 3 * kSecond);
+    ASSERT_TRUE(away);
+    EXPECT_LE(*away, 3 * kSecond);
+    Budget fresh(1, {1}, 1);
+    EXPECT_FALSE(fresh.turn_away(0, {.key = 9, .size_kb = 40}, 1, 1, kSecond));
+    for (int i = 1; i < 100; ++i)
+        EXPECT_FALSE(fresh.turn_away(i * 1'000, {.key = 9, .size_kb = 40}, 1, 1, kSecond)) << "it joins";
+    EXPECT_TRUE(fresh.turn_away(101'000, {.key = 10, .size_kb = 40}, 1, 1, kSecond));
+}
+
+TEST(Recovery, KeptCutAtEachLengthAndFlippedAtEachByteIsNamedNeverTaken) {
+    Kept kept{
+        .stage = Stage::priming, .members = {"n0", "n1"}, .drain = true, .bans = {"s-a", "s-b.example"}};
+    const std::string text = encode(kept);
+    Kept read;
+    ASSERT_EQ(decode(text, read), "");
+    EXPECT_EQ(read, kept);
+    for (std::size_t cut = 0; cut < text.size(); ++cut) {
+        Kept other;
+        EXPECT_NE(decode(text.substr(0, cut), other), "") << cut;
+        EXPECT_EQ(other, Kept{});
+    }
+    for (std::size_t at = 0; at < text.size(); ++at)
+        for (int bit = 0; bit < 8; ++bit) {
+            std::string flipped = text;
+            flipped[at] = static_cast<char>(flipped[at] ^ (1 << bit));
+            Kept other;
+            EXPECT_NE(decode(flipped, other), "") << at;
+        }
+}
+
+}  // namespace sumackeel::recovery
--- a/tests/saved_list/folder_test.cpp
+++ b/tests/saved_list/folder_test.cpp
@@ -24,6 +24,10 @@
 using membership::Names;
 using membership::Snapshot;
 
+std::string name_of(std::uint64_t generation) {
+    return base::Generations("", "list-", ".sumlist").path_of(generation).substr(1);
+}
+
 const Names kNames{{"edge-1"}, {"small"}};
 
 Micros wall() {
@@ -64,7 +68,7 @@
     ~ListFolder() override { std::filesystem::remove_all(path_); }
     std::string put(std::uint64_t generation, const Snapshot& list) const {
         EXPECT_EQ(Folder(path_).write(encode(list, kNames), generation, generation - 1), "");
-        return path_ + '/' + Folder::name_of(generation);
+        return path_ + '/' + name_of(generation);
     }
     Found read() const { return Folder(path_).read(kNames, "school", wall()); }
     std::size_t files() const {
@@ -137,7 +141,7 @@
     }
     // And where the name made it to the disk before the bytes did, the older one is read.
     for (std::size_t cut = 0; cut < bytes.size(); cut += 13) {
-        std::ofstream(path_ + '/' + Folder::name_of(8), std::ios::binary) << bytes.substr(0, cut);
+        std::ofstream(path_ + '/' + name_of(8), std::ios::binary) << bytes.substr(0, cut);
         ASSERT_EQ(read().list->last_seq, 7);
     }
 }
