Voters know the state only once their log is applied; leases are kept for the way back

powerloss_lease_held failed: a box out by lease was asked 1.2 s after the power. Checked: the clients' requests came from voters that had met a leader and had not applied their own log yet; Agreed::known took the leader alone for knowledge, so bans were empty (agreed.cpp, known). It is known now once what was in the log when a leader was met is applied, nothing goes out before that while recovering, and the leases last heard are kept on disk.

--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -92,7 +92,7 @@
 // The way back from a power loss.
 struct Recovery {
     std::string folder;
-    nettlethread::Micros ask = 5'000'000, settle = 10'000'000, prime = 20'000'000, pause = 5'000'000;
+    nettlethread::Micros ask = 5'000'000, settle = 10'000'000, prime = 60'000'000, pause = 5'000'000;
     double fills_per_s = 200;  // of all proxies together
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -248,7 +248,7 @@
     // for ever: where no voter answers it serves by what it knows.
     void become_able(Micros until) {
         const bool learning = agreed && !agreed->known() && loop.clock().now() < until;
-        if (learning || (recovery && !recovery->ladder().ready())) {
+        if (recovery ? !recovery->ladder().ready() : learning) {
             loop.deadlines().set(loop.clock().now() + kLookForEnd, [this, until] {
                 if (!told_to_end) become_able(until);
             });
@@ -307,11 +307,14 @@
         core.oldest([this] { return recovery->oldest(); });
         core.gate([this](const core::Ask& ask) {
             const auto& of = core.settings().classes[static_cast<std::size_t>(ask.service)];
+            // Before the fleet's bans are known nothing goes out at all: what needs no copy goes by a pop
+            // cache too.
+            const bool blind = agreed && !agreed->known() && !recovery->ladder().ready();
             return recovery->turn_away(
                 {.key = std::hash<std::string>{}(ask.object + '/' + std::to_string(ask.part)),
                  .worth = of.points,
                  .size_kb = ask.size_kb,
-                 .needs_copy = !of.uncached});
+                 .needs_copy = blind || !of.uncached});
         });
         carry_out();
         look_at_fleet();
@@ -335,6 +338,7 @@
             [this](const rollout::State& state) {
                 log::info("agreed: revision {}, {} out by lease", state.revision(), state.leases().size());
                 carry_out();
+                keep();
                 follow_own();
                 if (releases) releases->changed();
             });
@@ -506,7 +510,7 @@
     void changed_board() {
         carry_out();
         save_hand_over(files.hand_over, board);
-        if (recovery) recovery->keep(board.bans(), board.drain_told());
+        keep();
     }
 
     // Both files are read before anything is changed: one that can't be used leaves all as it was. What the
@@ -609,14 +613,32 @@
         return reply;
     }
 
+    std::set<std::string> leased() const {
+        std::set<std::string> out;
+        for (const auto& [key, lease] : agreed->state().leases())
+            if (key.first == rollout::Kind::pop_cache) out.insert(key.second);
+        return out;
+    }
+
+    // For the way back from a loss of power. What the agreed log says stays as it was until it is heard
+    // again.
+    void keep() {
+        if (!recovery || board.phase() == ops::Phase::starting) return;
+        recovery->keep(board.bans(),
+                       !agreed           ? std::set<std::string>{}
+                       : agreed->known() ? leased()
+                                         : recovery->kept().leased,
+                       board.drain_told());
+    }
+
     // What the board says, done: bans to the module, clients sent away while draining or ending.
     void carry_out() {
         std::set<std::string> bans = board.bans();
         if (recovery && board.phase() == ops::Phase::starting)
             bans.insert(recovery->kept().bans.begin(), recovery->kept().bans.end());
-        if (agreed)
-            for (const auto& [key, lease] : agreed->state().leases())
-                if (key.first == rollout::Kind::pop_cache) bans.insert(key.second);
+        if (agreed) bans.merge(leased());
+        if (agreed && recovery && !agreed->known())
+            bans.insert(recovery->kept().leased.begin(), recovery->kept().leased.end());
         fleet->set_bans(bans);
         front.send_away(board.sending_away());
         front.set_ready(board.ready());
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -121,6 +121,7 @@
     rollout::State state;
     Answer last;  // of the command applied just now, for who proposed it
     bool started = false, failed = false, closed = false, up = false;
+    std::optional<raft_index> met_at;  // the log's end when a leader was first known
 
     // Danger: the library (0.15) follows a pointer into nothing when an append of its own as leader fails on
     // disk. So it is never told: the log is closed instead, and this member asks the others from then on.
@@ -276,6 +277,12 @@
     }
 
     bool votes() const { return started && !failed && !closed; }
+    // What was in the log when a leader was met is applied: a start that has only met one has an empty state
+    // yet.
+    bool caught_up() {
+        if (!met_at && !leader().empty()) met_at = raft_last_index(&raft_);
+        return met_at && raft_last_applied(&raft_) >= std::min(*met_at, raft_last_index(&raft_));
+    }
     bool leads() { return votes() && raft_state(&raft_) == RAFT_LEADER; }
 
     std::string leader() {
@@ -395,7 +402,7 @@
     return votes() ? voter_->leader() : leader_;
 }
 bool Agreed::known() const {
-    return votes() ? !voter_->leader().empty() : known_;
+    return votes() ? voter_->caught_up() && !voter_->leader().empty() : known_;
 }
 
 bool Agreed::leads() const {
--- a/src/peers/recovery.cpp
+++ b/src/peers/recovery.cpp
@@ -25,6 +25,7 @@
 constexpr Micros kMembersEvery = 10'000'000;  // names of members go to disk this often at most,
 constexpr Micros kServedFor = 30'000'000;     // and only once the fleet has served this long
 constexpr std::size_t kMostPurges = 20'000;   // in one answer
+constexpr double kRises = 3;                  // the budget is whole after a third of priming
 constexpr std::size_t kMostHands = 32;
 
 }  // namespace
@@ -100,9 +101,9 @@
     return true;
 }
 
-bool Recovery::keep(const std::set<std::string>& bans, bool drain) {
-    if (bans == kept_.bans && drain == kept_.drain) return true;
-    kept_.bans = bans, kept_.drain = drain;
+bool Recovery::keep(const std::set<std::string>& bans, const std::set<std::string>& leased, bool drain) {
+    if (bans == kept_.bans && leased == kept_.leased && drain == kept_.drain) return true;
+    kept_.bans = bans, kept_.leased = leased, kept_.drain = drain;
     return write();
 }
 
@@ -224,7 +225,7 @@
     // While it clears up what it missed, one that was only paused goes on with the first part.
     double risen = ladder_.ready() ? 0 : -1;
     if (stage == Stage::priming)
-        risen = static_cast<double>(now - ladder_.since()) /
+        risen = kRises * static_cast<double>(now - ladder_.since()) /
                 static_cast<double>(std::max<Micros>(1, setup_.prime));
     const std::size_t share = std::max(ladder_.before(), hooks_.proxies());
     const auto away = budget_.turn_away(now, asked, share, risen, ladder_.latest() - now);
--- a/src/peers/recovery.h
+++ b/src/peers/recovery.h
@@ -45,7 +45,7 @@
 
     const recovery::Kept& kept() const { return kept_; }
     // On disk once this returns; a fault is logged, and `false`.
-    bool keep(const std::set<std::string>& bans, bool drain);
+    bool keep(const std::set<std::string>& bans, const std::set<std::string>& leased, bool drain);
     const recovery::Ladder& ladder() const { return ladder_; }
     void listed();
     void led(bool leader);
--- a/src/recovery/budget.cpp
+++ b/src/recovery/budget.cpp
@@ -14,7 +14,8 @@
 constexpr double kMostCost = 8;
 constexpr double kReserve = 0.5;  // of the bucket is closed to the class that is worth least
 constexpr Micros kPrimedFor = 10'000'000;
-constexpr Micros kSoonest = 500'000, kLatest = 10'000'000;  // to come back
+// To come back: all that were turned away are here again before a calm (kCalm of the ladder) is believed.
+constexpr Micros kSoonest = 500'000, kLatest = 2'500'000;
 
 }  // namespace
 
@@ -32,6 +33,11 @@
     return primed_.contains(key);
 }
 
+void Budget::prime(Micros now, std::uint64_t key) {
+    primed_[key] = now;
+    order_.emplace_back(now, key);
+}
+
 Micros Budget::come_back(Micros left) {
     const Micros end = std::clamp(left, 2 * kSoonest, kLatest);
     return std::uniform_int_distribution<Micros>(kSoonest, end)(chance_);
@@ -49,7 +55,10 @@
     tokens_ = std::min(bucket, tokens_ + part * static_cast<double>(now - filled_) / 1e6);
     filled_ = now;
     // What was let through lately costs once: the rest joins its fill, or finds the copy.
-    if (primed(now, asked.key)) return let();
+    if (primed(now, asked.key)) {
+        if (now - primed_[asked.key] >= kPrimedFor / 4) prime(now, asked.key);
+        return let();
+    }
     const double cost = std::clamp(asked.size_kb / kUsualKb, 1.0, kMostCost);
     const auto above = worths_.end() - std::upper_bound(worths_.begin(), worths_.end(), asked.worth);
     const double closed = worths_.size() > 1 ? kReserve * static_cast<double>(above) /
@@ -58,8 +67,7 @@
     // One that costs more than a bucket holds goes at a full one and leaves a debt.
     if (tokens_ - closed < std::min(cost, bucket - closed) - 1e-9) return ++turned_away_, come_back(left);
     tokens_ -= cost;
-    primed_[asked.key] = now;
-    order_.emplace_back(now, asked.key);
+    prime(now, asked.key);
     return let();
 }
 
--- a/src/recovery/budget.h
+++ b/src/recovery/budget.h
@@ -44,6 +44,7 @@
 
   private:
     bool primed(Micros now, std::uint64_t key);
+    void prime(Micros now, std::uint64_t key);
     Micros come_back(Micros left);
 
     double fills_per_s_;
--- a/src/recovery/kept.cpp
+++ b/src/recovery/kept.cpp
@@ -37,6 +37,7 @@
     for (const std::string& member : kept.members) body += fmt::format("member {}\n", member);
     if (kept.drain) body += "drain on\n";
     for (const std::string& ban : kept.bans) body += fmt::format("down {}\n", ban);
+    for (const std::string& id : kept.leased) body += fmt::format("leased {}\n", id);
     return body + std::string(kSum) + sum_of(body) + "\n";
 }
 
@@ -58,9 +59,10 @@
         const auto blank = line.find(' ');
         const std::string_view word = line.substr(0, blank);
         const std::string value(blank == std::string_view::npos ? "" : line.substr(blank + 1));
-        std::set<std::string>* names = word == "member" ? &found.members
-                                       : word == "down" ? &found.bans
-                                                        : nullptr;
+        std::set<std::string>* names = word == "member"   ? &found.members
+                                       : word == "down"   ? &found.bans
+                                       : word == "leased" ? &found.leased
+                                                          : nullptr;
         if (word == "stage" ? !stage_named(value, found.stage)
             : names         ? !sound(value) || names->size() >= kMostNames
                             : line != "drain on")
--- a/src/recovery/kept.h
+++ b/src/recovery/kept.h
@@ -12,14 +12,15 @@
 
 constexpr std::size_t kMostNames = 4'096;  // members, and bans
 constexpr std::size_t kLongestName = 253;
-constexpr std::size_t kLongestKept = 2 * kMostNames * (kLongestName + 8) + 4'096;
+constexpr std::size_t kLongestKept = 3 * kMostNames * (kLongestName + 8) + 4'096;
 constexpr int kKeptVersion = 1;
 
 struct Kept {
     Stage stage = Stage::reading;   // when it was written
     std::set<std::string> members;  // who was there, this one too
     bool drain = false;
-    std::set<std::string> bans;
+    std::set<std::string> bans;    // this proxy's own
+    std::set<std::string> leased;  // pop caches out by lease when the agreed log was last heard
     bool operator==(const Kept&) const = default;
 };
 
--- a/src/recovery/ladder.h
+++ b/src/recovery/ladder.h
@@ -22,7 +22,7 @@
 bool stage_named(const std::string& name, Stage& stage);
 
 struct Options {
-    Micros ask = 5'000'000, settle = 10'000'000, prime = 20'000'000;  // latest: at the end of each stage
+    Micros ask = 5'000'000, settle = 10'000'000, prime = 60'000'000;  // latest: at the end of each stage
     Micros pause = 5'000'000;                                         // own silence that counts as a pause
     bool elects = false;  // there is an agreed log, whose leader is waited for
 };
--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -855,6 +855,8 @@
         def holds():
             for member in self.fleet.pick(who):
                 said = self.recovery(member)
+                if not said:
+                    return f"{member.name} does not answer"
                 have = {"bans": said["kept"]["bans"], "drain": said["kept"]["drain"], "fault": said["kept"]["fault"] != "",
                         "set_aside": len(said["set_aside"]), "hands": len(said["hands"])}
                 for key, value in wanted.items():
--- a/tests/recovery/recovery_test.cpp
+++ b/tests/recovery/recovery_test.cpp
@@ -169,8 +169,11 @@
 }
 
 TEST(Recovery, KeptCutAtEachLengthAndFlippedAtEachByteIsNamedNeverTaken) {
-    Kept kept{
-        .stage = Stage::priming, .members = {"n0", "n1"}, .drain = true, .bans = {"s-a", "s-b.example"}};
+    Kept kept{.stage = Stage::priming,
+              .members = {"n0", "n1"},
+              .drain = true,
+              .bans = {"s-a", "s-b.example"},
+              .leased = {"s-c"}};
     const std::string text = encode(kept);
     Kept read;
     ASSERT_EQ(decode(text, read), "");
