A voter that lost its log waits for the others' leader; a forced start with the one that is left

A mark beside the start number tells that a log was there; without it no first entry is written and nothing opened before others lead. recovery force makes the one voter left go on alone, on record; the leader then adds those of the operator's file that don't vote, one at a time.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -270,12 +270,13 @@
                                "start PLAN, status (the default), list, halt, resume, back or wait");
             });
         command(
-            "recovery", "The way back from a power loss: show, go STAGE, verify FOLDER",
+            "recovery", "The way back from a power loss: show, go STAGE, verify FOLDER, force FOLDER",
             [this] { return recovery_command(flags_.at, flags_.words, flags_.json); },
             [this](CLI::App& sub) {
                 json(sub);
                 sub.add_option("-a,--at", flags_.at, "The operators' address of a proxy");
-                sub.add_option("words", flags_.words, "show (the default), go STAGE or verify FOLDER");
+                sub.add_option("words", flags_.words,
+                               "show (the default), go STAGE, verify FOLDER or force FOLDER");
             });
         expect();
         command(
--- a/src/cli/recovery_command.cpp
+++ b/src/cli/recovery_command.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <json/json.h>
 
+#include <ctime>
+
 #include "base/files.h"
 #include "base/generations.h"
 #include "cli/ops_call.h"
@@ -36,6 +38,18 @@
     return sound ? 0 : 1;
 }
 
+// At the one voter that is left, before it is started again.
+int force(const std::string& folder) {
+    const std::string fault =
+        base::put_in_place(folder, "force.new", "force",
+                           fmt::format("sumackeel-force 1 {}\n", static_cast<long long>(std::time(nullptr))));
+    if (!fault.empty()) throw config::ConfigError(fault);
+    fmt::print(
+        "{}: the next start goes on alone, with what this voter has; empty the folders of all other voters\n",
+        folder);
+    return 0;
+}
+
 void print(const Json::Value& root) {
     fmt::print("{} for {:.1f} s ({}){}\n", root["stage"].asString(), root["since_s"].asDouble(),
                root["reason"].asString(), root["ready"].asBool() ? ", ready" : ", not ready");
@@ -62,8 +76,9 @@
     const std::string word = words.empty() ? "show" : words.front();
     const bool show = word == "show", go = word == "go";
     if (word == "verify" && words.size() == 2) return verify(words[1]);
+    if (word == "force" && words.size() == 2) return force(words[1]);
     if (!(show || go) || words.size() != (go ? 2 : words.empty() ? 0 : 1))
-        throw config::ConfigError("recovery takes show, go STAGE or verify FOLDER");
+        throw config::ConfigError("recovery takes show, go STAGE, verify FOLDER or force FOLDER");
     if (address.empty()) throw config::ConfigError("no proxy: give --at ADDRESS, its operators' address");
     const OpsAnswer answer =
         ops_call(address, go ? "POST" : "GET", go ? "/ops/recovery/go/" + words[1] : "/ops/recovery");
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -26,10 +26,13 @@
 constexpr Micros kTryAgain = 60'000;  // while there is no leader
 // Of those that do not vote: bans reach them within 1 s. Stretched where they are many, up to the longest.
 constexpr Micros kPollEvery = 250'000, kPollEach = 2'000, kPollLongest = 900'000;
+constexpr Micros kTendEvery = 1'000'000;                   // who votes, against the operator's file
 constexpr Micros kVoteLater = 200'000;                     // while the process before this one has the folder
 constexpr unsigned kSnapshotAfter = 512, kTrailing = 128;  // entries; each is some KB at most
 constexpr std::size_t kSegment = 1 << 20;
 
+constexpr const char* kVoted = "voted";  // in the folder of the peers: this one has had a log
+constexpr const char* kForce = "force";  // in the log's folder: go on alone, as an operator wants it
 constexpr const char* kWishVerb = "wish";
 constexpr const char* kStateVerb = "state";
 
@@ -121,6 +124,8 @@
     rollout::State state;
     Answer last;  // of the command applied just now, for who proposed it
     bool started = false, failed = false, closed = false, up = false;
+    bool changing = false;  // who votes, under way
+    raft_change change{};
     std::optional<raft_index> met_at;  // the log's end when a leader was first known
 
     // Danger: the library (0.15) follows a pointer into nothing when an append of its own as leader fails on
@@ -175,9 +180,21 @@
           transport(o.loop_, o.peers_.codec(), address_of(name),
                     [this](const std::string& told) { return owner.peers_.reached_at(told); }) {}
 
+    // Whether this voter has a log, and whether it ever had one: what it voted for is in it.
+    bool has_log() const {
+        std::error_code ignored;
+        return std::filesystem::exists(owner.setup_.folder + "/metadata1", ignored) ||
+               std::filesystem::exists(owner.setup_.folder + "/metadata2", ignored);
+    }
+    bool lost_log() const {
+        std::error_code ignored;
+        return !has_log() && std::filesystem::exists(owner.peers_.setup().folder + '/' + kVoted, ignored);
+    }
+
     // Takes the folder and starts. Empty: done; else what went wrong, and this is to be closed.
     std::string open() {
         const std::string& folder = owner.setup_.folder;
+        const bool lost = lost_log();
         lock = std::make_unique<base::FolderLock>(folder);
         if (!lock->fault().empty()) return lock->fault();
         if (const int made = raft_uv_init(&io, owner.loop_.raw(), folder.c_str(), transport.raw()); made != 0)
@@ -219,19 +236,61 @@
         raft_set_heartbeat_timeout(&raft_, std::max(20U, owner.setup_.election_ms / 5));
         raft_set_snapshot_threshold(&raft_, kSnapshotAfter);
         raft_set_snapshot_trailing(&raft_, kTrailing);
+        if (!lost)
+            if (std::string wrong = first_entry(); !wrong.empty()) return wrong;
+        if (const int ran = raft_start(&raft_); ran != 0) return fault_of(ran, "the start");
+        started = true;
+        return base::put_in_place(owner.peers_.setup().folder, std::string(kVoted) + ".new", kVoted,
+                                  "sumackeel-voted 1\n");
+    }
+
+    // Who votes, as the first entry of a new log; or where an operator forced it, this one alone. Danger: one
+    // that has lost its log writes none. It has forgotten its vote, and two such could make a majority of
+    // their own beside the one that is there; without an entry it waits to be filled.
+    std::string first_entry() {
+        const std::string force = owner.setup_.folder + '/' + kForce;
+        std::error_code ignored;
+        const bool forced = has_log() && std::filesystem::exists(force, ignored);
         raft_configuration voters;
         raft_configuration_init(&voters);
         for (const auto& [voter, address] : owner.setup_.voters)
-            raft_configuration_add(&voters, id_of(voter), address.c_str(), RAFT_VOTER);
-        const int made = raft_bootstrap(&raft_, &voters);
+            if (!forced || voter == self)
+                raft_configuration_add(&voters, id_of(voter), address.c_str(), RAFT_VOTER);
+        const int made = forced ? raft_recover(&raft_, &voters) : raft_bootstrap(&raft_, &voters);
         raft_configuration_close(&voters);
-        if (made != 0 && made != RAFT_CANTBOOTSTRAP)
-            return fault_of(made, "the first entry");  // else there is one
-        if (const int ran = raft_start(&raft_); ran != 0) return fault_of(ran, "the start");
-        started = true;
+        if (made != 0 && (forced || made != RAFT_CANTBOOTSTRAP)) return fault_of(made, "who votes");
+        if (!forced) return {};
+        const std::string record =
+            fmt::format("{}/{}d-{}", owner.setup_.folder, kForce, owner.loop_.clock().now());
+        std::filesystem::rename(force, record, ignored);
+        log::error("agreed: forced by an operator to go on alone; what only others had is lost; kept in {}",
+                   record);
         return {};
     }
 
+    // Those who are to vote and don't yet, one at a time: as after a forced start.
+    void tend() {
+        if (!leads() || changing) return;
+        for (const auto& [name, address] : owner.setup_.voters) {
+            const raft_server* found = nullptr;
+            for (unsigned i = 0; i < raft_.configuration.n; ++i)
+                if (raft_.configuration.servers[i].id == id_of(name)) found = &raft_.configuration.servers[i];
+            if (found && found->role == RAFT_VOTER) continue;
+            change.data = this;
+            const raft_change_cb done = [](raft_change* of, int status) {
+                auto* self = static_cast<Voter*>(of->data);
+                self->changing = false;
+                log::info("agreed: a change of those who vote: {}",
+                          status == 0 ? "done" : raft_strerror(status));
+            };
+            const int asked = found ? raft_assign(&raft_, &change, id_of(name), RAFT_VOTER, done)
+                                    : raft_add(&raft_, &change, id_of(name), address.c_str(), done);
+            changing = asked == 0;
+            if (changing) log::info("agreed: {} is to {}", name, found ? "vote" : "be filled");
+            return;
+        }
+    }
+
     std::string fault_of(int result, const char* what) {
         return fmt::format("agreed: {} in {}: {} ({})", what, owner.setup_.folder, raft_strerror(result),
                            up ? raft_errmsg(&raft_) : io.errmsg);
@@ -276,6 +335,13 @@
         return 0;
     }
 
+    // How many vote, as this one knows it.
+    int voters() const {
+        int count = 0;
+        for (unsigned i = 0; i < raft_.configuration.n; ++i)
+            count += raft_.configuration.servers[i].role == RAFT_VOTER ? 1 : 0;
+        return count;
+    }
     bool votes() const { return started && !failed && !closed; }
     // What was in the log when a leader was met is applied: a start that has only met one has an empty state
     // yet.
@@ -343,23 +409,35 @@
     if (setup_.voters.contains(name)) {
         voter_ = std::make_unique<Voter>(*this, name);
         // Danger: two processes at one log would ruin it. The one before this one gives the folder back when
-        // it is told to end; until then this one asks the others.
-        if (wait_for_folder) {
+        // it is told to end; until then this one asks the others. One that lost its log waits until the
+        // others have a leader.
+        if (voter_->lost_log())
+            log::error(
+                "agreed: {} voted before and its log in {} is gone; it waits for a leader of the others",
+                name, setup_.folder);
+        if (wait_for_folder || voter_->lost_log()) {
             vote_later();
         } else if (const std::string wrong = voter_->open(); !wrong.empty()) {
             voter_->shut();
             throw std::runtime_error(wrong);
         }
     }
+    if (voter_) tend();
     log::info("agreed: {} {}", name, votes() ? "votes" : "asks those that vote");
     if (!votes()) poll();
 }
 
+void Agreed::tend() {
+    voter_->tend();
+    tend_ = loop_.deadlines().set(loop_.clock().now() + kTendEvery, [this] { tend(); });
+}
+
 void Agreed::vote_later() {
     const std::weak_ptr<bool> alive = alive_;
     loop_.deadlines().set(loop_.clock().now() + kVoteLater, [this, alive] {
         if (alive.expired()) return;
         if (!base::FolderLock(setup_.folder).fault().empty()) return vote_later();
+        if (voter_->lost_log() && (!known_ || leader_.empty())) return vote_later();
         if (const std::string wrong = voter_->open(); !wrong.empty()) {
             log::error("{}; this proxy does not vote", wrong);
             voter_->failed = true;
@@ -381,7 +459,8 @@
 void Agreed::shut() {
     alive_.reset();
     for (const char* verb : {kWishVerb, kStateVerb}) peers_.no_calls(verb);
-    if (poll_) loop_.deadlines().drop(*poll_), poll_.reset();
+    for (auto* timer : {&poll_, &tend_})
+        if (*timer) loop_.deadlines().drop(**timer), timer->reset();
     if (voter_) voter_->shut();
 }
 
@@ -579,6 +658,7 @@
     root["votes"] = votes();
     root["leads"] = voter_ && voter_->leads();
     root["leader"] = leader();
+    if (votes()) root["voters"] = voter_->voters();
     root["known"] = known();
     root["revision"] = Json::UInt64{state().revision()};
     root["last_lease"] = Json::UInt64{state().last_number()};
--- a/src/peers/agreed.h
+++ b/src/peers/agreed.h
@@ -69,6 +69,7 @@
     void poll();
     void stop_voting();
     void vote_later();
+    void tend();
     bool votes() const;
     void hold(rollout::State state);
 
@@ -82,7 +83,7 @@
     bool known_ = false;
     std::string leader_;
     std::size_t next_voter_ = 0;
-    std::optional<base::Deadlines::Key> poll_;
+    std::optional<base::Deadlines::Key> poll_, tend_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -935,6 +935,28 @@
                     file.seek(len(data) // 2)
                     file.write(bytes([data[len(data) // 2] ^ 1]))
 
+    def forget_log(self, who):
+        """A voter's disk lost its log."""
+        for member in self.fleet.pick(who):
+            shutil.rmtree(os.path.join(member.folder, "agreed"), ignore_errors=True)
+
+    def force(self, who):
+        for member in self.fleet.pick(who):
+            subprocess.run([self.fleet.program, "recovery", "force", os.path.join(member.folder, "agreed")], check=True)
+
+    def kept_force(self, who):
+        """The operator's force is on record."""
+        for member in self.fleet.pick(who):
+            names = os.listdir(os.path.join(member.folder, "agreed"))
+            if "force" in names or not any(name.startswith("forced-") for name in names):
+                raise Failed(f"{member.name}: {names}")
+
+    def voters(self, who, are, within):
+        """So many vote, as each of `who` says."""
+        self.eventually(within, "voters", lambda: all(
+            (self.rollout(member) or {}).get("voters") == are for member in self.fleet.pick(who)) or
+            str([(self.rollout(member) or {}).get("voters") for member in self.fleet.pick(who)]))
+
     def read_only(self, who):
         """The folder of what is kept can't be written: a plain file stands in its place."""
         for member in self.fleet.pick(who):
