Fills are paid for by what they cost of late; a loss of power played on the virtual clock

Checked: the stages (waiting for most of the others cost up to 15 s, ruled out as the main part) and the parts (a token was out for each request on its way). Now a request costs the share of late that took a fill and is settled by its answer; hubs have a budget of their own.

--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -178,18 +178,20 @@
         {"recovery", "folder", Type::path, true, 0, 0, "", "",
          "Where bans, the drain and the names of members are kept, on a disk that lasts. Of this proxy "
          "alone."},
-        {"recovery", "ask_s", Type::number, false, 0.1, 60, "5", "",
+        {"recovery", "ask_s", Type::number, false, 0.1, 60, "2", "",
          "How long a member that serves is asked for at a start before it is taken for a loss of power."},
-        {"recovery", "settle_s", Type::number, false, 0.1, 600, "10", "",
-         "How long the others, the list and a leader are waited for then."},
+        {"recovery", "settle_s", Type::number, false, 0.1, 600, "5", "",
+         "How long the list and a leader of the agreed log are waited for then."},
         {"recovery", "prime_s", Type::number, false, 0.1, 3600, "60", "",
          "How long fills go by the budget after that, at the most; it ends sooner where nothing is turned "
          "away."},
         {"recovery", "pause_s", Type::number, false, 1, 600, "5", "",
          "A process that stood still for longer asks the others again before it vouches for purges."},
         {"recovery", "fills_per_s", Type::number, false, 1, kAny, "200", "",
-         "Fills a second that all proxies together may begin while recovering; what the origin and the hubs "
-         "can bear cold."},
+         "Fills from the origin a second that all proxies together may begin while recovering: what it can "
+         "bear."},
+        {"recovery", "hub_fills_per_s", Type::number, false, 1, kAny, "1000", "",
+         "The same of all fills from hubs: what they can bear once they are warm."},
 
         {"expectations", "file", Type::path, true, 0, 0, "", "", "The file of expectations."},
         {"expectations", "gate", Type::word, false, 0, 0, "\"warn\"", "start reload warn",
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -174,6 +174,7 @@
     all.prime = seconds(file, at, "prime_s");
     all.pause = seconds(file, at, "pause_s");
     all.fills_per_s = file.number(at, "fills_per_s");
+    all.hub_fills_per_s = file.number(at, "hub_fills_per_s");
     return all;
 }
 
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -92,8 +92,8 @@
 // The way back from a power loss.
 struct Recovery {
     std::string folder;
-    nettlethread::Micros ask = 5'000'000, settle = 10'000'000, prime = 60'000'000, pause = 5'000'000;
-    double fills_per_s = 200;  // of all proxies together
+    nettlethread::Micros ask = 2'000'000, settle = 5'000'000, prime = 60'000'000, pause = 5'000'000;
+    double fills_per_s = 200, hub_fills_per_s = 1'000;  // of all proxies together
 };
 
 // What must hold of where requests go, checked before a configuration is taken up.
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -165,6 +165,7 @@
     outcome.first_byte = ending.first_byte;
     outcome.load = ending.load;
     deadlines_.drop(attempt->limit);
+    if (served && request && served_) served_(request->ask, attempt->source, ending.note);
     const bool spoke = served || ending.verdict == Verdict::full || ending.verdict == Verdict::missing ||
                        ending.verdict == Verdict::error;
     if (spoke && answered_) answered_(attempt->target);
@@ -241,6 +242,7 @@
     attempt.request = owner;
     attempt.name = serve.id;
     attempt.target = serve.cache;
+    attempt.source = serve.source;
     attempt.sent = now;
     if (serve.age > 0) attempt.oldest = now - serve.age;
     if (!request) {  // it ended while the module decided
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -109,6 +109,10 @@
     void gate(std::function<std::optional<Micros>(const Ask&)> what) { gate_ = std::move(what); }
     // The oldest copy that will do at all, as an age; 0: any.
     void oldest(std::function<Micros()> age) { oldest_ = std::move(age); }
+    // Told of each attempt that was served, with the source that was named for a fill.
+    void on_served(std::function<void(const Ask&, const std::string& source, nettlethread::Note)> what) {
+        served_ = std::move(what);
+    }
     // Told of each target that answers an attempt, with whatever answer: its process runs.
     void on_answer(std::function<void(const std::string& target)> what) { answered_ = std::move(what); }
 
@@ -145,7 +149,7 @@
     };
     struct Attempt {
         Handle request;
-        std::string name, target;
+        std::string name, target, source;
         int number = 0;
         Micros sent = 0;
         Micros oldest = 0;  // a copy given out before this was not asked for; 0: any will do
@@ -182,6 +186,7 @@
     Slots<Attempt> attempts_;
     std::function<void(const std::string&)> answered_;
     std::function<std::optional<Micros>(const Ask&)> gate_;
+    std::function<void(const Ask&, const std::string&, nettlethread::Note)> served_;
     std::function<Micros()> oldest_;
     std::vector<std::pair<Handle, Micros>> turned_away_;  // by the gate, answered in the next run()
     std::deque<nettlethread::Event> events_;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -305,21 +305,34 @@
                                                      config.seed, std::move(hooks));
         fleet->on_sure([this] { recovery->listed(); });
         core.oldest([this] { return recovery->oldest(); });
+        core.on_served([this](const core::Ask& ask, const std::string& source, nettlethread::Note note) {
+            const membership::Member* from = fleet->view().find(source);
+            const bool origin = from && from->word->placed.entry.kind == config.site.settings.origin_kind;
+            using nettlethread::Note;
+            const bool filled = note == Note::filled || note == Note::filled_by_origin;
+            recovery->ended(key_of(ask), note == Note::filled_by_origin || (origin && filled)
+                                             ? recovery::Took::origin
+                                         : filled ? recovery::Took::hub
+                                                  : recovery::Took::nothing);
+        });
         core.gate([this](const core::Ask& ask) {
             const auto& of = core.settings().classes[static_cast<std::size_t>(ask.service)];
             // Before the fleet's bans are known nothing goes out at all: what needs no copy goes by a pop
             // cache too.
             const bool blind = agreed && !agreed->known() && !recovery->ladder().ready();
-            return recovery->turn_away(
-                {.key = std::hash<std::string>{}(ask.object + '/' + std::to_string(ask.part)),
-                 .worth = of.points,
-                 .size_kb = ask.size_kb,
-                 .needs_copy = blind || !of.uncached});
+            return recovery->turn_away({.key = key_of(ask),
+                                        .worth = of.points,
+                                        .size_kb = ask.size_kb,
+                                        .needs_copy = blind || !of.uncached});
         });
         carry_out();
         look_at_fleet();
     }
 
+    static std::uint64_t key_of(const core::Ask& ask) {
+        return std::hash<std::string>{}(ask.object + '/' + std::to_string(ask.part));
+    }
+
     // What the ladder waits for beside the others: the list, and a leader.
     void look_at_fleet() {
         if (fleet->sure(kSureFor)) recovery->listed();
--- a/src/emulator/fleet.cpp
+++ b/src/emulator/fleet.cpp
@@ -224,6 +224,7 @@
     outcome.took = now_ - sent;
     outcome.ended = served || found == open_.end();
     if (served && found != open_.end()) {
+        if (answered) answered(router, found->second.object, outcome.note);
         totals.in_time += now_ - found->second.asked <= set_.classes[0].aim + work() * 2;
         over(outcome.id, totals.served);
     }
--- a/src/emulator/fleet.h
+++ b/src/emulator/fleet.h
@@ -78,6 +78,8 @@
     std::function<bool(std::size_t router)> ready;  // of one that runs; none: all are
     // Asked of each request before the router is: false refuses it at once.
     std::function<bool(std::size_t router, const std::string& object)> gate;
+    // Told of each request served, and how.
+    std::function<void(std::size_t router, const std::string& object, nettlethread::Note)> answered;
     Micros now() const { return now_; }
     void origin_does(double fills_per_s) { shape_.origin_fills_per_s = fills_per_s; }
     // The work that pushes over a box that started `ago` before, sent within the window of the rule.
--- a/src/peers/recovery.cpp
+++ b/src/peers/recovery.cpp
@@ -47,7 +47,7 @@
                .pause = setup.pause,
                .elects = elects},
               steady()),
-      budget_(setup.fills_per_s, std::move(worths), seed ^ 0x7c15f39cc0605ceeULL),
+      budget_(setup.fills_per_s, setup.hub_fills_per_s, std::move(worths), seed ^ 0x7c15f39cc0605ceeULL),
       unsure_since_(steady()) {
     read();
     ladder_.read(steady(), kept_.members.size());
@@ -223,12 +223,15 @@
     if (stage == Stage::serving) return std::nullopt;
     const Micros now = steady();
     // While it clears up what it missed, one that was only paused goes on with the first part.
-    double risen = ladder_.ready() ? 0 : -1;
-    if (stage == Stage::priming)
-        risen = kRises * static_cast<double>(now - ladder_.since()) /
-                static_cast<double>(std::max<Micros>(1, setup_.prime));
-    const std::size_t share = std::max(ladder_.before(), hooks_.proxies());
-    const auto away = budget_.turn_away(now, asked, share, risen, ladder_.latest() - now);
+    const Micros primed_for = stage == Stage::priming ? now - ladder_.since() : ladder_.ready() ? 0 : -1;
+    // Those that were there and are not back are reckoned with in full, then less and less: by then they come
+    // to a fleet that is warm.
+    const double back = static_cast<double>(std::max(ladder_.back(), hooks_.proxies()));
+    const double missing = std::max(0.0, static_cast<double>(ladder_.before()) - back);
+    const double waited =
+        static_cast<double>(primed_for) / static_cast<double>(std::max<Micros>(1, setup_.prime));
+    const double share = back + missing * std::clamp(2 - 4 * waited, 0.0, 1.0);
+    const auto away = budget_.turn_away(now, asked, share, primed_for, ladder_.latest() - now);
     if (away) ladder_.turned_away(now);
     return away;
 }
--- a/src/peers/recovery.h
+++ b/src/peers/recovery.h
@@ -53,6 +53,7 @@
 
     // None: let through. Else when to come back.
     std::optional<base::Micros> turn_away(const recovery::Asked& asked);
+    void ended(std::uint64_t key, recovery::Took took) { budget_.ended(key, took); }
     // The oldest copy that will do, as an age; 0: any.
     base::Micros oldest() const;
     std::string as_json() const;
--- a/src/recovery/budget.h
+++ b/src/recovery/budget.h
@@ -1,10 +1,13 @@
 // What one proxy may let through while the fleet comes back: its part of the fills that all together may
-// begin. Pure; microseconds of a clock that only runs on.
+// begin, from the origin and from the hubs. Pure; microseconds of a clock that only runs on.
 //
-// Promises: over any second no more is let through anew than the part rises to, and one bucket; what needs no
-// copy is always let through; nothing is held. Bounds: kMostPrimed keys.
+// A request is let through for what it will cost by the share of late that took a fill, and settled when it
+// ends: so a proxy before warm caches is not held back by what it might have cost.
+// Promises: over any second no more fills are begun than the part rises to, and one bucket, as far as the
+// share is right; what needs no copy is always let through; nothing is held. Bounds: kMostPrimed keys.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -28,31 +31,46 @@
     bool needs_copy = true;  // false: leaves no copy and fills none, as `enrol`
 };
 
+// What a request that was served took.
+enum class Took : std::uint8_t { nothing, hub, origin };  // origin: by way of a hub, or straight
+
 class Budget {
   public:
-    // `fills_per_s`: of all proxies. `worths`: of each class, for the order in which they are turned away.
-    Budget(double fills_per_s, std::vector<double> worths, std::uint64_t seed);
+    // Fills a second of all proxies. `worths`: of each class, for the order in which they are turned away.
+    Budget(double origin_per_s, double hubs_per_s, std::vector<double> worths, std::uint64_t seed);
 
-    // `share`: how many proxies it is divided by. `risen`: 0 at the beginning of priming, 1 at its end; below
-    // 0: nothing that needs a copy yet. `left`: until serving at the latest.
+    // `share`: how many proxies it is divided by. `primed_for`: since the beginning of priming; below 0:
+    // nothing that needs a copy yet. `left`: until serving at the latest.
     // None: let through. Else when to come back.
-    std::optional<Micros> turn_away(Micros now, const Asked& asked, std::size_t share, double risen,
+    std::optional<Micros> turn_away(Micros now, const Asked& asked, double share, Micros primed_for,
                                     Micros left);
+    void ended(std::uint64_t key, Took took);
 
     std::uint64_t let_through() const { return let_through_; }
     std::uint64_t turned_away() const { return turned_away_; }
 
   private:
+    struct Meter {
+        double per_s = 0, first = 1;  // first: of the part, at the beginning
+        Micros rises = 1;             // until the whole
+        double share = 1;             // of those that ended lately: took a fill of this kind
+        double tokens = 0, bucket = 1;
+        void fill(Micros passed, double part, Micros primed_for);
+        bool bears(double cost, double closed) const;
+    };
+    struct Primed {
+        Micros at = 0;
+        double size = 0;                // 0: settled
+        std::array<double, 2> taken{};  // of each meter
+    };
     bool primed(Micros now, std::uint64_t key);
-    void prime(Micros now, std::uint64_t key);
     Micros come_back(Micros left);
 
-    double fills_per_s_;
+    std::array<Meter, 2> meters_;  // the origin, the hubs
     std::vector<double> worths_;
     std::mt19937_64 chance_;
-    double tokens_ = 0;
     Micros filled_ = -1;
-    std::unordered_map<std::uint64_t, Micros> primed_;  // let through, and when
+    std::unordered_map<std::uint64_t, Primed> primed_;  // let through lately
     std::deque<std::pair<Micros, std::uint64_t>> order_;
     std::uint64_t let_through_ = 0, turned_away_ = 0;
 };
--- a/src/recovery/ladder.cpp
+++ b/src/recovery/ladder.cpp
@@ -60,8 +60,7 @@
             const auto add = [&](bool wanted, const std::string& what) {
                 if (wanted) text += (text.empty() ? "" : ", ") + what;
             };
-            add(!most(back_), "most of the " + std::to_string(before_) + " that were there (" +
-                                  std::to_string(back_) + " are)");
+
             add(!listed_, "the list of pop caches");
             add(options_.elects && !led_, "a leader of the agreed log");
             return text;
@@ -140,7 +139,7 @@
             break;
         case Stage::settling:
             if (living_) return enter(Stage::serving, now, "the fleet lives");
-            if (waits_for().empty()) return enter(Stage::priming, now, "most are back");
+            if (waits_for().empty()) return enter(Stage::priming, now, "the list and the bans are known");
             if (late) enter(Stage::priming, now, "went on without " + waits_for());
             break;
         case Stage::priming:
--- a/src/recovery/ladder.h
+++ b/src/recovery/ladder.h
@@ -22,8 +22,8 @@
 bool stage_named(const std::string& name, Stage& stage);
 
 struct Options {
-    Micros ask = 5'000'000, settle = 10'000'000, prime = 60'000'000;  // latest: at the end of each stage
-    Micros pause = 5'000'000;                                         // own silence that counts as a pause
+    Micros ask = 2'000'000, settle = 5'000'000, prime = 60'000'000;  // latest: at the end of each stage
+    Micros pause = 5'000'000;                                        // own silence that counts as a pause
     bool elects = false;  // there is an agreed log, whose leader is waited for
 };
 
@@ -75,7 +75,7 @@
     void look(Micros now);
     bool most(std::size_t back) const { return 2 * back > before_; }
 
-    const Options options_;
+    Options options_;
     Stage stage_ = Stage::reading;
     Micros since_ = 0, ticked_ = 0, turned_away_ = 0;
     std::size_t before_ = 1, back_ = 1;
