--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -84,7 +84,7 @@
                     conn, sequence = socket.create_connection((self.member.host, CLIENTS), timeout=4), 0
                 sequence += 1
                 sent = time.perf_counter()
-                conn.sendall(dispatch(sequence, ident.encode(), b"%016x" % (number * 7919 % 997),
+                conn.sendall(dispatch(sequence, ident.encode(), b"%016x" % (number * 7919 % self.member.fleet.objects),
                                       b"enrol" if enrol else b"sheet"))
                 got, place = reply(conn)
                 if got != sequence:
@@ -234,6 +234,7 @@
         self.folder = tempfile.mkdtemp(prefix="sumackeel-fleet-")
         self.boxes = Boxes(f"{self.net}.250")
         self.slow_boxes = Boxes(f"{self.net}.251", delay=0.1)
+        self.objects = scenario.get("objects", 997)  # that clients ask for
         self.recovery = scenario.get("recovery")  # settings of [recovery]; boxes then hold copies, and lists come from
         self.logs = ChangeLogs(self.net, self.members) if self.recovery is not None else None  # a change log for each
         self.copies = Copies(self.net, [*(self.pop_caches or ("s-a", "s-b")), "s-parent", "s-origin"]) if self.logs else None
@@ -897,7 +898,7 @@
         dated = time.time() - seconds_old
         with self.fleet.copies.lock:
             for held in self.fleet.copies.held.values():
-                for item in range(997):
+                for item in range(self.fleet.objects):
                     held[(f"{item:016x}", "0")] = dated
 
     def no_old_copy(self, since="purged_at", grace=0.35):
