Purges bind with clocks an hour off; what an operator stops stays stopped; release calls apart

powerloss_clocks_off failed: 33 copies from before the purge were served 0.7 s after the power. Checked: the bound on copies was lifted as soon as a change log had confirmed the list, and the replayed purge was an hour old by a clock an hour ahead, so it was over (fleet.cpp, hear; recovery.cpp, oldest). The bound now stays until boxes have dropped what was purged unless a member of a living fleet told its purges by age, and a purge from a log that was sure a moment ago is no older than that moment.

--- a/bench/recovery_processes.py
+++ b/bench/recovery_processes.py
@@ -2,7 +2,7 @@
 """A loss of power to real processes under load, with [recovery] and without it (the version before): seconds from the
 power to the first answer and to 50, 90 and 99% of the answers before; the most fills in a second at the hub and the
 origin; requests of `enrol` run twice; one proxy's restart in a living fleet. Prints rows of docs/bench/recovery.md.
-Usage: recovery_processes.py SUMACKEEL [MEMBERS] [BUDGET]
+Usage: recovery_processes.py SUMACKEEL [MEMBERS] [BUDGET] [HUB_BUDGET]
 """
 import os
 import sys
@@ -20,9 +20,9 @@
     return sum(client.answered for client in fleet.clients)
 
 
-def play(program, members, budget, on):
+def play(program, members, budget, hubs, on):
     fleet = Fleet(program, {"members": members, "recovery": {"ask_s": 3, "settle_s": 6, "prime_s": 40,
-                                                             "fills_per_s": budget}}, 1)
+                                                             "fills_per_s": budget, "hub_fills_per_s": hubs}}, 1)
     if not on:
         fleet.recovery = None  # the boxes and change logs stay
     steps = Steps(fleet)
@@ -76,8 +76,9 @@
 def main():
     members = int(sys.argv[2]) if len(sys.argv) > 2 else 5
     budget = float(sys.argv[3]) if len(sys.argv) > 3 else 100
+    hubs = float(sys.argv[4]) if len(sys.argv) > 4 else 4 * budget
     for on in (False, True):
-        play(sys.argv[1], members, budget, on)
+        play(sys.argv[1], members, budget, hubs, on)
 
 
 if __name__ == "__main__":
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -16,6 +16,7 @@
 #include "daemon/expectation_gate.h"
 #include "daemon/fleet.h"
 #include "daemon/leaves.h"
+#include "daemon/release_calls.h"
 #include "front_ops/front.h"
 #include "front_platform/front.h"
 #include "front_signed/front.h"
@@ -146,8 +147,10 @@
     std::unique_ptr<peers::Agreed> agreed;
     std::unique_ptr<peers::Releases> releases;
     std::unique_ptr<peers::Recovery> recovery;
-    bool leaving = false;      // an own drain was asked for, and holds or may yet be granted
-    bool giving_back = false;  // of our own lease, under way
+    bool leaving = false;          // an own drain was asked for, and holds or may yet be granted
+    bool giving_back = false;      // of our own lease, under way
+    std::uint64_t ended_turn = 0;  // the lease of a turn whose drain an operator stopped
+    bool knew = false;             // what is agreed on was known at the last look
     uv_signal_t term{}, hangup{};
     uv_async_t told{};
     std::atomic<bool> end_told = false, reload_told = false, stop_told = false;
@@ -170,6 +173,8 @@
         ending = true;
         if (checking.joinable()) checking.join();
         if (agreed) agreed->shut();  // while all that its callbacks touch is there
+        core.gate({}), core.oldest({}), core.on_served({});
+        fleet->on_sure({});
     }
 
     Parts(const config::Config& c, const config::Operator& setup, Files read_from)
@@ -302,7 +307,8 @@
             if (board.phase() != ops::Phase::starting) carry_out();
         };
         recovery = std::make_unique<peers::Recovery>(loop, *peers, setup, elects, std::move(worths),
-                                                     config.seed, std::move(hooks));
+                                                     config.site.settings.cleared_within, config.seed,
+                                                     std::move(hooks));
         fleet->on_sure([this] { recovery->listed(); });
         core.oldest([this] { return recovery->oldest(); });
         core.on_served([this](const core::Ask& ask, const std::string& source, nettlethread::Note note) {
@@ -336,7 +342,11 @@
     // What the ladder waits for beside the others: the list, and a leader.
     void look_at_fleet() {
         if (fleet->sure(kSureFor)) recovery->listed();
-        if (agreed) recovery->led(!agreed->leader().empty());
+        if (agreed) {
+            recovery->led(!agreed->leader().empty());
+            // What was kept holds until this moment, also where nothing has changed since it was kept.
+            if (agreed->known() && !std::exchange(knew, true)) carry_out(), keep();
+        }
         loop.deadlines().set(loop.clock().now() + kLookAtFleet, [this] { look_at_fleet(); });
     }
 
@@ -380,7 +390,8 @@
         const group::Word& self = peers->group().self();
         const rollout::Lease* lease = agreed->state().find(rollout::Kind::proxy, self.name);
         const rollout::Release* release = agreed->state().releases().active();
-        if (lease && lease->release != 0 && board.phase() != ops::Phase::starting) {
+        if (lease && lease->release != 0 && lease->number != ended_turn &&
+            board.phase() != ops::Phase::starting) {
             const bool done =
                 self.stamp.start > lease->start || !release || self.version == release->wanted();
             if (done == leaving) {
@@ -427,6 +438,8 @@
                             later(left(answer, drain, member));
                         });
         } else {
+            if (const rollout::Lease* held = agreed->state().find(kind, member); drain && held)
+                ended_turn = held->number;
             if (drain) leaving = false, board.drain_stop(), changed_board();
             agreed->back(kind, member, self, [later, member](const std::optional<rollout::Answer>& answer) {
                 later(answer ? ops::Reply{200, "up " + member + "\n", false}
@@ -436,65 +449,16 @@
         return true;
     }
 
-    // Releases: what is said of them, and what operators and installers ask.
     std::optional<ops::Reply> take_release(const ops::Call& call, const front_ops::Later& later) {
-        const bool forced = call.path.ends_with("?force=1");
-        std::string_view word = call.path.substr(0, call.path.find('?'));
-        word.remove_prefix(std::min(word.size(), std::string_view("/ops/release").size()));
-        if (word.empty() && call.method == "GET") return ops::Reply{200, releases->as_json(), false};
-        if (call.method != "POST") return ops::Reply{405, "POST alone\n", false};
-        constexpr std::string_view kTurn = "/turn/";
-        if (word.starts_with(kTurn)) {
-            const std::string member(word.substr(kTurn.size()));
-            if (!ops::sound_id(member)) return ops::Reply{400, "no member in the path\n", false};
-            agreed->turn(member, forced, [this, later, member](const std::optional<rollout::Answer>& answer) {
-                if (answer && answer->how == rollout::How::nothing)
-                    return later({404, fmt::format("nothing to do: {}\n", answer->reason), false});
-                const bool own = member == peers->group().self().name;
-                if (own && answer && answer->how == rollout::How::granted && !std::exchange(leaving, true))
-                    board.drain_start(), changed_board();  // at once, before the log tells
-                later(left(answer, false, member));
-            });
-            return std::nullopt;
-        }
-        rollout::Order order{
-            .verb = rollout::Verb::start, .by = peers->group().self().name, .plan = {}, .there = {}};
-        for (const auto verb : {rollout::Verb::halt, rollout::Verb::resume, rollout::Verb::back})
-            if (word.substr(std::min<std::size_t>(1, word.size())) == name_of(verb)) order.verb = verb;
-        if (order.verb == rollout::Verb::start && word != "/start")
-            return ops::Reply{404, fmt::format("no call {}\n", call.path), false};
-        if (order.verb == rollout::Verb::start) try {
-                std::vector<std::string> all;
-                for (const rollout::Seen& seen : leaves->proxies(peers->group(), false))
-                    all.push_back(seen.name);
-                std::sort(all.begin(), all.end());
-                order.plan = rollout::read_plan(std::string(call.body), "plan", all);
-            } catch (const std::exception& wrong) {
-                return ops::Reply{400, fmt::format("{}\n", wrong.what()), false};
-            }
-        agreed->order(order, [later, verb = order.verb](const std::optional<rollout::Answer>& answer) {
-            if (!answer) return later({503, "no majority of the voters answered, call again\n", false});
-            if (answer->how != rollout::How::granted)
-                return later({409, fmt::format("not now: {}\n", answer->reason), false});
-            later({200, fmt::format("release {}: {}\n", answer->number, name_of(verb)), false});
+        if (call.path == "/ops/release" && call.method == "GET")
+            return ops::Reply{200, releases->as_json(), false};
+        std::vector<std::string> all;
+        for (const rollout::Seen& seen : leaves->proxies(peers->group(), false)) all.push_back(seen.name);
+        std::sort(all.begin(), all.end());
+        return daemon::take_release(*agreed, call, later, all, peers->group().self().name, [this] {
+            // At once, before the log tells.
+            if (!std::exchange(leaving, true)) board.drain_start(), changed_board();
         });
-        return std::nullopt;
-    }
-
-    ops::Reply explain(const std::string& member) const {
-        const auto answer = agreed->explain(member);
-        if (!answer) return {404, fmt::format("nobody knows {}\n", member), false};
-        const rollout::Lease* held = agreed->state().find(rollout::Kind::proxy, member);
-        if (!held) held = agreed->state().find(rollout::Kind::pop_cache, member);
-        if (held)
-            return {200,
-                    fmt::format("{} is out by lease {}, asked for by {}\n", member, held->number, held->by),
-                    false};
-        if (answer->how == rollout::How::granted) return {200, fmt::format("{} may leave\n", member), false};
-        return {200,
-                fmt::format("{} may not leave: {}{}{}\n", member, answer->reason,
-                            answer->waits_for.empty() ? "" : "; out: ", fmt::join(answer->waits_for, ",")),
-                false};
     }
 
     ops::Reply left(const std::optional<rollout::Answer>& answer, bool drain, const std::string& member) {
@@ -508,16 +472,7 @@
             changed_board();
         }
         if (drain && !granted) leaving = board.drain_told();
-        if (!answer) return {503, "no majority of the voters answered, call again\n", false};
-        if (granted)
-            return {200,
-                    fmt::format("{} out by lease {}{}{}\n", member, answer->number,
-                                answer->reason.empty() ? "" : ", to run ", answer->reason),
-                    false};
-        return {409,
-                fmt::format("not now: {}{}{}\n", answer->reason,
-                            answer->waits_for.empty() ? "" : "; out: ", fmt::join(answer->waits_for, ",")),
-                false};
+        return leave_reply(answer, member);
     }
 
     void changed_board() {
@@ -594,7 +549,7 @@
             return ops::Reply{200, agreed->as_json(), false};
         constexpr std::string_view kExplain = "/ops/rollout/explain/";
         if (agreed && call.path.starts_with(kExplain) && call.method == "GET")
-            return explain(std::string(call.path.substr(kExplain.size())));
+            return explained(*agreed, std::string(call.path.substr(kExplain.size())));
         if (recovery && call.path == "/ops/recovery" && call.method == "GET")
             return ops::Reply{200, recovery->as_json(), false};
         constexpr std::string_view kGo = "/ops/recovery/go/";
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -16,6 +16,8 @@
 // the proxy serves by what else it knows until then.
 constexpr std::chrono::milliseconds kWaitForList{500};
 constexpr Micros kLookForList = 100'000;
+// From a purge to its event, with room for a log that was sure for what had not arrived yet.
+constexpr Micros kToldWithin = 1'000'000;
 
 membership::Options view_options(const config::Config& config, const config::Operator& setup) {
     membership::Options options;
@@ -145,8 +147,13 @@
     publish();
 }
 
-void Fleet::hear(const config::Change& change, int log) {
+void Fleet::hear(const config::Change& told, int log) {
     const Micros now = loop_.clock().now();
+    config::Change change = told;
+    // Danger: the time of a purge is the origin's clock, and ours may have come back an hour ahead of it: the
+    // purge would seem long over. What a log tells that was sure a moment ago is no older than that moment.
+    if (change.has_purge && on_sure_ && view_.live())
+        change.purged_at = std::max(change.purged_at, now - view_.age(now) - kToldWithin);
     const membership::Heard heard = view_.apply(change, now, log);
     if (heard == membership::Heard::doubted)
         log::warn("list {} names no cache box, not believed yet: the {} members known stay in use",
--- a/src/peers/recovery.cpp
+++ b/src/peers/recovery.cpp
@@ -35,10 +35,11 @@
 }
 
 Recovery::Recovery(net::Loop& loop, Peers& peers, const config::Recovery& setup, bool elects,
-                   std::vector<double> worths, std::uint64_t seed, Hooks hooks)
+                   std::vector<double> worths, Micros cleared_within, std::uint64_t seed, Hooks hooks)
     : loop_(loop),
       peers_(peers),
       setup_(setup),
+      cleared_within_(cleared_within),
       hooks_(std::move(hooks)),
       files_(setup.folder, "kept-", ".sumkept"),
       ladder_({.ask = setup.ask,
@@ -237,7 +238,12 @@
 }
 
 Micros Recovery::oldest() const {
-    return ladder_.sure() ? 0 : std::max<Micros>(1'000, steady() - unsure_since_);
+    const Micros since = steady() - unsure_since_;
+    // A member that serves told its purges by their ages. Those of a change log are told by its clock, which
+    // after a loss may be an hour from ours: until boxes have dropped what was purged before, they are not
+    // relied on alone.
+    const bool known = ladder_.sure() && (ladder_.lived() || since >= cleared_within_);
+    return known ? 0 : std::max<Micros>(1'000, since);
 }
 
 std::string Recovery::as_json() const {
--- a/src/peers/recovery.h
+++ b/src/peers/recovery.h
@@ -36,9 +36,10 @@
         std::function<void(recovery::Stage from)> entered;    // another stage
     };
 
-    // Reads the folder. Throws where it can't be used. `elects`: there is an agreed log. Peers outlive this.
+    // Reads the folder. Throws where it can't be used. `elects`: there is an agreed log. `cleared_within`:
+    // after a purge no box has an older copy. Peers outlive this.
     Recovery(net::Loop& loop, Peers& peers, const config::Recovery& setup, bool elects,
-             std::vector<double> worths, std::uint64_t seed, Hooks hooks);
+             std::vector<double> worths, base::Micros cleared_within, std::uint64_t seed, Hooks hooks);
     ~Recovery();
     Recovery(const Recovery&) = delete;
     Recovery& operator=(const Recovery&) = delete;
@@ -71,6 +72,7 @@
     net::Loop& loop_;
     Peers& peers_;
     const config::Recovery setup_;
+    const base::Micros cleared_within_;
     Hooks hooks_;
     base::Generations files_;
     std::unique_ptr<base::FolderLock> lock_;
--- a/src/recovery/ladder.h
+++ b/src/recovery/ladder.h
@@ -61,8 +61,9 @@
     Micros latest() const;          // when this stage ends by time; the far future while serving
     std::string waits_for() const;  // in words; empty: nothing
     bool ready() const { return stage_ >= Stage::priming || paused_; }
-    bool sure() const { return sure_; }   // purges are surely known
-    bool living(std::size_t back) const;  // as it tells others
+    bool sure() const { return sure_; }     // purges are surely known
+    bool lived() const { return living_; }  // a member of a living fleet has answered since the last `asking`
+    bool living(std::size_t back) const;    // as it tells others
     std::size_t before() const { return before_; }
     std::size_t back() const { return back_; }
     // Why it is where it is: the last step in words.
--- a/tests/fleet/power.py
+++ b/tests/fleet/power.py
@@ -90,6 +90,7 @@
 
     def close(self):
         for listener in self.listeners:
+            listener.shutdown(socket.SHUT_RDWR)  # a thread that accepts would keep it
             listener.close()
 
 
@@ -100,6 +101,7 @@
         self.lock, self.events, self.down, self.conns, self.listeners = threading.Lock(), {}, set(), {}, []
         for index in range(members):
             listener = socket.socket()
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listener.bind((f"{net}.252", 8000 + index))
             listener.listen(16)
             self.events[index], self.conns[index] = [], []
@@ -176,4 +178,5 @@
 
     def close(self):
         for listener in self.listeners:
+            listener.shutdown(socket.SHUT_RDWR)  # a thread that accepts would keep it
             listener.close()
