--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -207,12 +207,15 @@
         self.faulted = True
         self.process.send_signal(number)
 
-    def group(self):
-        """What the member says of the group; None where it does not answer."""
+    def told(self, path):
+        """What the member's operators' address tells there; None where it does not answer."""
         body = []
-        status = ops_call(self.ops_port, "GET", "/ops/group", body, host=self.host, bound=2)
+        status = ops_call(self.ops_port, "GET", path, body, host=self.host, bound=2)
         return json.loads(body[0]) if status == 200 else None
 
+    def group(self):
+        return self.told("/ops/group")
+
     def running(self):
         return self.process is not None and self.process.poll() is None and not self.faulted
 
@@ -592,9 +595,7 @@
 
     # Leaves.
     def rollout(self, member):
-        body = []
-        status = ops_call(member.ops_port, "GET", "/ops/rollout", body, host=member.host, bound=2)
-        return json.loads(body[0]) if status == 200 else None
+        return member.told("/ops/rollout")
 
     def together(self, calls, yes, within=1.2):
         """Calls ["n0", "/ops/..."] at one instant through different proxies: so many of them are answered yes."""
@@ -788,10 +789,9 @@
             for member in self.fleet.pick(who):
                 if not member.running():
                     continue
-                body = []
-                if ops_call(member.ops_port, "GET", "/ops/release", body, host=member.host, bound=2) != 200:
+                said = member.told("/ops/release")
+                if not said:
                     return f"{member.name} does not answer"
-                said = json.loads(body[0])
                 one = said.get("active") or (said["past"] or [{}])[-1]
                 if one.get("stage") != stage or reason not in one.get("reason", ""):
                     return f"{member.name}: {one.get('stage')} ({one.get('reason')})"
@@ -828,9 +828,7 @@
             member.start(**extra)
 
     def recovery(self, member):
-        body = []
-        status = ops_call(member.ops_port, "GET", "/ops/recovery", body, host=member.host, bound=2)
-        return json.loads(body[0]) if status == 200 else None
+        return member.told("/ops/recovery")
 
     def stage(self, who, stage, within, reason="", **wanted):
         """Each of `who` that was started is on this stage of the ladder; `wanted`: keys of what it says."""
--- a/tests/fleet/power.py
+++ b/tests/fleet/power.py
@@ -6,29 +6,48 @@
 import time
 
 
-class Copies:
+class Listeners:
+    """Sockets that listen, each connection in a thread of its own."""
+
+    def __init__(self):
+        self.listeners = []
+
+    def listen(self, address, serve, whose):
+        """Gives each connection and `whose` to `serve`; where it listens."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(512)
+        self.listeners.append(listener)
+        threading.Thread(target=self.accept, args=(listener, serve, whose), daemon=True).start()
+        return "%s:%d" % listener.getsockname()
+
+    @staticmethod
+    def accept(listener, serve, whose):
+        while True:
+            try:
+                conn, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=serve, args=(conn, whose), daemon=True).start()
+
+    def close(self):
+        for listener in self.listeners:
+            listener.shutdown(socket.SHUT_RDWR)  # a thread that accepts would keep it
+            listener.close()
+
+
+class Copies(Listeners):
     """Stand-in boxes by id, each at an address of its own. A box holds what it was asked for, dated by the origin; what it
     lacks, or holds too old a copy of, it fetches from the source that the request names."""
 
     def __init__(self, net, names):
+        super().__init__()
         self.lock, self.held, self.fills, self.served, self.enrols = threading.Lock(), {}, [], [], {}
-        self.at, self.asked, self.listeners = {}, [], []
+        self.at, self.asked = {}, []
         for number, name in enumerate(names):
-            listener = socket.socket()
-            listener.bind((f"{net}.{160 + number}", 0))
-            listener.listen(512)
-            self.at[name] = "%s:%d" % listener.getsockname()
             self.held[name] = {}
-            self.listeners.append(listener)
-            threading.Thread(target=self.accept, args=(listener, name), daemon=True).start()
-
-    def accept(self, listener, name):
-        while True:
-            try:
-                conn, _ = listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self.serve, args=(conn, name), daemon=True).start()
+            self.at[name] = self.listen((f"{net}.{160 + number}", 0), self.serve, name)
 
     def serve(self, conn, name):
         try:
@@ -88,35 +107,17 @@
             most = max(most, last - first + 1)
         return most
 
-    def close(self):
-        for listener in self.listeners:
-            listener.shutdown(socket.SHUT_RDWR)  # a thread that accepts would keep it
-            listener.close()
-
 
-class ChangeLogs:
+class ChangeLogs(Listeners):
     """One change log for each member, all of one story unless a test tells one of them alone."""
 
     def __init__(self, net, members):
-        self.lock, self.events, self.down, self.conns, self.listeners = threading.Lock(), {}, set(), {}, []
+        super().__init__()
+        self.lock, self.events, self.down, self.conns = threading.Lock(), {}, set(), {}
         for index in range(members):
-            listener = socket.socket()
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind((f"{net}.252", 8000 + index))
-            listener.listen(16)
             self.events[index], self.conns[index] = [], []
-            self.listeners.append(listener)
-            threading.Thread(target=self.accept, args=(listener, index), daemon=True).start()
+            self.listen((f"{net}.252", 8000 + index), self.follow, index)
         threading.Thread(target=self.beat, daemon=True).start()
-        self.going = True
-
-    def accept(self, listener, index):
-        while True:
-            try:
-                conn, _ = listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self.follow, args=(conn, index), daemon=True).start()
 
     def follow(self, conn, index):
         try:
@@ -175,8 +176,3 @@
     def bring_back(self, indices):
         with self.lock:
             self.down -= set(indices)
-
-    def close(self):
-        for listener in self.listeners:
-            listener.shutdown(socket.SHUT_RDWR)  # a thread that accepts would keep it
-            listener.close()
