--- a/src/base/deadlines.h
+++ b/src/base/deadlines.h
@@ -1,6 +1,7 @@
 // The one ordered structure that all deadlines hang in. It is swept each turn of the loop.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,6 +22,7 @@
         return key;
     }
 
+    std::size_t size() const { return due_.size(); }
     void drop(const Key& key) { due_.erase(key); }
 
     std::optional<Micros> next() const {
--- a/src/cli/ops_call.cpp
+++ b/src/cli/ops_call.cpp
@@ -68,4 +68,8 @@
     return std::move(caller.answer);
 }
 
+void agreed_off(const std::string& address) {
+    throw config::ConfigError(address + " agrees on nothing: [agreed] is off there");
+}
+
 }  // namespace sumackeel::cli
--- a/src/cli/ops_call.h
+++ b/src/cli/ops_call.h
@@ -14,4 +14,7 @@
 OpsAnswer ops_call(const std::string& address, const std::string& method, const std::string& path,
                    const std::string& body = {});
 
+// Throws ConfigError: whoever listens there has no agreed log.
+[[noreturn]] void agreed_off(const std::string& address);
+
 }  // namespace sumackeel::cli
--- a/src/cli/release_command.cpp
+++ b/src/cli/release_command.cpp
@@ -83,8 +83,7 @@
     const OpsAnswer answer = look ? ops_call(flags.at, "GET", "/ops/release")
                                   : ops_call(flags.at, "POST", "/ops/release/" + word,
                                              start ? config::file_text(flags.words[1]) : "");
-    if (answer.status == 404)
-        throw config::ConfigError(flags.at + " agrees on nothing: [agreed] is off there");
+    if (answer.status == 404) agreed_off(flags.at);
     if (!look || flags.json || answer.status != 200) {
         fmt::print("{}", answer.body);
         return answer.status == 200 ? 0 : 1;
--- a/src/cli/rollout_command.cpp
+++ b/src/cli/rollout_command.cpp
@@ -36,8 +36,7 @@
 // A plan played through with the proxies and rules as they are there now; nobody is touched.
 bool simulate(const std::string& path, const std::string& address, const RolloutFlags& flags) {
     const OpsAnswer answer = ops_call(address, "GET", "/ops/rollout");
-    if (answer.status != 200)
-        throw config::ConfigError(address + " agrees on nothing: [agreed] is off there");
+    if (answer.status != 200) agreed_off(address);
     const Json::Value root = config::parse(answer.body, address);
     rollout::Rehearsal given;
     given.rules.school_out = root["rules"]["school_out"].asInt();
@@ -87,8 +86,7 @@
                                        : std::string("/ops/drain/") + (word == "drain" ? "start" : "stop");
     const OpsAnswer answer =
         ops_call(address, show || explain ? "GET" : "POST", path + (force && !show ? "?force=1" : ""));
-    if (show && answer.status == 404)
-        throw config::ConfigError(address + " agrees on nothing: [agreed] is off there");
+    if (show && answer.status == 404) agreed_off(address);
     if (!show || json || answer.status != 200)
         fmt::print("{}", answer.body);
     else
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -571,6 +571,7 @@
         const ops::Figures figures{.requests_open = core.open_requests(),
                                    .connections = front.connections(),
                                    .pop_caches_listed = fleet->view().size(),
+                                   .timers = loop.deadlines().size(),
                                    .list_seq = fleet->view().newest_list()};
         ops::Reply reply = ops::take_call(
             board, call, [this](const std::string& id) { return fleet->listed(id); }, figures);
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -128,9 +128,7 @@
     }
     // What was heard as gone, and purges, bind whatever the clock says.
     for (const membership::Snapshot& warnings : found.warnings) view_.load_warnings(warnings, now);
-    for (const membership::Purge& purge : view_.purges())
-        core_.tell(nettlethread::Purge{
-            .group = purge.group, .age = std::max<Micros>(0, now - purge.at), .object = purge.object});
+    for (const membership::Purge& purge : view_.purges()) tell_purge(purge);
     lock_ = std::move(found.lock);
     if (lock_ && !lock_->fault().empty())
         return log::error("saved list: not kept by this program: {}", lock_->fault());
@@ -164,10 +162,7 @@
     log::debug("heard seq={} log={} fleet={} entries={} purge={} object={} group={} ago_us={}", change.seq,
                log, change.has_fleet, change.members.size(), change.has_purge, change.object, change.group,
                change.has_purge ? now - change.purged_at : 0);
-    if (change.has_purge)
-        core_.tell(nettlethread::Purge{.group = change.group,
-                                       .age = std::max<Micros>(0, now - change.purged_at),
-                                       .object = change.object});
+    if (change.has_purge) tell_purge({change.object, change.group, change.purged_at});
     if (keeper_ && heard != membership::Heard::old) keeper_->changed();
 }
 
@@ -217,12 +212,17 @@
         });
 }
 
+void Fleet::tell_purge(const membership::Purge& purge) {
+    core_.tell(nettlethread::Purge{.group = purge.group,
+                                   .age = std::max<Micros>(0, loop_.clock().now() - purge.at),
+                                   .object = purge.object});
+}
+
 void Fleet::learn(const std::vector<membership::Purge>& purges) {
     const Micros now = loop_.clock().now();
     for (const membership::Purge& purge : purges) {
         view_.learn(purge, now);
-        core_.tell(nettlethread::Purge{
-            .group = purge.group, .age = std::max<Micros>(0, now - purge.at), .object = purge.object});
+        tell_purge(purge);
     }
     if (keeper_ && !purges.empty()) keeper_->changed();
     core_.run();
--- a/src/daemon/fleet.h
+++ b/src/daemon/fleet.h
@@ -47,6 +47,7 @@
     void take_found(saved_list::Found found);
     void look_for_found();
     void hear(const config::Change& change, int log);
+    void tell_purge(const membership::Purge& purge);
     void sure();
     void publish();
 
--- a/src/ops/calls.cpp
+++ b/src/ops/calls.cpp
@@ -49,10 +49,10 @@
         if (!get) return wrong_method("GET");
         return {200,
                 fmt::format("gw_ready {}\ngw_phase {}\ngw_pop_caches_down {}\ngw_pop_caches_listed {}\n"
-                            "gw_list_seq {}\ngw_inflight {}\ngw_connections {}\n",
+                            "gw_list_seq {}\ngw_inflight {}\ngw_connections {}\ngw_timers {}\n",
                             board.ready() ? 1 : 0, name_of(board.phase()), board.bans().size(),
                             figures.pop_caches_listed, figures.list_seq, figures.requests_open,
-                            figures.connections),
+                            figures.connections, figures.timers),
                 false};
     }
     const Asked asked = asked_in(path);
--- a/src/ops/calls.h
+++ b/src/ops/calls.h
@@ -24,6 +24,7 @@
 // What GET /ops/stats shows besides the board, as `gw_NAME VALUE` lines.
 struct Figures {
     std::size_t requests_open = 0, connections = 0, pop_caches_listed = 0;
+    std::size_t timers = 0;     // deadlines set
     std::int64_t list_seq = 0;  // the number of the newest change the list has taken
 };
 
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -8,6 +8,7 @@
 #include <stdexcept>
 
 #include "base/files.h"
+#include "base/json_line.h"
 #include "base/log.h"
 #include "base/packed.h"
 #include "peers/raft_transport.h"
@@ -690,9 +691,7 @@
         one["out"] = seen.out;
         root["proxies"].append(one);
     }
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, root) + "\n";
+    return base::json_line(root);
 }
 
 }  // namespace sumackeel::peers
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <stdexcept>
 
+#include "base/json_line.h"
 #include "base/log.h"
 
 namespace sumackeel::peers {
@@ -67,12 +68,6 @@
     return side == group::Side::alone ? "alone" : side == group::Side::majority ? "majority" : "minority";
 }
 
-std::string joined_by_commas(const std::vector<std::string>& names) {
-    std::string text;
-    for (const std::string& name : names) text += (text.empty() ? "" : ",") + name;
-    return text;
-}
-
 }  // namespace
 
 // One exchange: hello with a digest; `same`, or a state that is answered with a state.
@@ -440,7 +435,7 @@
             log::info("group: {} is {} (was {})", change.member, to, from);
         else
             log::info("group: {} is {} (was {}), doubted by {}", change.member, to, from,
-                      joined_by_commas(change.doubters));
+                      fmt::join(change.doubters, ","));
     }
     if (group_.side() == group::Side::alone) return;
     auto counts = group_.share().counts();
@@ -626,9 +621,7 @@
     for (const auto& [name, value] : all) counters[name] = Json::UInt64{value};
     for (int i = 0; i < kBads; ++i)
         counters[std::string("bad_") + name_of(static_cast<Bad>(i))] = Json::UInt64{figures_.bad[i]};
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, root) + "\n";
+    return base::json_line(root);
 }
 
 }  // namespace sumackeel::peers
--- a/src/peers/recovery.cpp
+++ b/src/peers/recovery.cpp
@@ -7,6 +7,7 @@
 #include <stdexcept>
 
 #include "base/files.h"
+#include "base/json_line.h"
 #include "base/log.h"
 #include "base/packed.h"
 
@@ -273,9 +274,7 @@
                                                          {"written", written_},
                                                          {"longest_write_us", longest_us_}};
     for (const auto& [name, value] : all) counters[name] = Json::UInt64{value};
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, root) + "\n";
+    return base::json_line(root);
 }
 
 }  // namespace sumackeel::peers
--- a/src/peers/releases.cpp
+++ b/src/peers/releases.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "base/json_line.h"
 #include "base/log.h"
 
 namespace sumackeel::peers {
@@ -166,9 +167,7 @@
             active["others"] = shown(watch_.others());
         }
     }
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, root) + "\n";
+    return base::json_line(root);
 }
 
 }  // namespace sumackeel::peers
--- a/src/rollout/watch.cpp
+++ b/src/rollout/watch.cpp
@@ -1,6 +1,6 @@
 #include "rollout/watch.h"
 
-#include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <bit>
@@ -51,10 +51,36 @@
     sum.memory_kb += b.memory_kb, ++sum.members;
 }
 
-std::string joined(const std::vector<std::string>& names) {
-    std::string text;
-    for (const std::string& name : names) text += (text.empty() ? "" : ",") + name;
-    return text;
+bool excused(const Release& release, const std::string& member) {
+    return std::find(release.without.begin(), release.without.end(), member) != release.without.end();
+}
+
+// Of the plan's members those that are lost, and those there that are to run what is wanted by now and don't.
+struct Missing {
+    std::vector<std::string> lost, unchanged;
+};
+Missing missing(const Release& release, const std::vector<MemberNow>& members) {
+    std::map<std::string, const MemberNow*> by_name;
+    for (const MemberNow& member : members) by_name[member.name] = &member;
+    const Plan& plan = release.plan;
+    const bool going_back = release.stage == Stage::going_back;
+    const std::size_t upto = going_back ? plan.members.size() : plan.upto(release.wave);
+    Missing found;
+    for (std::size_t i = 0; i < plan.members.size(); ++i) {
+        const std::string& name = plan.members[i];
+        const auto known = by_name.find(name);
+        const MemberNow* member = known == by_name.end() ? nullptr : known->second;
+        const bool without = excused(release, name);
+        if (!member || (member->lost && !member->leased)) {
+            if (!without && !(going_back && member && member->version == release.wanted()))
+                found.lost.push_back(name);
+            continue;
+        }
+        const bool done = member->version == release.wanted() && member->serving;
+        if (i < upto && !done && !(without && release.stage == Stage::soaking))
+            found.unchanged.push_back(name);
+    }
+    return found;
 }
 
 }  // namespace
@@ -160,46 +186,29 @@
     };
     if (release.stage == Stage::halted || release.over()) return std::nullopt;
 
-    std::map<std::string, const MemberNow*> by_name;
-    for (const MemberNow& member : members) by_name[member.name] = &member;
-    std::vector<std::string> lost, unchanged;
-    const std::size_t upto =
-        release.stage == Stage::going_back ? plan.members.size() : plan.upto(release.wave);
-    for (std::size_t i = 0; i < plan.members.size(); ++i) {
-        const auto found = by_name.find(plan.members[i]);
-        const MemberNow* member = found == by_name.end() ? nullptr : found->second;
-        const bool gone = !member || (member->lost && !member->leased);
-        const bool excused = std::find(release.without.begin(), release.without.end(), plan.members[i]) !=
-                             release.without.end();
-        if (gone && excused) continue;
-        if (gone && !(member && member->version == release.wanted() && release.stage == Stage::going_back))
-            lost.push_back(plan.members[i]);
-        else if (i < upto && member && !gone && (member->version != release.wanted() || !member->serving) &&
-                 !(excused && release.stage == Stage::soaking))
-            unchanged.push_back(plan.members[i]);
-    }
+    const auto [lost, unchanged] = missing(release, members);
     if (release.stage == Stage::going_back) {
         // The dead are waited for, for as long as one wave may take: somebody may be setting them up anew.
         if (!unchanged.empty() || (!lost.empty() && now - began_ < plan.patience)) return std::nullopt;
-        return step(
-            Stage::back, release.wave,
-            lost.empty() ? "all run " + plan.from : "without " + joined(lost) + ", which are not there");
+        return step(Stage::back, release.wave,
+                    lost.empty() ? "all run " + plan.from
+                                 : fmt::format("without {}, which are not there", fmt::join(lost, ",")));
     }
     if (const std::string name = crash(release, members); !name.empty())
         return halt(name + " started anew without a turn");
-    if (!lost.empty()) return halt("lost " + joined(lost));
+    if (!lost.empty()) return halt(fmt::format("lost {}", fmt::join(lost, ",")));
     if (release.stage == Stage::changing) {
         if (unchanged.empty())
             return step(Stage::soaking, release.wave,
                         fmt::format("wave {} runs {}", release.wave + 1, plan.to));
         if (now - began_ >= plan.patience)
-            return halt(fmt::format("{} not back with {} in {} s", joined(unchanged), plan.to,
+            return halt(fmt::format("{} not back with {} in {} s", fmt::join(unchanged, ","), plan.to,
                                     plan.patience / base::kSecond));
         return std::nullopt;
     }
     if (!unchanged.empty())
-        return halt(joined(unchanged) + " went back or out while wave " + std::to_string(release.wave + 1) +
-                    " soaked");
+        return halt(fmt::format("{} went back or out while wave {} soaked", fmt::join(unchanged, ","),
+                                release.wave + 1));
     add_up(release, members);
     const bool over = now - began_ >= plan.soak;
     const bool none_left = others_.requests < plan.gate.least && release.base;
@@ -214,11 +223,10 @@
     const Verdict verdict = judge(changed_, against, plan.gate, over);
     if (verdict.how == Gated::bad) return gate("", verdict.reason);
     if (verdict.how == Gated::wait) return std::nullopt;
+    const std::size_t upto = plan.upto(release.wave);
     for (std::size_t i = upto - plan.waves[release.wave]; i < upto; ++i) {
         const auto found = heard_.find(plan.members[i]);
-        const bool excused = std::find(release.without.begin(), release.without.end(), plan.members[i]) !=
-                             release.without.end();
-        if (!excused && (found == heard_.end() || now - found->second.at > kSilent))
+        if (!excused(release, plan.members[i]) && (found == heard_.end() || now - found->second.at > kSilent))
             return gate(plan.members[i], " reports nothing");
     }
     const auto base = none_left ? std::optional<Sum>{} : std::optional(others_);
--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -1024,6 +1024,16 @@
             if counts != {"tcp": tcp, "udp": udp}:
                 raise Failed(f"{member.name} holds {counts}")
 
+    def timers(self, who, are=None, least=None):
+        """How many deadlines an idle process has set: each part that looks at something by itself has one."""
+        for member in self.fleet.pick(who):
+            body = []
+            ops_call(member.ops_port, "GET", "/ops/stats", body, host=member.host)
+            count = int(re.search(r"gw_timers (\d+)", body[0]).group(1))
+            print(f"{member.name} has {count} timers")
+            if (are is not None and count != are) or (least is not None and count < least):
+                raise Failed(f"{member.name} has {count} timers, wanted {are if are is not None else f'{least} at least'}")
+
     def wakes(self, who, seconds, most=None, least=None, tries=3):
         """How often an idle process goes to sleep in so many seconds: a timer more would show. A busy machine wakes it
         less often, so `least` may be reached in any of some tries; `most` holds in each."""
