Voters changed while running: named by files read anew, added first, taken out while the rest are there

A leader that is named no more hands over first. One that votes and knows no leader for 3 s asks the others as one that does not vote: a log says nothing to those it no longer names; named no more, it gives its log up. One named while it runs writes no first entry of its own. Only what a voter knows at first hand of the leader is told to others.

--- a/src/cli/rollout_command.cpp
+++ b/src/cli/rollout_command.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <json/json.h>
 
 #include <algorithm>
@@ -21,6 +22,10 @@
                text(root, "leader").empty() ? "none: nobody may leave" : text(root, "leader"),
                root["revision"].asUInt64(), root["last_lease"].asUInt64(),
                root["known"].asBool() ? "" : " (not known yet)");
+    std::vector<std::string> voters;
+    for (const Json::Value& voter : root["voters"])
+        voters.push_back(voter.asString().empty() ? "one not named here" : voter.asString());
+    if (!voters.empty()) fmt::print("voters: {}\n", fmt::join(voters, ", "));
     for (const Json::Value& lease : root["leases"])
         fmt::print("out by lease {:>5}: {} {} of {}, asked by {}, since {:%Y-%m-%d %H:%M:%S} UTC{}\n",
                    lease["number"].asUInt64(), text(lease, "kind"), text(lease, "member"),
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -537,6 +537,7 @@
         if (signed_front && fresh.setup.signed_front) signed_front->renew(*fresh.setup.signed_front);
         fleet->renew(fresh.config, fresh.setup);
         if (peers && fresh.setup.peers) {
+            if (agreed && fresh.setup.agreed) agreed->renew(*fresh.setup.agreed);
             peers->runs(fresh.setup.peers->version.empty() ? base::kVersion : fresh.setup.peers->version);
             follow_own();
         }
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -27,8 +27,9 @@
 constexpr Micros kTryAgain = 60'000;  // while there is no leader
 // Of those that do not vote: bans reach them within 1 s. Stretched where they are many, up to the longest.
 constexpr Micros kPollEvery = 250'000, kPollEach = 2'000, kPollLongest = 900'000;
-constexpr Micros kTendEvery = 1'000'000;                   // who votes, against the operator's file
-constexpr Micros kVoteLater = 200'000;                     // while the process before this one has the folder
+constexpr Micros kTendEvery = 1'000'000;  // who votes, against the operator's file
+constexpr Micros kAlone = 3'000'000;      // one that votes and knows no leader asks the others
+constexpr Micros kVoteLater = 200'000;    // while the process before this one has the folder
 constexpr unsigned kSnapshotAfter = 512, kTrailing = 128;  // entries; each is some KB at most
 constexpr std::size_t kSegment = 1 << 20;
 
@@ -116,7 +117,7 @@
 // One of those that vote: the library's log, disk and elections, and the state that it drives.
 struct Agreed::Voter {
     Agreed& owner;
-    const std::string self;
+    const std::string self, address;
     std::unique_ptr<base::FolderLock> lock;
     RaftTransport transport;
     raft_io io{};
@@ -127,6 +128,7 @@
     bool started = false, failed = false, closed = false, up = false;
     bool changing = false;  // who votes, under way
     raft_change change{};
+    struct raft_transfer transfer {};
     std::optional<raft_index> met_at;  // the log's end when a leader was first known
 
     // Danger: the library (0.15) follows a pointer into nothing when an append of its own as leader fails on
@@ -160,7 +162,8 @@
     void give_up(int status) {
         if (std::exchange(failed, true)) return;
         log::error(
-            "agreed: the log in {} can't be written ({}); this proxy votes no more until it is started anew",
+            "agreed: the log in {} can't be written ({}); this proxy votes no more until it is started anew "
+            "or its files are read anew",
             owner.setup_.folder, raft_strerror(status));
         const std::weak_ptr<bool> alive = owner.alive_;
         owner.loop_.deadlines().set(owner.loop_.clock().now(), [this, alive] {
@@ -178,7 +181,8 @@
     Voter(Agreed& o, const std::string& name)
         : owner(o),
           self(name),
-          transport(o.loop_, o.peers_.codec(), address_of(name),
+          address(o.setup_.voters.at(name)),
+          transport(o.loop_, o.peers_.codec(), address,
                     [this](const std::string& told) { return owner.peers_.reached_at(told); }) {}
 
     // Whether this voter has a log, and whether it ever had one: what it voted for is in it.
@@ -227,7 +231,7 @@
             self->owner.changed_(self->state);
             return 0;
         };
-        if (const int made = raft_init(&raft_, &io, &fsm, id_of(self), address_of(self).c_str()); made != 0)
+        if (const int made = raft_init(&raft_, &io, &fsm, id_of(self), address.c_str()); made != 0)
             return fault_of(made, "the log");
         raft_.data = this;
         guard_appends();
@@ -237,7 +241,7 @@
         raft_set_heartbeat_timeout(&raft_, std::max(20U, owner.setup_.election_ms / 5));
         raft_set_snapshot_threshold(&raft_, kSnapshotAfter);
         raft_set_snapshot_trailing(&raft_, kTrailing);
-        if (!lost)
+        if (!lost && !owner.joins_)
             if (std::string wrong = first_entry(); !wrong.empty()) return wrong;
         if (const int ran = raft_start(&raft_); ran != 0) return fault_of(ran, "the start");
         started = true;
@@ -269,26 +273,64 @@
         return {};
     }
 
-    // Those who are to vote and don't yet, one at a time: as after a forced start.
+    static constexpr const char* kChange = "agreed: a change of those who vote";
+
+    // `what` begins a change; only one is under way at a time.
+    template <typename What>
+    void begin_change(const std::string& words, What what) {
+        change.data = this;
+        const int asked = what(&change, [](raft_change* of, int status) {
+            static_cast<Voter*>(of->data)->changing = false;
+            log::info("{}: {}", kChange, status == 0 ? "done" : raft_strerror(status));
+        });
+        changing = asked == 0;
+        if (changing) log::info("agreed: {}", words);
+    }
+
+    void hand_over() {
+        transfer.data = this;
+        changing = raft_transfer(&raft_, &transfer, 0, [](struct raft_transfer* of) {
+                       static_cast<Voter*>(of->data)->changing = false;
+                   }) == 0;
+        if (changing) log::info("agreed: {} hands over", self);
+    }
+
+    // The log's voters made those of the operator's file, one at a time. Those to come first: one goes only
+    // once all that replace it vote. Danger: a voter taken out while others are dead could leave too few to
+    // agree on anything, the change itself included; so a majority of those that stay must be there.
     void tend() {
         if (!leads() || changing) return;
-        for (const auto& [name, address] : owner.setup_.voters) {
-            const raft_server* found = nullptr;
-            for (unsigned i = 0; i < raft_.configuration.n; ++i)
-                if (raft_.configuration.servers[i].id == id_of(name)) found = &raft_.configuration.servers[i];
-            if (found && found->role == RAFT_VOTER) continue;
-            change.data = this;
-            const raft_change_cb done = [](raft_change* of, int status) {
-                auto* self = static_cast<Voter*>(of->data);
-                self->changing = false;
-                log::info("agreed: a change of those who vote: {}",
-                          status == 0 ? "done" : raft_strerror(status));
-            };
-            const int asked = found ? raft_assign(&raft_, &change, id_of(name), RAFT_VOTER, done)
-                                    : raft_add(&raft_, &change, id_of(name), address.c_str(), done);
-            changing = asked == 0;
-            if (changing) log::info("agreed: {} is to {}", name, found ? "vote" : "be filled");
-            return;
+        const auto* servers = raft_.configuration.servers;
+        const unsigned count = raft_.configuration.n;
+        for (const auto& [name, address_of_it] : owner.setup_.voters) {
+            const auto* found = std::find_if(servers, servers + count,
+                                             [&](const raft_server& one) { return one.id == id_of(name); });
+            if (found != servers + count && found->role == RAFT_VOTER) continue;
+            return begin_change(
+                fmt::format("{} is to {}", name, found != servers + count ? "vote" : "be filled"),
+                [&](raft_change* of, raft_change_cb done) {
+                    return found != servers + count
+                               ? raft_assign(&raft_, of, id_of(name), RAFT_VOTER, done)
+                               : raft_add(&raft_, of, id_of(name), address_of_it.c_str(), done);
+                });
+        }
+        for (const raft_server* one = servers; one != servers + count; ++one) {
+            const std::string name = name_of(one->id);
+            const auto wanted = owner.setup_.voters.find(name);
+            if (wanted != owner.setup_.voters.end() && wanted->second == one->address) continue;
+            unsigned stay = 0, there = 0;
+            for (const raft_server* other = servers; other != servers + count; ++other) {
+                if (other == one || other->role != RAFT_VOTER) continue;
+                ++stay;
+                there += owner.there(name_of(other->id)) ? 1 : 0;
+            }
+            if (2 * there <= stay) continue;
+            // A leader hands over first: the next one takes it out, and no grant waits for an election.
+            if (one->id == raft_.id) return hand_over();
+            return begin_change(
+                fmt::format("{} at {} votes no more", name.empty() ? "one that is not named" : name,
+                            one->address),
+                [&](raft_change* of, raft_change_cb done) { return raft_remove(&raft_, of, one->id, done); });
         }
     }
 
@@ -317,7 +359,6 @@
     }
     ~Voter() { shut(); }
 
-    std::string address_of(const std::string& name) const { return owner.setup_.voters.at(name); }
     static raft_id id_of(const std::string& name) {
         return std::max<raft_id>(1, raft_digest(name.c_str(), 0));
     }
@@ -332,16 +373,23 @@
             // The same on each member: it changes nothing anywhere.
             log::error("agreed: {}", wrong.what());
         }
-        if (state.revision() != before) owner.changed_(state);
+        if (state.revision() != before && state.revision() > owner.heard_.revision()) owner.changed_(state);
         return 0;
     }
 
-    // How many vote, as this one knows it.
-    int voters() const {
-        int count = 0;
+    // Who votes, as this one knows it; an empty name: one that no file here has named.
+    std::vector<std::string> voters() const {
+        std::vector<std::string> names;
         for (unsigned i = 0; i < raft_.configuration.n; ++i)
-            count += raft_.configuration.servers[i].role == RAFT_VOTER ? 1 : 0;
-        return count;
+            if (raft_.configuration.servers[i].role == RAFT_VOTER)
+                names.push_back(name_of(raft_.configuration.servers[i].id));
+        std::sort(names.begin(), names.end());
+        return names;
+    }
+    std::string name_of(raft_id id) const {
+        for (const auto& [name, at] : owner.voters_ever_)
+            if (id_of(name) == id) return name;
+        return {};
     }
     bool votes() const { return started && !failed && !closed; }
     // What was in the log when a leader was met is applied: a start that has only met one has an empty state
@@ -356,9 +404,7 @@
         raft_id id = 0;
         const char* address = nullptr;
         if (votes()) raft_leader(&raft_, &id, &address);
-        for (const auto& [name, at] : owner.setup_.voters)
-            if (id != 0 && id_of(name) == id) return name;
-        return {};
+        return id == 0 ? std::string{} : name_of(id);
     }
 
     // What is wanted as a command, with all that it is judged by.
@@ -407,6 +453,7 @@
     for (const char* verb : {kWishVerb, kStateVerb})
         peers_.on_call(verb, [this](const std::string& from, const std::string& of, const std::string& body,
                                     const Peers::Say& say) { take(from, of, body, say); });
+    voters_ever_ = setup_.voters;
     if (setup_.voters.contains(name)) {
         voter_ = std::make_unique<Voter>(*this, name);
         // Danger: two processes at one log would ruin it. The one before this one gives the folder back when
@@ -428,23 +475,71 @@
     if (!votes()) poll();
 }
 
+void Agreed::renew(const config::Agreed& setup) {
+    const std::string& name = peers_.group().self().name;
+    setup_.voters = setup.voters, setup_.proxies = setup.proxies, setup_.pop_caches = setup.pop_caches;
+
+    voters_ever_.insert(setup.voters.begin(), setup.voters.end());
+    if (!setup_.voters.contains(name) || (voter_ && !voter_->failed)) return;
+    if (voter_ && voter_->up)
+        return log::warn("agreed: the log is still closing; have the file read once more");
+    // Named as a voter while it runs, or one whose log failed. There is an agreed log, so it begins none: the
+    // leader fills it.
+    joins_ = true;
+    voter_ = std::make_unique<Voter>(*this, name);
+    if (!tend_) tend();
+    vote_later();
+}
+
 void Agreed::tend() {
     voter_->tend();
+    look_alone();
     tend_ = loop_.deadlines().set(loop_.clock().now() + kTendEvery, [this] { tend(); });
 }
 
+// One that votes and has known no leader for a while was cut off, or is voted out: a log says nothing to
+// those that it no longer names. It asks the others as one that does not vote. Named by the file no more, and
+// told of a leader by another, it is out and gives its log up.
+void Agreed::look_alone() {
+    const Micros now = loop_.clock().now();
+    if (!votes() || !voter_->leader().empty()) {
+        led_at_ = now;
+        if (votes() && poll_) loop_.deadlines().drop(*poll_), poll_.reset();
+        return;
+    }
+    if (led_at_ == 0) led_at_ = now;
+    if (now - led_at_ < kAlone) return;
+    if (!poll_) leader_.clear(), known_ = false, poll();  // from now on what it is told counts
+    const std::string& name = peers_.group().self().name;
+    if (leader_.empty() || leader_ == name || setup_.voters.contains(name)) return;
+    log::info("agreed: {} votes no more, {} leads", name, leader_);
+    voter_->failed = true;
+    voter_->close();
+    if (voter_->state.revision() > heard_.revision()) heard_ = voter_->state;
+}
+
+// Whether a voter is there, as the group has it.
+bool Agreed::there(const std::string& voter) const {
+    if (voter == peers_.group().self().name) return true;
+    const auto& seen = peers_.group().seen();
+    return std::any_of(seen.begin(), seen.end(), [&](const group::Seen& one) {
+        return one.word.name == voter && one.state == group::State::alive;
+    });
+}
+
 void Agreed::vote_later() {
     const std::weak_ptr<bool> alive = alive_;
     loop_.deadlines().set(loop_.clock().now() + kVoteLater, [this, alive] {
         if (alive.expired()) return;
         if (!base::FolderLock(setup_.folder).fault().empty()) return vote_later();
-        if (voter_->lost_log() && (!known_ || leader_.empty())) return vote_later();
+        if ((voter_->lost_log() || joins_) && (!known_ || leader_.empty())) return vote_later();
         if (const std::string wrong = voter_->open(); !wrong.empty()) {
             log::error("{}; this proxy does not vote", wrong);
             voter_->failed = true;
             return voter_->close();
         }
         if (poll_) loop_.deadlines().drop(*poll_), poll_.reset();
+        known_ = false;
         log::info("agreed: {} votes now", peers_.group().self().name);
     });
 }
@@ -475,14 +570,17 @@
 bool Agreed::votes() const {
     return voter_ && voter_->votes();
 }
+// What was heard while a voter was alone may be newer than its own.
 const rollout::State& Agreed::state() const {
-    return votes() ? voter_->state : heard_;
+    return votes() && voter_->state.revision() >= heard_.revision() ? voter_->state : heard_;
 }
 std::string Agreed::leader() const {
-    return votes() ? voter_->leader() : leader_;
+    if (!votes()) return leader_;
+    const std::string led = voter_->leader();
+    return led.empty() && poll_ ? leader_ : led;
 }
 bool Agreed::known() const {
-    return votes() ? voter_->caught_up() && !voter_->leader().empty() : known_;
+    return votes() && !voter_->leader().empty() ? voter_->caught_up() : known_;
 }
 
 bool Agreed::leads() const {
@@ -604,13 +702,16 @@
 
 void Agreed::take(const std::string& from, const std::string& verb, const std::string& body,
                   const Peers::Say& say) {
-    const auto no = [&] { say(encode(Said{false, leader(), {}})); };
+    // At first hand only: what was heard of a leader is told to nobody, or it would outlive that leader.
+    const std::string led = votes() ? voter_->leader() : std::string{};
+    const auto no = [&] { say(encode(Said{false, led, {}})); };
     if (!votes()) return no();
     try {
         if (verb == kStateVerb) {
             const std::uint64_t have = std::stoull(body);
             const bool news = have != voter_->state.revision();
-            return say(encode(Said{known(), leader(), news ? voter_->state.encode() : std::string{}}));
+            return say(encode(Said{!led.empty() && voter_->caught_up(), led,
+                                   news ? voter_->state.encode() : std::string{}}));
         }
         if (verb != kWishVerb || !voter_->leads()) return no();
         voter_->propose(Wanted::read(body),
@@ -658,7 +759,10 @@
     root["votes"] = votes();
     root["leads"] = voter_ && voter_->leads();
     root["leader"] = leader();
-    if (votes()) root["voters"] = voter_->voters();
+    if (votes()) {
+        root["voters"] = Json::Value(Json::arrayValue);
+        for (const std::string& voter : voter_->voters()) root["voters"].append(voter);
+    }
     root["known"] = known();
     root["revision"] = Json::UInt64{state().revision()};
     root["last_lease"] = Json::UInt64{state().last_number()};
--- a/src/peers/agreed.h
+++ b/src/peers/agreed.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +27,9 @@
     Agreed(net::Loop& loop, Peers& peers, const config::Agreed& setup, bool wait_for_folder, World world,
            Changed changed);
     ~Agreed();
+    // The operator's file was read anew: rules hold from the next ask on; who votes is changed by the leader,
+    // one after another. The folder and the time of an election wait for the next start.
+    void renew(const config::Agreed& setup);
     Agreed(const Agreed&) = delete;
     Agreed& operator=(const Agreed&) = delete;
 
@@ -70,18 +74,23 @@
     void stop_voting();
     void vote_later();
     void tend();
+    void look_alone();
     bool votes() const;
+    bool there(const std::string& voter) const;
     void hold(rollout::State state);
 
     net::Loop& loop_;
     Peers& peers_;
-    const config::Agreed setup_;
+    config::Agreed setup_;
+    std::map<std::string, std::string> voters_ever_;  // by name: also those that the file named before
     World world_;
     Changed changed_;
     std::unique_ptr<Voter> voter_;  // null: this one does not vote
     rollout::State heard_;          // of one that does not vote
     bool known_ = false;
     std::string leader_;
+    base::Micros led_at_ = 0;  // of one that votes: when it last knew a leader
+    bool joins_ = false;       // named as a voter while it ran: it writes no first entry of its own
     std::size_t next_voter_ = 0;
     std::optional<base::Deadlines::Key> poll_, tend_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
