A forced log has a history of its own; large objects step by step; an origin that falls

A forced start draws a later history number for the agreed log, told in the first bytes between voters with the group's code: voters that come back with the old log meet it, set their folder aside and are filled. Before, two of three that came back made a majority of what the forced one had gone on without.

While priming, objects over 512 KB pass step by step, four times larger each 5 s. What recovery keeps may lie in the saved list's folder (its default now): each kind of file has its own lock and unfinished name.

The raft library's own steps are written at the debug level.

--- a/bench/power_loss.cpp
+++ b/bench/power_loss.cpp
@@ -4,8 +4,10 @@
 // sizes. One line a run: the most fills that the origin was asked for in a second over what it can do, the
 // longest queue there in seconds, the most that a parent got within the rule's window over what breaks it at
 // that age, requests refused and lost of all asked in 90 s, and the seconds until half, 90% and 99% of the
-// earlier answers in time are back. Usage: power_loss [SVG], a chart of answers in time over time for the
-// fleet of 300. Build with -DSUMACKEEL_BENCH=ON.
+// earlier answers in time are back, the megabytes fetched from the origin anew, and how often it fell.
+// Usage: power_loss [SVG [ASKS_PER_S [START_WITHIN_S [BUDGET [ORIGIN_FILLS_PER_S [HUB_BUDGET [BEARS_S]]]]]]]:
+// a chart of answers in time over time for the fleet of 300; an origin that falls where its queue is longer
+// than BEARS_S, for 5 s and with all that it was at (0: never). Build with -DSUMACKEEL_BENCH=ON.
 #include <algorithm>
 #include <cstdio>
 #include <fstream>
@@ -22,7 +24,7 @@
 
 constexpr Micros kStep = 100 * kMs;
 constexpr int kSeconds = 90;
-double kOriginFills = 400, kBudget = 200, kHubs = 1'500, kAsks = 1'000, kOver = 30;
+double kOriginFills = 400, kBudget = 200, kHubs = 1'500, kAsks = 1'000, kOver = 30, kBears = 0;
 
 // The ladders of all routers, which ask each other over no wire at all.
 struct Ladders {
@@ -77,6 +79,7 @@
     shape.routers = routers;
     shape.origin_fills_per_s = kOriginFills;
     shape.asks_per_s = kAsks;
+    shape.origin_bears = static_cast<Micros>(kBears * 1e6);
     Fleet fleet(shape);
     fleet.run_for(15 * kSecond);
     fleet.totals = {};
@@ -144,11 +147,12 @@
         fills = std::max(fills, i - tail + 1);
     }
     if (print)
-        std::printf("%7d %-8s %8.2f %8.2f %8.2f %8.1f%% %7.1f%% %6.0f %6.0f %6.0f\n", routers,
+        std::printf("%7d %-8s %8.2f %8.2f %8.2f %8.1f%% %7.1f%% %6.0f %6.0f %6.0f %8.0f %5d\n", routers,
                     with ? "with" : "without", static_cast<double>(fills) / kOriginFills,
                     fleet.totals.longest_at_origin / kOriginFills, most_parent,
                     100.0 * fleet.totals.refused / fleet.totals.asked,
-                    100.0 * fleet.totals.lost / fleet.totals.asked, half, most, nearly);
+                    100.0 * fleet.totals.lost / fleet.totals.asked, half, most, nearly,
+                    static_cast<double>(at.size()) * shape.kb / 1'000, fleet.totals.origin_fell);
     return in_time;
 }
 
@@ -182,8 +186,9 @@
     if (argc > 4) kBudget = std::atof(argv[4]);
     if (argc > 5) kOriginFills = std::atof(argv[5]);
     if (argc > 6) kHubs = std::atof(argv[6]);
-    std::printf("%7s %-8s %8s %8s %8s %9s %8s %6s %6s %6s\n", "routers", "recovery", "origin", "queue s",
-                "parent", "refused", "lost", "50%", "90%", "99%");
+    if (argc > 7) kBears = std::atof(argv[7]);
+    std::printf("%7s %-8s %8s %8s %8s %9s %8s %6s %6s %6s %8s %5s\n", "routers", "recovery", "origin",
+                "queue s", "parent", "refused", "lost", "50%", "90%", "99%", "MB", "fell");
     for (const int routers : {15, 100, 300, 1'000})
         for (const bool with : {false, true}) {
             const auto in_time = play(routers, with, true);
--- a/src/base/files.cpp
+++ b/src/base/files.cpp
@@ -99,10 +99,10 @@
     return Reading::done;
 }
 
-FolderLock::FolderLock(const std::string& folder) {
+FolderLock::FolderLock(const std::string& folder, const char* name) {
     std::error_code ignored;
     std::filesystem::create_directories(folder, ignored);
-    const std::string path = folder + "/lock";
+    const std::string path = folder + '/' + name;
     fd_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
     if (fd_ < 0)
         fault_ = failed("can't be opened", path);
--- a/src/base/files.h
+++ b/src/base/files.h
@@ -47,7 +47,8 @@
 // Held for as long as this lives: two programs on one folder would remove each other's generations.
 class FolderLock {
   public:
-    explicit FolderLock(const std::string& folder);  // makes the folder
+    // Makes the folder. `name`: of the lock's file, where several kinds of files share a folder.
+    explicit FolderLock(const std::string& folder, const char* name = "lock");
     ~FolderLock();
     FolderLock(const FolderLock&) = delete;
     FolderLock& operator=(const FolderLock&) = delete;
--- a/src/base/generations.cpp
+++ b/src/base/generations.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+// Behind the prefix: two kinds of files may share a folder, each with a writer of its own.
 constexpr const char* kUnfinished = "unfinished.tmp";
 constexpr std::size_t kDigits = 16;
 
@@ -51,7 +52,7 @@
 // a crash, the folder holds the old generations, or them and the new one; a file half written has no such
 // name.
 std::string Generations::write(std::string_view bytes, std::uint64_t generation, std::uint64_t keep) const {
-    const std::string fault = put_in_place(folder_, kUnfinished, name_of(generation), bytes);
+    const std::string fault = put_in_place(folder_, prefix_ + kUnfinished, name_of(generation), bytes);
     if (!fault.empty()) return fault;
     for (const std::uint64_t old : all())
         if (old != generation && old != keep) crash_point(), ::unlink(path_of(old).c_str());
--- a/src/cli/recovery_command.cpp
+++ b/src/cli/recovery_command.cpp
@@ -66,8 +66,9 @@
         kept["fault"].asString().empty() ? "" : "; nothing can be kept now: " + kept["fault"].asString());
     for (const Json::Value& one : root["set_aside"]) fmt::print("set aside: {}\n", one.asString());
     for (const Json::Value& one : root["hands"]) fmt::print("by hand: {}\n", one.asString());
-    fmt::print("let through {}, turned away {}\n", root["counters"]["let_through"].asUInt64(),
-               root["counters"]["turned_away"].asUInt64());
+    fmt::print("let through {}, turned away {}, {} of them as too large for now\n",
+               root["counters"]["let_through"].asUInt64(), root["counters"]["turned_away"].asUInt64(),
+               root["counters"]["too_large"].asUInt64());
 }
 
 }  // namespace
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -175,9 +175,9 @@
          "So many pop caches of all may be out at once."},
         {"agreed", "pop_caches_between_s", Type::number, false, 0, 86'400, "0", "",
          "Seconds from one's return to the next one's leave, in a school."},
-        {"recovery", "folder", Type::path, true, 0, 0, "", "",
+        {"recovery", "folder", Type::path, false, 0, 0, "", "",
          "Where bans, the drain and the names of members are kept, on a disk that lasts. Of this proxy "
-         "alone."},
+         "alone. Default: that of [saved_list]."},
         {"recovery", "ask_s", Type::number, false, 0.1, 60, "2", "",
          "How long a member that serves is asked for at a start before it is taken for a loss of power."},
         {"recovery", "settle_s", Type::number, false, 0.1, 600, "5", "",
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -168,7 +168,9 @@
 Recovery read_recovery(const Settings& file, const std::filesystem::path& folder) {
     const char* at = "recovery";
     Recovery all;
-    all.folder = path_of(file, at, "folder", folder);
+    if (file.text(at, "folder").empty() && !file.has("saved_list"))
+        bad(file.where(at, "folder"), "missing, and there is no [saved_list] whose folder could serve");
+    all.folder = path_of(file, file.text(at, "folder").empty() ? "saved_list" : at, "folder", folder);
     all.ask = seconds(file, at, "ask_s");
     all.settle = seconds(file, at, "settle_s");
     all.prime = seconds(file, at, "prime_s");
--- a/src/emulator/fleet.cpp
+++ b/src/emulator/fleet.cpp
@@ -16,6 +16,7 @@
 constexpr double kCacheWeight = 6, kParentWeight = 60;  // transfers at full pace
 constexpr Micros kFillWay = 10 * kMs;                   // to a source's first byte
 constexpr Micros kOriginWay = 120 * kMs;                // the same from an idle origin
+constexpr Micros kOriginDown = 5 * kSecond;
 constexpr Micros kFillTimeout = 2 * kSecond;  // a cache waits no longer for a source that says nothing
 constexpr Micros kToldFirst = 50 * kMs, kToldApart = 3 * kMs;  // a purge, from router to router
 
@@ -254,7 +255,15 @@
     arrives(serve.cache);
     if (held_[serve.cache].contains(object)) return ends(now_ + work(), Verdict::served, Note::hit);
     Micros& running = filling_[serve.cache][object];
-    if (serve.join && running > now_) return ends(running + 1, Verdict::served, Note::joined);
+    if (serve.join && running > now_)
+        return at(running + 1, [this, router, serve, attempt, object, sent = now_] {
+            const bool came = held_[serve.cache].contains(object);
+            Outcome outcome;
+            outcome.id = serve.id, outcome.attempt = attempt, outcome.cache = serve.cache;
+            outcome.verdict = came ? Verdict::served : Verdict::error;
+            outcome.note = came ? Note::joined : Note::source_lost;
+            end(router, outcome, sent);
+        });
     if (serve.source == serve.cache) return ends(now_ + kMs, Verdict::missing, Note::none);
     totals.named[serve.source].push_back(now_);
     if (lost_.contains(serve.source)) return ends(now_ + kFillTimeout, Verdict::error, Note::source_lost);
@@ -263,6 +272,7 @@
     if (!held && serve.source_holds) return ends(now_ + kFillWay, Verdict::missing, Note::source_lacks);
     Micros first_byte = kFillWay;
     if (!held) {
+        if (now_ < origin_up_) return ends(now_ + kFillTimeout, Verdict::error, Note::source_lost);
         totals.origin_fills.push_back(now_);
         // Danger to be seen: who waits no longer has had it asked for all the same.
         const auto each = static_cast<Micros>(kSecond / shape_.origin_fills_per_s);
@@ -270,8 +280,30 @@
         const double waiting = static_cast<double>(origin_free_ - now_) / static_cast<double>(each);
         totals.longest_at_origin = std::max(totals.longest_at_origin, waiting);
         first_byte = origin_free_ - now_ + kOriginWay;
+        if (shape_.origin_bears > 0 && origin_free_ - now_ > shape_.origin_bears) {
+            ++totals.origin_fell;
+            origin_fell_ = now_, origin_up_ = origin_free_ = now_ + kOriginDown;
+        }
     }
     running = now_ + first_byte + work();
+    // What the origin was at when it fell never comes: the cache notices once its own patience is over.
+    const Micros comes = now_ + first_byte;
+    if (!held && shape_.origin_bears > 0) {
+        at(comes, [this, router, serve, attempt, object, asked = now_, comes, first_byte] {
+            const bool fell = origin_fell_ >= asked && origin_fell_ <= comes;
+            Outcome outcome;
+            outcome.id = serve.id, outcome.attempt = attempt, outcome.cache = serve.cache;
+            outcome.verdict = fell ? Verdict::error : Verdict::served;
+            outcome.note = fell ? Note::source_lost : Note::filled_by_origin;
+            outcome.first_byte = fell ? 0 : first_byte;
+            at(fell ? std::max(now_ + 1, asked + kFillTimeout) : now_ + work(),
+               [this, router, serve, object, outcome, fell, asked] {
+                   if (!fell) held_[serve.cache].insert(object), held_[serve.source].insert(object);
+                   end(router, outcome, asked);
+               });
+        });
+        return;
+    }
     keeps(serve.cache, running);
     if (!held) keeps(serve.source, running);
     ends(running, Verdict::served, held ? Note::filled : Note::filled_by_origin, first_byte);
--- a/src/emulator/fleet.h
+++ b/src/emulator/fleet.h
@@ -28,7 +28,8 @@
     double asks_per_s = 1'000;  // of all clients
     int objects = 4'000;        // wanted with a weight that falls as 1/rank
     double origin_fills_per_s = 400;
-    double kb = 400;  // one read; 0.1 s at full pace
+    Micros origin_bears = 0;  // a longer queue makes it fall, for 5 s and with all that it was at; 0: never
+    double kb = 400;          // one read; 0.1 s at full pace
     std::uint64_t seed = 20261201;
 };
 
@@ -41,6 +42,7 @@
     double longest_at_origin = 0;                               // fills waiting there at once
     std::vector<Micros> origin_fills;                           // begun there, in order
     int lost = 0;                                               // nobody was there to ask
+    int origin_fell = 0;                                        // times
     std::map<std::string, std::map<Micros, double>> work_sent;  // to a box, by the time it arrived
     std::map<std::string, std::vector<Micros>>
         named;  // when attempts named it, as box or as source, in order
@@ -125,7 +127,7 @@
     std::vector<int> lives_;  // of each router: what an earlier one had set is passed over
     std::priority_queue<Due> due_;
     std::uint64_t order_ = 0;
-    Micros now_ = 1'000 * kSecond, origin_free_ = 0;
+    Micros now_ = 1'000 * kSecond, origin_free_ = 0, origin_fell_ = -1, origin_up_ = 0;
     std::unordered_map<std::string, Open> open_;
     std::set<std::string> lost_;
     std::set<std::pair<std::string, int>> out_;  // attempts, by request and number
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -3,6 +3,7 @@
 #include <json/json.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cstring>
 #include <filesystem>
 #include <stdexcept>
@@ -35,6 +36,10 @@
 
 constexpr const char* kVoted = "voted";  // in the folder of the peers: this one has had a log
 constexpr const char* kForce = "force";  // in the log's folder: go on alone, as an operator wants it
+// In the log's folder: "sumackeel-history 1 N". Logs that began by themselves are of history 0; each forced
+// start begins a later one.
+constexpr const char* kHistory = "history";
+constexpr const char* kHistoryForm = "sumackeel-history 1 ";
 constexpr const char* kWishVerb = "wish";
 constexpr const char* kStateVerb = "state";
 
@@ -121,6 +126,11 @@
     std::unique_ptr<base::FolderLock> lock;
     RaftTransport transport;
     raft_io io{};
+    // What the library says of its own steps, at the debug level.
+    raft_tracer tracer{nullptr, log::wanted(log::Level::debug),
+                       [](raft_tracer*, const char* file, int line, const char* message) {
+                           log::debug("raft: {}:{} {}", file, line, message);
+                       }};
     raft_fsm fsm{};
     raft raft_{};
     rollout::State state;
@@ -182,8 +192,29 @@
         : owner(o),
           self(name),
           address(o.setup_.voters.at(name)),
-          transport(o.loop_, o.peers_.codec(), address,
-                    [this](const std::string& told) { return owner.peers_.reached_at(told); }) {}
+          transport(
+              o.loop_, o.peers_.codec(), address,
+              [this](const std::string& told) { return owner.peers_.reached_at(told); },
+              [this](std::uint64_t history) { owner.yield(history); }) {}
+
+    // Of the log in the folder; throws std::runtime_error where the file can't be read.
+    static std::uint64_t history_in(const std::string& folder) {
+        std::string text, fault;
+        const auto how = base::read_plain(folder + '/' + kHistory, 64, text, fault);
+        if (how == base::Reading::missing) return 0;
+        const std::string_view form(kHistoryForm);
+        std::uint64_t history = 0;
+        const char *begin = text.data() + form.size(), *end = text.data() + text.size() - 1;
+        if (how != base::Reading::done || !text.starts_with(form) || !text.ends_with('\n') ||
+            std::from_chars(begin, end, history).ptr != end)
+            throw std::runtime_error(fmt::format("agreed: {}/{} can't be read: {}", folder, kHistory,
+                                                 fault.empty() ? text : fault));
+        return history;
+    }
+    static std::string put_history(const std::string& folder, std::uint64_t history) {
+        return base::put_in_place(folder, std::string(kHistory) + ".new", kHistory,
+                                  fmt::format("{}{}\n", kHistoryForm, history));
+    }
 
     // Whether this voter has a log, and whether it ever had one: what it voted for is in it.
     bool has_log() const {
@@ -204,6 +235,7 @@
         if (!lock->fault().empty()) return lock->fault();
         if (const int made = raft_uv_init(&io, owner.loop_.raw(), folder.c_str(), transport.raw()); made != 0)
             return fault_of(made, "the folder");
+        raft_uv_set_tracer(&io, &tracer);
         raft_uv_set_segment_size(&io, kSegment);
         raft_uv_set_connect_retry_delay(&io, 200);
         fsm.version = 1;
@@ -234,6 +266,7 @@
         if (const int made = raft_init(&raft_, &io, &fsm, id_of(self), address.c_str()); made != 0)
             return fault_of(made, "the log");
         raft_.data = this;
+        raft_.tracer = &tracer;
         guard_appends();
         up = true;
         raft_set_pre_vote(&raft_, true);
@@ -243,6 +276,11 @@
         raft_set_snapshot_trailing(&raft_, kTrailing);
         if (!lost && !owner.joins_)
             if (std::string wrong = first_entry(); !wrong.empty()) return wrong;
+        try {
+            transport.set_history(history_in(folder));
+        } catch (const std::exception& wrong) {
+            return wrong.what();
+        }
         if (const int ran = raft_start(&raft_); ran != 0) return fault_of(ran, "the start");
         started = true;
         return base::put_in_place(owner.peers_.setup().folder, std::string(kVoted) + ".new", kVoted,
@@ -265,6 +303,12 @@
         raft_configuration_close(&voters);
         if (made != 0 && (forced || made != RAFT_CANTBOOTSTRAP)) return fault_of(made, "who votes");
         if (!forced) return {};
+        // Before the mark is taken off: what the log went on without is never spoken with again.
+        const auto now = static_cast<std::uint64_t>(owner.loop_.clock().now());
+        if (std::string wrong =
+                put_history(owner.setup_.folder, std::max(history_in(owner.setup_.folder) + 1, now));
+            !wrong.empty())
+            return wrong;
         const std::string record =
             fmt::format("{}/{}d-{}", owner.setup_.folder, kForce, owner.loop_.clock().now());
         std::filesystem::rename(force, record, ignored);
@@ -480,7 +524,7 @@
     setup_.voters = setup.voters, setup_.proxies = setup.proxies, setup_.pop_caches = setup.pop_caches;
 
     voters_ever_.insert(setup.voters.begin(), setup.voters.end());
-    if (!setup_.voters.contains(name) || (voter_ && !voter_->failed)) return;
+    if (!setup_.voters.contains(name) || yielding_ || (voter_ && !voter_->failed)) return;
     if (voter_ && voter_->up)
         return log::warn("agreed: the log is still closing; have the file read once more");
     // Named as a voter while it runs, or one whose log failed. There is an agreed log, so it begins none: the
@@ -518,6 +562,52 @@
     if (voter_->state.revision() > heard_.revision()) heard_ = voter_->state;
 }
 
+// Another voter's log was forced to go on without ours: what ours holds is void. Told from within the
+// transport.
+void Agreed::yield(std::uint64_t history) {
+    if (std::exchange(yielding_, true)) return;
+    log::error("agreed: the log in {} is of an older history than that of another voter; it is set aside",
+               setup_.folder);
+    const std::weak_ptr<bool> alive = alive_;
+    loop_.deadlines().set(loop_.clock().now(), [this, alive, history] {
+        if (alive.expired()) return;
+        voter_->failed = true;
+        voter_->close();
+        heard_ = {}, known_ = false, leader_.clear();  // so is what was known by it
+        poll();
+        set_aside(history);
+    });
+}
+
+// Once the log is closed: its files out of the way, kept for whoever wants to look, and a place for the
+// other.
+void Agreed::set_aside(std::uint64_t history) {
+    const std::weak_ptr<bool> alive = alive_;
+    if (voter_->up) {
+        loop_.deadlines().set(loop_.clock().now() + kVoteLater, [this, alive, history] {
+            if (!alive.expired()) set_aside(history);
+        });
+        return;
+    }
+    const std::string aside = fmt::format("{}/aside-{}", setup_.folder, loop_.clock().now());
+    std::error_code fault;
+    std::filesystem::create_directories(aside, fault);
+    std::vector<std::filesystem::path> files;
+    for (std::filesystem::directory_iterator it(setup_.folder, fault), end; !fault && it != end;
+         it.increment(fault))
+        if (it->is_regular_file() && it->path().filename() != "lock") files.push_back(it->path());
+    for (const auto& file : files)
+        if (!fault) std::filesystem::rename(file, std::filesystem::path(aside) / file.filename(), fault);
+    std::string wrong = fault ? fault.message() : Voter::put_history(setup_.folder, history);
+    if (!wrong.empty())
+        return log::error("agreed: the old log in {} can't be set aside, {}; this proxy does not vote",
+                          setup_.folder, wrong);
+    log::warn("agreed: the old log is in {}", aside);
+    yielding_ = false, joins_ = true;
+    voter_ = std::make_unique<Voter>(*this, peers_.group().self().name);
+    vote_later();
+}
+
 // Whether a voter is there, as the group has it.
 bool Agreed::there(const std::string& voter) const {
     if (voter == peers_.group().self().name) return true;
--- a/src/peers/agreed.h
+++ b/src/peers/agreed.h
@@ -75,6 +75,8 @@
     void vote_later();
     void tend();
     void look_alone();
+    void yield(std::uint64_t history);
+    void set_aside(std::uint64_t history);
     bool votes() const;
     bool there(const std::string& voter) const;
     void hold(rollout::State state);
@@ -90,6 +92,7 @@
     bool known_ = false;
     std::string leader_;
     base::Micros led_at_ = 0;  // of one that votes: when it last knew a leader
+    bool yielding_ = false;    // its log is of an older history, and is being set aside
     bool joins_ = false;       // named as a voter while it ran: it writes no first entry of its own
     std::size_t next_voter_ = 0;
     std::optional<base::Deadlines::Key> poll_, tend_;
--- a/src/peers/raft_transport.cpp
+++ b/src/peers/raft_transport.cpp
@@ -12,16 +12,30 @@
 
 namespace {
 
-constexpr std::size_t kNonce = 16, kCode = 16, kAddress = 64;
-constexpr std::size_t kHello = 8 + kAddress + kCode;  // id, address, code over nonce, id and address
-constexpr std::size_t kMostHands = 12;                // those that are coming up; beyond it the oldest goes
+constexpr std::size_t kNonce = 16, kCode = 16, kAddress = 64, kNumber = 8;
+constexpr std::size_t kFirst = kNonce + kNumber + kCode;  // nonce, history, code over both
+// id, address, history, code over the nonce and all three
+constexpr std::size_t kHello = kNumber + kAddress + kNumber + kCode;
+constexpr std::size_t kMostHands = 12;  // those that are coming up; beyond it the oldest goes
 constexpr base::Micros kHandPatience = 1'000'000;
 constexpr int kBacklog = 64;
 
+std::string number(std::uint64_t value) {
+    std::string text;
+    for (unsigned shift = 0; shift < 64; shift += 8) text += static_cast<char>(value >> shift);
+    return text;
+}
+std::uint64_t number_in(std::string_view bytes) {
+    std::uint64_t value = 0;
+    for (std::size_t i = kNumber; i-- > 0;) value = value << 8 | static_cast<unsigned char>(bytes[i]);
+    return value;
+}
+
 }  // namespace
 
-// Who listens sends a nonce; who connects answers with its id, its address and the code of all three. Exactly
-// as many bytes as that are read, so that the first of the log stay in the socket.
+// Who listens sends a nonce and the history of its log; who connects answers with its id, its address and its
+// history, each with a code. Exactly as many bytes as that are read, so that the first of the log stay in the
+// socket.
 struct RaftTransport::Hand {
     RaftTransport& owner;
     uv_tcp_t* tcp = static_cast<uv_tcp_t*>(raft_malloc(sizeof(uv_tcp_t)));  // the library frees it
@@ -29,7 +43,7 @@
     uv_write_t writing{};
     raft_uv_connect* request = nullptr;  // ours; null: it came in
     raft_uv_connect_cb cb = nullptr;
-    std::array<unsigned char, kNonce> nonce{};
+    std::array<char, kFirst> first{};
     std::array<char, kHello> hello{};
     std::size_t have = 0;
     base::Deadlines::Key by;
@@ -43,11 +57,10 @@
         owner.hands_.push_back(this);
     }
 
-    std::string said(raft_id id) const {  // what the code is over
-        std::string text(reinterpret_cast<const char*>(nonce.data()), kNonce);
-        for (int shift = 0; shift < 64; shift += 8) text += static_cast<char>(id >> shift);
-        text.append(hello.data() + 8, kAddress);
-        return text;
+    std::string_view nonce() const { return {first.data(), kNonce}; }
+    std::string_view part(std::size_t at, std::size_t size) const { return {hello.data() + at, size}; }
+    std::string said() const {  // what the code of the hello is over
+        return std::string(nonce()).append(part(0, kHello - kCode));
     }
 
     void read(char* into, std::size_t most) {
@@ -76,31 +89,57 @@
             drop(RAFT_NOCONNECTION);
     }
 
-    void answer() {  // ours: the nonce has come
-        hello.fill(0);
-        for (int i = 0; i < 8; ++i)
-            hello[static_cast<std::size_t>(i)] = static_cast<char>(owner.id_ >> (8 * i));
-        std::memcpy(hello.data() + 8, owner.address_.data(), std::min(kAddress - 1, owner.address_.size()));
-        const std::string code = owner.codec_.code(said(owner.id_));
-        std::memcpy(hello.data() + 8 + kAddress, code.data(), kCode);
-        write(hello.data(), hello.size(), [](uv_write_t* request, int status) {
+    // Whether the other's log is of our history; one that is later is told.
+    bool same(std::uint64_t history) {
+        if (history > owner.history_) owner.newer_(history);
+        return history == owner.history_;
+    }
+
+    void greet() {  // it came in
+        if (RAND_bytes(reinterpret_cast<unsigned char*>(first.data()), kNonce) != 1)
+            return drop(RAFT_NOCONNECTION);
+        const std::string bytes = std::string(nonce()) + number(owner.history_);
+        std::memcpy(first.data(), bytes.data(), bytes.size());
+        std::memcpy(first.data() + bytes.size(), owner.codec_.code(bytes).data(), kCode);
+        write(first.data(), kFirst, [](uv_write_t* request, int written) {
             auto* self = static_cast<Hand*>(request->data);
             if (self->dropped) return;
-            status == 0 ? self->give() : self->drop(RAFT_NOCONNECTION);
+            written == 0 ? self->read(self->hello.data(), kHello) : self->drop(RAFT_NOCONNECTION);
         });
     }
 
+    void answer() {  // ours: the nonce has come
+        const std::string_view bytes(first.data(), kFirst - kCode);
+        if (!owner.codec_.holds(bytes, {first.data() + bytes.size(), kCode})) {
+            ++owner.refused_;
+            return drop(RAFT_NOCONNECTION);
+        }
+        // Also told to one of an older history, which so learns of ours; then it ends.
+        const bool ours = same(number_in(bytes.substr(kNonce)));
+        std::string address = owner.address_.substr(0, kAddress - 1);
+        address.resize(kAddress, 0);
+        const std::string told = number(owner.id_) + address + number(owner.history_);
+        std::memcpy(hello.data(), told.data(), told.size());
+        std::memcpy(hello.data() + told.size(), owner.codec_.code(said()).data(), kCode);
+        if (ours)
+            return write(hello.data(), hello.size(), [](uv_write_t* request, int status) {
+                auto* self = static_cast<Hand*>(request->data);
+                if (self->dropped) return;
+                status == 0 ? self->give() : self->drop(RAFT_NOCONNECTION);
+            });
+        write(hello.data(), hello.size(),
+              [](uv_write_t* request, int) { static_cast<Hand*>(request->data)->drop(RAFT_NOCONNECTION); });
+    }
+
     void judge() {  // it came in: the hello is there
-        raft_id id = 0;
-        for (int i = 7; i >= 0; --i)
-            id = id << 8 | static_cast<unsigned char>(hello[static_cast<std::size_t>(i)]);
-        const std::string_view code(hello.data() + 8 + kAddress, kCode);
-        hello[8 + kAddress - 1] = 0;
-        if (id == 0 || !owner.codec_.holds(said(id), code)) {
+        const raft_id id = number_in(part(0, kNumber));
+        if (id == 0 || !owner.codec_.holds(said(), part(kHello - kCode, kCode))) {
             ++owner.refused_;
             return drop(RAFT_NOCONNECTION);
         }
-        const std::string address(hello.data() + 8);
+        if (!same(number_in(part(kNumber + kAddress, kNumber)))) return drop(RAFT_NOCONNECTION);
+        hello[kNumber + kAddress - 1] = 0;
+        const std::string address(hello.data() + kNumber);
         uv_tcp_t* stream = release();
         owner.accepted_(&owner.transport_, id, address.c_str(), reinterpret_cast<uv_stream_t*>(stream));
         owner.closed(this);
@@ -142,8 +181,13 @@
 };
 
 RaftTransport::RaftTransport(net::Loop& loop, const Codec& codec, std::string listen,
-                             std::function<std::string(const std::string&)> reach)
-    : loop_(loop), codec_(codec), listen_(std::move(listen)), reach_(std::move(reach)) {
+                             std::function<std::string(const std::string&)> reach,
+                             std::function<void(std::uint64_t)> newer)
+    : loop_(loop),
+      codec_(codec),
+      listen_(std::move(listen)),
+      reach_(std::move(reach)),
+      newer_(std::move(newer)) {
     transport_.impl = this;  // `data` is the library's
     transport_.init = [](raft_uv_transport* t, raft_id id, const char* address) {
         auto* self = static_cast<RaftTransport*>(t->impl);
@@ -165,16 +209,9 @@
                 if (status != 0 || owner->closing_) return;
                 if (owner->hands_.size() >= kMostHands) owner->hands_.front()->drop(RAFT_NOCONNECTION);
                 auto* hand = new Hand(*owner);
-                if (uv_accept(server, reinterpret_cast<uv_stream_t*>(hand->tcp)) != 0 ||
-                    RAND_bytes(hand->nonce.data(), kNonce) != 1)
+                if (uv_accept(server, reinterpret_cast<uv_stream_t*>(hand->tcp)) != 0)
                     return hand->drop(RAFT_NOCONNECTION);
-                hand->write(reinterpret_cast<const char*>(hand->nonce.data()), kNonce,
-                            [](uv_write_t* request, int written) {
-                                auto* self = static_cast<Hand*>(request->data);
-                                if (self->dropped) return;
-                                written == 0 ? self->read(self->hello.data(), kHello)
-                                             : self->drop(RAFT_NOCONNECTION);
-                            });
+                hand->greet();
             });
         return failed == 0 ? 0 : RAFT_IOERR;
     };
@@ -191,7 +228,7 @@
                                if (made->dropped) return;
                                if (status != 0) return made->drop(RAFT_NOCONNECTION);
                                uv_tcp_nodelay(made->tcp, 1);
-                               made->read(reinterpret_cast<char*>(made->nonce.data()), kNonce);
+                               made->read(made->first.data(), kFirst);
                            }) != 0)
             hand->drop(RAFT_NOCONNECTION);
         return 0;
--- a/src/peers/raft_transport.h
+++ b/src/peers/raft_transport.h
@@ -14,13 +14,18 @@
 
 class RaftTransport {
   public:
-    // `reach` tells where this member reaches an address that another one has.
+    // `reach` tells where this member reaches an address that another one has. `newer`: another voter has a
+    // log of a later history; told from the loop, as often as it is met.
     RaftTransport(net::Loop& loop, const Codec& codec, std::string listen,
-                  std::function<std::string(const std::string&)> reach);
+                  std::function<std::string(const std::string&)> reach,
+                  std::function<void(std::uint64_t)> newer);
     ~RaftTransport();
     RaftTransport(const RaftTransport&) = delete;
     RaftTransport& operator=(const RaftTransport&) = delete;
 
+    // Of the own log. Voters of another history are not spoken with: a log that an operator forced to go on
+    // alone has a later one than those that it went on without.
+    void set_history(std::uint64_t history) { history_ = history; }
     raft_uv_transport* raw() { return &transport_; }
     std::uint64_t refused() const { return refused_; }  // connections without the proof
 
@@ -33,6 +38,8 @@
     const Codec& codec_;
     std::string listen_;
     std::function<std::string(const std::string&)> reach_;
+    std::function<void(std::uint64_t)> newer_;
+    std::uint64_t history_ = 0;
     raft_uv_transport transport_{};
     raft_id id_ = 0;
     std::string address_;
--- a/src/peers/recovery.cpp
+++ b/src/peers/recovery.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr const char* kVerb = "recovery";
+constexpr const char* kLock = "kept.lock";  // the saved list, in the same folder, has its own
 constexpr int kAnswerVersion = 1;
 constexpr Micros kTick = 50'000, kTickServing = 500'000;
 constexpr Micros kAskEvery = 200'000, kAnswerWithin = 1'000'000;
@@ -90,7 +91,7 @@
     const Micros began = steady();
     std::string fault;
     // Another process of this proxy writes until it ends; the lock is asked for anew each time.
-    if (!lock_ || !lock_->fault().empty()) lock_ = std::make_unique<base::FolderLock>(setup_.folder);
+    if (!lock_ || !lock_->fault().empty()) lock_ = std::make_unique<base::FolderLock>(setup_.folder, kLock);
     fault = lock_->fault();
     if (fault.empty()) fault = files_.write(recovery::encode(kept_), generation_ + 1, good_);
     longest_us_ = std::max(longest_us_, static_cast<std::uint64_t>(steady() - began));
@@ -233,7 +234,9 @@
     const double waited =
         static_cast<double>(primed_for) / static_cast<double>(std::max<Micros>(1, setup_.prime));
     const double share = back + missing * std::clamp(2 - 4 * waited, 0.0, 1.0);
-    const auto away = budget_.turn_away(now, asked, share, primed_for, ladder_.latest() - now);
+    recovery::Asked one = asked;
+    one.any_size = stage != Stage::priming && ladder_.ready();
+    const auto away = budget_.turn_away(now, one, share, primed_for, ladder_.latest() - now);
     if (away) ladder_.turned_away(now);
     return away;
 }
@@ -268,6 +271,7 @@
     Json::Value& counters = root["counters"];
     const std::pair<const char*, std::uint64_t> all[] = {{"let_through", budget_.let_through()},
                                                          {"turned_away", budget_.turned_away()},
+                                                         {"too_large", budget_.too_large()},
                                                          {"asks", asks_},
                                                          {"answers", answers_},
                                                          {"pauses", ladder_.pauses()},
--- a/src/recovery/budget.cpp
+++ b/src/recovery/budget.cpp
@@ -1,6 +1,7 @@
 #include "recovery/budget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sumackeel::recovery {
 
@@ -9,7 +10,12 @@
 // A bucket holds what comes in this long: a proxy sees tens of requests a second, unevenly.
 constexpr double kBucketS = 0.5;
 constexpr double kLeastBucket = 1;  // fills; a part under one a second still lets one through now and then
-constexpr double kUsualKb = 256;    // a request of this size costs one fill, a larger one more
+// What is large takes a source's link for long, and what waits behind it too: at first only usual sizes pass,
+// then, a step at a time, what is four times larger.
+constexpr double kFirstKb = 512, kStepUp = 4;
+constexpr Micros kStepEvery = 5'000'000;
+constexpr int kSteps = 4;         // after so many any size
+constexpr double kUsualKb = 256;  // a request of this size costs one fill, a larger one more
 constexpr double kMostCost = 8;
 constexpr double kReserve = 0.5;  // of the bucket is closed to the class that is worth least
 // The origin is not cold, only asked by all at once; hubs are, and bear little at first.
@@ -74,6 +80,10 @@
         if (now - one.at >= kPrimedFor / 4) one.at = now, order_.emplace_back(now, asked.key);
         return let();
     }
+    const auto step = primed_for / kStepEvery;
+    if (!asked.any_size && step < kSteps &&
+        asked.size_kb > kFirstKb * std::pow(kStepUp, static_cast<double>(step)))
+        return ++turned_away_, ++too_large_, come_back(left);
     const double size = std::clamp(asked.size_kb / kUsualKb, 1.0, kMostCost);
     const auto above = worths_.end() - std::upper_bound(worths_.begin(), worths_.end(), asked.worth);
     const double closed =
--- a/src/recovery/budget.h
+++ b/src/recovery/budget.h
@@ -4,7 +4,8 @@
 // A request is let through for what it will cost by the share of late that took a fill, and settled when it
 // ends: so a proxy before warm caches is not held back by what it might have cost.
 // Promises: over any second no more fills are begun than the part rises to, and one bucket, as far as the
-// share is right; what needs no copy is always let through; nothing is held. Bounds: kMostPrimed keys.
+// share is right; what needs no copy is always let through; nothing is held; large objects pass step
+// by step as priming goes on. Bounds: kMostPrimed keys.
 #pragma once
 
 #include <array>
@@ -29,6 +30,7 @@
     double worth = 1;       // of its class
     double size_kb = 0;
     bool needs_copy = true;  // false: leaves no copy and fills none, as `enrol`
+    bool any_size = false;   // of a process that only stood still: the caches are as warm as they were
 };
 
 // What a request that was served took.
@@ -48,6 +50,7 @@
 
     std::uint64_t let_through() const { return let_through_; }
     std::uint64_t turned_away() const { return turned_away_; }
+    std::uint64_t too_large() const { return too_large_; }  // of those: for the step that they came in
 
   private:
     struct Meter {
@@ -72,7 +75,7 @@
     Micros filled_ = -1;
     std::unordered_map<std::uint64_t, Primed> primed_;  // let through lately
     std::deque<std::pair<Micros, std::uint64_t>> order_;
-    std::uint64_t let_through_ = 0, turned_away_ = 0;
+    std::uint64_t let_through_ = 0, turned_away_ = 0, too_large_ = 0;
 };
 
 }  // namespace sumackeel::recovery
--- a/tests/daemon/list_test.cpp
+++ b/tests/daemon/list_test.cpp
@@ -373,7 +373,7 @@
     }
     SUBCASE("a write never ends") {
         std::filesystem::create_directories(saved.setup.saved_list->folder);
-        REQUIRE(mkfifo((saved.setup.saved_list->folder + "/unfinished.tmp").c_str(), 0600) == 0);
+        REQUIRE(mkfifo((saved.setup.saved_list->folder + "/list-unfinished.tmp").c_str(), 0600) == 0);
     }
     {
         Daemon daemon({}, log.address(), saved.setup);
@@ -386,7 +386,7 @@
         }
         for (int i = seqid + 1; i <= seqid + 100; ++i) CHECK(outcome(client, i, ask("sheet", i)) == 0);
         // Let the hanging write go, so that the loop can be taken down in this process.
-        const std::string pipe = saved.setup.saved_list->folder + "/unfinished.tmp";
+        const std::string pipe = saved.setup.saved_list->folder + "/list-unfinished.tmp";
         if (std::filesystem::is_fifo(pipe)) {
             const int reader = ::open(pipe.c_str(), O_RDONLY | O_NONBLOCK);
             std::filesystem::remove(pipe);
--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -186,7 +186,8 @@
             env["GW_INHERITED_FD"], fds = str(self.inherited.fileno()), [self.inherited.fileno()]
         with open(self.log, "a", encoding="utf-8") as log:
             self.process = subprocess.Popen([self.fleet.program, "serve", "--operator",
-                                             os.path.join(self.folder, "operator.toml")], env=env, stderr=log,
+                                             os.path.join(self.folder, "operator.toml"), "--log-level",
+                                             os.environ.get("FLEET_LOG_LEVEL", "info")], env=env, stderr=log,
                                             pass_fds=fds)
         return self
 
@@ -677,6 +678,15 @@
                     self.heal()
             time.sleep(rest)
 
+    def fault_follower(self, do_what):
+        """The same to one that votes and leads not; it is `led` from then on."""
+        said = {member.name: self.rollout(member) for member in self.fleet.all}
+        self.led = next(member for member in self.fleet.all if said[member.name]["votes"] and not said[member.name]["leads"])
+        getattr(self, do_what)(self.led.index)
+
+    def kill_led(self):
+        self.kill(self.led.index)
+
     def storm(self, seconds, most, least):
         """Callers, each with a pop cache of its own, take it out and back through any proxy, while members are stopped,
         killed, cut off and healed by chance. Judged from here alone: from a yes until the way back is asked for it
@@ -985,6 +995,13 @@
             if "force" in names or not any(name.startswith("forced-") for name in names):
                 raise Failed(f"{member.name}: {names}")
 
+    def kept_aside(self, who):
+        """The log that a voter had is out of the way, and still there."""
+        for member in self.fleet.pick(who):
+            folder = os.path.join(member.folder, "agreed")
+            if not any(name.startswith("aside-") and os.listdir(os.path.join(folder, name)) for name in os.listdir(folder)):
+                raise Failed(f"{member.name}: {os.listdir(folder)}")
+
     def voters(self, who, are, within, stay=0):
         """These vote, as each of `who` says; "named": those of the files."""
         are = sorted(self.fleet.agreed["voting"] if are == "named" else are)
@@ -1000,6 +1017,14 @@
                 raise Failed(f"voters: {holds()}")
             time.sleep(LOOK_EVERY_S)
 
+    def many_calls(self, at, box, times):
+        """So many leaves asked for and given back, one after another: that many entries of the log, twice."""
+        member = self.fleet.pick(at)[0]
+        for _ in range(times):
+            for way in ("down", "up"):
+                if ops_call(member.ops_port, "POST", f"/ops/pop-caches/{way}/{box}", host=member.host, bound=2) != 200:
+                    raise Failed(f"{way} {box} at {at} was not granted")
+
     def vote_out(self, who):
         """It is named as a voter no more, and somebody else in its place."""
         self.votes([one for one in self.fleet.agreed["voting"] if one != self.fleet.pick(who)[0].name] + ["n3"])
--- a/tests/recovery/recovery_test.cpp
+++ b/tests/recovery/recovery_test.cpp
@@ -152,6 +152,25 @@
     }
 }
 
+// Large objects, as streams are, take a source's link for long: four times larger ones each five seconds.
+TEST(Recovery, LargeObjectsPassStepByStep) {
+    Budget budget(1e6, 1e6, {1}, 1);
+    auto passes = [&, key = std::uint64_t{0}](Micros primed_for, double kb,
+                                              bool any = false) mutable -> bool {
+        const Asked one{.key = ++key, .size_kb = kb, .any_size = any};
+        return !budget.turn_away(primed_for, one, 1, primed_for, kSecond);
+    };
+    EXPECT_FALSE(passes(kSecond, 2'000));
+    EXPECT_TRUE(passes(2 * kSecond, 512));
+    EXPECT_TRUE(passes(3 * kSecond, 2'000, true)) << "it only stood still";
+    EXPECT_TRUE(passes(5 * kSecond, 2'000));
+    EXPECT_FALSE(passes(6 * kSecond, 8'000));
+    EXPECT_TRUE(passes(12 * kSecond, 8'000));
+    EXPECT_FALSE(passes(13 * kSecond, 1e6));
+    EXPECT_TRUE(passes(21 * kSecond, 1e6));
+    EXPECT_EQ(budget.too_large(), 3);
+}
+
 TEST(Recovery, BudgetTurnsAwayTheLeastWorthFirstAndCountsAnObjectOnce) {
     Budget budget(20, 1e9, {1, 5}, 1);
     int cheap = 0, dear = 0;
--- a/tests/saved_list/folder_test.cpp
+++ b/tests/saved_list/folder_test.cpp
@@ -134,7 +134,7 @@
     put(7, list_of(7));
     const std::string bytes = encode(list_of(8), kNames);
     for (std::size_t cut = 0; cut <= bytes.size(); cut += 13) {
-        std::ofstream(path_ + "/unfinished.tmp", std::ios::binary) << bytes.substr(0, cut);
+        std::ofstream(path_ + "/list-unfinished.tmp", std::ios::binary) << bytes.substr(0, cut);
         const Found found = read();
         ASSERT_EQ(found.list->last_seq, 7);
         ASSERT_TRUE(found.passed.empty());
@@ -312,7 +312,7 @@
 // Guards: a disk that hangs must hold up neither the loop nor the end of the program's work. A pipe that
 // nobody reads stands in for it: opening it to write waits.
 TEST_F(ListFolder, ADiskThatHangsHoldsNobodyUp) {
-    ASSERT_EQ(mkfifo((path_ + "/unfinished.tmp").c_str(), 0600), 0);
+    ASSERT_EQ(mkfifo((path_ + "/list-unfinished.tmp").c_str(), 0600), 0);
     Keeping keeping(path_);
     keeping.keeper.begin_behind(0, 0);
     keeping.keeper.changed();
@@ -321,8 +321,8 @@
     EXPECT_TRUE(keeping.until([&] { return ++turns > 50; }));
     EXPECT_LT(keeping.loop.clock().now() - start, 5 * kSecond);
     EXPECT_TRUE(keeping.keeper.writing());
-    const int reader = ::open((path_ + "/unfinished.tmp").c_str(), O_RDONLY | O_NONBLOCK);  // it wakes up
-    std::filesystem::remove(path_ + "/unfinished.tmp");
+    const int reader = ::open((path_ + "/list-unfinished.tmp").c_str(), O_RDONLY | O_NONBLOCK);  // it wakes up
+    std::filesystem::remove(path_ + "/list-unfinished.tmp");
     EXPECT_TRUE(keeping.until([&] { return keeping.keeper.figures().written > 0; }));
     ::close(reader);
 }
