The store lies in the agreed log: keys by namespace, sure reads, purges told to all at once

A proxy that has not heard for 3 s what is agreed on takes no copy from before.

Answers of voters name the log's history: after a forced start those that do not vote drop what they heard of the earlier one, also where its revision was higher.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -21,6 +21,7 @@
 #include "cli/expect_command.h"
 #include "cli/group_command.h"
 #include "cli/list_command.h"
+#include "cli/purge_command.h"
 #include "cli/recovery_command.h"
 #include "cli/release_command.h"
 #include "cli/rollout_command.h"
@@ -50,6 +51,8 @@
     bool json = false, force = false;
     ExpectFlags expect;
     ReleaseFlags release;
+    StoreFlags store;
+    double purge_timeout_s = 60;
     RolloutFlags rollout;
 };
 
@@ -99,7 +102,12 @@
 
 int store(const Flags& flags) {
     if (flags.at.empty()) return wrong("no member: give --at ADDRESS");
-    return store_command(flags.at, flags.words) ? 0 : 1;
+    return store_command(flags.at, flags.words, flags.store) ? 0 : 1;
+}
+
+int purge(const Flags& flags) {
+    if (flags.at.empty()) return wrong("no proxy: give --at ADDRESS, its operators' address");
+    return purge_command(flags.at, flags.words, flags.purge_timeout_s, flags.json);
 }
 
 // All that is wrong with a file, a line each.
@@ -222,11 +230,27 @@
                 sub.add_option("--student-key", flags_.student_key, "Key id that signs the token");
             });
         command(
-            "store", "Words to one member of the store: promote, get KEY, set KEY VALUE",
+            "store", "Keys that all agree on: get KEY, set KEY VALUE, remove KEY, list [PREFIX], promote",
             [this] { return store(flags_); },
             [this](CLI::App& sub) {
-                sub.add_option("-a,--at", flags_.at, "The member's address");
-                sub.add_option("words", flags_.words, "promote, get KEY or set KEY VALUE");
+                sub.add_option("-a,--at", flags_.at, "Where [store] of a proxy listens");
+                sub.add_flag("--sure", flags_.store.sure,
+                             "get: by the leader and a majority, not by what is here");
+                sub.add_option("--version", flags_.store.version,
+                               "set, remove: only if it has this one; 0: none");
+                sub.add_option("--lasts", flags_.store.lasts_s, "set: seconds after which it ends by itself");
+                sub.add_option("words", flags_.words,
+                               "get KEY, set KEY VALUE, remove KEY, list [PREFIX] or promote");
+            });
+        command(
+            "purge", "Purges for all proxies: object GROUP ID, group NUMBER, status, wait NUMBER",
+            [this] { return purge(flags_); },
+            [this](CLI::App& sub) {
+                json(sub);
+                sub.add_option("-a,--at", flags_.at, "The operators' address of a proxy");
+                sub.add_option("--timeout", flags_.purge_timeout_s, "wait: seconds; default: 60");
+                sub.add_option("words", flags_.words,
+                               "object GROUP ID, group NUMBER, status (the default) or wait NUMBER");
             });
         command(
             "list", "What a saved list holds: show FILE, verify FILE, diff OLD NEW",
--- a/src/cli/store_command.cpp
+++ b/src/cli/store_command.cpp
@@ -2,9 +2,9 @@
 
 #include <fmt/format.h>
 
+#include "base/json_line.h"
 #include "config/config.h"
 #include "net/stream.h"
-#include "store/text.h"
 
 namespace sumackeel::cli {
 
@@ -17,7 +17,7 @@
     std::string question, answer;
 
     Asker(net::Loop& l, std::string q) : loop(l), question(std::move(q)) {}
-    void opened(net::Stream& stream) override { stream.write(question + '\n'); }
+    void opened(net::Stream& stream) override { stream.write(question); }
     void received(net::Stream& stream, std::string_view bytes) override {
         answer += bytes;
         if (answer.find('\n') == std::string::npos) return;
@@ -27,25 +27,34 @@
     void gone(net::Stream&, net::Gone) override { loop.stop(); }
 };
 
-Json::Value question_of(const std::vector<std::string>& words) {
+Json::Value question_of(const std::vector<std::string>& words, const StoreFlags& flags) {
     Json::Value question;
-    if (words.size() == 1 && words[0] == "promote") {
+    const std::string word = words.empty() ? "" : words[0];
+    if (words.size() == 1 && word == "promote") {
         question["promote"] = true;
-    } else if (words.size() == 2 && words[0] == "get") {
+    } else if (words.size() <= 2 && word == "list") {
+        question["list"] = words.size() == 2 ? words[1] : "";
+    } else if (words.size() == 2 && word == "get") {
         question["get"] = words[1];
-    } else if (words.size() == 3 && words[0] == "set") {
+        if (flags.sure) question["sure"] = true;
+    } else if (words.size() == 2 && word == "remove") {
+        question["remove"] = words[1];
+    } else if (words.size() == 3 && word == "set") {
         question["set"] = words[1];
         question["value"] = words[2];
+        if (flags.lasts_s > 0) question["lasts_s"] = flags.lasts_s;
     } else {
-        throw config::ConfigError("store takes promote, get KEY or set KEY VALUE");
+        throw config::ConfigError("store takes get KEY, set KEY VALUE, remove KEY, list [PREFIX] or promote");
     }
+    if (flags.version) question["version"] = Json::UInt64{*flags.version};
     return question;
 }
 
 }  // namespace
 
-bool store_command(const std::string& address, const std::vector<std::string>& words) {
-    const std::string question = store::to_line(question_of(words));
+bool store_command(const std::string& address, const std::vector<std::string>& words,
+                   const StoreFlags& flags) {
+    const std::string question = base::json_line(question_of(words, flags));
     net::Loop loop;
     net::Budget budget(4);
     Asker asker(loop, question);
@@ -59,7 +68,7 @@
     if (end == std::string::npos) throw config::ConfigError(address + " does not answer");
     const std::string line = asker.answer.substr(0, end);
     fmt::print("{}\n", line);
-    const Json::Value answer = store::from_line(line);
+    const Json::Value answer = config::parse(line, address);
     return !answer.isMember("refused") && (!answer.isMember("outcome") || answer["outcome"] == "done");
 }
 
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -16,7 +16,9 @@
         {"", "At the top."},
         {"signed_front", "The front for signed links. Off unless this section is there."},
         {"store",
-         "The replicated store of revoked links, key ids and live settings. Off unless this is there."},
+         "Revoked links, key ids, live settings and purges in the agreed log. Needs [agreed]. Off unless "
+         "this is there. "
+         "See operating/registry.md."},
         {"discovery",
          "Where the list of cache boxes comes from. Without this section the platform's change log is "
          "followed "
@@ -72,12 +74,13 @@
          "refused."},
         {"signed_front", "keys", Type::path, true, 0, 0, "", "", "The JWK set with the keys."},
 
-        {"store", "name", Type::text, true, 0, 0, "", "", "This member's name; one of `members`."},
-        {"store", "listen", Type::address, true, 0, 0, "", "", "Where this member listens."},
-        {"store", "folder", Type::path, true, 0, 0, "", "", "Where its log lies."},
-        {"store", "primary", Type::text, true, 0, 0, "", "", "Who leads until another member is promoted."},
-        {"store", "members", Type::named_addresses, true, 1, 64, "", "",
-         "All members by name, this one too: `members = { a = \"127.0.0.1:7101\" }`."},
+        {"store", "listen", Type::address, true, 0, 0, "", "", "Where `sumackeel store` asks this proxy."},
+        {"store", "folder", Type::path, false, 0, 0, "", "",
+         "Of the store of versions before 0.3, taken over once by its last primary."},
+        {"store", "name", Type::text, false, 0, 0, "", "", "This member's name in that store."},
+        {"store", "primary", Type::text, false, 0, 0, "", "", "Who led that store if nobody was promoted."},
+        {"store", "members", Type::named_addresses, false, 0, 64, "", "",
+         "Of that store; not used any more."},
 
         {"discovery", "sources", Type::addresses, false, 0, 8, "[]", "",
          "Change logs that tell the same events, the preferred first. Empty: the platform's alone."},
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -67,18 +67,9 @@
 Store read_store(const Settings& file, const std::filesystem::path& folder) {
     const char* at = "store";
     Store store;
-    store.name = file.text(at, "name");
     store.listen = file.text(at, "listen");
-    store.primary = file.text(at, "primary");
-    store.folder = path_of(file, at, "folder", folder);
-    for (const auto& [name, address] : file.named(at, "members")) store.members.push_back({name, address});
-    const auto is_member = [&](const std::string& name) {
-        return std::any_of(store.members.begin(), store.members.end(),
-                           [&](const StoreMember& member) { return member.name == name; });
-    };
-    if (!is_member(store.name)) bad(file.where(at, "name"), "'" + store.name + "' is not among the members");
-    if (!is_member(store.primary))
-        bad(file.where(at, "primary"), "'" + store.primary + "' is not among the members");
+    store.name = file.text(at, "name"), store.primary = file.text(at, "primary");
+    if (!file.text(at, "folder").empty()) store.folder = path_of(file, at, "folder", folder);
     return store;
 }
 
@@ -214,6 +205,9 @@
     if (file.has("peers")) result.peers = read_peers(file, folder);
     if (file.has("agreed")) result.agreed = read_agreed(file, folder);
     if (result.agreed && !result.peers) bad(file.where("agreed", "voters"), "given, and [peers] is missing");
+    if (result.store && !result.agreed)
+        bad(file.where("store", "listen"),
+            "given, and [agreed] is missing: the store lies in the agreed log since 0.3");
     if (file.has("recovery")) result.recovery = read_recovery(file, folder);
     if (result.recovery && !result.peers)
         bad(file.where("recovery", "folder"), "given, and [peers] is missing");
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -32,14 +32,11 @@
     std::vector<KeyFile> keys;
 };
 
-struct StoreMember {
-    std::string name, address;
-};
-
-// The replicated store of revoked links, key ids and live settings.
+// Revoked links, key ids, live settings and purges, in the agreed log.
 struct Store {
-    std::string name, listen, folder, primary;  // primary: who leads until an operator promotes another
-    std::vector<StoreMember> members;           // all of them, this one too
+    std::string listen;  // where `sumackeel store` asks
+    std::string folder, name,
+        primary;  // of the store of earlier versions, taken over once; empty: there was none
 };
 
 // Where the list of cache boxes comes from.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -16,6 +16,7 @@
 #include "daemon/expectation_gate.h"
 #include "daemon/fleet.h"
 #include "daemon/leaves.h"
+#include "daemon/registry.h"
 #include "daemon/release_calls.h"
 #include "front_ops/front.h"
 #include "front_platform/front.h"
@@ -25,7 +26,6 @@
 #include "peers/peers.h"
 #include "peers/recovery.h"
 #include "peers/releases.h"
-#include "store/member.h"
 #include "store/redis_one_time.h"
 #include "upstream/pool.h"
 
@@ -136,7 +136,6 @@
     core::Core core;
     upstream::Pool pool;
     front_platform::Front front;
-    std::unique_ptr<store::Member> member;
     std::unique_ptr<core::OneTime> one_time;
     std::unique_ptr<front_signed::Front> signed_front;
     std::unique_ptr<Fleet> fleet;
@@ -147,6 +146,7 @@
     std::unique_ptr<peers::Agreed> agreed;
     std::unique_ptr<peers::Releases> releases;
     std::unique_ptr<peers::Recovery> recovery;
+    std::unique_ptr<Registry> registry;
     bool leaving = false;          // an own drain was asked for, and holds or may yet be granted
     bool giving_back = false;      // of our own lease, under way
     std::uint64_t ended_turn = 0;  // the lease of a turn whose drain an operator stopped
@@ -190,22 +190,21 @@
           front(loop, core, c.site, net::Place(c.listen, c.inherited_fd), front_limits(c)) {
         core.attach(pool);
         fleet = std::make_unique<Fleet>(loop, sockets, core, pool, c, setup);
-        if (setup.store) member = std::make_unique<store::Member>(loop, sockets, *setup.store);
         if (setup.signed_front) {
             if (setup.signed_front->one_time == "local") one_time = std::make_unique<core::LocalOneTime>();
             if (setup.signed_front->one_time == "redis")
                 one_time = std::make_unique<store::RedisOneTime>(loop, setup.redis);
             front_signed::Live live;
-            if (member)
+            if (setup.store)
                 live = [this](const std::string& key) {
-                    const auto entry = member->get(key);
-                    return entry ? std::optional(entry->value) : std::nullopt;
+                    return registry ? registry->get(key) : std::nullopt;
                 };
             signed_front = std::make_unique<front_signed::Front>(loop, core, c.site, *setup.signed_front,
                                                                  one_time.get(), c.seed, std::move(live));
         }
         if (setup.peers) start_peers(*setup.peers);
         if (setup.agreed) start_agreed(*setup.agreed);
+        if (setup.store) start_registry(*setup.store);
         if (setup.recovery) start_recovery(*setup.recovery, setup.agreed.has_value());
         if (!c.ops.empty())
             ops_front = std::make_unique<front_ops::Front>(
@@ -275,6 +274,20 @@
         follow_own();
     }
 
+    void start_registry(const config::Store& setup) {
+        registry = std::make_unique<Registry>(
+            loop, sockets, *peers, *agreed, setup, [this](const registry::Purge& purge) {
+                fleet->learn({{purge.object, purge.group, loop.clock().now()}});
+            });
+        core.oldest([this] { return oldest(); });
+    }
+
+    // The oldest copy that will do, as an age; 0: any.
+    Micros oldest() const {
+        const Micros one = recovery ? recovery->oldest() : 0, other = registry ? registry->oldest() : 0;
+        return one > 0 && other > 0 ? std::min(one, other) : std::max(one, other);
+    }
+
     // The way back from a power loss. What one proxy kept binds from the first moment on, ready or not.
     void start_recovery(const config::Recovery& setup, bool elects) {
         std::vector<double> worths;
@@ -310,7 +323,7 @@
                                                      config.site.settings.cleared_within, config.seed,
                                                      std::move(hooks));
         fleet->on_sure([this] { recovery->listed(); });
-        core.oldest([this] { return recovery->oldest(); });
+        core.oldest([this] { return oldest(); });
         core.on_served([this](const core::Ask& ask, const std::string& source, nettlethread::Note note) {
             const membership::Member* from = fleet->view().find(source);
             const bool origin = from && from->word->placed.entry.kind == config.site.settings.origin_kind;
@@ -561,6 +574,8 @@
             recovery->go(stage, "an operator at " + peers->group().self().name);
             return ops::Reply{200, fmt::format("{}\n", recovery::name_of(stage)), false};
         }
+        if (registry && (call.path == "/ops/purge" || call.path.starts_with("/ops/purge/")))
+            return registry->take_call(call, later);
         if (agreed && call.path.starts_with("/ops/release")) return take_release(call, later);
         if (agreed && take_leave(call, later)) return std::nullopt;
         if (peers && call.path == "/ops/group" && call.method == "GET")
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cstring>
 #include <filesystem>
+#include <sstream>
 #include <stdexcept>
 
 #include "base/files.h"
@@ -47,18 +48,20 @@
 constexpr const char* kStateVerb = "state";
 
 // What somebody wants of the leader.
-enum class What : std::uint8_t { leave, back, turn, order };
+enum class What : std::uint8_t { leave, back, turn, order, change, read, lead };
 constexpr std::size_t kMostBody = 1 << 20;
 
 // Of a voter to one that asked: whether it could, who leads, and what came of it.
 struct Said {
     bool done = false;
     std::string leader, body;
+    std::uint64_t history = 0;  // of the voter's log
+    std::string registry = {};  // of a state that was asked for: what is new there
 };
 
 std::string encode(const Said& said) {
     base::Packed out;
-    return out.array(3).add(said.done, said.leader, said.body).bytes();
+    return out.array(5).add(said.done, said.leader, said.body, said.history, said.registry).bytes();
 }
 
 Said said_in(const std::string& body) {
@@ -67,9 +70,46 @@
     Said said;
     said.done = at.next<bool>(), said.leader = at.text(rollout::kLongestName);
     said.body = at.text(kLongestCall);
+    if (at.left() < 2) return said;  // of the version before the registry
+    said.history = at.next<std::uint64_t>(), said.registry = at.text(kLongestCall);
     return said;
 }
 
+// Which state somebody has: "REVISION REGISTRY HISTORY"; the first alone of the version before the registry.
+struct Has {
+    std::uint64_t revision = 0, registry = 0, history = 0;
+};
+Has has_in(const std::string& body) {
+    Has has;
+    std::istringstream in(body);
+    if (!(in >> has.revision)) throw std::runtime_error("no revision");
+    in >> has.registry >> has.history;
+    return has;
+}
+
+// A snapshot: both states behind a mark. Without the mark: of the version before the registry, one state
+// alone.
+constexpr const char* kSnapshotMark = "sumackeel-agreed";
+std::string pack_states(const rollout::State& state, const registry::State& registry) {
+    base::Packed out;
+    return out.array(3).add(std::string(kSnapshotMark), state.encode(), registry.encode()).bytes();
+}
+void unpack_states(std::string_view bytes, rollout::State& state, registry::State& registry) {
+    constexpr std::size_t kMostBytes = 256 << 20;
+    const base::Unpacked whole = base::unpacked(bytes, kMostBytes, kMostBytes);
+    base::Fields at = whole.fields(3);
+    try {
+        if (at.text(64) != kSnapshotMark) base::Fields::broken();
+    } catch (const std::runtime_error&) {
+        state = rollout::State::decode(bytes), registry = {};
+        return;
+    }
+    const auto first = at.next<std::string>(), second = at.next<std::string>();
+    rollout::State one = rollout::State::decode(first);
+    registry = registry::State::decode(second);
+    state = std::move(one);
+}
+
 rollout::Rules rules_of(const config::LeaveRules& rules) {
     return {rules.school_out, rules.school_share, rules.fleet_out, rules.between};
 }
@@ -105,7 +145,7 @@
         const base::Unpacked whole = base::unpacked(bytes, 16, kMostBody);
         base::Fields at = whole.fields(8);
         Wanted wanted;
-        wanted.what = at.word(What::order), wanted.forced = at.next<bool>();
+        wanted.what = at.word(What::lead), wanted.forced = at.next<bool>();
         wanted.kind = at.word(Kind::pop_cache);
         wanted.member = at.text(rollout::kLongestName), wanted.by = at.text(rollout::kLongestName);
         wanted.body = at.text(kMostBody);
@@ -137,11 +177,13 @@
     raft_fsm fsm{};
     raft raft_{};
     rollout::State state;
+    registry::State registry;
     Answer last;  // of the command applied just now, for who proposed it
     bool started = false, failed = false, closed = false, up = false;
     bool changing = false;  // who votes, under way
     raft_change change{};
     struct raft_transfer transfer {};
+    std::function<void()> handed;      // told when that is over
     std::optional<raft_index> met_at;  // the log's end when a leader was first known
 
     // Danger: the library (0.15) follows a pointer into nothing when an append of its own as leader fails on
@@ -250,20 +292,21 @@
         fsm.snapshot = [](raft_fsm* f, raft_buffer* bufs[], unsigned* count) {
             *bufs = static_cast<raft_buffer*>(raft_malloc(sizeof(raft_buffer)));
             if (!*bufs) return RAFT_NOMEM;
-            (*bufs)[0] = buffer_of(static_cast<Voter*>(f->data)->state.encode());
+            (*bufs)[0] = buffer_of(static_cast<Voter*>(f->data)->packed_states());
             *count = 1;
             return (*bufs)[0].base ? 0 : RAFT_NOMEM;
         };
         fsm.restore = [](raft_fsm* f, raft_buffer* buf) {
             auto* self = static_cast<Voter*>(f->data);
             try {
-                self->state = rollout::State::decode({static_cast<const char*>(buf->base), buf->len});
+                unpack_states({static_cast<const char*>(buf->base), buf->len}, self->state, self->registry);
             } catch (const std::exception& wrong) {
                 log::error("agreed: a snapshot can't be read: {}", wrong.what());
                 return RAFT_MALFORMED;
             }
             raft_free(buf->base);
             self->owner.changed_(self->state);
+            if (self->owner.registered_) self->owner.registered_();
             return 0;
         };
         if (const int made = raft_init(&raft_, &io, &fsm, id_of(self), address.c_str()); made != 0)
@@ -335,12 +378,17 @@
         if (changing) log::info("agreed: {}", words);
     }
 
-    void hand_over() {
+    // `to`: 0 for whoever is the furthest.
+    void hand_over(raft_id to, std::function<void()> done) {
         transfer.data = this;
-        changing = raft_transfer(&raft_, &transfer, 0, [](struct raft_transfer* of) {
-                       static_cast<Voter*>(of->data)->changing = false;
+        handed = std::move(done);
+        changing = raft_transfer(&raft_, &transfer, to, [](struct raft_transfer* of) {
+                       auto* self = static_cast<Voter*>(of->data);
+                       self->changing = false;
+                       if (const auto told = std::exchange(self->handed, nullptr)) told();
                    }) == 0;
-        if (changing) log::info("agreed: {} hands over", self);
+        if (changing) return log::info("agreed: {} hands over", self);
+        if (const auto told = std::exchange(handed, nullptr)) told();
     }
 
     // The log's voters made those of the operator's file, one at a time. Those to come first: one goes only
@@ -374,7 +422,7 @@
             }
             if (2 * there <= stay) continue;
             // A leader hands over first: the next one takes it out, and no grant waits for an election.
-            if (one->id == raft_.id) return hand_over();
+            if (one->id == raft_.id) return hand_over(0, nullptr);
             return begin_change(
                 fmt::format("{} at {} votes no more", name.empty() ? "one that is not named" : name,
                             one->address),
@@ -407,14 +455,26 @@
     }
     ~Voter() { shut(); }
 
+    std::string packed_states() const { return pack_states(state, registry); }
+
     static raft_id id_of(const std::string& name) {
         return std::max<raft_id>(1, raft_digest(name.c_str(), 0));
     }
 
     int apply(std::string_view command, void** result) {
-        const std::uint64_t before = state.revision();
+        const std::uint64_t before = state.revision(), registered = registry.revision();
         *result = nullptr;
         try {
+            if (registry::is_command(command)) {
+                registry::Answer answer = registry::apply(registry, command);
+                last = Answer{answer.done ? rollout::How::granted : rollout::How::refused,
+                              answer.revision,
+                              std::move(answer.reason),
+                              {}};
+                *result = &last;
+                if (registry.revision() != registered && owner.registered_) owner.registered_();
+                return 0;
+            }
             last = rollout::apply(state, command);
             *result = &last;
         } catch (const std::exception& wrong) {
@@ -470,7 +530,47 @@
         return rollout::encode(owner.ask_of(wanted));
     }
 
+    struct Reading {
+        struct raft_barrier request {};
+        Voter& voter;
+        std::string key;
+        std::function<void(std::optional<Answer>)> done;
+    };
+    // Behind all that was agreed on before it was asked for.
+    void read(const std::string& key, std::function<void(std::optional<Answer>)> done) {
+        auto* reading = new Reading{{}, *this, key, std::move(done)};
+        reading->request.data = reading;
+        const int failed =
+            raft_barrier(&raft_, &reading->request, [](struct raft_barrier* request, int status) {
+                const std::unique_ptr<Reading> whole(static_cast<Reading*>(request->data));
+                if (status != 0) return whole->done(std::nullopt);
+                const registry::Entry* found = whole->voter.registry.find(whole->key);
+                whole->done(found ? Answer{rollout::How::granted, found->version, found->value, {}}
+                                  : Answer{rollout::How::nothing, 0, {}, {}});
+            });
+        if (failed == 0) return;
+        const std::unique_ptr<Reading> whole(reading);
+        whole->done(std::nullopt);
+    }
+
+    void give_lead(const std::string& to, std::function<void(std::optional<Answer>)> done) {
+        if (to == self) return done(Answer{rollout::How::granted, raft_.current_term, "leads already", {}});
+        const auto all = voters();
+        if (std::find(all.begin(), all.end(), to) == all.end())
+            return done(Answer{rollout::How::refused, 0, to + " does not vote", {}});
+        if (changing) return done(std::nullopt);
+        hand_over(id_of(to), [this, to, done = std::move(done)] {
+            // Known once the other has won: until then it is asked again.
+            done(leader() == to ? std::optional(Answer{rollout::How::granted, raft_.current_term, {}, {}})
+                                : std::nullopt);
+        });
+    }
+
     void propose(const Wanted& wanted, std::function<void(std::optional<Answer>)> done) {
+        if (wanted.what == What::read) return read(wanted.member, std::move(done));
+        if (wanted.what == What::lead) return give_lead(wanted.member, std::move(done));
+        if (wanted.what == What::change)
+            return propose(registry::stamped(wanted.body, owner.loop_.clock().now()), std::move(done));
         // Without a release there is no turn; asked as a plain leave it would be granted.
         if (wanted.what == What::turn && !state.releases().active())
             return done(Answer{rollout::How::nothing, 0, "no release is under way", {}});
@@ -546,6 +646,8 @@
 
 void Agreed::tend() {
     voter_->tend();
+    if (const auto due = voter_->registry.due(); due && leads() && *due <= loop_.clock().now())
+        voter_->propose(registry::encode(registry::Tick{loop_.clock().now()}), [](const auto&) {});
     look_alone();
     tend_ = loop_.deadlines().set(loop_.clock().now() + kTendEvery, [this] { tend(); });
 }
@@ -568,7 +670,7 @@
     log::info("agreed: {} votes no more, {} leads", name, leader_);
     voter_->failed = true;
     voter_->close();
-    if (voter_->state.revision() > heard_.revision()) heard_ = voter_->state;
+    keep_own();
 }
 
 // Another voter's log was forced to go on without ours: what ours holds is void. Told from within the
@@ -582,7 +684,8 @@
         if (alive.expired()) return;
         voter_->failed = true;
         voter_->close();
-        heard_ = {}, known_ = false, leader_.clear();  // so is what was known by it
+        heard_ = {}, heard_registry_ = {}, known_ = false, leader_.clear();  // so is what was known by it
+        heard_history_ = history;
         poll();
         set_aside(history);
     });
@@ -659,9 +762,15 @@
     if (voter_) voter_->shut();
 }
 
+void Agreed::keep_own() {
+    if (voter_->state.revision() > heard_.revision()) heard_ = voter_->state;
+    if (voter_->registry.revision() > heard_registry_.revision()) heard_registry_ = voter_->registry;
+    heard_history_ = std::max(heard_history_, voter_->transport.history());
+}
+
 // From now on this one asks the others, beginning with what it knows.
 void Agreed::stop_voting() {
-    heard_ = voter_->state;
+    keep_own();
     known_ = true;
     poll();
 }
@@ -673,6 +782,17 @@
 const rollout::State& Agreed::state() const {
     return votes() && voter_->state.revision() >= heard_.revision() ? voter_->state : heard_;
 }
+const registry::State& Agreed::registry() const {
+    return votes() && voter_->registry.revision() >= heard_registry_.revision() ? voter_->registry
+                                                                                : heard_registry_;
+}
+
+std::optional<Micros> Agreed::sure_age() const {
+    if (votes() && !voter_->leader().empty() && voter_->caught_up()) return 0;
+    if (heard_at_) return loop_.clock().now() - *heard_at_;
+    return std::nullopt;
+}
+
 std::string Agreed::leader() const {
     if (!votes()) return leader_;
     const std::string led = voter_->leader();
@@ -743,6 +863,27 @@
     want({What::order, false, Kind::proxy, {}, order.by, rollout::encode(order), {}}, std::move(told));
 }
 
+void Agreed::change(const registry::Change& change, Told told) {
+    if (std::string wrong = registry::unfit(change); !wrong.empty())
+        return told(Answer{rollout::How::refused, 0, std::move(wrong), {}});
+    want({What::change, false, Kind::pop_cache, {}, change.by, registry::encode(change), {}},
+         std::move(told));
+}
+
+void Agreed::purge(const registry::Purge& purge, Told told) {
+    want({What::change, false, Kind::pop_cache, {}, purge.by, registry::encode(purge), {}}, std::move(told));
+}
+
+void Agreed::read(const std::string& key, Told told) {
+    want({What::read, false, Kind::pop_cache, key, {}, {}, {}}, std::move(told));
+}
+
+void Agreed::lead(Told told) {
+    const std::string& self = peers_.group().self().name;
+    if (!votes()) return told(Answer{rollout::How::refused, 0, self + " does not vote", {}});
+    want({What::lead, false, Kind::pop_cache, self, self, {}, {}}, std::move(told));
+}
+
 void Agreed::step(rollout::Step step, Told told) {
     if (!leads()) return told(std::nullopt);
     step.now = loop_.clock().now();
@@ -807,10 +948,14 @@
     if (!votes()) return no();
     try {
         if (verb == kStateVerb) {
-            const std::uint64_t have = std::stoull(body);
-            const bool news = have != voter_->state.revision();
+            // What one of another history has tells nothing of what it lacks.
+            const std::uint64_t history = voter_->transport.history();
+            Has has = has_in(body);
+            const bool same = has.history == history;
+            const bool news = !same || has.revision != voter_->state.revision();
             return say(encode(Said{!led.empty() && voter_->caught_up(), led,
-                                   news ? voter_->state.encode() : std::string{}}));
+                                   news ? voter_->state.encode() : std::string{}, history,
+                                   voter_->registry.news(same ? has.registry : 0)}));
         }
         if (verb != kWishVerb || !voter_->leads()) return no();
         voter_->propose(Wanted::read(body),
@@ -828,26 +973,57 @@
 void Agreed::poll() {
     auto voter = setup_.voters.begin();
     std::advance(voter, static_cast<std::ptrdiff_t>(next_voter_++ % setup_.voters.size()));
-    const std::weak_ptr<bool> alive = alive_;
     const Micros every =
         std::clamp(kPollEach * static_cast<Micros>(peers_.group().size()), kPollEvery, kPollLongest);
     poll_ = loop_.deadlines().set(loop_.clock().now() + every, [this] { poll(); });
-    peers_.call(voter->first, kStateVerb, std::to_string(heard_.revision()), every,
+    ask_state(voter->first, every);
+}
+
+// An entry more carries to the voters how far the log is agreed on.
+void Agreed::spread() {
+    if (leads()) voter_->read({}, [](const auto&) {});
+}
+
+void Agreed::ask_now(const std::string& member) {
+    if (!votes() || voter_->leader().empty()) ask_state(member, kOneTry);
+}
+
+void Agreed::ask_state(const std::string& voter, Micros within) {
+    const std::weak_ptr<bool> alive = alive_;
+    const Has has{heard_.revision(), ask_all_ ? 0 : heard_registry_.revision(), heard_history_};
+    peers_.call(voter, kStateVerb, fmt::format("{} {} {}", has.revision, has.registry, has.history), within,
                 [this, alive](std::optional<std::string> body) {
                     if (alive.expired() || !body) return;
                     try {
-                        const Said said = said_in(*body);
-                        if (!said.leader.empty()) leader_ = said.leader;
-                        known_ = known_ || said.done;
-                        if (!said.body.empty()) hold(rollout::State::decode(said.body));
+                        hold(*body);
                     } catch (const std::exception& wrong) {
                         log::warn("agreed: {}", wrong.what());
                     }
                 });
 }
 
-void Agreed::hold(rollout::State state) {
-    if (state.revision() <= heard_.revision()) return;  // of a voter that is behind
+// A voter's answer. Of a later history, as after a forced start, all that is here is void; of an earlier one,
+// or of a voter that is behind, nothing is taken.
+void Agreed::hold(const std::string& answer) {
+    const Said said = said_in(answer);
+    if (said.history < heard_history_) return;
+    if (!said.leader.empty()) leader_ = said.leader;
+    if (said.done) known_ = true, heard_at_ = loop_.clock().now();
+    const bool later = said.done && said.history > heard_history_;
+    if (said.history > heard_history_ && !later) return;
+    if (later) heard_ = {}, heard_registry_ = {}, heard_history_ = said.history;
+    if (!said.registry.empty()) {
+        const std::uint64_t before = heard_registry_.revision();
+        registry::State next = heard_registry_;
+        ask_all_ = !next.take(said.registry);
+        if (!ask_all_ && next.revision() > before) {
+            heard_registry_ = std::move(next);
+            if (registered_) registered_();
+        }
+    }
+    if (said.body.empty()) return;
+    rollout::State state = rollout::State::decode(said.body);
+    if (state.revision() <= heard_.revision()) return;
     heard_ = std::move(state);
     changed_(heard_);
 }
@@ -864,6 +1040,10 @@
     }
     root["known"] = known();
     root["revision"] = Json::UInt64{state().revision()};
+    root["registry"]["revision"] = Json::UInt64{registry().revision()};
+    root["registry"]["keys"] = Json::UInt64{registry().entries().size()};
+    root["registry"]["last_purge"] = Json::UInt64{registry().last_purge()};
+    if (const auto age = sure_age()) root["sure_age_s"] = static_cast<double>(*age) / 1e6;
     root["last_lease"] = Json::UInt64{state().last_number()};
     const auto listed = [](const rollout::Lease& lease) {
         Json::Value one;
--- a/src/peers/agreed.h
+++ b/src/peers/agreed.h
@@ -1,5 +1,6 @@
 // The agreed log: a few of the proxies vote (the raft library, on this loop), the others ask them. What it
-// holds is src/rollout's state; who may leave is decided there. Off unless the operator's file has [agreed].
+// holds is the state of src/rollout, who may leave, and of src/registry, keys and purges. Off unless the
+// operator's file has [agreed].
 #pragma once
 
 #include <functional>
@@ -11,6 +12,7 @@
 
 #include "config/operator.h"
 #include "peers/peers.h"
+#include "registry/registry.h"
 #include "rollout/rollout.h"
 
 namespace sumackeel::peers {
@@ -42,6 +44,25 @@
     void order(const rollout::Order& order, Told told);
     // Of a leader alone.
     void step(rollout::Step step, Told told);
+    // Of the registry; `granted` with the revision, or `refused` with why.
+    void change(const registry::Change& change, Told told);
+    void purge(const registry::Purge& purge, Told told);
+    // What a key holds now, by the leader and a majority: `granted` with its version as the number and its
+    // value as the reason, or `nothing`.
+    void read(const std::string& key, Told told);
+    // Makes this one the leader, if it votes: `granted` with the term, or `refused`.
+    void lead(Told told);
+    const registry::State& registry() const;
+    // Told after each change of it.
+    void on_registry(std::function<void()> what) { registered_ = std::move(what); }
+    // Of a leader: what is applied here is applied by all voters in touch at once, not with the next
+    // heartbeat.
+    void spread();
+    // Of one that does not vote: asks that member for what it has, now.
+    void ask_now(const std::string& member);
+    // How long ago what is known here was surely all that is agreed on; none: never since the start.
+    std::optional<base::Micros> sure_age() const;
+
     // What a leave of it would be answered now, by what this one knows; none: nobody knows it.
     std::optional<rollout::Answer> explain(const std::string& member) const;
     bool leads() const;
@@ -71,15 +92,17 @@
     void take(const std::string& from, const std::string& verb, const std::string& body,
               const Peers::Say& say);
     void poll();
+    void ask_state(const std::string& voter, base::Micros within);
     void stop_voting();
     void vote_later();
     void tend();
     void look_alone();
+    void keep_own();
     void yield(std::uint64_t history);
     void set_aside(std::uint64_t history);
     bool votes() const;
     bool there(const std::string& voter) const;
-    void hold(rollout::State state);
+    void hold(const std::string& answer);
 
     net::Loop& loop_;
     Peers& peers_;
@@ -89,6 +112,11 @@
     Changed changed_;
     std::unique_ptr<Voter> voter_;  // null: this one does not vote
     rollout::State heard_;          // of one that does not vote
+    registry::State heard_registry_;
+    bool ask_all_ = false;  // what was told of the registry does not fit on what is here
+    std::uint64_t heard_history_ = 0;
+    std::optional<base::Micros> heard_at_;  // when a voter that knows a leader last answered
+    std::function<void()> registered_;
     bool known_ = false;
     std::string leader_;
     base::Micros led_at_ = 0;  // of one that votes: when it last knew a leader
--- a/src/peers/raft_transport.h
+++ b/src/peers/raft_transport.h
@@ -26,6 +26,7 @@
     // Of the own log. Voters of another history are not spoken with: a log that an operator forced to go on
     // alone has a later one than those that it went on without.
     void set_history(std::uint64_t history) { history_ = history; }
+    std::uint64_t history() const { return history_; }
     raft_uv_transport* raw() { return &transport_; }
     std::uint64_t refused() const { return refused_; }  // connections without the proof
 
--- /dev/null
+++ b/src/registry/registry.h
@@ -0,0 +1,148 @@
+// What all proxies of a group agree on besides leaves: keys with values by namespace, and purges. Pure: the
+// agreed log drives it, and each member that applies the same commands has the same state.
+//
+// Promises: a revision grows by one with each change, and is the version of what was changed; a change of
+// several keys is made whole or not at all; a key that is to end by itself ends by the leader's time, in a
+// command like any other; what came since a revision can be told while it is among the newest changes, and
+// else is said to be compacted. Bounds: those below, and each namespace's.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+
+namespace sumackeel::registry {
+
+using base::Micros;
+
+constexpr std::size_t kLongestKey = 256, kLongestValue = 64 * 1024, kLongestName = 256;
+constexpr std::size_t kMostParts = 64;      // of one change
+constexpr std::size_t kMostEvents = 4'096;  // kept for those that ask what came since,
+constexpr std::size_t kMostEventBytes = 1 << 20;
+constexpr std::size_t kMostPurges = 20'000;  // the newest
+// After so long no copy from before a purge is about anywhere (membership's bound on copies, and more).
+constexpr Micros kPurgeKept = 3'600 * base::kSecond;
+
+// What a key may be called and hold. The first whose prefix fits counts; the last has none and fits all.
+struct Space {
+    std::string_view prefix;
+    std::size_t most_keys, most_bytes;  // keys and values together
+    const char* wanted;                 // of a value, in words; null: any
+    bool (*fits)(std::string_view value);
+};
+const std::vector<Space>& spaces();
+const Space& space_of(std::string_view key);
+
+struct Entry {
+    std::uint64_t version = 0;  // the revision that set it
+    std::string value;
+    Micros until = 0;  // by the leader's clock; 0: it stays
+    bool operator==(const Entry&) const = default;
+};
+
+enum class Do : std::uint8_t { set, remove, check };
+struct Part {
+    std::string key;
+    Do what = Do::set;
+    std::string value;                      // of a set
+    std::optional<std::uint64_t> expected;  // only if it has this version; 0: if it is not there
+    Micros lasts = 0;                       // 0: it stays
+};
+// All parts or none.
+struct Change {
+    std::vector<Part> parts;
+    std::string by;
+    Micros now = 0;  // the leader's
+};
+// What is wrong with it whatever the state; empty: nothing.
+std::string unfit(const Change& change);
+
+struct Purge {
+    std::uint64_t number = 0;  // the revision
+    int group = 0;
+    std::string object;  // empty: the whole group
+    std::string by;
+    Micros at = 0;  // the leader's clock, for people: ages are counted by whoever hears of it
+    bool operator==(const Purge&) const = default;
+};
+struct Tick {
+    Micros now = 0;
+};
+
+struct Answer {
+    bool done = false;
+    std::uint64_t revision = 0;  // done: of the change; else of the state
+    std::string reason;          // not done: which key or bound
+};
+
+// A key that changed; none: it is gone.
+struct Event {
+    std::uint64_t revision = 0;
+    std::string key;
+    std::optional<Entry> entry;
+    bool operator==(const Event&) const = default;
+};
+
+class State {
+  public:
+    Answer apply(const Change& change);
+    Answer apply(const Purge& purge);
+    Answer apply(const Tick& tick);
+
+    const Entry* find(const std::string& key) const;
+    const std::map<std::string, Entry>& entries() const { return entries_; }
+    const std::deque<Purge>& purges() const { return purges_; }
+    std::uint64_t revision() const { return revision_; }
+    std::uint64_t last_purge() const { return purges_.empty() ? purged_ : purges_.back().number; }
+    // By the leader's clock: when a tick would change something.
+    std::optional<Micros> due() const;
+
+    // For one that has `revision`: what came since, or all where that is compacted; empty: it has all.
+    std::string news(std::uint64_t revision) const;
+    // What `news` told. False: it fits on nothing that is here, and all is to be asked for (revision 0).
+    // Throws std::runtime_error on bytes that are none.
+    bool take(std::string_view news);
+    // What changed behind `revision`, in order; none: compacted.
+    std::optional<std::vector<Event>> since(std::uint64_t revision) const;
+
+    // As bytes (MessagePack, with a version); throws std::runtime_error on bytes that are none.
+    std::string encode() const;
+    static State decode(std::string_view bytes);
+    // What is agreed on, without what is kept to tell others.
+    bool operator==(const State& other) const;
+
+  private:
+    struct Used {
+        std::size_t keys = 0, bytes = 0;
+    };
+    std::string over(const Change& change) const;
+    void set(const std::string& key, std::optional<Entry> entry);
+    void keep(Event event);
+
+    std::map<std::string, Entry> entries_;
+    std::map<std::string_view, Used> used_;      // by prefix
+    std::multimap<Micros, std::string> ending_;  // of entries that end by themselves
+    std::deque<Purge> purges_;                   // in order
+    std::uint64_t revision_ = 0, purged_ = 0,
+                  compacted_ = 0;  // purged_: newest purge dropped; compacted_: events
+    std::deque<Event> events_;
+    std::size_t event_bytes_ = 0;
+};
+
+// Commands as the log holds them. decode throws std::runtime_error.
+std::string encode(const Change& change);
+std::string encode(const Purge& purge);
+std::string encode(const Tick& tick);
+bool is_command(std::string_view bytes);
+Answer apply(State& state, std::string_view command);
+// The same with the leader's time in it, for one that proposes what another wants.
+std::string stamped(std::string_view command, Micros now);
+
+}  // namespace sumackeel::registry
--- /dev/null
+++ b/src/store/desk.cpp
@@ -0,0 +1,98 @@
+#include "store/desk.h"
+
+#include <algorithm>
+
+#include "base/json_line.h"
+#include "base/log.h"
+#include "config/config.h"
+
+namespace sumackeel::store {
+
+namespace {
+
+constexpr std::size_t kPlaces = 16;
+constexpr std::size_t kLongestLine = 256 * 1024;  // a key and a value with all that JSON may make of them
+constexpr base::Micros kIdle = 30'000'000;        // a caller without a question for so long is let go
+
+}  // namespace
+
+struct Desk::Caller : net::Stream::Owner, std::enable_shared_from_this<Caller> {
+    Desk& desk;
+    net::Stream* stream = nullptr;
+    std::string buffer;
+    base::Micros asked = 0;
+
+    explicit Caller(Desk& d) : desk(d), asked(d.loop_.clock().now()) {}
+    void received(net::Stream&, std::string_view bytes) override {
+        buffer += bytes;
+        asked = desk.loop_.clock().now();
+        const auto self = shared_from_this();
+        std::size_t at = 0;
+        for (std::size_t end; stream && (end = buffer.find('\n', at)) != std::string::npos; at = end + 1)
+            question(buffer.substr(at, end - at));
+        buffer.erase(0, at);
+        if (stream && buffer.size() > kLongestLine) shut();
+    }
+    void question(const std::string& line) {
+        const auto answer = [caller = std::weak_ptr<Caller>(shared_from_this())](const Json::Value& value) {
+            const auto there = caller.lock();
+            if (there && there->stream) there->stream->write(base::json_line(value));
+        };
+        try {
+            const Json::Value value = config::parse(line, "store");
+            if (!value.isObject()) throw config::ConfigError("no object");
+            desk.take_(value, answer);
+        } catch (const std::exception& wrong) {
+            Json::Value no;
+            no["refused"] = wrong.what();
+            answer(no);
+        }
+    }
+    void gone(net::Stream&, net::Gone) override {
+        stream = nullptr;
+        desk.took(*this);
+    }
+    void shut() {
+        if (auto* open = std::exchange(stream, nullptr)) open->close();
+        desk.took(*this);
+    }
+};
+
+Desk::Desk(net::Loop& loop, net::Budget& budget, const std::string& listen, Take take)
+    : loop_(loop),
+      budget_(budget),
+      take_(std::move(take)),
+      listener_(loop, listen, [this](uv_stream_t* listener) {
+          // With all places taken the one idle the longest goes.
+          if (callers_.size() >= kPlaces)
+              (*std::min_element(callers_.begin(), callers_.end(), [](const auto& a, const auto& b) {
+                  return a->asked < b->asked;
+              }))->shut();
+          auto caller = std::make_shared<Caller>(*this);
+          caller->stream = net::Stream::accept(loop_, budget_, listener, *caller);
+          if (!caller->stream) return;
+          callers_.push_back(caller);
+          loop_.deadlines().set(loop_.clock().now() + kIdle, [caller = std::weak_ptr<Caller>(caller), this,
+                                                              alive = std::weak_ptr<bool>(alive_)] {
+              const auto there = caller.lock();
+              if (alive.expired() || !there || !there->stream) return;
+              if (loop_.clock().now() - there->asked >= kIdle) there->shut();
+          });
+      }) {}
+
+Desk::~Desk() {
+    alive_.reset();
+    for (const auto& caller : callers_)
+        if (auto* open = std::exchange(caller->stream, nullptr)) open->close();
+}
+
+// Not from within its own call: what holds it may be the stream's.
+void Desk::took(Caller& caller) {
+    const auto place =
+        std::find_if(callers_.begin(), callers_.end(), [&](const auto& one) { return one.get() == &caller; });
+    if (place == callers_.end()) return;
+    loop_.deadlines().set(loop_.clock().now(), [kept = std::move(*place)] {});
+    callers_.erase(place);
+}
+
+}  // namespace sumackeel::store
