--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -68,7 +68,7 @@
 
     def __init__(self, member, pause=0.02):
         super().__init__(daemon=True)
-        self.member, self.pause, self.going = member, pause, True
+        self.member, self.pause, self.going, self.resting = member, pause, True, False
         self.answered = self.other = self.excused = 0
         self.wrong = []
         self.keep_times = None  # a list: seconds of each that was answered
@@ -76,6 +76,9 @@
     def run(self):
         conn, sequence, number = None, 0, 0
         while self.going:
+            if self.resting:
+                time.sleep(LOOK_EVERY_S)
+                continue
             number += 1
             enrol = number % 10 == 0
             ident = f"{'e' if enrol else 'a'}{self.member.index:03x}{os.getpid() % 65536:04x}{number:08x}"
@@ -1082,9 +1085,19 @@
         if bad:
             raise Failed(f"{len(bad)} copies from before {since} were served, first {bad[0]}")
 
-    def no_old_copy_for(self, seconds, grace):
+    def clients(self, only="all"):
+        """Only the clients of these ask from now on."""
+        asking = self.fleet.pick(only)
+        for client in self.fleet.clients:
+            client.resting = client.member not in asking
+
+    def no_old_copy_for(self, seconds, grace, since="purged_at"):
         time.sleep(seconds)
-        self.no_old_copy(grace=grace)
+        self.no_old_copy(since, grace)
+
+    def mark(self):
+        """A moment that `since` may name as "marked_at"."""
+        self.marked_at = time.time()
 
     def not_asked(self, box):
         """Nobody has asked that pop cache since the power returned."""
