The voter apart from who decides: peers/voter owns log and states, peers/agreed the wishes

Now voter.cpp has the raft library's log, disk, elections and the states that it drives behind a header that a caller reads; agreed.cpp has wishes, rules and what those that do not vote hear; agreed_words.h what goes between them.

--- a/src/peers/agreed.h
+++ b/src/peers/agreed.h
@@ -12,11 +12,14 @@
 
 #include "config/operator.h"
 #include "peers/peers.h"
+#include "peers/voter.h"
 #include "registry/registry.h"
 #include "rollout/rollout.h"
 
 namespace sumackeel::peers {
 
+struct Wanted;
+
 class Agreed {
   public:
     using World = std::function<std::vector<rollout::Seen>(rollout::Kind)>;  // as this member sees it now
@@ -81,9 +84,10 @@
 
   private:
     struct Wish;
-    struct Voter;
-    struct Wanted;
 
+    std::unique_ptr<Voter> make_voter();
+    std::string command_of(const Wanted& wanted) const;
+    void propose(const Wanted& wanted, Told done);
     void want(Wanted wanted, Told told);
     rollout::Ask ask_of(const Wanted& wanted) const;
     void pursue(std::shared_ptr<Wish> wish);
--- a/tests/daemon/store_test.cpp
+++ b/tests/daemon/store_test.cpp
@@ -1,4 +1,5 @@
-// Stories of what the old store left on disk and of links for one use through Redis, on one loop over loopback.
+// Stories of what the old store left on disk and of links for one use through Redis, on one loop over
+// loopback.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -55,7 +56,8 @@
     return sum + ' ' + text + '\n';
 }
 std::string record(int seq, const std::string& key, const std::string& value) {
-    return sealed(fmt::format(R"({{"epoch":2,"key":"{}","seq":{},"value":"{}","version":{}}})", key, seq, value, seq));
+    return sealed(
+        fmt::format(R"({{"epoch":2,"key":"{}","seq":{},"value":"{}","version":{}}})", key, seq, value, seq));
 }
 
 }  // namespace
@@ -70,7 +72,8 @@
     };
     write("promise", sealed(R"({"epoch":2,"leader":"b"})"));
     write("snapshot", sealed(R"({"epoch":1,"keys":{"key/k":{"value":"off","version":1}},"seq":2})"));
-    const std::string log = record(2, "key/k", "off") + record(3, "revoked/j", "yes") + record(4, "key/k", "on");
+    const std::string log =
+        record(2, "key/k", "off") + record(3, "revoked/j", "yes") + record(4, "key/k", "on");
     write("log", log);
     REQUIRE(store::has_old_store(folder.at("")));
     store::OldStore old = store::read_old_store(folder.at(""));
