--- a/bench/recovery_processes.py
+++ b/bench/recovery_processes.py
@@ -56,6 +56,8 @@
                 if rate >= share * before:
                     reached.setdefault(share, now - began)
         time.sleep(3)
+        fills = sum(1 for at, box in fleet.copies.asked if box in ("s-parent", "s-origin") and at > steps.on_at)
+        said = (steps.recovery(fleet.all[0]) or {}).get("counters", {})
         most = {box: fleet.copies.most_in_a_second(box, steps.on_at) for box in ("s-parent", "s-origin")}
         one = fleet.all[-1]
         steps.kill(one.index)
@@ -68,7 +70,8 @@
         print(f"{members} processes, {'with' if on else 'without'}: before {before:.0f} answers/s; first {first_answer:.1f} s, "
               f"50/90/99% {' / '.join(f'{reached[share]:.1f}' if share in reached else '-' for share in (0.5, 0.9, 0.99))} s; "
               f"most fills in a second: hub {most['s-parent']}, origin {most['s-origin']}; refused {refused}; "
-              f"one restarted is ready in {restart:.2f} s", flush=True)
+              f"one restarted is ready in {restart:.2f} s; asked of hub and origin in all {fills}; kept {said.get('written', 0)} times, "
+              f"longest write {said.get('longest_write_us', 0)} us", flush=True)
     finally:
         fleet.close(keep=False)
 
