Registry: a voter that is behind takes nothing from who knows more; purges kept ten minutes

On reading: a state told by a voter that is behind would have taken the place of a newer one, the whole state was copied with each piece of news, and all purges were looked through at each change. The revision that news leads to is read first; news is applied in place, read whole before anything changes; newer purges are found by their number. Purges are kept ten minutes instead of an hour: boxes drop what was purged within seconds, and each kept one costs its group a fill after a restart.

--- a/src/daemon/registry.cpp
+++ b/src/daemon/registry.cpp
@@ -96,8 +96,10 @@
 void Registry::heard() {
     const registry::State& state = agreed_.registry();
     if (state.last_purge() < told_) told_ = 0;  // another history: all of it is news
-    for (const registry::Purge& purge : state.purges())
-        if (purge.number > told_) purged_(purge);
+    const auto newer =
+        std::upper_bound(state.purges().begin(), state.purges().end(), told_,
+                         [](std::uint64_t told, const registry::Purge& one) { return told < one.number; });
+    std::for_each(newer, state.purges().end(), purged_);
     const bool news = state.last_purge() > told_;
     told_ = std::max(told_, state.last_purge());
     if (!news || !agreed_.leads()) return;
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -503,14 +503,10 @@
     const bool later = said.done && said.history > heard_history_;
     if (said.history > heard_history_ && !later) return;
     if (later) heard_ = {}, heard_registry_ = {}, heard_history_ = said.history;
-    if (!said.registry.empty()) {
-        const std::uint64_t before = heard_registry_.revision();
-        registry::State next = heard_registry_;
-        ask_all_ = !next.take(said.registry);
-        if (!ask_all_ && next.revision() > before) {
-            heard_registry_ = std::move(next);
-            if (registered_) registered_();
-        }
+    // Danger: a voter that is behind tells all of what it has, and that is less than what is here.
+    if (!said.registry.empty() && registry::newest_in(said.registry) > heard_registry_.revision()) {
+        ask_all_ = !heard_registry_.take(said.registry);  // throws before it changes anything
+        if (!ask_all_ && registered_) registered_();
     }
     if (said.body.empty()) return;
     rollout::State state = rollout::State::decode(said.body);
--- a/src/registry/codec.cpp
+++ b/src/registry/codec.cpp
@@ -171,6 +171,14 @@
     return out.bytes();
 }
 
+std::uint64_t newest_in(std::string_view news) {
+    const base::Unpacked whole = opened(news);
+    Fields at = whole.fields(6);
+    if (at.next<int>() != kForm) Fields::broken();
+    if (at.word(Word::since) == Word::since) at.next<std::uint64_t>();  // from
+    return at.next<std::uint64_t>();
+}
+
 bool State::take(std::string_view news) {
     const base::Unpacked whole = opened(news);
     Fields at = whole.fields(6);
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -27,8 +27,8 @@
 constexpr std::size_t kMostEvents = 4'096;  // kept for those that ask what came since,
 constexpr std::size_t kMostEventBytes = 1 << 20;
 constexpr std::size_t kMostPurges = 20'000;  // the newest
-// After so long no copy from before a purge is about anywhere (membership's bound on copies, and more).
-constexpr Micros kPurgeKept = 3'600 * base::kSecond;
+// Boxes drop what was purged within seconds, so after this long no copy from before is about anywhere.
+constexpr Micros kPurgeKept = 600 * base::kSecond;
 
 // What a key may be called and hold. The first whose prefix fits counts; the last has none and fits all.
 struct Space {
@@ -136,6 +136,9 @@
     std::size_t event_bytes_ = 0;
 };
 
+// The revision that what `news` told leads to. Throws std::runtime_error on bytes that are none.
+std::uint64_t newest_in(std::string_view news);
+
 // Commands as the log holds them. decode throws std::runtime_error.
 std::string encode(const Change& change);
 std::string encode(const Purge& purge);
--- a/tests/registry/registry_test.cpp
+++ b/tests/registry/registry_test.cpp
@@ -146,6 +146,7 @@
             if (pick(10) == 0) registry::apply(led, stamped(encode(Purge{0, 1, "o", "test", 0}), now));
             if (pick(5) == 0) {
                 const std::string news = led.news(told.revision());
+                ASSERT_TRUE(news.empty() || newest_in(news) == led.revision());
                 ASSERT_TRUE(news.empty() || told.take(news));
                 ASSERT_EQ(told, led);
             }
