--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -928,9 +928,10 @@
                     out.write(sealed({"seq": seq, "epoch": 1, "version": seq, "key": key, "value": value}))
 
     def purge_by(self, at, words, within=10):
-        """`sumackeel purge` at a proxy; from its yes on the purge counts as told."""
-        self.command(at, ["purge", *words], 0, "purge ")
+        """`sumackeel purge` at a proxy. A copy filled while the call goes on may be of before or after it, so only what is
+        older than the call counts as old."""
         self.purged_at = time.time()
+        self.command(at, ["purge", *words], 0, "purge ")
 
     def registry_storm(self, seconds, least, callers=4):
         """Callers read one key surely and set it only if it still has that version, through any member, while members
