Fleet bench: "led" is a member like any other, in place of a step for each fault of it

Read over: each step that scenarios wanted for the leader hit by a fault had a copy of its own (start_led, cont_led, call_led, forget_led, vote_out_led, led_serves, launch_led, kill_led, start_led_ready; kill_led was used by nobody). Whom the last fault hit is known to the one place that picks members now, so every step takes who = "led"; launch and ready are steps for any member. The scenarios ask the same with the same bounds.

--- a/bench/rollout_processes.py
+++ b/bench/rollout_processes.py
@@ -69,7 +69,7 @@
             gaps.append(time.monotonic() - began)
             while post(asker, "/ops/pop-caches/up/s-a")[0] != 200:
                 pass
-            steps.start_led()
+            steps.start("led")
             steps.leases("all", [], within=30, leader=True)
     finally:
         fleet.close(keep=False)
--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -273,6 +273,7 @@
                         if self.agreed is not None:
                             places[(a.index, b.index, "votes")] = ((f"{self.net}.200", self.port(a, b) + 20000),
                                                                    (b.host, VOTES))
+        self.led = None
         self.relay = Relay(places, seed)
         self.relay.start()
         self.clients = []
@@ -294,11 +295,12 @@
         return f"{self.net}.200:{self.port(a, b) + more}"
 
     def pick(self, words):
-        """Members by name or number: "n1", 1, a list of them, or "all"."""
+        """Members by name or number: "n1", 1, a list of them, or "all"; "led": whom the last fault of a leader or a
+        follower hit."""
         if words == "all":
             return list(self.all)
         words = words if isinstance(words, list) else [words]
-        return [self.all[word if isinstance(word, int) else int(word[1:])] for word in words]
+        return [self.led if word == "led" else self.all[word if isinstance(word, int) else int(word[1:])] for word in words]
 
     def links(self, a, b):
         return [link for x in self.pick(a) for y in self.pick(b) if x is not y
@@ -658,12 +660,12 @@
             for member in self.fleet.all:
                 said = self.rollout(member) if member.running() else None
                 if said and said["leads"]:
-                    self.led = member
+                    self.fleet.led = member
                     return True
             return "nobody leads"
         self.eventually(10, "leader", led)
-        print(f"the leader is {self.led.name}")
-        getattr(self, do_what)(self.led.index)
+        print(f"the leader is {self.fleet.led.name}")
+        getattr(self, do_what)("led")
 
     def faults(self, seconds, chance=None, lock=None):
         """Members stopped, killed and started again, cut off and healed by chance."""
@@ -688,30 +690,29 @@
             time.sleep(rest)
 
     def fault_follower(self, do_what):
-        """The same to one that votes and leads not; it is `led` from then on."""
+        """The same to one that votes and leads not; it is "led" from then on."""
         said = {member.name: self.rollout(member) for member in self.fleet.all}
-        self.led = next(member for member in self.fleet.all if said[member.name]["votes"] and not said[member.name]["leads"])
-        getattr(self, do_what)(self.led.index)
+        self.fleet.led = next(member for member in self.fleet.all if said[member.name]["votes"] and not said[member.name]["leads"])
+        getattr(self, do_what)("led")
 
     def swallow(self, size=None, least=0, within=15, seconds=0):
-        """What voters send to `led` and is as long is lost with its stream, until that has happened so often and for so
+        """What voters send to "led" and is as long is lost with its stream, until that has happened so often and for so
         long."""
-        links = [link for pair, link in self.fleet.relay.links.items() if pair[1:] == (self.led.index, "votes")]
+        links = [link for pair, link in self.fleet.relay.links.items() if pair[1:] == (self.fleet.led.index, "votes")]
         for link in links:
             link.swallow_from = size
         lost = lambda: sum(link.swallowed for link in links)  # noqa: E731
         self.eventually(within, "swallowed", lambda: lost() >= least or f"{lost()} times")
         time.sleep(seconds)
 
-    def launch_led(self):
+    def launch(self, who):
         """Started, not waited for."""
-        self.led.start()
-
-    def start_led_ready(self):
-        self.led.ready()
+        for member in self.fleet.pick(who):
+            member.start()
 
-    def kill_led(self):
-        self.kill(self.led.index)
+    def ready(self, who):
+        for member in self.fleet.pick(who):
+            member.ready()
 
     def storm(self, seconds, most, least):
         """Callers, each with a pop cache of its own, take it out and back through any proxy, while members are stopped,
@@ -1177,12 +1178,6 @@
         """It is named as a voter no more, and somebody else in its place."""
         self.votes([one for one in self.fleet.agreed["voting"] if one != self.fleet.pick(who)[0].name] + ["n3"])
 
-    def vote_out_led(self):
-        self.vote_out(self.led.index)
-
-    def forget_led(self):
-        self.forget_log(self.led.index)
-
     def kill_one_voter(self):
         """One of those named that leads not, so that all others are needed."""
         named = [member for member in self.fleet.pick(self.fleet.agreed["voting"]) if member.running()]
@@ -1216,18 +1211,6 @@
             self.end(member.index)
             self.start(member.index)
 
-    def led_serves(self):
-        self.ops(self.led.index, "/ops/readiness", 200)
-
-    def cont_led(self):
-        self.cont(self.led.index)
-
-    def call_led(self, **words):
-        self.call(self.led.index, **words)
-
-    def start_led(self):
-        self.start(self.led.index)
-
     def quiet(self, box, after, seconds):
         """From `after` seconds on the pop cache is asked nothing for so long, by anybody."""
         time.sleep(after)
