Attempts: keys go on, nothing begins for who left, no name twice on a connection

Lines at fault, each with the failing check seen with the mend alone taken out (tests/daemon/crossings_test.cpp): - lines.cpp write_request named no `nonce`, front.cpp read_ask no `opkey`: fields.at("nonce") threw map::at; a keyed request without a key was sent. - choice.cpp lets a leader's attempt go on where others share its fill (on ClientLeft); core.cpp leave() left it waiting for a connection, which pool.cpp opened() then wrote up to connect_timeout later: "(by_first ? second : first).quiet() is NOT correct". Core::forget takes back what has not begun. - pool.cpp opened() wrote a repeat however late its connection came up, behind the window of a keyed class: "late.quiet() is NOT correct". Core::begin_by. - pool.cpp pick() used a connection again under a name given up there: "nobody connected", the late answer to the first went to the second; and one on which half a line had come: "cache.rest().empty() is NOT correct". - front.cpp answered `alive` and refusals without a bound to who reads nothing (64 MB taken in 60 s and on), and stopped reading at 4 MB unread even with requests open, so that cancellations were not heard: no STOP within 10 s.

Ruled out: attempts of the module's own retries after a leave (events go in order, the module has forgotten the request), second answers under finished names (not in the connection's table).

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -102,12 +102,28 @@
 }
 
 void Core::leave(Handle handle) {
-    Request* request = requests_.find(handle);
+    const Request* request = requests_.find(handle);
     if (!request) return;
     events_.push_back(nettlethread::ClientLeft{request->name});
-    deadlines_.drop(request->guard);
-    ids_.erase(request->ask.id);
+    forget(handle);
+}
+
+// Danger: what waits for a connection to come up would be written long after its request is over, for a
+// client that has gone. The module lets an attempt go on where others share its fill; one that has not begun
+// has no fill to share.
+std::optional<Core::Request> Core::forget(Handle handle) {
+    Request* found = requests_.find(handle);
+    if (!found) return std::nullopt;
+    Request request = std::move(*found);
+    deadlines_.drop(request.guard);
+    ids_.erase(request.ask.id);
     requests_.remove(handle);
+    for (const Handle attempt : request.out) {
+        if (!upstream_->unbegun(attempt)) continue;
+        upstream_->stop(attempt);
+        ended(attempt, Ending{.verdict = Verdict::never_sent});
+    }
+    return request;
 }
 
 // The module answers before this falls due; this is for the case that it does not.
@@ -121,11 +137,8 @@
 }
 
 void Core::finish(Handle handle, Reply reply) {
-    Request* request = requests_.find(handle);
+    const std::optional<Request> request = forget(handle);
     if (!request) return;
-    deadlines_.drop(request->guard);
-    Asker* asker = request->asker;
-    const std::uint64_t cookie = request->cookie;
     log::debug("answered req={} how={} attempts={} left_us={}", request->name, static_cast<int>(reply.how),
                request->attempts, request->deadline - clock_.now());
     ++figures_.answered[static_cast<std::size_t>(reply.how)];
@@ -134,15 +147,14 @@
         const auto place = std::bit_width(static_cast<std::uint64_t>(std::max<Micros>(0, took - 1)) / 1'000);
         ++figures_.took[std::min<std::size_t>(figures_.took.size() - 1, static_cast<std::size_t>(place))];
     }
-    ids_.erase(request->ask.id);
-    requests_.remove(handle);
-    asker->answer(cookie, std::move(reply));
+    request->asker->answer(request->cookie, std::move(reply));
 }
 
 void Core::ended(Handle handle, Ending ending) {
     Attempt* attempt = attempts_.find(handle);
     if (!attempt) return;
     const Handle owner = attempt->request;
+    const Micros sent = attempt->sent;
     Request* request = requests_.find(owner);
     // Danger: one that joined a fill begun before a purge could be handed the purged copy. A box is bound by
     // the age asked for; should one not be, what it sends is no answer and the request goes on.
@@ -179,7 +191,10 @@
     events_.push_back(std::move(outcome));
     if (!request) return;
     std::erase(request->out, handle);
-    if (!proves_not_run(ending.verdict)) request->may_have_run = true;
+    if (!proves_not_run(ending.verdict)) {
+        request->may_have_run = true;
+        request->ran_since = request->ran_since > 0 ? std::min(request->ran_since, sent) : sent;
+    }
     if (served) {
         finish(owner, Reply{.how = ending.same ? Answered::same : Answered::served,
                             .body = std::move(ending.body),
@@ -261,8 +276,10 @@
     // Danger: what must not run twice goes out again only if nothing may have run. The module keeps to that;
     // this is the last look before the wire.
     const bool once = settings_.classes[request->ask.service].semantics == Semantics::unsafe;
+    const Micros latest = begin_by(*request);
     const bool forbidden = (once && (request->may_have_run || !request->out.empty())) ||
-                           (!settings_.second_copies && !request->out.empty());
+                           (!settings_.second_copies && !request->out.empty()) ||
+                           (latest > 0 && now >= latest);
     if (forbidden)
         log::error("attempt {} of {} held back: it may run twice", request->attempts, request->ask.id);
     if (forbidden || limit <= 0 || request->attempts > settings_.most_tries)
@@ -292,6 +309,7 @@
     sending.source_holds = serve.source_holds;
     sending.parent_skips = serve.parent_skips;
     sending.renew = serve.renew;
+    sending.begin_by = latest;
     sending.ask = &request->ask;
     sending.avoid = request->channels;
     request->channels.push_back(upstream_->send(sending));
@@ -303,6 +321,18 @@
         sending.age, request->ask.group, limit);
 }
 
+// Repeats of a keyed request are dropped for as long as the class says, from the first that may have run on.
+Micros Core::begin_by(const Request& request) {
+    const nettlethread::ClassSettings& of = settings_.classes[request.ask.service];
+    if (of.semantics != Semantics::keyed) return 0;
+    Micros since = request.ran_since;
+    for (const Handle out : request.out) {
+        const Attempt* attempt = attempts_.find(out);
+        if (attempt) since = since > 0 ? std::min(since, attempt->sent) : attempt->sent;
+    }
+    return since > 0 ? since + of.window : 0;
+}
+
 void Core::do_act(const nettlethread::SetTimer& a) {
     deadlines_.set(a.at, [this, token = a.token] {
         events_.push_back(nettlethread::TimerDue{token});
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -38,6 +38,8 @@
     double size_kb = 0;
     Micros left = 0;   // until the client gives up
     std::string have;  // the tag of a copy that the client holds
+    // The client's idempotency key, the same for all its tries of one operation; empty but in keyed classes.
+    std::string idempotency_key;
     std::string body;
 };
 
@@ -66,6 +68,8 @@
     Micros age = 0;
     int rank = 0;
     bool join = false, source_holds = false, parent_skips = false, renew = false;
+    // Begun later than this it could run a second time; 0: there is no such moment.
+    Micros begin_by = 0;
     const Ask* ask = nullptr;          // good during the call only
     std::vector<std::uint64_t> avoid;  // channels that earlier attempts of the request used
 };
@@ -96,6 +100,8 @@
     virtual std::uint64_t send(const Sending& sending) = 0;
     // Gives the attempt up. False: not a byte of it had been written, so it never ran.
     virtual bool stop(Handle attempt) = 0;
+    // Whether the attempt waits and not a byte of it has been written.
+    virtual bool unbegun(Handle attempt) const = 0;
     virtual void close_idle(const std::string& target) = 0;
 };
 
@@ -145,6 +151,7 @@
         std::vector<Handle> out;
         int attempts = 0;
         bool may_have_run = false;
+        Micros ran_since = 0;  // the first attempt that may have run was sent then
         std::vector<std::uint64_t> channels;
     };
     struct Attempt {
@@ -173,6 +180,8 @@
     void attempt(const nettlethread::Serve& serve);
     void finish(Handle request, Reply reply);
     void time_up(Handle request);
+    std::optional<Request> forget(Handle request);
+    Micros begin_by(const Request& request);
     Deadlines::Key guard(Handle request, Micros deadline);
     Handle named(std::string_view name) const;
 
--- a/src/front_platform/front.cpp
+++ b/src/front_platform/front.cpp
@@ -67,12 +67,13 @@
         });
         tell_door();
     }
-    void drained(net::Stream& s) override {
-        s.pause(false);
-        tell_door(true);
-    }
+    void drained(net::Stream&) override { tell_door(true); }
     void tell_door(bool has_read = false) {
         if (!stream()) return;
+        // Danger: what is not read is not heard, a cancellation and an end of the connection among it. So as
+        // long as requests are open reading goes on, up to a further bound: refusals and answers to `alive`
+        // add up too.
+        stream()->pause(stream()->unsent() > (open.empty() ? kMostUnsent : 2 * kMostUnsent));
         const net::Doing doing = !open.empty()            ? net::Doing::busy
                                  : stream()->unsent() > 0 ? net::Doing::unsent
                                  : !heard                 ? net::Doing::arriving
@@ -107,6 +108,10 @@
     ask.id = text(call.fields, "req");
     ask.object = text(call.fields, "subject");
     ask.have = text(call.fields, "seen");
+    // The origin drops repeats by this key alone. Sent on without one a request could run twice.
+    const bool keyed = site_.settings.classes[ask.service].semantics == nettlethread::Semantics::keyed;
+    if (keyed) ask.idempotency_key = text(call.fields, "opkey");
+    if (keyed && (ask.idempotency_key.empty() || !plain(ask.idempotency_key))) return false;
     const bool kept = !site_.settings.classes[ask.service].uncached;
     if (!hex_name(ask.id) || !plain(ask.have) || call.body.size() > kLongestBody) return false;
     if (!hex_name(ask.object) && (kept || !ask.object.empty())) return false;
@@ -146,7 +151,7 @@
     const bool unread = door_.unsent() > limits_.unsent_bytes;
     if (unread) door_.let_go_slowest(client);
     const bool crowded =
-        client.open.size() >= kMostOpen || unread ||
+        client.open.size() >= kMostOpen || unread || client.stream()->unsent() > kMostUnsent ||
         core_.open_requests() >= static_cast<std::size_t>(std::max(1, site_.settings.most_held));
     if (crowded) return client.stream()->write(write_answer(call.seqid, {.how = core::Answered::refused}));
     const Handle ours = open_.add({client.number(), call.seqid});
@@ -165,7 +170,6 @@
     Client& client = *found;
     client.open.erase(seqid);
     client.stream()->write(write_answer(seqid, reply));
-    if (client.stream()->unsent() > kMostUnsent) client.stream()->pause(true);
     client.tell_door();
 }
 
--- a/src/upstream/lines.cpp
+++ b/src/upstream/lines.cpp
@@ -89,6 +89,7 @@
     std::string text = "REQ " + ask.id + " cls=" + ask.service_name;
     if (!ask.object.empty()) text += ",item=" + ask.object + ",chunk=" + std::to_string(ask.part);
     text += ",limit=" + std::to_string(whole_ms(sending.limit, 1));
+    if (!ask.idempotency_key.empty()) text += ",nonce=" + ask.idempotency_key;
     if (!sending.source.empty()) text += ",parent=" + sending.source;
     if (sending.rank > 0) text += ",shelf=" + std::to_string(sending.rank);
     // Rounded down: a copy that is a part of a millisecond too old must not pass.
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <tuple>
+#include <unordered_set>
+#include <utility>
 
 #include "base/log.h"
 
@@ -26,6 +28,9 @@
 constexpr Micros kSuspectAfter = 200'000;  // given up after this long without a byte: the same
 constexpr Micros kIdleMargin = 1'000'000;  // idle channels close this long before the other side would
 constexpr Micros kSweep = 250'000;
+// Names of requests given up on one connection, whose answers may still come there. One with more of them
+// than this gets nothing new and closes once nothing is open on it.
+constexpr std::size_t kMostGivenUp = 256;
 
 }  // namespace
 
@@ -36,8 +41,13 @@
     net::Stream* stream = nullptr;
     bool up = false;
     bool suspect = false;  // an attempt ran out of time here without a byte in the meanwhile
-    std::vector<std::pair<std::string, std::string>> waiting;  // id and text, to be written once it is up
+    struct Waiting {
+        std::string id, text;
+        Micros begin_by;
+    };
+    std::vector<Waiting> waiting;  // to be written once it is up
     std::unordered_map<std::string, Open> open;
+    std::unordered_set<std::string> given_up;  // written here, stopped, and not answered since
     AnswerReader reader;
     Micros heard = 0;  // last byte that came, or the first sent after a pause
     Micros used = 0;
@@ -50,8 +60,16 @@
         heard = pool.loop_.clock().now();
         pool.loop_.deadlines().drop(connect_by);
         std::string all;
-        for (const auto& [id, text] : waiting) all += text;
-        waiting.clear();
+        for (const Waiting& one : std::exchange(waiting, {})) {
+            if (one.begin_by == 0 || heard < one.begin_by) {
+                all += one.text;
+                continue;
+            }
+            const Handle late = open.at(one.id).attempt;
+            open.erase(one.id);
+            pool.carried_.erase(late.number());
+            pool.core_.ended(late, core::Ending{.verdict = Verdict::not_connected});
+        }
         if (!all.empty()) s.write(std::move(all));
     }
 
@@ -62,7 +80,10 @@
         Answer answer;
         while (reader.next(answer)) {
             const auto found = open.find(answer.id);
-            if (found == open.end()) continue;  // given up already
+            if (found == open.end()) {  // given up already
+                given_up.erase(answer.id);
+                continue;
+            }
             const Handle attempt = found->second.attempt;
             open.erase(found);
             used = heard;
@@ -117,7 +138,9 @@
 }
 
 bool Pool::silent(const Channel& channel) const {
-    if (channel.suspect) return true;
+    if (channel.suspect || channel.given_up.size() >= kMostGivenUp) return true;
+    // What is written to it does not even leave here: a request would begin who knows when.
+    if (channel.up && channel.stream->unsent() > 0) return true;
     if (!channel.up || channel.open.empty()) return false;
     return loop_.clock().now() - channel.heard > kSilence;
 }
@@ -134,6 +157,11 @@
         if (channel->open.size() >= static_cast<std::size_t>(limits_.streams_per_conn)) continue;
         const auto& avoid = sending.avoid;
         if (std::find(avoid.begin(), avoid.end(), channel->number) != avoid.end()) continue;
+        // Danger: under a name that was used here before, by whichever client, the answer to that one may
+        // come.
+        if (channel->open.contains(sending.ask->id) || channel->given_up.contains(sending.ask->id)) continue;
+        // Half a line that nobody asked for: the rest of it would be read as the head of the next answer.
+        if (channel->open.empty() && channel->reader.partial()) continue;
         if (!best || rank(*channel) < rank(*best)) best = channel.get();
     }
     const bool trusted = best && !silent(*best);
@@ -197,7 +225,7 @@
     if (channel->up)
         channel->stream->write(std::move(text));
     else
-        channel->waiting.emplace_back(sending.ask->id, std::move(text));
+        channel->waiting.push_back({sending.ask->id, std::move(text), sending.begin_by});
     return channel->number;
 }
 
@@ -213,11 +241,21 @@
     channel.open.erase(where.id);
     if (channel.up && loop_.clock().now() - std::max(channel.heard, sent) > kSuspectAfter)
         channel.suspect = true;
-    if (channel.up) channel.stream->write(write_stop(where.id));
-    if (!channel.up) std::erase_if(channel.waiting, [&](const auto& w) { return w.first == where.id; });
+    if (channel.up) {
+        channel.stream->write(write_stop(where.id));
+        if (channel.given_up.size() < kMostGivenUp) channel.given_up.insert(where.id);
+    } else {
+        std::erase_if(channel.waiting, [&](const auto& one) { return one.id == where.id; });
+    }
     return channel.up;
 }
 
+bool Pool::unbegun(Handle attempt) const {
+    const auto found = carried_.find(attempt.number());
+    const auto at = found == carried_.end() ? channels_.end() : channels_.find(found->second.channel);
+    return at != channels_.end() && !at->second->up;
+}
+
 void Pool::end(Handle attempt, Verdict verdict) {
     carried_.erase(attempt.number());
     core_.ended(attempt, core::Ending{.verdict = verdict});
@@ -258,8 +296,8 @@
     std::vector<Channel*> idle, stalled;
     for (const auto& [number, channel] : channels_)
         if (channel->up && channel->open.empty() &&
-            (channel->suspect || targets_[channel->target].retired ||
-             now - channel->used > limits_.idle_close - kIdleMargin))
+            (channel->suspect || channel->given_up.size() >= kMostGivenUp ||
+             targets_[channel->target].retired || now - channel->used > limits_.idle_close - kIdleMargin))
             idle.push_back(channel);
         else if (channel->reader.partial() && now - channel->heard > kStalled)
             stalled.push_back(channel);
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -36,6 +36,7 @@
 
     std::uint64_t send(const core::Sending& sending) override;
     bool stop(Handle attempt) override;
+    bool unbegun(Handle attempt) const override;
     void close_idle(const std::string& target) override;
 
   private:
--- a/tests/core/last_word_test.cpp
+++ b/tests/core/last_word_test.cpp
@@ -15,6 +15,7 @@
     int sent = 0;
     std::uint64_t send(const core::Sending&) override { return ++sent; }
     bool stop(base::Handle) override { return true; }
+    bool unbegun(base::Handle) const override { return false; }
     void close_idle(const std::string&) override {}
 };
 
