--- a/tests/daemon/cold_test.py
+++ b/tests/daemon/cold_test.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Twenty-four real processes before two pop caches that have just started cold, under a burst.
+"""Thirty real processes before two pop caches that have just started cold, under a burst.
 
 What all processes together send a cold pop cache in the settings' time may be N calls of mean work, N being what the
 settings allow it then, and 2 x root of N + 2 by chance. Each process knows of the others by the settings' number alone.
@@ -20,7 +20,7 @@
 from wire import BOUND_S, alive_good, cache_box, dispatch, listening, reply, settings_for
 
 
-PROCESSES, EVERY_S, LASTS_S, NEED_KB = 24, 0.1, 4.0, 2000
+PROCESSES, EVERY_S, LASTS_S, NEED_KB = 30, 0.1, 4.0, 2000
 SEED = 20261202
 
 
--- a/tests/daemon/crossings_test.cpp
+++ b/tests/daemon/crossings_test.cpp
@@ -16,22 +16,6 @@
 
 namespace {
 
-struct TwoCaches {
-    Peer a, b, parent, origin;
-    std::vector<std::string> hosts() const {
-        return {host("s-a", a, "edge-1", "small"), host("s-b", b, "edge-1", "small"),
-                host("s-parent", parent, "coast", "parent"), host("s-origin", origin, "coast", "origin")};
-    }
-};
-
-struct OneCache {
-    Peer cache, parent, origin;
-    std::vector<std::string> hosts() const {
-        return {host("s-cache", cache, "edge-1", "small"), host("s-parent", parent, "coast", "parent"),
-                host("s-origin", origin, "coast", "origin")};
-    }
-};
-
 // Connections may take long to come up: what waits for one waits for seconds.
 std::string patient(std::string config) {
     config = with(std::move(config), R"("connect_timeout":400000)", R"("connect_timeout":3000000)");
@@ -439,6 +423,115 @@
     CHECK(held.line() == "STOP 00000000000000a1");
 }
 
+// Guards: one client that floods, and those that write slowly, must not keep others from their answers.
+TEST_CASE("beside a flood a request that comes a few bytes at a time is answered") {
+    OneCache fleet;
+    Daemon daemon(fleet.hosts());
+    Wire flood = Wire::to(daemon.port(), 4096), other = Wire::to(daemon.port()),
+         slow = Wire::to(daemon.port());
+    std::string calls;
+    for (int i = 0; i < 4096; ++i) calls += alive(1);
+    fcntl(flood.fd(), F_SETFL, O_NONBLOCK);
+    std::size_t at = 0;
+    const std::string text = dispatch(1, read("sheet", "00000000000000a1"));
+    constexpr std::size_t kPiece = 16;
+    for (std::size_t from = 0; from < text.size(); from += kPiece) {
+        const ssize_t sent = ::send(flood.fd(), calls.data() + at, calls.size() - at, MSG_NOSIGNAL);
+        if (sent > 0) at = (at + static_cast<std::size_t>(sent)) % calls.size();
+        slow.send(text.substr(from, kPiece));
+        round_trip(other, 1);
+    }
+    Wire cache = fleet.cache.accept();
+    const Req req = read_req(cache);
+    cache.send(req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled 2\r\nok\r\n");
+    CHECK(body(read_reply(slow)) == "ok");
+}
+
+// ---- the change log ----
+
+// Reads of several objects, each of which `one` alone is asked for; the other cache of the fleet is out.
+void served_by(Peer& one, TwoCaches& fleet, Wire& client) {
+    // The event was on its way before the client was: behind a round trip it has been read.
+    round_trip(client, 1);
+    for (int i = 0; i < 8; ++i) {
+        Fields fields = read("sheet", "00000000000000a" + std::to_string(i));
+        fields["subject"] = "7f3a9c21e0b4d65" + std::to_string(i);
+        client.send(dispatch(2 + i, fields));
+        Peer& asked = first_called({&fleet.a, &fleet.b});
+        REQUIRE(&asked == &one);
+        Wire cache = asked.accept();
+        const Req req = read_req(cache);
+        cache.send(req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled 2\r\nok\r\n");
+        CHECK(body(read_reply(client)) == "ok");
+        cache.finish();
+    }
+}
+
+// Guards: a watch that says nothing looks like one with nothing to say. It is called anew, as often as it
+// takes.
+TEST_CASE("a watch that fell silent is called anew, and the drain told then holds") {
+    TwoCaches fleet;
+    Peer log;
+    Daemon daemon(fleet.hosts(), log.address());
+    std::string behind, drain;
+    Wire first = follow(log, behind);  // and not a byte more
+    SUBCASE("by a change") {
+        drain = story::fleet(2, false, {host("s-a", fleet.a, "edge-1", "small", "DRAINING")});
+    }
+    SUBCASE("by a whole list that no longer names it") {
+        drain = story::fleet(
+            2, true,
+            {host("s-b", fleet.b, "edge-1", "small"), host("s-parent", fleet.parent, "coast", "parent"),
+             host("s-origin", fleet.origin, "coast", "origin")});
+    }
+    Wire second = follow(log, behind, "data: " + drain + "\n\n");
+    CHECK(first.rest().empty());
+    Wire client = Wire::to(daemon.port());
+    served_by(fleet.b, fleet, client);
+}
+
+// Guards: what the new change log tells right behind a reload counts as told, whatever the old one still
+// says.
+TEST_CASE("a drain right behind a reload holds") {
+    TwoCaches fleet;
+    Peer old_log, new_log;
+    const Folder folder;
+    const std::string file = folder.write("config.json", config_text(fleet.hosts(), old_log.address()));
+    Daemon daemon(fleet.hosts(), old_log.address(), {}, {file, {}, {}});
+    std::string behind;
+    Wire first = follow(old_log, behind);
+    folder.write("config.json", config_text(fleet.hosts(), new_log.address()));
+    daemon.reload();
+    Wire second = follow(
+        new_log, behind,
+        "data: " + story::fleet(2, false, {host("s-a", fleet.a, "edge-1", "small", "DRAINING")}) + "\n\n");
+    Wire client = Wire::to(daemon.port());
+    served_by(fleet.b, fleet, client);
+}
+
+// Guards: a cache that is killed in the moment in which it has accepted may have read nothing or all.
+TEST_CASE("a cache killed right after its accept: a read goes elsewhere, what must not run twice does not") {
+    TwoCaches fleet;
+    Daemon daemon(fleet.hosts());
+    Wire client = Wire::to(daemon.port());
+    client.send(dispatch(1, read("sheet", "00000000000000a1")));
+    Peer& first = first_called({&fleet.a, &fleet.b});
+    first.accept().reset();
+    Wire cache = (&first == &fleet.a ? fleet.b : fleet.a).accept();
+    const Req req = read_req(cache);
+    cache.send(req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled 2\r\nok\r\n");
+    CHECK(body(read_reply(client)) == "ok");
+    cache.finish();
+    client.send(dispatch(2, read("enrol", "00000000000000e1"), "form"));
+    Peer& asked = first_called({&fleet.a, &fleet.b});
+    Wire killed = asked.accept();
+    REQUIRE(ready(killed.fd(), kBoundMs));  // written, not read
+    killed.reset();
+    CHECK(read_reply(client).place == 2);
+    CHECK_FALSE(fleet.a.called());
+    CHECK_FALSE(fleet.b.called());
+}
+
 // ---- what the change log may look like ----
 
 // Guards: a stream of events that is over, on a connection that stays open, told nothing more for 2.5 s.
--- a/tests/daemon/platform_test.cpp
+++ b/tests/daemon/platform_test.cpp
@@ -12,41 +12,15 @@
 
 namespace {
 
-struct Fleet {
-    Peer cache, parent, origin;
-    std::vector<std::string> hosts() const {
-        return {host("s-cache", cache, "edge-1", "small"), host("s-parent", parent, "coast", "parent"),
-                host("s-origin", origin, "coast", "origin")};
-    }
-};
-
-struct TwoCaches {
-    Peer a, b, parent, origin;
-    std::vector<std::string> hosts() const {
-        return {host("s-a", a, "edge-1", "small"), host("s-b", b, "edge-1", "small"),
-                host("s-parent", parent, "coast", "parent"), host("s-origin", origin, "coast", "origin")};
-    }
-};
-
 std::int64_t unix_ms() {
     using namespace std::chrono;
     return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
 }
 
-// Takes the daemon's call at a change log, tells `events` and gives the number that it was taken up behind.
-Wire follow(Peer& log, std::string& behind, const std::string& events = {}) {
-    Wire feed = log.accept();
-    CHECK(feed.line() == "GET /changes HTTP/1.1");
-    for (std::string header; !(header = feed.line()).empty();)
-        if (header.starts_with("Last-Event-ID: ")) behind = header.substr(15);
-    feed.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n" + events);
-    return feed;
-}
-
 }  // namespace
 
 TEST_CASE("a read reaches the cache as asked and its bytes come back whole") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     Wire client = Wire::to(daemon.port());
     client.send(dispatch(1, read("sheet", "9b1f03aa5c7e2d41")));
@@ -69,7 +43,7 @@
 
 // Guards: a length read off a socket and believed would take the memory or the process.
 TEST_CASE("a broken frame costs its own connection only") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     Wire good = Wire::to(daemon.port());
     for (const std::string& broken :
@@ -86,7 +60,7 @@
 
 // Guards: enrol must not run twice. Bytes were written before the reset, so it may have run.
 TEST_CASE("an enrol whose connection breaks is failed and goes out no second time") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     Wire client = Wire::to(daemon.port());
     client.send(dispatch(1, read("enrol", "00000000000000e1"), "form"));
@@ -131,7 +105,7 @@
     for (const std::string& broken :
          {std::string("x NONSENSE - 0\r\n\r\n"), std::string("x DONE - 999999999\r\n"),
           std::string("x DONE novalue 0\r\n\r\n"), std::string("x DONE - 2\r\nabcd")}) {
-        Fleet fleet;
+        OneCache fleet;
         Daemon daemon(fleet.hosts());
         Wire client = Wire::to(daemon.port());
         client.send(dispatch(1, read("sheet", "00000000000000a1")));
@@ -149,7 +123,7 @@
 // Guards: a machine that vanished leaves its connection open and silent. The requests behind it must not
 // wait for its end one by one.
 TEST_CASE("a second request does not follow the first on to a silent connection") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     Wire client = Wire::to(daemon.port());
     client.send(dispatch(1, read("enrol", "00000000000000e1", 400)));
@@ -167,7 +141,7 @@
 
 // Guards: what the client gave up is stopped, owed no answer, and its late answer is taken for nobody's.
 TEST_CASE("a cancelled request is stopped and its late answer is dropped") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     Wire client = Wire::to(daemon.port());
     client.send(dispatch(1, read("sheet", "00000000000000a1")));
@@ -186,7 +160,7 @@
 
 // Guards: an answer that never comes must not leave the client without one.
 TEST_CASE("a request that nobody answers gets its final answer before its client gives up") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     Wire client = Wire::to(daemon.port());
     const auto begun = std::chrono::steady_clock::now();
@@ -256,7 +230,7 @@
 // Guards: SIGHUP must not end the program, and what the change log tells at its new address must be heard at
 // once: the old one goes silent and closes only later.
 TEST_CASE("on SIGHUP the change log is followed at its new address, its numbers carried on") {
-    Fleet fleet;
+    OneCache fleet;
     Peer old_log, new_log;
     const Folder folder;
     const std::string file = folder.write("config.json", config_text(fleet.hosts(), old_log.address()));
@@ -295,7 +269,7 @@
 
 // Guards: a planned restart loses nothing: requests still come for a while, and all that is open is answered.
 TEST_CASE("told to end, it answers what still comes and then ends by itself") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     Wire client = Wire::to(daemon.port());
     client.send(dispatch(1, read("sheet", "00000000000000a1")));
@@ -315,7 +289,7 @@
 
 // Guards: what the module has given up on is answered at once, and the client is told when to come back.
 TEST_CASE("a refusal goes out at once and says when to come back") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     fleet.cache.stop(), fleet.parent.stop(), fleet.origin.stop();
     Wire client = Wire::to(daemon.port());
@@ -354,7 +328,7 @@
 // Guards: connections that say nothing, or asked once and stay, must not use up what honest clients need; and
 // a client that waits for its answer must not be let go for them.
 TEST_CASE("idle connections beyond all room shut no honest client out and end no open request") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts(), {}, {}, {}, {.sockets = 96});
     Wire open = Wire::to(daemon.port());
     // The class that waits longest: on a slow machine the crowd takes a second or two.
@@ -382,7 +356,7 @@
 
 // Guards: what can't be used is owed an end within 3 s of connecting, also if its end never comes.
 TEST_CASE("silent and half-sent connections are closed in time") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     const auto begun = std::chrono::steady_clock::now();
     const std::string whole = dispatch(1, read("sheet", "00000000000000a1"));
@@ -404,7 +378,7 @@
 // Guards: sent on, what no cache can use would count against the caches, and a cache closes on all that is
 // open where it finds a line that it can't read.
 TEST_CASE("fields that can't be used are answered as failed and reach no cache") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     Wire client = Wire::to(daemon.port());
     const std::vector<std::pair<std::string, std::string>> wrong{{"kind", "film"},
@@ -449,7 +423,7 @@
 // Guards: caches know a request by its id alone, so a second one under an open id would get the answer of the
 // first, or the first none.
 TEST_CASE("a request under the id of an open one fails and leaves the open one alone") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     Wire honest = Wire::to(daemon.port()), other = Wire::to(daemon.port());
     honest.send(dispatch(1, read("sheet", "00000000000000a1")));
@@ -482,7 +456,7 @@
 // Guards: an answer that can't be read costs all that is open on its connection. Where there are descriptors
 // enough that is one request.
 TEST_CASE("a spoilt answer costs no other request its answer") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     Wire client = Wire::to(daemon.port());
     client.send(dispatch(1, read_of("00000000000000a1", "00000000000000e1", 9000)));
@@ -507,7 +481,7 @@
 // Guards: an answer that stops in the middle goes on no more. Waiting for it until the deadline would leave
 // no time for another try, and a connection in use for nothing.
 TEST_CASE("an answer that stops in the middle ends its connection long before the deadline") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     Wire client = Wire::to(daemon.port());
     const auto begun = std::chrono::steady_clock::now();
@@ -522,7 +496,7 @@
 
 // Guards: a cache that takes no more connections still serves over those that it took.
 TEST_CASE("requests share a connection where a further one is refused") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts());
     Wire client = Wire::to(daemon.port());
     client.send(dispatch(1, read_of("00000000000000a1", "00000000000000e1", 9000)));
@@ -541,7 +515,7 @@
 // Where the settings give it a price, requests share one; where they don't, each still has its own.
 TEST_CASE("where a handshake has a price requests share a connection, else each has its own") {
     for (const bool priced : {true, false}) {
-        Fleet fleet;
+        OneCache fleet;
         std::string text = config_text(fleet.hosts());
         const std::string before = R"("contract":)";
         if (priced) text.insert(text.find(before), R"("prices":{"handshake":0.08},)");
@@ -566,7 +540,7 @@
 // Guards: over a long day caches are replaced again and again. What is held for one that is gone must go with
 // it, and one that took its address must not get its connections.
 TEST_CASE("a cache that is gone keeps no connection, and its address serves under a new id") {
-    Fleet fleet;
+    OneCache fleet;
     Peer log;
     Daemon daemon(fleet.hosts(), log.address());
     std::string behind;
@@ -594,7 +568,7 @@
 // Guards: a client that asks and never reads keeps its answers in memory. Enough of them would have every
 // other client refused for good.
 TEST_CASE("a client that reads none of its answers is let go") {
-    Fleet fleet;
+    OneCache fleet;
     Daemon daemon(fleet.hosts(), {}, {}, {}, {.memory_mb = 3});
     Wire client = Wire::to(daemon.port());
     const std::string bytes(240'000, 'x');
--- a/tests/daemon/service_test.cpp
+++ b/tests/daemon/service_test.cpp
@@ -12,14 +12,6 @@
 
 namespace {
 
-struct TwoCaches {
-    Peer a, b, parent, origin;
-    std::vector<std::string> hosts() const {
-        return {host("s-a", a, "edge-1", "small"), host("s-b", b, "edge-1", "small"),
-                host("s-parent", parent, "coast", "parent"), host("s-origin", origin, "coast", "origin")};
-    }
-};
-
 sumackeel::config::Config with_ops(const std::vector<std::string>& hosts, int inherited = -1,
                                    const std::string& changelog = {}) {
     auto config = sumackeel::config::read_config(config_text(hosts, changelog));
--- a/tests/daemon/support.h
+++ b/tests/daemon/support.h
@@ -225,6 +225,33 @@
     return text + "]}}";
 }
 
+// Small fleets of scripted peers.
+struct OneCache {
+    Peer cache, parent, origin;
+    std::vector<std::string> hosts() const {
+        return {host("s-cache", cache, "edge-1", "small"), host("s-parent", parent, "coast", "parent"),
+                host("s-origin", origin, "coast", "origin")};
+    }
+};
+
+struct TwoCaches {
+    Peer a, b, parent, origin;
+    std::vector<std::string> hosts() const {
+        return {host("s-a", a, "edge-1", "small"), host("s-b", b, "edge-1", "small"),
+                host("s-parent", parent, "coast", "parent"), host("s-origin", origin, "coast", "origin")};
+    }
+};
+
+// Takes the daemon's call at a change log, tells `events` and gives the number that it was taken up behind.
+inline Wire follow(Peer& log, std::string& behind, const std::string& events = {}) {
+    Wire feed = log.accept();
+    if (const std::string call = feed.line(); call != "GET /changes HTTP/1.1") throw std::runtime_error(call);
+    for (std::string header; !(header = feed.line()).empty();)
+        if (header.starts_with("Last-Event-ID: ")) behind = header.substr(15);
+    feed.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n" + events);
+    return feed;
+}
+
 inline constexpr const char* kSettings = R"({"classes":[
  {"name":"video","aim":600000,"aim_stretch":1.6,"give_up":6000000,"late_value":0.15,"points":2,"semantics":"retryable"},
  {"name":"sheet","aim":300000,"aim_stretch":2,"give_up":3000000,"late_value":0.2,"points":1,"semantics":"retryable"},
