--- a/tests/daemon/crossings_test.cpp
+++ b/tests/daemon/crossings_test.cpp
@@ -110,7 +110,7 @@
     Wire& used = by_first ? first : second;
     const Req req = read_req(used);
     CHECK(req.id == "00000000000000b1");
-    used.send(req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled 2\r\nok\r\n");
+    used.send(done(req.id, "ok"));
     CHECK(body(read_reply(stayer)) == "ok");
     CHECK((by_first ? second : first).quiet());
 }
@@ -128,7 +128,7 @@
     {
         Wire cache = first.accept();
         const Req req = read_req(cache);
-        cache.send(req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled 2\r\nok\r\n");
+        cache.send(done(req.id, "ok"));
         CHECK(read_reply(client).place == 0);
         cache.finish();
     }
@@ -228,11 +228,11 @@
     other["subject"] = "7f3a9c21e0b4d656";
     two.send(dispatch(1, other));
     round_trip(two, 2);
-    cache.send("00000000000000a1 DONE digest=ab12,dated=1764576000123,tell=pulled 5\r\nfirst\r\n");
+    cache.send(done("00000000000000a1", "first"));
     Wire fresh = fleet.cache.accept();
     const Req req = read_req(fresh);
     CHECK(req.fields.at("item") == "7f3a9c21e0b4d656");
-    fresh.send(req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled 6\r\nsecond\r\n");
+    fresh.send(done(req.id, "second"));
     CHECK(body(read_reply(two)) == "second");
 }
 
@@ -417,7 +417,7 @@
         Wire& cache =
             at == waiting.end() ? used.back() : used[static_cast<std::size_t>(at - waiting.begin()) - 1];
         const Req req = read_req(cache);
-        cache.send(req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled 240000\r\n" + big + "\r\n");
+        cache.send(done(req.id, big));
     }
     client.send(cancel(100, 1));
     CHECK(held.line() == "STOP 00000000000000a1");
@@ -443,7 +443,7 @@
     }
     Wire cache = fleet.cache.accept();
     const Req req = read_req(cache);
-    cache.send(req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled 2\r\nok\r\n");
+    cache.send(done(req.id, "ok"));
     CHECK(body(read_reply(slow)) == "ok");
 }
 
@@ -461,7 +461,7 @@
         REQUIRE(&asked == &one);
         Wire cache = asked.accept();
         const Req req = read_req(cache);
-        cache.send(req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled 2\r\nok\r\n");
+        cache.send(done(req.id, "ok"));
         CHECK(body(read_reply(client)) == "ok");
         cache.finish();
     }
@@ -519,7 +519,7 @@
     first.accept().reset();
     Wire cache = (&first == &fleet.a ? fleet.b : fleet.a).accept();
     const Req req = read_req(cache);
-    cache.send(req.id + " DONE digest=ab12,dated=1764576000123,tell=pulled 2\r\nok\r\n");
+    cache.send(done(req.id, "ok"));
     CHECK(body(read_reply(client)) == "ok");
     cache.finish();
     client.send(dispatch(2, read("enrol", "00000000000000e1"), "form"));
--- a/tests/daemon/support.h
+++ b/tests/daemon/support.h
@@ -145,6 +145,12 @@
     return req;
 }
 
+// A pop cache's answer: served, filled from its source.
+inline std::string done(const std::string& id, const std::string& bytes) {
+    return id + " DONE digest=ab12,dated=1764576000123,tell=pulled " + std::to_string(bytes.size()) + "\r\n" +
+           bytes + "\r\n";
+}
+
 class Peer {
   public:
     Peer() : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
@@ -242,7 +248,8 @@
     }
 };
 
-// Takes the daemon's call at a change log, tells `events` and gives the number that it was taken up behind.
+// Takes the daemon's call at a change log (any other call ends the story as failed), tells `events` and gives
+// the number that it was taken up behind.
 inline Wire follow(Peer& log, std::string& behind, const std::string& events = {}) {
     Wire feed = log.accept();
     if (const std::string call = feed.line(); call != "GET /changes HTTP/1.1") throw std::runtime_error(call);
