--- /dev/null
+++ b/tests/faults/calls.cpp
@@ -0,0 +1,252 @@
+// Preloaded into a program under test: library calls that fail as Linux documents them, and a wall clock that
+// steps. The environment variable FAULTS holds rules separated by blanks:
+//
+//     CALL=ERRNO[+ERRNO...]/N[@FROM-TO]   one call in N fails, with each error in turn; N = 1: every one
+//     read=SHORT/N, write=SHORT/N         one call in N moves a single byte (sockets alone)
+//     clock=SECONDS@AT                    CLOCK_REALTIME is read as SECONDS off from AT on
+//
+// FROM, TO and AT are seconds of the monotonic clock since the program started. CALL is socket, connect,
+// accept, poll, open, write, fsync or rename; open, write, fsync and rename fail for files alone, and only
+// below the folder in FAULTS_UNDER. FAULTS_SEED makes the choices repeat.
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <atomic>
+
+namespace {
+
+constexpr int kShort = -1;  // in place of an errno: the call moves one byte
+constexpr int kMostRules = 16, kMostErrors = 8;
+
+struct Rule {
+    char call[16] = {};
+    int errors[kMostErrors] = {};
+    int count = 0, one_in = 1;
+    double from = 0, to = 1e18, seconds = 0;
+    std::atomic<unsigned> calls{0}, failed{0};
+};
+
+struct ErrorName {
+    const char* name;
+    int value;
+};
+constexpr ErrorName kNames[] = {
+    {"SHORT", kShort},
+    {"EINTR", EINTR},
+    {"EMFILE", EMFILE},
+    {"ENFILE", ENFILE},
+    {"ENOBUFS", ENOBUFS},
+    {"ENOMEM", ENOMEM},
+    {"EPROTO", EPROTO},
+    {"ECONNABORTED", ECONNABORTED},
+    {"EADDRNOTAVAIL", EADDRNOTAVAIL},
+    {"ENETUNREACH", ENETUNREACH},
+    {"EHOSTUNREACH", EHOSTUNREACH},
+    {"ETIMEDOUT", ETIMEDOUT},
+    {"ENETDOWN", ENETDOWN},
+    {"EPERM", EPERM},
+    {"EADDRINUSE", EADDRINUSE},
+    {"ENOSPC", ENOSPC},
+    {"EIO", EIO},
+    {"EAGAIN", EAGAIN},
+};
+
+Rule rules[kMostRules];
+int rule_count = 0;
+unsigned seed = 1;
+double started = 0;
+const char* under = "";
+
+template <typename F>
+F real(const char* name) {
+    return reinterpret_cast<F>(dlsym(RTLD_NEXT, name));
+}
+
+int real_clock_gettime(clockid_t id, timespec* at) {
+    static const auto call = real<int (*)(clockid_t, timespec*)>("clock_gettime");
+    return call(id, at);
+}
+
+double seconds_since_start() {
+    timespec at{};
+    real_clock_gettime(CLOCK_MONOTONIC, &at);
+    return static_cast<double>(at.tv_sec) + static_cast<double>(at.tv_nsec) / 1e9 - started;
+}
+
+void read_rule(char* text) {
+    Rule& rule = rules[rule_count];
+    char* equals = strchr(text, '=');
+    if (!equals || rule_count + 1 >= kMostRules) abort();
+    *equals = '\0';
+    snprintf(rule.call, sizeof rule.call, "%s", text);
+    char* window = strchr(equals + 1, '@');
+    if (window) {
+        *window++ = '\0';
+        rule.from = atof(window);
+        if (char* dash = strchr(window, '-')) rule.to = atof(dash + 1);
+    }
+    if (char* rate = strchr(equals + 1, '/')) {
+        *rate++ = '\0';
+        rule.one_in = atoi(rate);
+    }
+    rule.seconds = atof(equals + 1);
+    char* rest = nullptr;
+    for (char* word = strtok_r(equals + 1, "+", &rest); word; word = strtok_r(nullptr, "+", &rest))
+        for (const ErrorName& known : kNames)
+            if (!strcmp(word, known.name) && rule.count < kMostErrors)
+                rule.errors[rule.count++] = known.value;
+    if (strcmp(rule.call, "clock") != 0 && (rule.count == 0 || rule.one_in < 1)) abort();
+    ++rule_count;
+}
+
+__attribute__((constructor)) void read_rules() {
+    started = 0;
+    started = seconds_since_start();
+    if (const char* text = getenv("FAULTS_SEED")) seed = static_cast<unsigned>(atoi(text));
+    if (const char* text = getenv("FAULTS_UNDER")) under = text;
+    const char* text = getenv("FAULTS");
+    if (!text) return;
+    char* copy = strdup(text);
+    char* rest = nullptr;
+    for (char* word = strtok_r(copy, " ", &rest); word; word = strtok_r(nullptr, " ", &rest)) read_rule(word);
+    free(copy);
+}
+
+// The error with which this call is to fail; 0: it is carried out.
+int fault_of(const char* call) {
+    for (int i = 0; i < rule_count; ++i) {
+        Rule& rule = rules[i];
+        if (strcmp(rule.call, call) != 0) continue;
+        const double now = seconds_since_start();
+        if (now < rule.from || now >= rule.to) continue;
+        unsigned mixed = (rule.calls++ + seed) * 2654435761u;
+        mixed = (mixed ^ (mixed >> 15)) * 2246822519u;
+        if (rule.one_in > 1 && (mixed ^ (mixed >> 13)) % static_cast<unsigned>(rule.one_in) != 0) continue;
+        return rule.errors[rule.failed++ % static_cast<unsigned>(rule.count)];
+    }
+    return 0;
+}
+
+bool fails(const char* call) {
+    const int fault = fault_of(call);
+    if (fault > 0) errno = fault;
+    return fault > 0;
+}
+
+bool is_socket(int fd) {
+    struct stat about {};
+    return fstat(fd, &about) == 0 && S_ISSOCK(about.st_mode);
+}
+
+bool is_covered_file(int fd) {
+    char link[32], path[4096];
+    snprintf(link, sizeof link, "/proc/self/fd/%d", fd);
+    const ssize_t length = readlink(link, path, sizeof path - 1);
+    if (length <= 0 || !*under) return false;
+    path[length] = '\0';
+    return !strncmp(path, under, strlen(under));
+}
+
+bool is_covered_path(const char* path) {
+    return *under && !strncmp(path, under, strlen(under));
+}
+
+}  // namespace
+
+extern "C" {
+
+int clock_gettime(clockid_t id, timespec* at) {
+    const int result = real_clock_gettime(id, at);
+    if (result != 0 || (id != CLOCK_REALTIME && id != CLOCK_REALTIME_COARSE)) return result;
+    for (int i = 0; i < rule_count; ++i)
+        if (!strcmp(rules[i].call, "clock") && seconds_since_start() >= rules[i].from)
+            at->tv_sec += static_cast<time_t>(rules[i].seconds);
+    return 0;
+}
+
+int socket(int domain, int type, int protocol) {
+    if (fails("socket")) return -1;
+    return real<int (*)(int, int, int)>("socket")(domain, type, protocol);
+}
+
+int connect(int fd, const sockaddr* to, socklen_t length) {
+    if (fails("connect")) return -1;
+    return real<int (*)(int, const sockaddr*, socklen_t)>("connect")(fd, to, length);
+}
+
+int accept4(int fd, sockaddr* from, socklen_t* length, int flags) {
+    if (fails("accept")) return -1;
+    return real<int (*)(int, sockaddr*, socklen_t*, int)>("accept4")(fd, from, length, flags);
+}
+
+int accept(int fd, sockaddr* from, socklen_t* length) {
+    if (fails("accept")) return -1;
+    return real<int (*)(int, sockaddr*, socklen_t*)>("accept")(fd, from, length);
+}
+
+int epoll_wait(int fd, epoll_event* events, int most, int timeout) {
+    if (fails("poll")) return -1;
+    return real<int (*)(int, epoll_event*, int, int)>("epoll_wait")(fd, events, most, timeout);
+}
+
+int epoll_pwait(int fd, epoll_event* events, int most, int timeout, const sigset_t* mask) {
+    if (fails("poll")) return -1;
+    return real<int (*)(int, epoll_event*, int, int, const sigset_t*)>("epoll_pwait")(fd, events, most,
+                                                                                      timeout, mask);
+}
+
+ssize_t read(int fd, void* bytes, size_t count) {
+    if (count > 1 && is_socket(fd) && fault_of("read") == kShort) count = 1;
+    return real<ssize_t (*)(int, void*, size_t)>("read")(fd, bytes, count);
+}
+
+ssize_t write(int fd, const void* bytes, size_t count) {
+    if (is_covered_file(fd)) {
+        if (fails("write")) return -1;
+    } else if (count > 1 && is_socket(fd) && fault_of("write") == kShort) {
+        count = 1;
+    }
+    return real<ssize_t (*)(int, const void*, size_t)>("write")(fd, bytes, count);
+}
+
+ssize_t writev(int fd, const iovec* parts, int count) {
+    if (is_covered_file(fd) && fails("write")) return -1;
+    return real<ssize_t (*)(int, const iovec*, int)>("writev")(fd, parts, count);
+}
+
+int open(const char* path, int flags, ...) {
+    va_list rest;
+    va_start(rest, flags);
+    const mode_t mode = flags & O_CREAT ? va_arg(rest, mode_t) : 0;
+    va_end(rest);
+    if (is_covered_path(path) && fails("open")) return -1;
+    return real<int (*)(const char*, int, ...)>("open")(path, flags, mode);
+}
+
+FILE* fopen(const char* path, const char* mode) {
+    if (is_covered_path(path) && fails("open")) return nullptr;
+    return real<FILE* (*)(const char*, const char*)>("fopen")(path, mode);
+}
+
+int fsync(int fd) {
+    if (is_covered_file(fd) && fails("fsync")) return -1;
+    return real<int (*)(int)>("fsync")(fd);
+}
+
+int rename(const char* from, const char* to) {
+    if (is_covered_path(from) && fails("rename")) return -1;
+    return real<int (*)(const char*, const char*)>("rename")(from, to);
+}
+
+}  // extern "C"
--- /dev/null
+++ b/tests/faults/faults_test.py
@@ -0,0 +1,134 @@
+#!/usr/bin/env python3
+"""A real process whose library calls fail as Linux documents, whose wall clock steps, or that stands still for a while.
+
+Usage: faults_test.py SUMACKEEL LIBRARY STORY
+"""
+import signal
+import sys
+import time
+
+from rig import FAILED, REFUSED, SERVED, Boxes, Crowd, Failure, Proxy
+
+ACCEPT_ERRORS = "ECONNABORTED+ENFILE+ENOBUFS+EMFILE+EPROTO+EINTR"
+HOUR = 3600
+BOX_DELAY_S = 0.03  # an answer is out for a while, so that there is something for a fault to meet
+
+
+def want(holds, text):
+    if not holds:
+        raise Failure(text)
+
+
+def play(program, library, faults, seconds, judge, during=None, **more):
+    """Clients ask for so many seconds of the process's own time; `judge` gets the crowd and the proxy."""
+    boxes = Boxes(BOX_DELAY_S)
+    proxy = Proxy(program, library, boxes.at, faults, **more)
+    try:
+        proxy.ready()
+        crowd = Crowd(proxy.port)
+        if during:
+            during(proxy)
+        proxy.wait_until(seconds)
+        crowd.stop()
+        print(f"{faults or 'no fault'}: {crowd.told()}")
+        judge(crowd, proxy)
+    finally:
+        proxy.end()
+
+
+def nothing_refused(crowd, _proxy):
+    want(not crowd.lost(), f"lost: {crowd.lost()[:3]}")
+    want(crowd.count(SERVED) > 100, "hardly anything served")
+    want(crowd.count(REFUSED) + crowd.count(FAILED) == 0, "refused or failed while no server fails")
+
+
+def clock_steps(program, library):
+    """Deadlines, waits and health don't follow a wall clock that steps ahead or back, by seconds or by an hour."""
+    for step in (5, HOUR, -5, -HOUR):
+        play(program, library, f"clock={step}@3", 4.5, nothing_refused)
+
+
+def accept_fails(program, library):
+    """Who waits in the listener's queue stays there when accept fails, and is taken afterwards."""
+    def nothing_lost(crowd, _proxy):
+        want(not crowd.lost(), f"lost: {crowd.lost()[:3]}")
+        want(crowd.count(SERVED) > 100, "hardly anything served")
+        want(crowd.count(REFUSED) + crowd.count(FAILED) == 0, "refused or failed while no server fails")
+    play(program, library, f"accept={ACCEPT_ERRORS}/12", 4, nothing_lost)
+    for error in ACCEPT_ERRORS.split("+") + ["ENOMEM", "ENETDOWN", "EPERM"]:
+        play(program, library, f"accept={error}/3", 1.5, nothing_lost)
+
+
+def accept_stands_still(program, library):
+    """A second in which every accept fails: no busy loop, no server blamed, all served after it."""
+    spent = []
+
+    def measure(proxy):
+        proxy.wait_until(2.1)
+        before = proxy.cpu_seconds()
+        proxy.wait_until(2.9)
+        spent.append(proxy.cpu_seconds() - before)
+
+    def judge(crowd, proxy):
+        want(not crowd.lost(), f"lost: {crowd.lost()[:3]}")
+        want("breaker open" not in proxy.said(), "a server that never failed was blamed")
+        want(crowd.count(REFUSED) + crowd.count(FAILED) == 0, "refused or failed while no server fails")
+        late = [took for client in crowd.all if not client.fresh for _, took, _ in client.answers if took > 0.5]
+        want(not late, f"open connections stood still: {late[:3]}")
+        print(f"CPU of the 0.8 s in the middle: {spent[0]:.2f} s")
+    play(program, library, "accept=ENFILE/1@2-3", 4.5, judge, measure)
+    play(program, library, "accept=ENOBUFS/1@2-3", 4.5, judge, measure)
+
+
+def socket_at_start(program, library):
+    """A descriptor that can't be had for a moment delays a start; what is wrong for good ends it, status 2, one line."""
+    for faults in ("socket=ENFILE/1@0-1", "socket=EMFILE+ENOBUFS+ENOMEM/1@0-1"):
+        play(program, library, faults, 2, nothing_refused)
+    boxes = Boxes()
+    first = Proxy(program, library, boxes.at)
+    try:
+        first.ready()
+        second = Proxy(program, library, boxes.at, change=lambda s: s.update(listen=f"127.0.0.1:{first.port}"))
+        began = time.monotonic()
+        status = second.process.wait(10)
+        lines = second.said().strip().splitlines()
+        second.folder.cleanup()
+        want(status == 2 and len(lines) == 1 and time.monotonic() - began < 2,
+             f"an address in use: status {status}, {lines}")
+    finally:
+        first.end()
+
+
+def process_stands_still(program, library):
+    """A process that was stopped for a second blames no server for it."""
+    def stop(proxy):
+        proxy.wait_until(1.5)
+        proxy.process.send_signal(signal.SIGSTOP)
+        time.sleep(1.2)
+        proxy.process.send_signal(signal.SIGCONT)
+        proxy.continued = time.monotonic()
+
+    def judge(crowd, proxy):
+        want(not crowd.lost(), f"lost: {crowd.lost()[:3]}")
+        want("breaker open" not in proxy.said(), "a server that never failed was blamed")
+        after = crowd.count(REFUSED, proxy.continued + 0.1) + crowd.count(FAILED, proxy.continued + 0.1)
+        want(after == 0, f"{after} refused or failed after the pause")
+        want(crowd.count(SERVED, proxy.continued + 0.1) > 50, "hardly anything served after the pause")
+    play(program, library, "", 4.5, judge, stop)
+
+
+STORIES = {story.__name__: story for story in (clock_steps, accept_fails, accept_stands_still, socket_at_start,
+                                               process_stands_still)}
+
+
+def main():
+    try:
+        STORIES[sys.argv[3]](sys.argv[1], sys.argv[2])
+    except Failure as why:
+        print(f"FAIL: {why}\n0 passed, 1 failed")
+        sys.exit(1)
+    print("1 passed, 0 failed")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/faults/rig.py
@@ -0,0 +1,168 @@
+"""One real process before stand-in pop caches, with library calls that fail (calls.cpp, preloaded), under clients that
+count what came of each request. Shared by faults_test.py and soak.py."""
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "daemon"))
+from wire import BOUND_S, alive_good, cache_box, dispatch, listening, reply, settings_for  # noqa: E402
+
+SERVED, REFUSED, FAILED = 0, 1, 2  # places of an answer on the wire
+PAUSE_AFTER_REFUSAL_S = 0.1
+
+
+class Failure(Exception):
+    """What must hold does not."""
+
+
+class Boxes:
+    """Stand-in pop caches, parent and origin behind one address; `seen` has (when, request, fields) of each attempt."""
+
+    def __init__(self, delay=0):
+        self.listener, self.served, self.seen = listening(), [0], []
+        self.at = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=cache_box, args=(self.listener, self.served, self.see, delay), daemon=True).start()
+
+    def see(self, request, fields):
+        self.seen.append((time.monotonic(), request, fields))
+
+
+class Proxy:
+    """A process of the program. `faults` are rules of calls.cpp, whose clock starts with the process."""
+
+    def __init__(self, program, library, boxes_at, faults="", seed=1, under="", change=None, env=None, args=()):
+        self.folder = tempfile.TemporaryDirectory(prefix="sumackeel-faults-")
+        hold = listening()
+        self.port = hold.getsockname()[1]
+        settings = settings_for("n0", f"127.0.0.1:{self.port}", lambda _: boxes_at)
+        if change:
+            change(settings)
+        self.config = os.path.join(self.folder.name, "config.json")
+        self.write(settings)
+        self.log = os.path.join(self.folder.name, "log")
+        self.settings = settings
+        options = os.environ.get("ASAN_OPTIONS", "")
+        environment = dict(os.environ, LD_PRELOAD=library, FAULTS=faults, FAULTS_SEED=str(seed),
+                           FAULTS_UNDER=under or self.folder.name + "/handover", TMPDIR=self.folder.name,
+                           ASAN_OPTIONS=options + ":verify_asan_link_order=0", **(env or {}))
+        hold.close()
+        self.began = time.monotonic()
+        with open(self.log, "w", encoding="utf-8") as err:
+            self.process = subprocess.Popen([program, "serve", "--config", self.config, "--log-level", "info", *args],
+                                            stderr=err, stdout=err, env=environment)
+
+    def write(self, settings):
+        with open(self.config, "w", encoding="utf-8") as out:
+            json.dump(settings, out)
+
+    def since_start(self):
+        return time.monotonic() - self.began
+
+    def wait_until(self, second):
+        time.sleep(max(0.0, second - self.since_start()))
+
+    def ready(self, within=BOUND_S):
+        end = time.monotonic() + within
+        while not alive_good(self.port):
+            if time.monotonic() > end or self.process.poll() is not None:
+                raise Failure(f"not ready: status {self.process.poll()}: {self.said()[-300:]}")
+            time.sleep(0.02)
+
+    def said(self):
+        with open(self.log, encoding="utf-8") as lines:
+            return lines.read()
+
+    def cpu_seconds(self):
+        with open(f"/proc/{self.process.pid}/stat", encoding="utf-8") as stat:
+            fields = stat.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def end(self):
+        """Killed if it still runs; a process that ended by itself with another status than 0 has crashed."""
+        status = self.process.poll()
+        if status is None:
+            self.process.kill()
+            self.process.wait()
+        said = self.said()
+        self.folder.cleanup()
+        if status not in (None, 0, -signal.SIGTERM) or "ERROR: AddressSanitizer" in said or "runtime error:" in said:
+            raise Failure(f"ended with {status}: {said[-2000:]}")
+
+
+class Client(threading.Thread):
+    """Asks without pause, one request at a time; on a connection of its own for each where `fresh`."""
+    numbers = iter(range(1, 1 << 40))
+    lock = threading.Lock()
+
+    def __init__(self, port, fresh, kind=b"sheet", pause=PAUSE_AFTER_REFUSAL_S):
+        super().__init__(daemon=True)
+        self.port, self.fresh, self.kind, self.pause = port, fresh, kind, pause
+        self.going, self.answers, self.lost, self.away = True, [], [], 0
+
+    def next_id(self):
+        with Client.lock:
+            return next(Client.numbers)
+
+    def run(self):
+        conn = sequence = None
+        while self.going:
+            number = self.next_id()
+            written = False
+            began = time.monotonic()
+            try:
+                if conn is None:
+                    conn, sequence = socket.create_connection(("127.0.0.1", self.port), timeout=BOUND_S), 0
+                sequence += 1
+                conn.sendall(dispatch(sequence, b"%016x" % (0x5a0000000000 + number), b"%016x" % (number * 7919 % 40),
+                                      self.kind))
+                written = True
+                place = reply(conn)[1]
+                self.answers.append((began, time.monotonic() - began, place))
+                if place != SERVED:
+                    time.sleep(self.pause)
+            except (OSError, ConnectionError) as why:
+                if written:
+                    self.lost.append((began, sequence, repr(why)))
+                else:
+                    self.away += 1
+                    time.sleep(0.01)
+                if conn:
+                    conn.close()
+                conn = None
+                continue
+            if self.fresh:
+                conn.close()
+                conn = None
+        if conn:
+            conn.close()
+
+
+class Crowd:
+    """Clients of both kinds, and what came of their requests together."""
+
+    def __init__(self, port, count=8, **more):
+        self.all = [Client(port, fresh=number % 2 == 0, **more) for number in range(count)]
+        for client in self.all:
+            client.start()
+
+    def stop(self):
+        for client in self.all:
+            client.going = False
+        for client in self.all:
+            client.join(BOUND_S)
+
+    def count(self, place, since=0.0, until=float("inf")):
+        return sum(1 for client in self.all for when, _, got in client.answers if got == place and since <= when < until)
+
+    def lost(self):
+        return [one for client in self.all for one in client.lost]
+
+    def told(self):
+        return (f"{self.count(SERVED)} served, {self.count(REFUSED)} refused, {self.count(FAILED)} failed, "
+                f"{len(self.lost())} lost")
