--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # setup, build, test, lint, run: the everyday commands. On a fresh machine `make setup run` serves the example
 # and `make setup test` passes the tests.
-JOBS ?= 4
+JOBS ?= $(shell nproc)
 CONFIG ?= example/config.json
 
 .PHONY: setup build test lint run clean
--- a/include/nettlethread/router.h
+++ b/include/nettlethread/router.h
@@ -198,8 +198,12 @@
     int instances = 1;
     std::vector<int> zone_instances;  // in each zone
 };
+// This process itself stood still for so long until now: what is late by it is no server's doing.
+struct Stalled {
+    Micros span = 0;
+};
 using Event = std::variant<ListNews, Arrival, ClientLeft, PeerNews, TimerDue, ProbeAnswer, StreamStarted,
-                           Outcome, Purge, GroupNews>;
+                           Outcome, Purge, GroupNews, Stalled>;
 
 // Actions.
 struct LookUp {
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -1,9 +1,13 @@
-// The system's Unix clock in microseconds, held so that it never runs backwards.
+// The two clocks of a process as two types that don't mix: Micros of a clock that only runs on, for all
+// deadlines, waits, windows and ages, and UnixTime of the system's wall clock, for what the wire and files
+// say.
+//
+// The wall clock may be stepped either way at any moment, by seconds or by an hour. Nothing here follows it.
 #pragma once
 
 #include <algorithm>
 #include <chrono>
-#include <utility>
+#include <optional>
 
 #include "base/time.h"
 
@@ -11,46 +15,65 @@
 
 class Clock {
   public:
-    // Two clocks read at one moment: the system's Unix time, and one that only ever runs on.
+    // Both clocks of the machine, read at one moment.
     struct Reading {
-        Micros wall = 0, steady = 0;
+        UnixTime wall;
+        Micros steady = 0;
     };
 
     Clock() = default;
     // For tests: `read` in place of the machine's clocks.
     explicit Clock(Reading (*read)()) : read_(read) {}
 
-    // Danger: were a clock set back simply waited for, all deadlines would stand still until it has caught
-    // up. So past a step back time runs on by the steady clock; a step ahead is followed.
+    // The monotonic clock. It is counted from what the wall clock showed at the first call, so that its
+    // readings are Unix times for as long as the wall clock is not stepped.
     Micros now() {
         const Reading reading = read_();
-        const Micros run_on = last_ + std::max<Micros>(0, reading.steady - steady_);
-        const bool stepped_back = last_ > 0 && reading.wall < run_on - kSlew;
-        last_ = stepped_back ? run_on : std::max(last_, reading.wall);
-        steady_ = reading.steady;
-        return last_;
+        if (!origin_) origin_ = reading.wall.micros - reading.steady;
+        const Micros now = *origin_ + reading.steady;
+        if (due_ && now > *due_ + kStall) stalled_ += now - *due_;
+        if (due_) due_ = std::max(now, *due_);
+        return now;
     }
 
-    // For test builds: the system's Unix clock is read as so far off from now on, in all of the process.
-    static void set_off(Micros by) { off_ = by; }
+    // The wall clock as it stands.
+    UnixTime unix_now() const { return read_().wall; }
+
+    // The one place where a wall time that was told becomes a moment of now(). Where the wall clock was
+    // stepped since the first call nobody knows which of its two times was right: the later moment counts, as
+    // what it dates (a purge, a start) then binds for longer. Never later than now.
+    Micros from_unix(UnixTime at) {
+        const Micros present = now(), step = unix_now().micros - present;
+        const bool stepped = step > kStep || step < -kStep;
+        const Micros moment = stepped ? std::max(at.micros, at.micros - step) : at.micros;
+        return std::min(moment, present);
+    }
 
-    // The system's clock as it stands, which may step either way: for what other processes will read.
-    Micros wall() const { return read_().wall; }
+    // The process is due to run again at `at`; nothing: it waits for events alone. A reading that comes much
+    // later shows that it stood still: it was stopped, or one turn of its loop took too long.
+    void expect(std::optional<Micros> at) { due_ = at; }
+    // For how long the process stood still in all since its start.
+    Micros stalled() const { return stalled_; }
+
+    // For test builds: the system's wall clock is read as so far off from now on, in all of the process.
+    static void set_off(Micros by) { off_ = by; }
 
   private:
-    // Slower than real time by less than this since the last look is slewing, not a step.
-    static constexpr Micros kSlew = 100'000;
+    static constexpr Micros kStep = 1'000'000;  // the wall clock may slew by less than this
+    static constexpr Micros kStall = 100'000;   // a busy machine runs a process late by less than this
 
     static Reading system() {
         using std::chrono::duration_cast, std::chrono::microseconds;
         return {
-            duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch()).count() + off_,
+            {duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch()).count() + off_},
             duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count()};
     }
 
     static inline Micros off_ = 0;
     Reading (*read_)() = system;
-    Micros last_ = 0, steady_ = 0;
+    std::optional<Micros> origin_;  // what now() adds to the monotonic clock
+    std::optional<Micros> due_;
+    Micros stalled_ = 0;
 };
 
 }  // namespace sumackeel::base
--- a/src/base/files.cpp
+++ b/src/base/files.cpp
@@ -99,6 +99,21 @@
     return Reading::done;
 }
 
+int read_all(const std::string& path, std::size_t most, std::string& text) {
+    const File file(path, O_RDONLY);
+    if (!file.open()) return errno;
+    std::string room(65536, '\0');
+    text.clear();
+    for (;;) {
+        const ssize_t got = ::read(file.fd(), room.data(), room.size());
+        if (got < 0 && errno == EINTR) continue;
+        if (got < 0) return errno;
+        if (got == 0) return 0;
+        text.append(room, 0, static_cast<std::size_t>(got));
+        if (text.size() > most) return EFBIG;
+    }
+}
+
 FolderLock::FolderLock(const std::string& folder, const char* name) {
     std::error_code ignored;
     std::filesystem::create_directories(folder, ignored);
--- a/src/base/files.h
+++ b/src/base/files.h
@@ -44,6 +44,10 @@
 // The bytes of a plain file of `most` bytes at the most; unless it is done, `fault` says what went wrong.
 Reading read_plain(const std::string& path, std::size_t most, std::string& bytes, std::string& fault);
 
+// All that can be read from a file, a pipe or a device, `most` bytes at the most. 0, or an errno; EFBIG: it
+// is longer.
+int read_all(const std::string& path, std::size_t most, std::string& text);
+
 // Held for as long as this lives: two programs on one folder would remove each other's generations.
 class FolderLock {
   public:
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -18,6 +18,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/system_error.h"
 #include "base/version.h"
 #include "cli/expect_command.h"
 #include "cli/group_command.h"
@@ -65,7 +66,8 @@
     const auto setup = config::load_operator(flags.setup);
     if (!setup.signed_front) return wrong(flags.setup + ": signed_front is missing");
     const front_signed::Gate gate(*setup.signed_front);
-    const double expires = std::floor(static_cast<double>(base::Clock().now()) / 1e6 + flags.expires_in);
+    const double expires =
+        std::floor(static_cast<double>(base::Clock().unix_now().micros) / 1e6 + flags.expires_in);
     if (token) return fmt::print("{}\n", gate.student_token(flags.student_key, flags.student, expires)), 0;
     front_signed::Target target;
     if (!front_signed::read_target(flags.words.empty() ? "" : flags.words.front(), target))
@@ -157,12 +159,31 @@
     pthread_sigmask(SIG_BLOCK, &held, nullptr);
 }
 
+// At the start a shortage of descriptors is waited out; what is wrong with a file is told at once.
+template <typename Load>
+auto load_at_start(Load load) {
+    std::optional<decltype(load())> loaded;
+    std::string fault;
+    base::retry_at_start([&] {
+        try {
+            loaded = load();
+            return 0;
+        } catch (const config::TransientError& shortage) {
+            fault = shortage.what();
+            return shortage.error();
+        }
+    });
+    if (!loaded) throw config::ConfigError(fault);
+    return std::move(*loaded);
+}
+
 int serve(const Flags& flags) {
     hold_signals();
     if (flags.config.empty()) return wrong("no configuration: give --config or set GW_CONFIG");
-    auto config = config::load_config(flags.config);
+    auto config = load_at_start([&] { return config::load_config(flags.config); });
     from_platform(config);
-    const auto setup = flags.setup.empty() ? config::Operator{} : config::load_operator(flags.setup);
+    const auto setup = load_at_start(
+        [&] { return flags.setup.empty() ? config::Operator{} : config::load_operator(flags.setup); });
     if (setup.signed_front) front_signed::Gate{*setup.signed_front};  // its keys must be usable
     if (setup.test_clock_offset_s != 0)
         base::Clock::set_off(static_cast<base::Micros>(setup.test_clock_offset_s * 1e6));
--- a/src/cli/list_command.cpp
+++ b/src/cli/list_command.cpp
@@ -87,10 +87,10 @@
             if (member.answered >= 0) member.answered = std::max<Micros>(0, member.answered - before);
         if (list.sure_age >= 0) list.sure_age = 0;
         membership::View view(options_);
-        view.load(list, at(age), at(age));
+        view.load(list, list_.taken_at + age, at(age));
         return view;
     }
-    Micros at(Micros age) const { return list_.taken_at + age; }
+    Micros at(Micros age) const { return list_.taken_at.micros + age; }
     const Bands& bands() const { return options_.bands; }
 
   private:
@@ -141,13 +141,13 @@
     if (opened.read.fault) return complain(opened);
     const Snapshot& list = opened.read.list;
     const Judge judge(flags, opened);
-    const Micros age = membership::age_of(list, base::Clock().wall());
+    const Micros age = membership::age_of(list, base::Clock().unix_now());
     const auto rows = rows_of(opened, judge, std::max<Micros>(0, age));
     if (flags.json) {
         Json::Value root;
         root["file"] = opened.file;
         root["site"] = list.site;
-        root["taken_at_us"] = Json::Int64{list.taken_at};
+        root["taken_at_us"] = Json::Int64{list.taken_at.micros};
         root["age_us"] = Json::Int64{age};
         root["last_seq"] = Json::Int64{list.last_seq};
         root["whole_at"] = Json::Int64{list.whole_at};
@@ -203,10 +203,11 @@
 int verify(const ListFlags& flags, const std::string& path) {
     Opened opened = open(path);
     if (!opened.read.fault && flags.settings)
-        opened.read.fault = membership::judge(opened.read.list, flags.settings->site, base::Clock().wall());
+        opened.read.fault =
+            membership::judge(opened.read.list, flags.settings->site, base::Clock().unix_now());
     if (opened.read.fault) return complain(opened);
     fmt::print("{}: sound, {} members, last sure {} ago\n", opened.file, opened.read.list.members.size(),
-               span(membership::age_of(opened.read.list, base::Clock().wall())));
+               span(membership::age_of(opened.read.list, base::Clock().unix_now())));
     return 0;
 }
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -2,8 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
-#include <fstream>
 
+#include "base/files.h"
+#include "base/system_error.h"
 #include "config/read.h"
 
 namespace sumackeel::config {
@@ -227,7 +228,7 @@
         change.has_purge = true;
         take(purge, "object", change.object, "invalidate");
         take(purge, "bucket", change.group, "invalidate");
-        change.purged_at = 1000 * need<std::int64_t>(purge, "time", "invalidate");
+        change.purge_time = {1000 * need<std::int64_t>(purge, "time", "invalidate")};
     }
     return change;
 }
@@ -260,13 +261,12 @@
 
 std::string file_text(const std::string& path) {
     constexpr std::size_t kLongest = 256u << 20;  // more than any change log's file; a device has no end
-    std::ifstream file(path, std::ios::binary);
-    std::string text, room(65536, '\0');
-    while (file.read(room.data(), static_cast<std::streamsize>(room.size())), file.gcount() > 0) {
-        text.append(room, 0, static_cast<std::size_t>(file.gcount()));
-        if (text.size() > kLongest) bad(path, "too long");
-    }
-    if (text.empty()) bad(path, "can't be read");
+    std::string text;
+    const int error = base::read_all(path, kLongest, text);
+    const std::string line = path + ": can't be read: " + base::describe_error(error);
+    if (error != 0 && base::is_transient(error)) throw TransientError(line, error);
+    if (error != 0) throw ConfigError(line);
+    if (text.empty()) bad(path, "can't be read: it is empty");
     return text;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/time.h"
 #include "nettlethread/router.h"
 
 namespace sumackeel::config {
@@ -17,6 +18,16 @@
     using std::runtime_error::runtime_error;
 };
 
+// A file that could not be read for want of descriptors or memory: trying again may help.
+class TransientError : public ConfigError {
+  public:
+    TransientError(const std::string& line, int error) : ConfigError(line), error_(error) {}
+    int error() const { return error_; }
+
+  private:
+    int error_;
+};
+
 // The settings of an instance with the names that go with their numbers.
 struct Site {
     nettlethread::Settings settings;
@@ -40,7 +51,8 @@
     std::vector<Placed> members;
     int group = 0;
     std::string object;
-    nettlethread::Micros purged_at = 0;
+    base::UnixTime purge_time;           // as the wire tells it
+    nettlethread::Micros purged_at = 0;  // the same on the clock of who hears it; set there
 };
 
 struct Config {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -172,6 +172,7 @@
     outcome.cache = attempt->target;
     outcome.verdict = ending.verdict;
     outcome.took = clock_.now() - attempt->sent;
+    outcome.took -= clock_.stalled() - attempt->stalled_before;  // the server's time, not ours
     outcome.ended = served || !request;
     outcome.note = ending.note;
     outcome.first_byte = ending.first_byte;
@@ -222,7 +223,10 @@
 void Core::handle(const nettlethread::Event& event) {
     actions_.clear();
     try {
-        router_.handle(clock_.now(), event, actions_);
+        const Micros now = clock_.now();
+        if (const Micros span = clock_.stalled() - std::exchange(told_stalled_, clock_.stalled()); span > 0)
+            router_.handle(now, nettlethread::Stalled{span}, actions_);
+        router_.handle(now, event, actions_);
     } catch (const std::exception& fault) {
         // What it was about is answered by the core's own guard at its deadline.
         log::error("the module failed on an event: {}", fault.what());
@@ -259,6 +263,7 @@
     attempt.target = serve.cache;
     attempt.source = serve.source;
     attempt.sent = now;
+    attempt.stalled_before = clock_.stalled();
     if (serve.age > 0) attempt.oldest = now - serve.age;
     if (!request) {  // it ended while the module decided
         Outcome outcome;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -159,7 +159,8 @@
         std::string name, target, source;
         int number = 0;
         Micros sent = 0;
-        Micros oldest = 0;  // a copy given out before this was not asked for; 0: any will do
+        Micros stalled_before = 0;  // for how long the process had stood still in all when it was sent
+        Micros oldest = 0;          // a copy given out before this was not asked for; 0: any will do
         Deadlines::Key limit;
     };
 
@@ -202,7 +203,8 @@
     std::vector<nettlethread::Action> actions_;
     bool running_ = false;
     Figures figures_;
-    Micros last_word_ = 0;  // 0: no end is near
+    Micros last_word_ = 0;     // 0: no end is near
+    Micros told_stalled_ = 0;  // of the clock's stalled(), what the module knows
 };
 
 }  // namespace sumackeel::core
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/system_error.h"
 #include "base/version.h"
 #include "core/core.h"
 #include "core/one_time.h"
@@ -242,7 +243,9 @@
             if (self->end_told) self->end();
         });
         told.data = this;
-        uv_signal_init(loop.raw(), &term);
+        // The first of them makes a pipe.
+        const int failed = base::retry_at_start([this] { return uv_signal_init(loop.raw(), &term); });
+        if (failed != 0) throw std::runtime_error("signals can't be heard: " + base::describe_error(failed));
         term.data = this;
         uv_signal_start(
             &term, [](uv_signal_t* handle, int) { static_cast<Parts*>(handle->data)->end(); }, SIGTERM);
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -18,6 +18,7 @@
 constexpr Micros kLookForList = 100'000;
 // From a purge to its event, with room for a log that was sure for what had not arrived yet.
 constexpr Micros kToldWithin = 1'000'000;
+constexpr std::size_t kMostStarts = 200'000;  // of members ever told; beyond it they are read anew
 
 membership::Options view_options(const config::Config& config, const config::Operator& setup) {
     membership::Options options;
@@ -62,7 +63,7 @@
         start_keeping(*setup.saved_list);
         // How old the configuration is nobody knows: what it tells is a seed list.
         for (const config::Change& change : config.known) {
-            if (change.has_fleet) view_.seed(change, loop_.clock().now());
+            if (change.has_fleet) seed(change);
             if (!change.has_purge) continue;
             config::Change purge = change;
             purge.has_fleet = false;
@@ -88,10 +89,10 @@
 void Fleet::start_keeping(const config::SavedList& list) {
     site_ = list.site;
     const membership::Names names{config_.site.zones, config_.site.kinds};
-    loading_.emplace(list.folder, names, site_, loop_.clock().wall());
+    loading_.emplace(list.folder, names, site_, loop_.clock().unix_now());
     const saved_list::Pace pace{.save_every = list.save_every, .refresh = list.refresh};
     keeper_ = std::make_unique<saved_list::Keeper>(loop_, list.folder, names, pace, [this] {
-        return view_.snapshot(site_, loop_.clock().wall(), loop_.clock().now());
+        return view_.snapshot(site_, loop_.clock().unix_now(), loop_.clock().now());
     });
     core_.on_answer([this](const std::string& target) { view_.answered(target, loop_.clock().now()); });
     if (auto found = loading_->take(kWaitForList)) return take_found(std::move(*found));
@@ -111,7 +112,8 @@
 }
 
 void Fleet::take_found(saved_list::Found found) {
-    const Micros now = loop_.clock().now(), wall = loop_.clock().wall();
+    const Micros now = loop_.clock().now();
+    const base::UnixTime wall = loop_.clock().unix_now();
     for (const saved_list::Passed& passed : found.passed)
         log::warn("saved list: {} passed over, {}: {}", passed.file, name_of(passed.fault.kind),
                   passed.fault.text);
@@ -137,7 +139,7 @@
 
 void Fleet::renew(const config::Config& config, const config::Operator& setup) {
     for (const config::Change& change : config.known) {
-        if (setup.saved_list && change.has_fleet) view_.seed(change, loop_.clock().now());
+        if (setup.saved_list && change.has_fleet) seed(change);
         if (!setup.saved_list && feed_) feed_->heard(change);
     }
     const auto addresses = change_logs(config, setup);
@@ -145,11 +147,32 @@
     publish();
 }
 
+// Danger: told again, a start must be the same moment to the microsecond, or the module would take it for
+// another one and begin the slow start anew. So each is read once, by the clock as it stands then.
+void Fleet::date_starts(config::Change& change) {
+    if (starts_.size() > kMostStarts) starts_.clear();
+    for (config::Placed& placed : change.members) {
+        nettlethread::CacheEntry& entry = placed.entry;
+        if (entry.since <= 0) continue;
+        const base::UnixTime told{entry.since};
+        Start& start = starts_[entry.cache];
+        if (start.told != told) start = {told, loop_.clock().from_unix(told)};
+        entry.since = start.moment;
+    }
+}
+
+void Fleet::seed(config::Change list) {
+    date_starts(list);
+    view_.seed(list, loop_.clock().now());
+}
+
 void Fleet::hear(const config::Change& told, int log) {
     const Micros now = loop_.clock().now();
     config::Change change = told;
     // Danger: the time of a purge is the origin's clock, and ours may have come back an hour ahead of it: the
     // purge would seem long over. What a log tells that was sure a moment ago is no older than that moment.
+    date_starts(change);
+    if (change.has_purge) change.purged_at = loop_.clock().from_unix(change.purge_time);
     if (change.has_purge && on_sure_ && view_.live())
         change.purged_at = std::max(change.purged_at, now - view_.age(now) - kToldWithin);
     const membership::Heard heard = view_.apply(change, now, log);
--- a/src/daemon/fleet.h
+++ b/src/daemon/fleet.h
@@ -50,6 +50,13 @@
     void tell_purge(const membership::Purge& purge);
     void sure();
     void publish();
+    void date_starts(config::Change& change);
+    void seed(config::Change list);
+
+    struct Start {
+        base::UnixTime told;
+        base::Micros moment = 0;
+    };
 
     net::Loop& loop_;
     core::Core& core_;
@@ -63,7 +70,8 @@
     std::unique_ptr<feed::Feed> feed_;
     std::optional<base::Deadlines::Key> next_publish_;
     std::set<std::string> bans_;
-    base::Micros cold_since_ = 0;  // 0: nobody is taken to be cold
+    std::map<std::string, Start> starts_;  // by member
+    base::Micros cold_since_ = 0;          // 0: nobody is taken to be cold
     std::function<void()> on_sure_;
 };
 
--- a/src/front_signed/front.cpp
+++ b/src/front_signed/front.cpp
@@ -206,7 +206,7 @@
 }
 
 double Front::now_s() const {
-    return static_cast<double>(loop_.clock().now()) / 1e6;
+    return static_cast<double>(loop_.clock().unix_now().micros) / 1e6;
 }
 
 int Front::retry_after() const {
--- a/src/membership/saved.cpp
+++ b/src/membership/saved.cpp
@@ -124,7 +124,7 @@
         const auto& item = root.via.map.ptr[i];
         const auto key = item.key.as<std::string_view>();
         if (key == "site") list.site = name_in(item.val);
-        if (key == "taken_at") list.taken_at = item.val.as<std::int64_t>();
+        if (key == "taken_at") list.taken_at = {item.val.as<std::int64_t>()};
         if (key == "sure_age") list.sure_age = item.val.as<std::int64_t>();
         if (key == "last_seq") list.last_seq = item.val.as<std::int64_t>();
         if (key == "whole_at") list.whole_at = item.val.as<std::int64_t>();
@@ -147,7 +147,7 @@
             }
         }
     }
-    need(list.taken_at > 0 && list.sure_age >= -1 && list.sure_age <= kOldest, "a time that is none");
+    need(list.taken_at.micros > 0 && list.sure_age >= -1 && list.sure_age <= kOldest, "a time that is none");
     need(list.last_seq >= 0 && list.whole_at >= 0 && list.whole_at <= list.last_seq && list.forgotten_to >= 0,
          "a number of the change log that is none");
     return list;
@@ -191,7 +191,7 @@
     msgpack::packer pack(plain);
     pack.pack_map(8);
     pack.pack("site"), pack.pack(list.site);
-    pack.pack("taken_at"), pack.pack(list.taken_at);
+    pack.pack("taken_at"), pack.pack(list.taken_at.micros);
     pack.pack("sure_age"), pack.pack(list.sure_age);
     pack.pack("last_seq"), pack.pack(list.last_seq);
     pack.pack("whole_at"), pack.pack(list.whole_at);
@@ -262,11 +262,11 @@
     return decode_with(bytes, Places(names));
 }
 
-Micros age_of(const Snapshot& list, Micros wall_now) {
+Micros age_of(const Snapshot& list, base::UnixTime wall_now) {
     return list.sure_age < 0 ? -1 : std::max<Micros>(0, wall_now - list.taken_at) + list.sure_age;
 }
 
-std::optional<Fault> judge(const Snapshot& list, const std::string& site, Micros wall_now) {
+std::optional<Fault> judge(const Snapshot& list, const std::string& site, base::UnixTime wall_now) {
     if (list.site != site)
         return Fault{Fault::Kind::other_site, fmt::format("of site '{}', this is '{}'", list.site, site)};
     const Micros age = wall_now - list.taken_at;
--- a/src/membership/saved.h
+++ b/src/membership/saved.h
@@ -55,10 +55,10 @@
 // A clock may be ahead by kClockSlack; older than kOldest is no age but a wrong clock.
 constexpr Micros kClockSlack = 2 * base::kSecond;
 constexpr Micros kOldest = 400LL * 86'400 * base::kSecond;
-std::optional<Fault> judge(const Snapshot& list, const std::string& site, Micros wall_now);
+std::optional<Fault> judge(const Snapshot& list, const std::string& site, base::UnixTime wall_now);
 
 // The age of the list by `wall_now`; below 0: no live source ever confirmed it.
-Micros age_of(const Snapshot& list, Micros wall_now);
+Micros age_of(const Snapshot& list, base::UnixTime wall_now);
 
 const char* name_of(Fault::Kind kind);
 
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -163,7 +163,7 @@
     put_purge(purge, now, news);
 }
 
-void View::load(const Snapshot& saved, Micros wall_now, Micros now) {
+void View::load(const Snapshot& saved, base::UnixTime wall_now, Micros now) {
     const Micros since_taken = std::max<Micros>(0, wall_now - saved.taken_at);
     bool news = false, no_room = false;
     for (const Member& kept : saved.members) {
@@ -181,13 +181,23 @@
         floor.seq = saved.whole_at;
         remove_unnamed(floor);
     }
-    for (const Purge& purge : saved.purges) put_purge(purge, now, news);
+    load_purges(saved, now);
     last_seq_ = std::max(last_seq_, saved.last_seq);
     forgotten_to_ = std::max(forgotten_to_, saved.forgotten_to);
     if (!live_ && saved.sure_age >= 0) sure_at_ = std::max(sure_at_, now - since_taken - saved.sure_age);
     all_touched_ = true;
 }
 
+// Danger: the wall clock may have been stepped since the file was taken, and a purge that seemed long over
+// would bind no more. So no time counts as passed since then: it binds for longer at the worst.
+void View::load_purges(const Snapshot& saved, Micros now) {
+    bool news = false;
+    for (const Purge& kept : saved.purges) {
+        const Micros age_then = std::max<Micros>(0, saved.taken_at.micros - kept.at);
+        put_purge({kept.object, kept.group, now - age_then}, now, news);
+    }
+}
+
 void View::load_warnings(const Snapshot& saved, Micros now) {
     bool news = false, no_room = false;
     for (const Member& kept : saved.members) {
@@ -197,7 +207,7 @@
         word.heard = now;
         merge(std::make_shared<const Word>(std::move(word)), news, no_room);
     }
-    for (const Purge& purge : saved.purges) put_purge(purge, now, news);
+    load_purges(saved, now);
 }
 
 void View::seed(const config::Change& list, Micros now) {
@@ -340,7 +350,7 @@
     return all;
 }
 
-Snapshot View::snapshot(const std::string& site, Micros wall_now, Micros now) const {
+Snapshot View::snapshot(const std::string& site, base::UnixTime wall_now, Micros now) const {
     Snapshot saved;
     saved.site = site;
     saved.taken_at = wall_now;
@@ -354,6 +364,7 @@
             saved.members.push_back(
                 {member.word, member.answered > 0 ? std::max<Micros>(0, now - member.answered) : -1});
     saved.purges = purges();
+    for (Purge& purge : saved.purges) purge.at = (wall_now - (now - purge.at)).micros;
     return saved;
 }
 
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -48,7 +48,7 @@
 struct Purge {
     std::string object;  // empty: the whole group
     int group = 0;
-    Micros at = 0;  // Unix time of the purge, as told
+    Micros at = 0;  // of the clock by which the view is told the time
 
     bool operator==(const Purge&) const = default;
 };
@@ -56,11 +56,11 @@
 // A view as it is kept on disk and read back. Ages are counted back from `taken_at`.
 struct Snapshot {
     std::string site;
-    Micros taken_at = 0;   // Unix time by the system's clock
+    base::UnixTime taken_at;
     Micros sure_age = -1;  // since a live source last confirmed the list; below 0: none ever did
     std::int64_t last_seq = 0, whole_at = 0, forgotten_to = 0;
     std::vector<Member> members;  // `answered` as an age: how long ago, below 0: never
-    std::vector<Purge> purges;
+    std::vector<Purge> purges;    // `at` as a Unix time of the clock of `taken_at`
 };
 
 struct Options {
@@ -91,7 +91,7 @@
     Heard apply(const config::Change& change, Micros now, int log = -1, Source source = Source::log);
     // What a file held. `wall_now`: the system's clock, by which the file's age is taken; `now`: of this
     // program. Members are used by the bands until a live source confirms the list.
-    void load(const Snapshot& saved, Micros wall_now, Micros now);
+    void load(const Snapshot& saved, base::UnixTime wall_now, Micros now);
     // Of a file whose age can't be told: nobody is to be used for it, but a drain, a removal and a purge that
     // were heard bind all the same.
     void load_warnings(const Snapshot& saved, Micros now);
@@ -134,7 +134,7 @@
     const std::map<std::string, Member>& members() const { return members_; }
     std::vector<Purge> purges() const;
 
-    Snapshot snapshot(const std::string& site, Micros wall_now, Micros now) const;
+    Snapshot snapshot(const std::string& site, base::UnixTime wall_now, Micros now) const;
     // Two views that know the same; times at which words came and members answered have no part in it.
     bool same_knowledge(const View& other) const;
 
@@ -158,6 +158,7 @@
     void merge_fleet(const config::Change& change, Micros now, Source source, bool& news, bool& no_room);
     void remove_unnamed(const config::Change& whole);
     void put_purge(const Purge& purge, Micros now, bool& news);
+    void load_purges(const Snapshot& saved, Micros now);
     void drop_oldest_purge();
     bool empties(const config::Change& change) const;
     bool is_cache(const Word& word) const;
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -17,6 +17,8 @@
 constexpr Micros kSlow = 1'000'000;
 // One sent away ends within a way there and back; a request that crossed is seen by its client within 50 ms.
 constexpr Micros kLeaving = 500'000;
+// Connections taken in one turn of the loop, so that a flood of them does not hold up those that are open.
+constexpr int kMostAtOnce = 64;
 
 }  // namespace
 
@@ -33,8 +35,8 @@
       patience_(patience),
       make_(std::move(make)),
       budget_(connections),
-      listener_(loop, place, [this](uv_stream_t* listener) {
-          waiting_ = listener;
+      listener_(loop, place, [this] {
+          waiting_ = true;
           admit();
       }) {
     loop_.each_turn([this, alive = std::weak_ptr<bool>(alive_)] {
@@ -54,21 +56,27 @@
     return here ? found->second.get() : nullptr;
 }
 
-// One connection is taken from the listener a call, which then goes on listening. While there is no room it
-// is left there, and those behind it with the system, until somebody has gone or can be let go.
+// Connections that find no room stay with the system until somebody has gone or can be let go.
 void Door::admit() {
-    if (!waiting_ || (budget_.left() <= 0 && !make_room())) return;
-    take(std::exchange(waiting_, nullptr), -1);
+    for (int taken = 0; waiting_ && taken < kMostAtOnce; ++taken) {
+        if (budget_.left() <= 0) {
+            waiting_ = listener_.has_waiting();
+            if (!waiting_) break;
+            if (!make_room()) return listener_.pause();
+        }
+        const int fd = listener_.accept();
+        waiting_ = fd >= 0;
+        if (fd >= 0) take(fd);
+    }
+    listener_.resume();
 }
 
-// The one that the loop has accepted at `listener`, or else that of a descriptor.
-void Door::take(uv_stream_t* listener, int fd) {
+void Door::take(int fd) {
     std::unique_ptr<Guest> guest = make_();
     guest->door_ = this;
     guest->number_ = next_++;
     guest->since_ = loop_.clock().now();
-    guest->stream_ = listener ? Stream::accept(loop_, budget_, listener, *guest)
-                              : Stream::adopt(loop_, budget_, fd, *guest);
+    guest->stream_ = Stream::adopt(loop_, budget_, fd, *guest);
     if (!guest->stream_) return;
     guest->place_ = queue(Doing::arriving).insert(queue(Doing::arriving).end(), guest.get());
     guests_.emplace(guest->number_, std::move(guest));
@@ -76,12 +84,13 @@
 
 // Danger: a listener that closes resets who waits in its queue, with the request sent on the connection.
 void Door::stop_listening(bool others_listen) {
-    admit();
-    for (int fd = -1; !others_listen && (fd = listener_.next()) >= 0;) {
-        if (budget_.left() <= 0) make_room();
-        take(nullptr, fd);  // without room it is closed
+    while (!others_listen && listener_.has_waiting()) {
+        waiting_ = true;
+        admit();
+        waiting_ = waiting_ || listener_.is_short();
+        if (waiting_) return;
     }
-    waiting_ = nullptr;
+    waiting_ = false;
     listener_.close();
 }
 
@@ -153,7 +162,8 @@
 
 bool Door::coming() const {
     const auto unread = [](const Guest* guest) { return guest->stream_->unread(); };
-    return !queue(Doing::sending).empty() || std::ranges::any_of(queue(Doing::arriving), unread) ||
+    return waiting_ || !queue(Doing::sending).empty() ||
+           std::ranges::any_of(queue(Doing::arriving), unread) ||
            std::ranges::any_of(queue(Doing::idle), unread);
 }
 
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "net/listener.h"
 #include "net/stream.h"
 
 namespace sumackeel::net {
@@ -68,8 +69,9 @@
     Guest* find(std::uint64_t number) const;
     std::size_t unsent() const { return budget_.unsent(); }  // bytes of answers, over all guests
     void set_connections(int most) { budget_.set_most(most); }
-    // Connections that wait in the system's queue are taken first, as far as there is room, unless another
-    // process takes them from the same socket.
+    // Connections that wait in the system's queue are taken first, unless another process takes them from the
+    // same socket. While some wait for which there is no room, or no descriptor, the listener stays: call
+    // again.
     void stop_listening(bool others_listen);
     // On: clients are sent away as on a drain or at the end. Idle connections end now, the others once
     // their last answer is read; the listener goes on as it was. Off: all as before.
@@ -78,7 +80,7 @@
     void part(Guest& guest);
     // Ends all at which nothing is open, half sent or unread, those too that never sent a thing.
     void part_with_all();
-    // A request is half sent, or has come and was not read yet.
+    // A request is half sent, or has come and was not read yet, or a connection waits at the listener.
     bool coming() const;
     std::size_t connections() const { return guests_.size(); }  // those leaving too
     int port() const { return listener_.port(); }
@@ -89,7 +91,7 @@
     void admit();
     bool make_room();
     void sweep();
-    void take(uv_stream_t* listener, int fd);
+    void take(int fd);
     void let_go(Guest& guest);
     void part_with(Doing doing);
     void lost(Guest& guest);
@@ -105,7 +107,7 @@
     std::vector<std::unique_ptr<Guest>> gone_;
     std::uint64_t next_ = 1;
     bool sending_away_ = false;
-    uv_stream_t* waiting_ = nullptr;  // the listener, while a connection waits there for room
+    bool waiting_ = false;                                        // connections may wait at the listener
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what is set in the loop
     Listener listener_;
 };
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -6,13 +6,15 @@
 #include <stdexcept>
 
 #include "base/log.h"
+#include "base/system_error.h"
 
 namespace sumackeel::net {
 
 Loop::Loop() {
     std::signal(SIGPIPE, SIG_IGN);  // a write to a closed connection is an error like any other
     std::signal(SIGXFSZ, SIG_IGN);  // and so is one to a file that may not grow
-    if (uv_loop_init(&loop_) != 0) throw std::runtime_error("no event loop can be made");
+    const int failed = base::retry_at_start([this] { return uv_loop_init(&loop_); });
+    if (failed != 0) throw std::runtime_error("no event loop can be made: " + base::describe_error(failed));
     loop_.data = this;
     uv_timer_init(&loop_, &timer_);
     uv_prepare_init(&loop_, &prepare_);
@@ -51,6 +53,7 @@
 
 void Loop::arm() {
     const auto next = deadlines_.next();
+    clock_.expect(next);
     if (!next) {
         uv_timer_stop(&timer_);
         return;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,12 +1,9 @@
 #include "net/stream.h"
 
 #include <sys/ioctl.h>
-#include <sys/socket.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <exception>
-#include <stdexcept>
 
 #include "base/log.h"
 
@@ -14,8 +11,6 @@
 
 namespace {
 
-constexpr int kBacklog = 1024;
-
 struct Write {
     uv_write_t request;
     std::string bytes;
@@ -47,17 +42,6 @@
     return nullptr;
 }
 
-Stream* Stream::accept(Loop& loop, Budget& budget, uv_stream_t* listener, Owner& owner) {
-    if (!budget.take()) return nullptr;
-    auto* stream = new Stream(loop, budget, owner);
-    if (uv_accept(listener, stream->as_stream()) != 0) {
-        stream->close();
-        return nullptr;
-    }
-    stream->start();
-    return stream;
-}
-
 Stream* Stream::adopt(Loop& loop, Budget& budget, int fd, Owner& owner) {
     if (!budget.take()) {
         ::close(fd);
@@ -167,77 +151,4 @@
     pause(false);
 }
 
-void check_listening(int fd) {
-    struct stat about {};
-    int type = 0, domain = 0, listening = 0;
-    socklen_t length = sizeof type;
-    const auto option = [&](int name, int& into) {
-        length = sizeof into;
-        return getsockopt(fd, SOL_SOCKET, name, &into, &length) == 0;
-    };
-    const std::string what = "descriptor " + std::to_string(fd) + " handed in ";
-    if (fd < 0 || fstat(fd, &about) != 0) throw std::runtime_error(what + "is not open");
-    if (!S_ISSOCK(about.st_mode)) throw std::runtime_error(what + "is no socket");
-    if (!option(SO_TYPE, type) || !option(SO_DOMAIN, domain) || type != SOCK_STREAM || domain != AF_INET)
-        throw std::runtime_error(what + "is no TCP socket over IPv4");
-    if (!option(SO_ACCEPTCONN, listening) || listening != 1)
-        throw std::runtime_error(what + "does not listen");
-}
-
-Listener::Listener(Loop& loop, const Place& place, std::function<void(uv_stream_t*)> on_connection)
-    : tcp_(new uv_tcp_t), on_connection_(std::move(on_connection)) {
-    uv_tcp_init(loop.raw(), tcp_);
-    tcp_->data = this;
-    int failed = 0;
-    if (place.inherited >= 0) {
-        try {
-            check_listening(place.inherited);
-        } catch (const std::exception&) {
-            close();
-            throw;
-        }
-        failed = uv_tcp_open(tcp_, place.inherited);
-    } else {
-        sockaddr_in at{};
-        const bool good = read_address(place.address, at);
-        failed = good ? uv_tcp_bind(tcp_, reinterpret_cast<const sockaddr*>(&at), 0) : UV_EINVAL;
-    }
-    // On a socket that listens already this only sets the queue's length again.
-    if (failed == 0)
-        failed =
-            uv_listen(reinterpret_cast<uv_stream_t*>(tcp_), kBacklog, [](uv_stream_t* server, int status) {
-                auto* self = static_cast<Listener*>(server->data);
-                if (status == 0 && self) self->on_connection_(server);
-            });
-    if (failed != 0) {
-        close();
-        throw std::runtime_error("can't listen on " + place.address + ": " + uv_strerror(failed));
-    }
-}
-
-Listener::~Listener() {
-    close();
-}
-
-int Listener::port() const {
-    sockaddr_in at{};
-    int length = sizeof at;
-    if (!tcp_ || uv_tcp_getsockname(tcp_, reinterpret_cast<sockaddr*>(&at), &length) != 0) return -1;
-    return ntohs(at.sin_port);
-}
-
-int Listener::next() {
-    uv_os_fd_t fd = -1;
-    if (!tcp_ || uv_fileno(reinterpret_cast<const uv_handle_t*>(tcp_), &fd) != 0) return -1;
-    return accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-}
-
-void Listener::close() {
-    if (!tcp_) return;
-    tcp_->data = nullptr;
-    uv_close(reinterpret_cast<uv_handle_t*>(tcp_),
-             [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
-    tcp_ = nullptr;
-}
-
 }  // namespace sumackeel::net
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -1,4 +1,4 @@
-// One TCP connection, and a listener for them.
+// One TCP connection.
 #pragma once
 
 #include <uv.h>
@@ -33,8 +33,7 @@
 
     // Null: no descriptor is left. A failure to connect is told from the loop, never from within the call.
     static Stream* connect(Loop& loop, Budget& budget, const sockaddr_in& to, Owner& owner);
-    static Stream* accept(Loop& loop, Budget& budget, uv_stream_t* listener, Owner& owner);
-    // Of a connection that was accepted elsewhere; `fd` is closed in any case.
+    // Of a connection that a listener took; `fd` is closed in any case. Null: no descriptor is left.
     static Stream* adopt(Loop& loop, Budget& budget, int fd, Owner& owner);
 
     void write(std::string bytes);
@@ -70,32 +69,4 @@
     bool reading_ = false;
 };
 
-// Where a listener is: an address to bind, or a descriptor handed in that listens already.
-struct Place {
-    Place(const std::string& at) : address(at) {}  // NOLINT: an address is the usual place
-    Place(const char* at) : address(at) {}         // NOLINT
-    Place(const std::string& at, int fd) : address(at), inherited(fd) {}
-    std::string address;
-    int inherited = -1;  // below 0: none; `address` is then bound
-};
-
-// Throws with a plain line unless `fd` is a listening TCP socket over IPv4.
-void check_listening(int fd);
-
-class Listener {
-  public:
-    Listener(Loop& loop, const Place& place, std::function<void(uv_stream_t*)> on_connection);
-    ~Listener();
-    Listener(const Listener&) = delete;
-    Listener& operator=(const Listener&) = delete;
-    int port() const;
-    // The next connection that waits in the system's queue, as a descriptor; -1: none.
-    int next();
-    void close();  // what waits in the queue is reset
-
-  private:
-    uv_tcp_t* tcp_;
-    std::function<void(uv_stream_t*)> on_connection_;
-};
-
 }  // namespace sumackeel::net
--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -224,6 +224,13 @@
     void on(const GroupNews& n) { set_.instances = n.instances, set_.zone_instances = n.zone_instances; }
     void on(const PeerNews&) {}  // none is asked for
 
+    // Attempts that are out and the transfers at their caches are judged as if the time had not passed.
+    void on(const Stalled& stalled) {
+        for (auto& [name, flight] : flights_) flight.sent = std::min(now_, flight.sent + stalled.span);
+        for (auto& [name, target] : targets_)
+            if (!target.flights.empty()) target.clock_at = std::min(now_, target.clock_at + stalled.span);
+    }
+
     // ---- the fill table ----
     bool cacheable(const Request& request) const {
         return !request.arrival.object.empty() && !service_of(request).uncached && !request.arrival.write;
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -329,9 +329,11 @@
     udp_->data = this;
     if (uv_udp_bind(udp_, reinterpret_cast<const sockaddr*>(&at), 0) != 0) return close(), false;
     try {
-        listener_ = std::make_unique<net::Listener>(loop_, setup_.listen, [this](uv_stream_t* server) {
+        listener_ = std::make_unique<net::Listener>(loop_, setup_.listen, [this] {
+            const int fd = listener_->accept();
+            if (fd < 0) return;
             auto exchange = std::make_unique<Exchange>(*this, false, "");
-            exchange->stream = net::Stream::accept(loop_, sockets_, server, *exchange);
+            exchange->stream = net::Stream::adopt(loop_, sockets_, fd, *exchange);
             if (!exchange->stream) return;
             exchanges_.push_back(std::move(exchange));
             if (exchanges_.size() > kMostExchanges) exchanges_.erase(exchanges_.begin());  // the oldest goes
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -12,6 +12,7 @@
 
 #include "config/operator.h"
 #include "group/group.h"
+#include "net/listener.h"
 #include "net/stream.h"
 #include "peers/meter.h"
 #include "peers/start_number.h"
--- a/src/peers/raft_transport.cpp
+++ b/src/peers/raft_transport.cpp
@@ -1,6 +1,7 @@
 #include "peers/raft_transport.h"
 
 #include <openssl/rand.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -18,7 +19,6 @@
 constexpr std::size_t kHello = kNumber + kAddress + kNumber + kCode;
 constexpr std::size_t kMostHands = 12;  // those that are coming up; beyond it the oldest goes
 constexpr base::Micros kHandPatience = 1'000'000;
-constexpr int kBacklog = 64;
 
 std::string number(std::uint64_t value) {
     std::string text;
@@ -199,21 +199,14 @@
         self->accepted_ = cb;
         sockaddr_in at{};
         if (!net::read_address(self->listen_, at)) return RAFT_INVALID;
-        self->listener_ = new uv_tcp_t;
-        uv_tcp_init(self->loop_.raw(), self->listener_);
-        self->listener_->data = self;
-        if (uv_tcp_bind(self->listener_, reinterpret_cast<const sockaddr*>(&at), 0) != 0) return RAFT_IOERR;
-        const int failed = uv_listen(
-            reinterpret_cast<uv_stream_t*>(self->listener_), kBacklog, [](uv_stream_t* server, int status) {
-                auto* owner = static_cast<RaftTransport*>(server->data);
-                if (status != 0 || owner->closing_) return;
-                if (owner->hands_.size() >= kMostHands) owner->hands_.front()->drop(RAFT_NOCONNECTION);
-                auto* hand = new Hand(*owner);
-                if (uv_accept(server, reinterpret_cast<uv_stream_t*>(hand->tcp)) != 0)
-                    return hand->drop(RAFT_NOCONNECTION);
-                hand->greet();
-            });
-        return failed == 0 ? 0 : RAFT_IOERR;
+        try {
+            self->listener_ =
+                std::make_unique<net::Listener>(self->loop_, self->listen_, [self] { self->take_next(); });
+        } catch (const std::exception& wrong) {
+            log::error("agreed: {}", wrong.what());
+            return RAFT_IOERR;
+        }
+        return 0;
     };
     transport_.connect = [](raft_uv_transport* t, raft_uv_connect* request, raft_id, const char* address,
                             raft_uv_connect_cb cb) {
@@ -239,16 +232,32 @@
         self->close_cb_ = cb;
         const auto hands = self->hands_;
         for (Hand* hand : hands) hand->drop(RAFT_CANCELED);
-        if (!self->listener_) return self->finish_close();
-        uv_close(reinterpret_cast<uv_handle_t*>(self->listener_), [](uv_handle_t* handle) {
+        self->listener_.reset();
+        // Told from the loop, as the library expects it of whatever closes.
+        auto* told_later = new uv_timer_t;
+        uv_timer_init(self->loop_.raw(), told_later);
+        told_later->data = self;
+        uv_close(reinterpret_cast<uv_handle_t*>(told_later), [](uv_handle_t* handle) {
             auto* owner = static_cast<RaftTransport*>(handle->data);
-            delete reinterpret_cast<uv_tcp_t*>(handle);
-            owner->listener_ = nullptr;
+            delete reinterpret_cast<uv_timer_t*>(handle);
+            owner->closed_listener_ = true;
             owner->finish_close();
         });
     };
 }
 
+void RaftTransport::take_next() {
+    const int fd = closing_ ? -1 : listener_->accept();
+    if (fd < 0) return;
+    if (hands_.size() >= kMostHands) hands_.front()->drop(RAFT_NOCONNECTION);
+    auto* hand = new Hand(*this);
+    if (uv_tcp_open(hand->tcp, fd) != 0) {
+        ::close(fd);
+        return hand->drop(RAFT_NOCONNECTION);
+    }
+    hand->greet();
+}
+
 RaftTransport::~RaftTransport() = default;
 
 void RaftTransport::closed(Hand* hand) {
@@ -258,7 +267,7 @@
 }
 
 void RaftTransport::finish_close() {
-    if (listener_ || !hands_.empty() || !close_cb_) return;
+    if (!closed_listener_ || !hands_.empty() || !close_cb_) return;
     std::exchange(close_cb_, nullptr)(&transport_);
 }
 
--- a/src/peers/raft_transport.h
+++ b/src/peers/raft_transport.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <string>
 
-#include "net/loop.h"
+#include "net/listener.h"
 #include "peers/raft_library.h"
 #include "peers/wire.h"
 
@@ -33,6 +33,7 @@
   private:
     struct Hand;  // a connection until both sides are known
     void closed(Hand* hand);
+    void take_next();
     void finish_close();
 
     net::Loop& loop_;
@@ -44,12 +45,12 @@
     raft_uv_transport transport_{};
     raft_id id_ = 0;
     std::string address_;
-    uv_tcp_t* listener_ = nullptr;
+    std::unique_ptr<net::Listener> listener_;
     raft_uv_accept_cb accepted_ = nullptr;
     raft_uv_transport_close_cb close_cb_ = nullptr;
     std::vector<Hand*> hands_;
     std::uint64_t refused_ = 0;
-    bool closing_ = false;
+    bool closing_ = false, closed_listener_ = false;
 };
 
 }  // namespace sumackeel::peers
--- a/src/peers/voter.cpp
+++ b/src/peers/voter.cpp
@@ -252,7 +252,7 @@
         if (made != 0 && (forced || made != RAFT_CANTBOOTSTRAP)) return fault_of(made, "who votes");
         if (!forced) return {};
         // Before the mark is taken off: what the log went on without is never spoken with again.
-        const auto now = static_cast<std::uint64_t>(loop.clock().now());
+        const auto now = static_cast<std::uint64_t>(loop.clock().unix_now().micros);
         if (std::string wrong =
                 put_history(hooks.setup.folder, std::max(history_in(hooks.setup.folder) + 1, now));
             !wrong.empty())
--- a/src/saved_list/folder.cpp
+++ b/src/saved_list/folder.cpp
@@ -33,7 +33,7 @@
     }
 }
 
-Found Folder::read(const membership::Names& names, const std::string& site, Micros wall_now) const {
+Found Folder::read(const membership::Names& names, const std::string& site, base::UnixTime wall_now) const {
     Found found;
     for (const std::uint64_t generation : lists_.all()) {
         const std::string file = lists_.path_of(generation);
--- a/src/saved_list/folder.h
+++ b/src/saved_list/folder.h
@@ -38,7 +38,7 @@
     explicit Folder(std::string path);
 
     const std::string& path() const { return path_; }
-    Found read(const membership::Names& names, const std::string& site, membership::Micros wall_now) const;
+    Found read(const membership::Names& names, const std::string& site, base::UnixTime wall_now) const;
     // Puts a new generation beside `keep`, the last good one, and removes all others: whole or not at all.
     // Empty: it is on disk; else what went wrong, and the folder is as it was.
     std::string write(const std::string& bytes, std::uint64_t generation, std::uint64_t keep) const;
--- a/src/saved_list/keeper.cpp
+++ b/src/saved_list/keeper.cpp
@@ -147,7 +147,7 @@
     std::optional<Found> found;
 };
 
-Loading::Loading(std::string folder, membership::Names names, std::string site, Micros wall_now)
+Loading::Loading(std::string folder, membership::Names names, std::string site, base::UnixTime wall_now)
     : shared_(std::make_shared<Shared>()) {
     std::thread([shared = shared_, folder = Folder(std::move(folder)), names = std::move(names),
                  site = std::move(site), wall_now] {
--- a/src/saved_list/keeper.h
+++ b/src/saved_list/keeper.h
@@ -75,7 +75,7 @@
 // Locks and reads a folder in a thread of its own, so that a disk that hangs holds nobody up.
 class Loading {
   public:
-    Loading(std::string folder, membership::Names names, std::string site, Micros wall_now);
+    Loading(std::string folder, membership::Names names, std::string site, base::UnixTime wall_now);
     // What was found, once; nothing while it still reads, or when it was taken before.
     std::optional<Found> take(std::chrono::milliseconds wait);
 
--- a/src/store/desk.cpp
+++ b/src/store/desk.cpp
@@ -59,17 +59,16 @@
 };
 
 Desk::Desk(net::Loop& loop, net::Budget& budget, const std::string& listen, Take take)
-    : loop_(loop),
-      budget_(budget),
-      take_(std::move(take)),
-      listener_(loop, listen, [this](uv_stream_t* listener) {
+    : loop_(loop), budget_(budget), take_(std::move(take)), listener_(loop, listen, [this] {
+          const int fd = listener_.accept();
+          if (fd < 0) return;
           // With all places taken the one idle the longest goes.
           if (callers_.size() >= kPlaces)
               (*std::min_element(callers_.begin(), callers_.end(), [](const auto& a, const auto& b) {
                   return a->asked < b->asked;
               }))->shut();
           auto caller = std::make_shared<Caller>(*this);
-          caller->stream = net::Stream::accept(loop_, budget_, listener, *caller);
+          caller->stream = net::Stream::adopt(loop_, budget_, fd, *caller);
           if (!caller->stream) return;
           callers_.push_back(caller);
           loop_.deadlines().set(loop_.clock().now() + kIdle, [caller = std::weak_ptr<Caller>(caller), this,
--- a/src/store/desk.h
+++ b/src/store/desk.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "net/listener.h"
 #include "net/stream.h"
 
 namespace sumackeel::store {
--- a/tests/cli/write_list.cpp
+++ b/tests/cli/write_list.cpp
@@ -9,7 +9,7 @@
 int main(int argc, char** argv) {
     using namespace sumackeel;
     if (argc != 4) return 2;
-    const auto wall = base::Clock().wall();
+    const auto wall = base::Clock().unix_now();
     const auto age = std::atoll(argv[3]) * base::kSecond;
     membership::Snapshot list;
     list.site = "school";
@@ -28,7 +28,7 @@
     add("s-a", 0, nettlethread::CacheState::ready);
     add("s-drained", 0, nettlethread::CacheState::draining);
     add("s-origin", 1, nettlethread::CacheState::ready);
-    list.purges.push_back({"", 17, list.taken_at});
+    list.purges.push_back({"", 17, list.taken_at.micros});
     const saved_list::Folder folder(argv[1]);
     const auto generation = static_cast<std::uint64_t>(std::atoll(argv[2]));
     const std::string fault =
--- a/tests/daemon/list_test.cpp
+++ b/tests/daemon/list_test.cpp
@@ -23,8 +23,8 @@
 
 const Names kNames{{"coast", "edge-1"}, {"small", "parent", "origin"}};
 
-Micros wall() {
-    return sumackeel::base::Clock().wall();
+sumackeel::base::UnixTime wall() {
+    return sumackeel::base::Clock().unix_now();
 }
 
 struct Entry {
@@ -233,7 +233,7 @@
     {
         Daemon daemon({}, log.address(), saved.setup);
         CHECK(saved.until([](const Snapshot& list) { return list.last_seq == 1; }));
-        const auto ms = wall() / 1000;
+        const auto ms = wall().micros / 1000;
         log.tell(2, R"({"seq":2,"invalidate":{"bucket":17,"time":)" + std::to_string(ms) + "}}");
         CHECK(
             saved.until([](const Snapshot& list) { return list.last_seq == 2 && list.purges.size() == 1; }));
--- a/tests/daemon/store_test.cpp
+++ b/tests/daemon/store_test.cpp
@@ -11,6 +11,7 @@
 
 #include "net/stream.h"
 #include "store/old_store.h"
+#include "net/listener.h"
 #include "store/redis_one_time.h"
 
 using namespace sumackeel;
@@ -142,8 +143,9 @@
 TEST_CASE("links for one use through Redis") {
     Turning turning;
     Resp resp;
-    auto listener = std::make_unique<net::Listener>(turning.loop, "127.0.0.1:0", [&](uv_stream_t* from) {
-        resp.streams.push_back(net::Stream::accept(turning.loop, turning.budget, from, resp));
+    std::unique_ptr<net::Listener> listener;
+    listener = std::make_unique<net::Listener>(turning.loop, "127.0.0.1:0", [&] {
+        resp.streams.push_back(net::Stream::adopt(turning.loop, turning.budget, listener->accept(), resp));
     });
     store::RedisOneTime one_time(turning.loop, "127.0.0.1:" + std::to_string(listener->port()));
     using core::Use;
--- a/tests/membership/merge_properties.cpp
+++ b/tests/membership/merge_properties.cpp
@@ -91,8 +91,8 @@
         const int more = *rc::gen::inRange(0, 10);
         for (int i = 0; i < more; ++i) view.apply(any_change(), kNow);  // none of them newer
         view.seed(any_change(), kNow);
-        Snapshot file = view_of(any_changes()).snapshot("s", kNow, kNow);
-        view.load(file, kNow, kNow);
+        Snapshot file = view_of(any_changes()).snapshot("s", {kNow}, kNow);
+        view.load(file, {kNow}, kNow);
         view.confirm(kNow);
         RC_ASSERT(view.use_of(out.entry.cache, kNow) == Use::none);
     }));
@@ -101,10 +101,10 @@
 TEST(MergeProperties, ARestartThroughAFileKnowsTheSame) {
     EXPECT_TRUE(rc::check([] {
         const View before = view_of(any_changes());
-        const Decoded read = decode(encode(before.snapshot("s", kNow, kNow), {}), {});
+        const Decoded read = decode(encode(before.snapshot("s", {kNow}, kNow), {}), {});
         RC_ASSERT(!read.fault);
         View after;
-        after.load(read.list, kNow, kNow);
+        after.load(read.list, {kNow}, kNow);
         after.confirm(kNow);
         View same = before;
         same.confirm(kNow);
--- a/tests/membership/saved_test.cpp
+++ b/tests/membership/saved_test.cpp
@@ -19,7 +19,7 @@
 Snapshot some_list(int members = 3) {
     Snapshot list;
     list.site = "school";
-    list.taken_at = kNow;
+    list.taken_at = {kNow};
     list.sure_age = kSecond;
     list.last_seq = 41, list.whole_at = 7, list.forgotten_to = 3;
     for (int i = 0; i < members; ++i) {
@@ -113,12 +113,12 @@
 
 TEST(SavedForm, OtherSitesAndWrongClocksAreToldApart) {
     const Snapshot list = some_list();
-    EXPECT_FALSE(judge(list, "school", kNow + 3600 * kSecond));
-    EXPECT_FALSE(judge(list, "school", kNow - kSecond));  // clocks may be a little apart
-    EXPECT_EQ(judge(list, "other", kNow)->kind, Kind::other_site);
-    EXPECT_EQ(judge(list, "school", kNow - 3600 * kSecond)->kind, Kind::wrong_clock);  // set back an hour
-    EXPECT_EQ(judge(list, "school", kNow + kOldest + kSecond)->kind, Kind::wrong_clock);
-    EXPECT_EQ(age_of(list, kNow + 10 * kSecond), 11 * kSecond);
+    EXPECT_FALSE(judge(list, "school", {kNow + 3600 * kSecond}));
+    EXPECT_FALSE(judge(list, "school", {kNow - kSecond}));  // clocks may be a little apart
+    EXPECT_EQ(judge(list, "other", {kNow})->kind, Kind::other_site);
+    EXPECT_EQ(judge(list, "school", {kNow - 3600 * kSecond})->kind, Kind::wrong_clock);  // set back an hour
+    EXPECT_EQ(judge(list, "school", {kNow + kOldest + kSecond})->kind, Kind::wrong_clock);
+    EXPECT_EQ(age_of(list, {kNow + 10 * kSecond}), 11 * kSecond);
 }
 
 }  // namespace sumackeel::membership
--- a/tests/membership/view_test.cpp
+++ b/tests/membership/view_test.cpp
@@ -64,7 +64,7 @@
     view.confirm(then);
     view.answered("a", then);
     view.answered("b", then);
-    return view.snapshot("school", then, then);
+    return view.snapshot("school", {then}, then);
 }
 
 View live_view() {
@@ -75,7 +75,7 @@
 
 View started_with(const Snapshot& saved, Options set = options()) {
     View view(set);
-    view.load(saved, kStart, kStart);
+    view.load(saved, {kStart}, kStart);
     return view;
 }
 
@@ -150,7 +150,7 @@
     old.apply(fleet(6, false, {placed("a", "10.0.0.1:1", CacheState::draining)}), kStart - 3 * kSecond);
     View view = started_with(saved_of(old, 2 * kSecond));
     EXPECT_EQ(view.use_of("a", kStart), Use::none);
-    view.load(before, kStart, kStart);  // an older file that knew it as serving
+    view.load(before, {kStart}, kStart);  // an older file that knew it as serving
     view.seed(fleet(0, true, {kA, kB}), kStart);
     EXPECT_EQ(view.use_of("a", kStart), Use::none);
     view.confirm(kStart);
@@ -375,8 +375,8 @@
     View old = live_view();
     old.apply(fleet(6, false, {placed("a", "10.0.0.1:1", CacheState::draining)}), kStart);
     old.apply(purge(7, "x", kStart + 3600 * kSecond), kStart + 3600 * kSecond);
-    const Snapshot ahead = old.snapshot("school", kStart + 3600 * kSecond, kStart + 3600 * kSecond);
-    ASSERT_EQ(judge(ahead, "school", kStart)->kind, Fault::Kind::wrong_clock);
+    const Snapshot ahead = old.snapshot("school", {kStart + 3600 * kSecond}, kStart + 3600 * kSecond);
+    ASSERT_EQ(judge(ahead, "school", {kStart})->kind, Fault::Kind::wrong_clock);
     View view(options());
     view.load_warnings(ahead, kStart);
     view.seed(fleet(0, true, {kA, kB}), kStart);
--- a/tests/saved_list/folder_test.cpp
+++ b/tests/saved_list/folder_test.cpp
@@ -30,15 +30,15 @@
 
 const Names kNames{{"edge-1"}, {"small"}};
 
-Micros wall() {
-    return base::Clock().wall();
+base::UnixTime wall() {
+    return base::Clock().unix_now();
 }
 
 // A list that tells its number in each part, so that a mixture of two would be seen.
-Snapshot list_of(std::int64_t number, Micros taken_at = 0, int members = 20) {
+Snapshot list_of(std::int64_t number, base::UnixTime taken_at = {}, int members = 20) {
     Snapshot list;
     list.site = "school";
-    list.taken_at = taken_at ? taken_at : wall();
+    list.taken_at = taken_at.micros ? taken_at : wall();
     list.sure_age = 0;
     list.last_seq = number;
     for (int i = 0; i < members; ++i) {
@@ -53,7 +53,7 @@
 }
 
 bool is_whole(const Snapshot& list, int members = 20) {
-    const auto expected = list_of(list.last_seq, 1, members);
+    const auto expected = list_of(list.last_seq, {1}, members);
     return list.members.size() == expected.members.size() &&
            std::equal(list.members.begin(), list.members.end(), expected.members.begin(),
                       [](const auto& a, const auto& b) { return a.word->same_as(*b.word); });
@@ -98,7 +98,7 @@
 }
 
 TEST_F(ListFolder, AGenerationThatCantBeUsedIsPassedOverForTheOlderOneWithTheReason) {
-    const Micros now = wall();
+    const base::UnixTime now = wall();
     const auto passed = [&](const Snapshot& newer, auto&& change) {
         put(1, list_of(1, now));
         change(put(2, newer));
@@ -110,7 +110,7 @@
     const auto as_it_is = [](const std::string&) {};
     EXPECT_EQ(passed(list_of(2, now + 3600 * kSecond), as_it_is), Fault::Kind::wrong_clock);
     EXPECT_EQ(read().warnings.size(), 1u);
-    EXPECT_EQ(passed(list_of(2, kSecond), as_it_is), Fault::Kind::wrong_clock);  // 1970
+    EXPECT_EQ(passed(list_of(2, {kSecond}), as_it_is), Fault::Kind::wrong_clock);  // 1970
     Snapshot foreign = list_of(2, now);
     foreign.site = "elsewhere";
     EXPECT_EQ(passed(foreign, as_it_is), Fault::Kind::other_site);
