--- a/src/nettlethread/choice.cpp
+++ b/src/nettlethread/choice.cpp
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "nettlethread/bounded_map.h"
+#include "nettlethread/candidates.h"
 #include "nettlethread/hash.h"
 #include "nettlethread/router.h"
 #include "nettlethread/state.h"
@@ -134,6 +135,48 @@
             if (target.role == Role::cache) caches_.push_back(&target);
             if (target.role == Role::parent) parents_.push_back(&target);
         }
+        zone_stale_ = true;
+    }
+
+    // The compact table over `caches_`, made anew after a list, a slow start, and once one is warm.
+    void refresh_zone() {
+        if (!zone_stale_ && now_ < next_warm_at_) return;
+        zone_stale_ = false;
+        next_warm_at_ = std::numeric_limits<Micros>::max();
+        warm_capacity_ = 0;
+        for (auto& [name, target] : targets_) target.place = kNoPlace;
+        zone_.clear();
+        for (Target* cache : caches_) {
+            cache->place = zone_.size();
+            const bool warm = is_warm(*cache);
+            if (warm) warm_capacity_ += capacity(*cache);
+            zone_.push_back({cache->hash, cache->entry.weight, cache, warm, cache->health.open});
+        }
+    }
+
+    // Also notes when it will be.
+    bool is_warm(const Target& cache) {
+        const Micros since = cache.entry.since;
+        if (since <= 0 || (set_.warm_after <= 0 && !cache.unproven)) return true;
+        const Micros warm_at = since + set_.warm_after + set_.overload_for;
+        if (cache.unproven) return false;
+        if (now_ < warm_at) next_warm_at_ = std::min(next_warm_at_, warm_at);
+        return now_ >= warm_at;
+    }
+
+    double zone_capacity() {
+        if (zone_capacity_at_ != now_ || zone_stale_) {
+            refresh_zone();
+            zone_capacity_ = warm_capacity_;
+            for (const ZoneCache& cache : zone_)
+                if (!cache.warm) zone_capacity_ += capacity(*cache.target);
+            zone_capacity_at_ = now_;
+        }
+        return zone_capacity_;
+    }
+
+    void mirror_breaker(const Target& target) {
+        if (!zone_stale_ && target.place != kNoPlace) zone_[target.place].open = target.health.open;
     }
 
     void on(const Arrival& arrival) {
@@ -363,20 +406,20 @@
     Plan best_plan(Request& request, Copy* copy, bool shared) {
         Target* holder = copy ? proven_holder(*copy, request) : nullptr;
         const bool old_copy = holder && service_of(request).grace > 0 && !request.attempts.empty();
-        auto order = caches_in_order(request, old_copy ? holder : nullptr);
+        Ranking order = caches_in_order(request, old_copy ? holder : nullptr);
         if (order.empty()) return {};
         Target* wish = shared                                                        ? copy->cache
                        : old_copy || (holder && now_ - copy->served_at < kRecentHit) ? holder
                                                                                      : nullptr;
-        auto place = std::ranges::find(order, wish, &std::pair<double, Target*>::second);
-        const std::size_t width = copy ? width_for(*copy, request, *order.front().second) : order.size();
+        const bool wish_usable = order.contains(wish);
+        const std::size_t width = copy ? width_for(*copy, request, *order.at(0)) : order.size();
         // Danger: leaving a fill under way for another cache begins it twice. Left only when distrusted.
-        if (shared && place != order.end()) return plan_at(request, copy, *wish);
-        if (width == 1 && place != order.end()) std::rotate(order.begin(), place, place + 1);
+        if (shared && wish_usable) return plan_at(request, copy, *wish);
+        if (width == 1 && wish_usable) order.move_to_front(wish);
         const double limit = static_cast<double>(request.aim_at - now_) / kAimMargin;
         Plan best;
         for (std::size_t i = 0; i < order.size(); ++i) {
-            const Plan plan = plan_at(request, copy, *order[i].second);
+            const Plan plan = plan_at(request, copy, *order.at(i));
             // Danger: a slow fill is slow at every cache. Moving on for it fills the object once more
             // elsewhere and crowds the link in, so only what the cache itself takes counts here.
             if (!best.cache ||
@@ -431,21 +474,25 @@
     }
 
     // `old_holder` may be asked again: its old copy can answer what a fill there could not.
-    std::vector<std::pair<double, Target*>> caches_in_order(const Request& request,
-                                                            const Target* old_holder) {
-        std::vector<std::pair<double, Target*>> scored;
+    Ranking caches_in_order(const Request& request, const Target* old_holder) {
+        Ranking ranking;
+        refresh_zone();
         const std::uint64_t key = hash_of(request.arrival.object.empty() ? request.arrival.id : request.key);
+        const bool first = request.attempts.empty();
         for (const bool strict : {true, false}) {
-            for (Target* target : caches_) {
-                const bool again = tried(request, *target) && target != old_holder;
-                if ((strict && (again || !admits(*target))) || !usable(*target, request)) continue;
-                scored.emplace_back(
-                    -rendezvous(key, target->hash, target->entry.weight * ramp(*target, now_)), target);
+            for (const ZoneCache& cache : zone_) {
+                Target& target = *cache.target;
+                // Nothing speaks against a warm one with its breaker closed that was not asked yet.
+                if (!first || !cache.warm || cache.open) {
+                    const bool again = tried(request, target) && &target != old_holder;
+                    if ((strict && (again || !admits(target))) || !usable(target, request)) continue;
+                }
+                const double weight = cache.warm ? cache.weight : cache.weight * ramp(target, now_);
+                ranking.add(rendezvous(key, cache.hash, weight), &target);
             }
-            if (!scored.empty()) break;  // never eject all: with none healthy, the unhealthy ones are asked
+            if (!ranking.empty()) break;  // never eject all: with none healthy, the unhealthy ones are asked
         }
-        std::ranges::sort(scored, {}, &std::pair<double, Target*>::first);
-        return scored;
+        return ranking;
     }
 
     bool tried(const Request& request, const Target& target) const {
@@ -527,7 +574,7 @@
     }
 
     // A cache of the zone that surely has the copy may fill another that lacks it: it spares the link in.
-    Target* sibling_holding(const Request& request, const Copy* copy, const Target& cache) const {
+    Target* sibling_holding(const Request& request, const Copy* copy, const Target& cache) {
         Target* holder = copy ? proven_holder(*copy, request) : nullptr;
         const bool sure = holder && holder != &cache && set_.neighbours != Neighbours::none &&
                           now_ - copy->served_at < kRecentHit && service_of(request).fresh == 0;
@@ -560,6 +607,7 @@
     void start_cold(Target& target, Micros since) {
         target.debt = {dearest_mean() * unit_hash(rng_(), target.hash), since};
         target.entry.since = since;
+        zone_stale_ = true;
     }
 
     double sharers(const Target& target) const {
@@ -626,7 +674,7 @@
 
     // Transfers that a cache's link out feels, over those it fits. Danger: a fill that waits for a crowded
     // link in takes next to nothing of the link out; counted in full, it would have hits refused.
-    double crowd(const Target& target, double more) const {
+    double crowd(const Target& target, double more) {
         const double fills = target.fills * fill_share(0);
         const double hits = static_cast<double>(target.flights.size()) - target.fills;
         return (hits + fills + others_at(target) + more) / capacity(target);
@@ -636,10 +684,9 @@
     // present ones as everybody's, it would refuse at an idle cache; taking none, it would trust a full one.
     // So: a report while it is new; else our own mean in the zone, by weight and by what we ourselves had
     // there.
-    double others_at(const Target& target) const {
+    double others_at(const Target& target) {
         if (target.role != Role::cache || sharers(target) <= 1) return 0;
-        double zone = 0;
-        for (const Target* cache : caches_) zone += capacity(*cache);
+        const double zone = zone_capacity();
         const double out = faded(mean_out_, out_now_, kLoadMemory);
         const double fills = faded(mean_fills_, fills_out_, kLoadMemory);
         const double usual = out * capacity(target) / std::max(zone, capacity(target));
@@ -677,7 +724,7 @@
         return std::min(1.0, link_fits() / std::max(1.0, fills_out_ + others + more));
     }
 
-    double service_now(const Target& target) const {
+    double service_now(const Target& target) {
         const double rate = std::min(1.0, 1 / std::max(0.01, crowd(target, 0)));
         return target.service_clock + rate * static_cast<double>(now_ - target.clock_at);
     }
@@ -691,12 +738,12 @@
     }
 
     // Time taken over time expected: a fill by the clock on the wall, a hit by its part of the service.
-    double ratio_so_far(const Target& target, const Flight& flight) const {
+    double ratio_so_far(const Target& target, const Flight& flight) {
         if (flight.fill) return static_cast<double>(now_ - flight.sent) / flight.expected;
         return (service_now(target) - flight.started) / flight.expected;
     }
 
-    double late(const Target& target) const {
+    double late(const Target& target) {
         double value = late_faded(target);
         for (const Flight* flight : target.flights)  // those still out tell of a hang before any answer does
             if (target.heard <= flight->due())
@@ -704,7 +751,7 @@
         return std::clamp(value, 0.5, kMostLate);
     }
 
-    double predicted(const Request& request, const Target& cache, const Target* source, bool renewal) const {
+    double predicted(const Request& request, const Target& cache, const Target* source, bool renewal) {
         const double slow = late(cache);
         // As if the crowd stayed: under load, arrivals take the places of those that end.
         double service = request.work * std::max(1.0, crowd(cache, 1)) * slow;
@@ -735,6 +782,7 @@
         health.failing *= 1 - kGain;
         if (health.open && health.trial_out) {
             health.open = health.trial_out = false;
+            mirror_breaker(target);
             act(Log{"breaker closed: " + target.entry.cache});
         }
         if (!health.open) health.opened_for -= health.opened_for / kCalm;
@@ -749,6 +797,7 @@
         health.open_until = now_ + health.opened_for + jitter(health.opened_for / 4);
         health.open = true;
         health.trial_out = false;
+        mirror_breaker(target);
         act(Log{"breaker open: " + target.entry.cache});
     }
 
@@ -795,7 +844,9 @@
         target.heard = now_;
         const bool was_lost = std::exchange(target.lost, 0) >= kLostFor;
         if (was_lost && target.role != Role::origin) start_cold(target, now_);
-        if (std::exchange(target.unproven, false)) target.entry.since = now_;
+        if (!std::exchange(target.unproven, false)) return;
+        target.entry.since = now_;
+        zone_stale_ = true;
     }
 
     // ---- the origin ----
@@ -964,7 +1015,7 @@
     }
 
     // In a crowd a late answer costs others theirs, which are worth more: refused at once, it is spared.
-    bool hopeless(const Request& request, const Plan& plan) const {
+    bool hopeless(const Request& request, const Plan& plan) {
         const bool old_copy = plan.stale && plan.old_copy;
         const double finish = old_copy ? plan.answer : plan.finish;
         const bool fills_crowded =
@@ -1022,7 +1073,13 @@
     BoundedMap<std::string, Micros> purges_{kMostPurges};  // when each object or group was last purged
     std::vector<std::pair<double, double>> mean_;          // total and count of sending times, by class
     std::map<std::string, Target> targets_;
-    std::vector<Target*> caches_, parents_;    // those ready, the caches of our zone; in order of name
+    std::vector<Target*> caches_, parents_;  // those ready, the caches of our zone; in order of name
+    std::vector<ZoneCache> zone_;            // `caches_` as the ranking reads them
+    bool zone_stale_ = true;                 // it is to be made anew
+    Micros next_warm_at_ = 0;                // and then, when the next of them is warm
+    double warm_capacity_ = 0;               // of those that are warm
+    double zone_capacity_ = 0;               // of all, as of zone_capacity_at_
+    Micros zone_capacity_at_ = -1;
     double hit_share_ = 0;                     // of what we had no proof of, lately
     double out_now_ = 0, fills_out_ = 0;       // attempts of ours, those on the link in
     Mean mean_out_, mean_fills_, told_fills_;  // the same over kLoadMemory; what others have by report
--- a/src/nettlethread/state.h
+++ b/src/nettlethread/state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cmath>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <string>
@@ -68,9 +69,12 @@
 constexpr double kOriginWait =
     160'000;  // us; first byte by way of a parent and an origin that is not crowded
 
+constexpr std::size_t kNoPlace = static_cast<std::size_t>(-1);
+
 struct Target {
     CacheEntry entry;
-    std::uint64_t hash = 0;  // of its name
+    std::size_t place = kNoPlace;  // in the table of the zone's caches
+    std::uint64_t hash = 0;        // of its name
     Role role = Role::foreign;
     Health health;
     std::vector<const Flight*> flights;
