--- a/tests/faults/calls.cpp
+++ b/tests/faults/calls.cpp
@@ -239,6 +239,11 @@
     return real<FILE* (*)(const char*, const char*)>("fopen")(path, mode);
 }
 
+FILE* fopen64(const char* path, const char* mode) {
+    if (is_covered_path(path) && fails("open")) return nullptr;
+    return real<FILE* (*)(const char*, const char*)>("fopen64")(path, mode);
+}
+
 int fsync(int fd) {
     if (is_covered_file(fd) && fails("fsync")) return -1;
     return real<int (*)(int)>("fsync")(fd);
--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -3,11 +3,14 @@
 
 Usage: faults_test.py SUMACKEEL LIBRARY STORY
 """
+import os
 import signal
+import subprocess
 import sys
+import tempfile
 import time
 
-from rig import FAILED, REFUSED, SERVED, Boxes, Crowd, Failure, Proxy
+from rig import FAILED, REFUSED, SERVED, Boxes, Crowd, Failure, Proxy, listening
 
 ACCEPT_ERRORS = "ECONNABORTED+ENFILE+ENOBUFS+EMFILE+EPROTO+EINTR"
 HOUR = 3600
@@ -117,8 +120,79 @@
     play(program, library, "", 4.5, judge, stop)
 
 
+DISK_ERRORS = ("write=ENOSPC/1@1-4", "write=ENOSPC+EIO/2@1-4", "fsync=EIO/1@1-4", "rename=EIO/1@1-4",
+               "open=EMFILE/1@1-4")
+
+
+def bans_of(proxy):
+    return proxy.call("/ops/stats", "GET")[1].split("gw_pop_caches_down ")[1].split()[0]
+
+
+def hand_over_fails(program, library):
+    """A ban told while the hand-over's folder fails is known to the process behind, also where this one is killed
+    once it has said that it is kept."""
+    for faults in DISK_ERRORS:
+        boxes = Boxes()
+        first = Proxy(program, library, boxes.at, faults, under="sumackeel")
+        first.ready()
+        first.wait_until(2)
+        status, said = first.call("/ops/pop-caches/down/s-a")
+        want(status == 200, f"{faults}: the ban got {status}")
+        want("not kept" in said, f"{faults}: told yes and not that it is not kept: {said!r}")
+        first.wait_until(5)
+        first.kill()
+        second = Proxy(program, library, boxes.at, folder=first.folder)
+        try:
+            second.ready()
+            want(bans_of(second) == "1", f"{faults}: the ban was forgotten")
+        finally:
+            second.end()
+        print(f"{faults}: kept")
+
+
+def hand_over_unreadable(program, library):
+    """A process that can't read the hand-over for the first seconds waits for it, and does not forget a ban."""
+    boxes = Boxes()
+    first = Proxy(program, library, boxes.at)
+    first.ready()
+    want(first.call("/ops/pop-caches/down/s-a") == (200, "down s-a\n"), "the ban was refused")
+    first.kill()
+    second = Proxy(program, library, boxes.at, "open=ENFILE/1@0-1.5", under="sumackeel", folder=first.folder)
+    try:
+        second.ready()
+        want(bans_of(second) == "1", "the ban was forgotten")
+    finally:
+        second.end()
+
+
+def recovery_folder_fails(program, library):
+    """What the folder of the recovery is owed is written once it can be, with nothing told meanwhile."""
+    for faults in DISK_ERRORS:
+        boxes = Boxes()
+        peer, folder = listening(), tempfile.TemporaryDirectory(prefix="sumackeel-faults-")
+        with open(os.path.join(folder.name, "key"), "w", encoding="utf-8") as out:
+            out.write("a key of this test alone\n")
+        operator = (f'[peers]\ngroup = "school"\nname = "n0"\nlisten = "127.0.0.1:{peer.getsockname()[1]}"\nkey = "key"\n'
+                    'folder = "state"\n[recovery]\nfolder = "kept"\nask_s = 1\nsettle_s = 1\nprime_s = 1\n')
+        peer.close()
+        first = Proxy(program, library, boxes.at, faults.replace("@1-4", "@5-8"), under="kept", folder=folder,
+                      operator=operator)
+        first.ready()
+        first.wait_until(6)
+        status, said = first.call("/ops/pop-caches/down/s-a")
+        want(status == 200 and "not kept" in said, f"{faults}: {status} {said!r}")
+        first.wait_until(10)
+        first.kill()
+        shown = subprocess.run([program, "recovery", "verify", os.path.join(folder.name, "kept")], check=False,
+                               capture_output=True, text=True).stdout
+        folder.cleanup()
+        want("s-a" in shown, f"{faults}: the ban is not in the folder: {shown!r}")
+        print(f"{faults}: kept")
+
+
 STORIES = {story.__name__: story for story in (clock_steps, accept_fails, accept_stands_still, socket_at_start,
-                                               process_stands_still)}
+                                               process_stands_still, hand_over_fails, hand_over_unreadable,
+                                               recovery_folder_fails)}
 
 
 def main():
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -11,7 +11,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "daemon"))
-from wire import BOUND_S, alive_good, cache_box, dispatch, listening, reply, settings_for  # noqa: E402
+from wire import BOUND_S, alive_good, cache_box, dispatch, listening, ops_call, reply, settings_for  # noqa: E402
 
 SERVED, REFUSED, FAILED = 0, 1, 2  # places of an answer on the wire
 PAUSE_AFTER_REFUSAL_S = 0.1
@@ -36,9 +36,12 @@
 class Proxy:
     """A process of the program. `faults` are rules of calls.cpp, whose clock starts with the process."""
 
-    def __init__(self, program, library, boxes_at, faults="", seed=1, under="", change=None, env=None, args=()):
-        self.folder = tempfile.TemporaryDirectory(prefix="sumackeel-faults-")
-        hold = listening()
+    def __init__(self, program, library, boxes_at, faults="", seed=1, under="", change=None, env=None, operator="",
+                 folder=None, log_level="info"):
+        """`under`: the folder, below the process's own, whose files the faults are for. `folder`: of a process before."""
+        self.folder = folder or tempfile.TemporaryDirectory(prefix="sumackeel-faults-")
+        hold, ops = listening(), listening()
+        self.ops = ops.getsockname()[1]
         self.port = hold.getsockname()[1]
         settings = settings_for("n0", f"127.0.0.1:{self.port}", lambda _: boxes_at)
         if change:
@@ -49,13 +52,19 @@
         self.settings = settings
         options = os.environ.get("ASAN_OPTIONS", "")
         environment = dict(os.environ, LD_PRELOAD=library, FAULTS=faults, FAULTS_SEED=str(seed),
-                           FAULTS_UNDER=under or self.folder.name + "/handover", TMPDIR=self.folder.name,
-                           ASAN_OPTIONS=options + ":verify_asan_link_order=0", **(env or {}))
+                           FAULTS_UNDER=os.path.join(self.folder.name, under), TMPDIR=self.folder.name,
+                           GW_OPS=f"127.0.0.1:{self.ops}", ASAN_OPTIONS=options + ":verify_asan_link_order=0",
+                           **(env or {}))
+        command = [program, "serve", "--config", self.config, "--log-level", log_level]
+        if operator:
+            with open(os.path.join(self.folder.name, "operator.toml"), "w", encoding="utf-8") as out:
+                out.write(operator)
+            command += ["--operator", os.path.join(self.folder.name, "operator.toml")]
         hold.close()
+        ops.close()
         self.began = time.monotonic()
         with open(self.log, "w", encoding="utf-8") as err:
-            self.process = subprocess.Popen([program, "serve", "--config", self.config, "--log-level", "info", *args],
-                                            stderr=err, stdout=err, env=environment)
+            self.process = subprocess.Popen(command, stderr=err, stdout=err, env=environment)
 
     def write(self, settings):
         with open(self.config, "w", encoding="utf-8") as out:
@@ -83,14 +92,24 @@
             fields = stat.read().rsplit(")", 1)[1].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
-    def end(self):
+    def call(self, path, method="POST"):
+        """An operators' call: its status and what was said."""
+        body = []
+        return ops_call(self.ops, method, path, body), "".join(body)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def end(self, keep_folder=False):
         """Killed if it still runs; a process that ended by itself with another status than 0 has crashed."""
         status = self.process.poll()
         if status is None:
             self.process.kill()
             self.process.wait()
         said = self.said()
-        self.folder.cleanup()
+        if not keep_folder:
+            self.folder.cleanup()
         if status not in (None, 0, -signal.SIGTERM) or "ERROR: AddressSanitizer" in said or "runtime error:" in said:
             raise Failure(f"ended with {status}: {said[-2000:]}")
 
