A hand-over and a recovery's folder that fail are written once they can; alive waits

Cause: save_hand_over logged a failed write once and forgot it, synced nothing, and an operator was told yes; a hand-over that could not be opened for a moment was taken for none, so its bans were forgotten; Recovery wrote again with the next change alone; the Thrift call alive said yes before the process was ready (where that takes longer than its constructor). The third story's check was of a word that verify does not print: it now wants the ban's count in the newest file.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,11 +1,8 @@
 #include "daemon/daemon.h"
 
 #include <signal.h>
-#include <unistd.h>
 
 #include <atomic>
-#include <cstdio>
-#include <fstream>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -19,6 +16,7 @@
 #include "daemon/ending.h"
 #include "daemon/expectation_gate.h"
 #include "daemon/fleet.h"
+#include "daemon/hand_over.h"
 #include "daemon/leaves.h"
 #include "daemon/registry.h"
 #include "daemon/release_calls.h"
@@ -44,8 +42,6 @@
 constexpr Micros kKeepAccepting = 1'000'000;
 // A client connected just before the end sends its request within this, or is of no use.
 constexpr Micros kWaitForConnected = 2'000'000;
-// A hand-over file is a few lines; one far longer is none of ours.
-constexpr std::streamsize kLongestHandOver = 2 << 20;
 constexpr Micros kLookForEnd = 20'000;
 // The operators call the process before this one until the platform has heard this one's yes; it is then
 // killed within 6 s and 3.7 s. What it was told meanwhile is looked for in its file.
@@ -92,36 +88,13 @@
     return news;
 }
 
-std::string hand_over_text(const std::string& path) {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) return {};  // none: the first process of this proxy
-    std::string text(static_cast<std::size_t>(kLongestHandOver) + 1, '\0');
-    file.read(text.data(), kLongestHandOver + 1);
-    text.resize(static_cast<std::size_t>(file.gcount()));
-    return text;
-}
-
-std::optional<ops::Board> read_hand_over(const std::string& path, const std::string& text) {
+std::optional<ops::Board> read_board(const std::string& path, const std::string& text) {
     if (text.empty()) return std::nullopt;
     ops::Read read = ops::read_hand_over(text);
     if (!read.board) log::warn("hand-over file {} is passed over: {}", path, read.fault);
     return std::move(read.board);
 }
 
-// Written beside and renamed over: a process that reads it finds the old form or the new one, never half.
-void save_hand_over(const std::string& path, const std::string& text) {
-    if (path.empty()) return;
-    // The process before this one or behind it may write at the same moment.
-    const std::string next = path + "." + std::to_string(getpid()) + ".next";
-    {
-        std::ofstream file(next, std::ios::binary | std::ios::trunc);
-        file << text;
-        file.flush();
-        if (!file) return log::error("hand-over file {} can't be written", next);
-    }
-    if (std::rename(next.c_str(), path.c_str()) != 0) log::error("hand-over file {} can't be renamed", next);
-}
-
 front_platform::Limits front_limits(const config::Config& config) {
     return {.connections = config.sockets / 2,
             .unsent_bytes = static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 3};
@@ -158,6 +131,7 @@
     ops::Board board;
     // The process before this one, as its file last told; the file's text from it and from here.
     ops::Board old_board;
+    HandOverFile hand_over;
     std::string handed_over, own_hand_over;
     std::unique_ptr<front_ops::Front> ops_front;
     std::unique_ptr<peers::Peers> peers;  // off unless the operator's file names them
@@ -207,7 +181,8 @@
                 .handshake_price = c.site.handshake_price,
                 .connect_timeout = connect_timeout(c.site.settings),
                 .idle_close = c.site.keepalive}),
-          front(loop, core, c.site, net::Place(c.listen, c.inherited_fd), front_limits(c)) {
+          front(loop, core, c.site, net::Place(c.listen, c.inherited_fd), front_limits(c)),
+          hand_over(loop, files.hand_over) {
         core.attach(pool);
         fleet = std::make_unique<Fleet>(loop, sockets, core, pool, c, setup);
         if (setup.signed_front) {
@@ -286,16 +261,22 @@
             });
             return;
         }
+        // Danger: taken for none, a file that can't be read for a moment would have its bans forgotten.
+        const std::optional<std::string> text = hand_over.read();
+        if (!text && loop.clock().now() < until)
+            return void(loop.deadlines().set(loop.clock().now() + kLookForEnd, [this, until] {
+                if (!told_to_end) become_able(until);
+            }));
         if (agreed && !agreed->known()) log::warn("agreed: no voter answers; serving by what is known");
         board.able();
-        handed_over = hand_over_text(files.hand_over);
-        if (auto old = read_hand_over(files.hand_over, handed_over)) {
+        handed_over = text.value_or("");
+        if (auto old = read_board(files.hand_over, handed_over)) {
             board.take_over(*old);
             old_board = *old;
             log::info("hand-over taken: {} pop caches down, {}", board.bans().size(),
                       ops::name_of(board.phase()));
         }
-        if (config.inherited_fd >= 0 && !files.hand_over.empty())
+        if ((config.inherited_fd >= 0 || !text) && hand_over.used())
             follow_hand_over(loop.clock().now() + kFollowHandOver);
         if (recovery) {
             for (const std::string& id : recovery->kept().bans) board.ban(id, true);
@@ -311,10 +292,10 @@
     void follow_hand_over(Micros until) {
         if (told_to_end || loop.clock().now() >= until) return;
         loop.deadlines().set(loop.clock().now() + kLookAtHandOver, [this, until] {
-            const std::string text = hand_over_text(files.hand_over);
-            if (text != handed_over && text != own_hand_over) {
-                handed_over = text;
-                if (const auto told = read_hand_over(files.hand_over, text)) {
+            const std::optional<std::string> text = hand_over.read();
+            if (text && *text != handed_over && *text != own_hand_over) {
+                handed_over = *text;
+                if (const auto told = read_board(files.hand_over, *text)) {
                     board.follow(old_board, *told);
                     old_board = *told;
                     log::info("hand-over followed: {} pop caches down, {}", board.bans().size(),
@@ -541,11 +522,12 @@
         return leave_reply(answer, member);
     }
 
-    void changed_board() {
+    // Empty: all of it is kept. Else why it is not yet; that goes on by itself.
+    std::string changed_board() {
         carry_out();
         own_hand_over = board.hand_over();
-        save_hand_over(files.hand_over, own_hand_over);
-        keep();
+        const std::string handed = hand_over.keep(own_hand_over), kept = keep();
+        return !handed.empty() ? handed : kept;
     }
 
     // Both files are read before anything is changed: one that can't be used leaves all as it was. What the
@@ -647,7 +629,8 @@
             board, call, [this](const std::string& id) { return fleet->listed(id); }, figures);
         if (reply.changed) {
             log::info("ops: {} {}: {}", call.method, call.path, reply.status);
-            changed_board();
+            const std::string missing = changed_board();
+            if (!missing.empty()) reply.body += "not kept yet, trying again: " + missing + "\n";
         }
         return reply;
     }
@@ -661,13 +644,13 @@
 
     // For the way back from a loss of power. What the agreed log says stays as it was until it is heard
     // again.
-    void keep() {
-        if (!recovery || board.phase() == ops::Phase::starting) return;
-        recovery->keep(board.bans(),
-                       !agreed           ? std::set<std::string>{}
-                       : agreed->known() ? leased()
-                                         : recovery->kept().leased,
-                       board.drain_told());
+    std::string keep() {
+        if (!recovery || board.phase() == ops::Phase::starting) return {};
+        return recovery->keep(board.bans(),
+                              !agreed           ? std::set<std::string>{}
+                              : agreed->known() ? leased()
+                                                : recovery->kept().leased,
+                              board.drain_told());
     }
 
     // What the board says, done: bans to the module, clients sent away while draining or ending.
--- a/src/front_platform/front.h
+++ b/src/front_platform/front.h
@@ -48,7 +48,7 @@
         std::int32_t seqid = 0;
     };
     base::Slots<Open> open_;
-    bool ready_ = true;
+    bool ready_ = false;  // what `alive` says: not before the daemon has said so
     net::Door door_;
 };
 
--- a/src/peers/recovery.cpp
+++ b/src/peers/recovery.cpp
@@ -104,10 +104,12 @@
     return true;
 }
 
-bool Recovery::keep(const std::set<std::string>& bans, const std::set<std::string>& leased, bool drain) {
-    if (bans == kept_.bans && leased == kept_.leased && drain == kept_.drain) return true;
+std::string Recovery::keep(const std::set<std::string>& bans, const std::set<std::string>& leased,
+                           bool drain) {
+    const bool same = bans == kept_.bans && leased == kept_.leased && drain == kept_.drain;
     kept_.bans = bans, kept_.leased = leased, kept_.drain = drain;
-    return write();
+    if (!same) write();
+    return fault_;
 }
 
 void Recovery::follow(Stage before) {
@@ -122,6 +124,7 @@
 void Recovery::tick() {
     const Stage before = ladder_.stage();
     const Micros now = steady();
+    if (!fault_.empty()) write();  // what was told is still owed
     ladder_.tick(now);
     ladder_.counted(now, peers_.group().reached());
     follow(before);
--- a/src/peers/recovery.h
+++ b/src/peers/recovery.h
@@ -45,8 +45,8 @@
     Recovery& operator=(const Recovery&) = delete;
 
     const recovery::Kept& kept() const { return kept_; }
-    // On disk once this returns; a fault is logged, and `false`.
-    bool keep(const std::set<std::string>& bans, const std::set<std::string>& leased, bool drain);
+    // Empty: on disk. Else why it is not yet; that is logged, and tried again with each tick.
+    std::string keep(const std::set<std::string>& bans, const std::set<std::string>& leased, bool drain);
     const recovery::Ladder& ladder() const { return ladder_; }
     void listed();
     void led(bool leader);
--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -160,7 +160,7 @@
     second = Proxy(program, library, boxes.at, "open=ENFILE/1@0-1.5", under="sumackeel", folder=first.folder)
     try:
         second.ready()
-        want(bans_of(second) == "1", "the ban was forgotten")
+        want(bans_of(second) == "1", f"the ban was forgotten: {second.said()}")
     finally:
         second.end()
 
@@ -186,7 +186,7 @@
         shown = subprocess.run([program, "recovery", "verify", os.path.join(folder.name, "kept")], check=False,
                                capture_output=True, text=True).stdout
         folder.cleanup()
-        want("s-a" in shown, f"{faults}: the ban is not in the folder: {shown!r}")
+        want(", 1 bans" in shown.splitlines()[0], f"{faults}: the ban is not in the newest file: {shown!r}")
         print(f"{faults}: kept")
 
 
