--- a/tests/daemon/wire.py
+++ b/tests/daemon/wire.py
@@ -49,8 +49,8 @@
     return be(len(text), 4) + text
 
 
-def dispatch(seqid, request_id, subject, kind=b"sheet", need=b"40"):
-    fields = {b"kind": kind, b"req": request_id, b"timeout": b"3000", b"subject": subject,
+def dispatch(seqid, request_id, subject, kind=b"sheet", need=b"40", timeout=b"3000"):
+    fields = {b"kind": kind, b"req": request_id, b"timeout": timeout, b"subject": subject,
               b"slice": b"0", b"set": b"17", b"need": need}
     body = be(0x80010001, 4) + tstr(b"dispatch") + be(seqid, 4)
     body += be(13, 1) + be(1, 2) + be(11, 1) + be(11, 1) + be(len(fields), 4)
@@ -60,6 +60,12 @@
     return be(len(body), 4) + body
 
 
+def cancel(seqid):
+    """The oneway call that gives the request under `seqid` up."""
+    body = be(0x80010001 + 3, 4) + tstr(b"cancelRequest") + be(seqid, 4) + be(8, 1) + be(1, 2) + be(seqid, 4) + be(0, 1)
+    return be(len(body), 4) + body
+
+
 def exactly(conn, count):
     data = b""
     while len(data) < count:
