Requests are dated by when their bytes came; nothing is decided before input is read

In the turn in which a connection to a pop cache came up what waited for it went out before the client's end behind it was read.

--- a/src/front_platform/front.cpp
+++ b/src/front_platform/front.cpp
@@ -55,11 +55,14 @@
     FrameReader reader;
     std::map<std::int32_t, std::pair<Handle, Handle>> open;  // seqid to our entry and the core's
     std::int32_t last_seqid = 0;
-    bool heard = false;  // a whole frame has come
+    bool heard = false;      // a whole frame has come
+    base::Micros delay = 0;  // from the last byte of what is being read until now
 
     explicit Client(Front& owner) : front(owner) {}
 
     void received(net::Stream&, std::string_view bytes) override {
+        delay = waited();
+        if (left_meanwhile(delay)) return front.door_.part(*this);
         reader.read(bytes, [this](std::string_view frame) {
             heard = true;
             front.call(*this, read_call(frame));
@@ -153,7 +156,9 @@
     const bool crowded =
         client.open.size() >= kMostOpen || unread || client.stream()->unsent() > kMostUnsent ||
         core_.open_requests() >= static_cast<std::size_t>(std::max(1, site_.settings.most_held));
-    if (crowded) return client.stream()->write(write_answer(call.seqid, {.how = core::Answered::refused}));
+    ask.left -= client.delay;  // the time runs from the moment at which the request came
+    if (crowded || ask.left <= 0)
+        return client.stream()->write(write_answer(call.seqid, {.how = core::Answered::refused}));
     const Handle ours = open_.add({client.number(), call.seqid});
     const Handle cores = core_.take(std::move(ask), *this, ours.number());
     client.open[call.seqid] = {ours, cores};
--- a/src/front_signed/front.cpp
+++ b/src/front_signed/front.cpp
@@ -84,7 +84,8 @@
     std::string url, name, value, body;
     std::map<std::string, std::string> headers;
     std::size_t head = 0;
-    int too_much = 0;  // the status for a request that is over a limit
+    base::Micros came = 0;  // when the last bytes arrived
+    int too_much = 0;       // the status for a request that is over a limit
     bool busy = false, whole = false, keep = true, heard = false;
     Handle ours, cores;
 
@@ -146,6 +147,9 @@
     void received(net::Stream&, std::string_view bytes) override {
         if (ahead.size() + bytes.size() > kMostAhead + sizeof(char) * kLongestBody)
             throw std::runtime_error("a client sends ahead without end");
+        const base::Micros delay = waited();
+        if (left_meanwhile(delay)) return front.door_.part(*this);
+        came = front.loop_.clock().now() - delay;
         ahead += bytes;
         work();
         tell_door();
@@ -236,7 +240,7 @@
     ask.part = target.part;
     ask.group = std::max(0, target.group);
     ask.size_kb = target.size_kb;
-    ask.left = wanted_wait(header("prefer"), service.give_up);
+    ask.left = wanted_wait(header("prefer"), service.give_up) - (loop_.clock().now() - client.came);
     if (!service.uncached) ask.have = bare_tag(header("if-none-match"));
     if (service.semantics == nettlethread::Semantics::keyed) {
         ask.idempotency_key = bare_tag(header("idempotency-key"));
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -17,6 +17,8 @@
 constexpr Micros kSlow = 1'000'000;
 // One sent away ends within a way there and back; a request that crossed is seen by its client within 50 ms.
 constexpr Micros kLeaving = 500'000;
+// Bytes that are read later than this after they came are old: their sender's time has run meanwhile.
+constexpr Micros kDelayed = 50'000;
 // Connections taken in one turn of the loop, so that a flood of them does not hold up those that are open.
 constexpr int kMostAtOnce = 64;
 
@@ -29,6 +31,19 @@
     door.admit();
 }
 
+Micros Guest::waited() {
+    const Micros now = door_->loop_.clock().now();
+    const Micros earliest = came_after_ > 0 ? came_after_ : door_->loop_.looked_at();
+    const Micros most = now - earliest;
+    // What had come by then may be read in several turns.
+    came_after_ = most >= kDelayed && stream_->unread() ? earliest : 0;
+    return most < kDelayed ? 0 : std::min(most, stream_->since_last_byte());
+}
+
+bool Guest::left_meanwhile(Micros waited) const {
+    return waited > 0 && stream_->peer_ended();
+}
+
 Door::Door(Loop& loop, const Place& place, int connections, Patience patience,
            std::function<std::unique_ptr<Guest>()> make)
     : loop_(loop),
@@ -59,23 +74,37 @@
 // Connections that find no room stay with the system until somebody has gone or can be let go.
 void Door::admit() {
     for (int taken = 0; waiting_ && taken < kMostAtOnce; ++taken) {
-        if (budget_.left() <= 0) {
-            waiting_ = listener_.has_waiting();
-            if (!waiting_) break;
-            if (!make_room()) return listener_.pause();
+        const bool room = budget_.left() > 0;
+        if (!room && !listener_.has_waiting()) return none_waits();
+        if (!room && !make_room()) {
+            some_wait();
+            return listener_.pause();
         }
         const int fd = listener_.accept();
-        waiting_ = fd >= 0;
-        if (fd >= 0) take(fd);
+        if (fd < 0 && !listener_.is_short()) return none_waits();
+        if (fd < 0) return some_wait();
+        take(fd);
     }
+    if (waiting_) some_wait();
+    listener_.resume();
+}
+
+void Door::none_waits() {
+    waiting_ = false;
+    backlog_since_ = 0;
     listener_.resume();
 }
 
+void Door::some_wait() {
+    if (backlog_since_ == 0) backlog_since_ = loop_.looked_at();
+}
+
 void Door::take(int fd) {
     std::unique_ptr<Guest> guest = make_();
     guest->door_ = this;
     guest->number_ = next_++;
     guest->since_ = loop_.clock().now();
+    guest->came_after_ = backlog_since_ > 0 ? backlog_since_ : loop_.looked_at();
     guest->stream_ = Stream::adopt(loop_, budget_, fd, *guest);
     if (!guest->stream_) return;
     guest->place_ = queue(Doing::arriving).insert(queue(Doing::arriving).end(), guest.get());
@@ -87,7 +116,6 @@
     while (!others_listen && listener_.has_waiting()) {
         waiting_ = true;
         admit();
-        waiting_ = waiting_ || listener_.is_short();
         if (waiting_) return;
     }
     waiting_ = false;
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -36,6 +36,11 @@
 
   protected:
     virtual void left() = 0;  // told once, after the connection has gone or was sent away
+    // Asked from received(), once in each call: how long ago the last of these bytes came. It is more than a
+    // turn of the loop where the connection waited at the listener, or the process stood still.
+    Micros waited();
+    // Behind such a wait: the client has left meanwhile, and nothing it asked for is wanted any more.
+    bool left_meanwhile(Micros waited) const;
 
   private:
     friend class Door;
@@ -44,6 +49,7 @@
     Stream* stream_ = nullptr;
     Doing doing_ = Doing::arriving;
     Micros since_ = 0;
+    Micros came_after_ = 0;  // what is not read yet came after this; 0: after the last look of the loop
     std::list<Guest*>::iterator place_;
 };
 
@@ -89,6 +95,8 @@
     friend class Guest;
 
     void admit();
+    void none_waits();
+    void some_wait();
     bool make_room();
     void sweep();
     void take(int fd);
@@ -107,7 +115,8 @@
     std::vector<std::unique_ptr<Guest>> gone_;
     std::uint64_t next_ = 1;
     bool sending_away_ = false;
-    bool waiting_ = false;                                        // connections may wait at the listener
+    bool waiting_ = false;      // connections may wait at the listener
+    Micros backlog_since_ = 0;  // who waits there came after this; 0: nobody has waited over a turn
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what is set in the loop
     Listener listener_;
 };
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -4,12 +4,19 @@
 #include <charconv>
 #include <csignal>
 #include <stdexcept>
+#include <utility>
 
 #include "base/log.h"
 #include "base/system_error.h"
 
 namespace sumackeel::net {
 
+namespace {
+
+constexpr int kMostCatchingUp = 64;  // turns; a flood must not keep all else from being done
+
+}  // namespace
+
 Loop::Loop() {
     std::signal(SIGPIPE, SIG_IGN);  // a write to a closed connection is an error like any other
     std::signal(SIGXFSZ, SIG_IGN);  // and so is one to a file that may not grow
@@ -41,9 +48,24 @@
     uv_run(&loop_, UV_RUN_DEFAULT);
 }
 
+// Danger: behind a time in which the process stood still all that was due would run before what came
+// meanwhile is known: answers would be given up and clients that left be served. So turns are spent on
+// reading alone, until one of them brings nothing new.
+bool Loop::catches_up() {
+    clock_.now();
+    if (clock_.stalled() != std::exchange(seen_stalled_, clock_.stalled())) {
+        catching_up_ = kMostCatchingUp;
+        busy_ = true;
+    }
+    const bool more = std::exchange(busy_, false) && catching_up_ > 0;
+    catching_up_ = more ? catching_up_ - 1 : 0;
+    return more;
+}
+
 void Loop::turn() {
     // Called from C, so nothing may be thrown past here. What was due is off the list before it runs.
     try {
+        if (catches_up()) return;
         deadlines_.sweep(clock_.now());
         for (const auto& what : turns_) what();
     } catch (const std::exception& fault) {
@@ -52,7 +74,8 @@
 }
 
 void Loop::arm() {
-    const auto next = deadlines_.next();
+    previous_look_ = std::exchange(look_, clock_.now());
+    const auto next = catching_up_ > 0 ? look_ : deadlines_.next();
     clock_.expect(next);
     if (!next) {
         uv_timer_stop(&timer_);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,6 +1,9 @@
 #include "net/stream.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <exception>
@@ -33,6 +36,7 @@
                        [](uv_connect_t* request, int status) {
                            auto* self = static_cast<Stream*>(request->data);
                            if (self->state_ == State::closed) return;
+                           static_cast<Loop*>(self->tcp_.loop->data)->noticed();
                            if (status != 0) return self->lose(Gone::refused);
                            self->start();
                            self->owner_->opened(*self);
@@ -80,6 +84,7 @@
         [](uv_stream_t* handle, ssize_t count, const uv_buf_t* buffer) {
             auto* self = static_cast<Stream*>(handle->data);
             if (self->state_ == State::closed || count == 0) return;
+            static_cast<Loop*>(handle->loop->data)->noticed();
             if (count < 0) return self->lose(count == UV_EOF ? Gone::ended : Gone::broken);
             if (self->state_ == State::finishing) return;
             try {
@@ -139,6 +144,22 @@
            ioctl(fd, FIONREAD, &count) == 0 && count > 0;
 }
 
+Micros Stream::since_last_byte() const {
+    uv_os_fd_t fd = -1;
+    tcp_info info{};
+    socklen_t length = sizeof info;
+    const bool told = uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
+                      getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+    return told ? Micros{info.tcpi_last_data_recv} * base::kMillisecond : 0;
+}
+
+bool Stream::peer_ended() const {
+    uv_os_fd_t fd = -1;
+    char byte = 0;
+    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
+           recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void Stream::finish() {
     if (state_ == State::closed || state_ == State::finishing) return;
     if (state_ == State::connecting) return lose(Gone::ended);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -39,8 +39,10 @@
     void write(std::string bytes);
     std::size_t unsent() const { return uv_stream_get_write_queue_size(as_stream()); }
     void pause(bool on);
-    bool unread() const;  // bytes have arrived that were not read yet
-    void close();         // at once; what is unsent is dropped
+    bool unread() const;             // bytes have arrived that were not read yet
+    Micros since_last_byte() const;  // by the system's account, in its ticks; 0 where it can't tell
+    bool peer_ended() const;         // all was read, and the other side has ended the connection
+    void close();                    // at once; what is unsent is dropped
     // Half-closes once all that was written is sent. What the other side still sends is thrown away, unseen
     // by the owner; gone() is told when the other side has ended too. The owner bounds the wait for that.
     void finish();
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -55,10 +55,15 @@
 
     Channel(Pool& owner, std::uint64_t n, std::string to) : pool(owner), number(n), target(std::move(to)) {}
 
-    void opened(net::Stream& s) override {
+    void opened(net::Stream&) override {
+        pool.loop_.deadlines().drop(connect_by);
+        pool.opened_.push_back(number);
+    }
+
+    // What waited goes out.
+    void begin() {
         up = true;
         heard = pool.loop_.clock().now();
-        pool.loop_.deadlines().drop(connect_by);
         std::string all;
         for (const Waiting& one : std::exchange(waiting, {})) {
             if (one.begin_by == 0 || heard < one.begin_by) {
@@ -70,7 +75,7 @@
             pool.carried_.erase(late.number());
             pool.core_.ended(late, core::Ending{.verdict = Verdict::not_connected});
         }
-        if (!all.empty()) s.write(std::move(all));
+        if (!all.empty()) stream->write(std::move(all));
     }
 
     void received(net::Stream&, std::string_view bytes) override {
@@ -108,7 +113,19 @@
 Pool::Pool(net::Loop& loop, net::Budget& budget, core::Core& core, Limits limits)
     : loop_(loop), budget_(budget), core_(core), limits_(limits) {
     sweep();
-    loop_.each_turn([this] { dead_.clear(); });
+    loop_.each_turn([this] {
+        begin_opened();
+        dead_.clear();
+    });
+}
+
+// Danger: in the turn in which a connection came up a client whose request waits for it may have left, and
+// that is read behind it. So nothing goes out before all that had come by then is known.
+void Pool::begin_opened() {
+    for (const std::uint64_t number : std::exchange(opened_, {})) {
+        const auto found = channels_.find(number);
+        if (found != channels_.end()) found->second->begin();
+    }
 }
 
 Pool::~Pool() {
