--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 from rig import FAILED, REFUSED, SERVED, Boxes, Crowd, Failure, Proxy, listening
@@ -165,34 +166,150 @@
         second.end()
 
 
+class Talking:
+    """A folder and an operator's file for a process with [peers] and [recovery]."""
+
+    def __init__(self):
+        peer = listening()
+        self.folder = tempfile.TemporaryDirectory(prefix="sumackeel-faults-")
+        with open(os.path.join(self.folder.name, "key"), "w", encoding="utf-8") as out:
+            out.write("a key of this test alone\n")
+        self.operator = (f'[peers]\ngroup = "school"\nname = "n0"\nlisten = "127.0.0.1:{peer.getsockname()[1]}"\n'
+                         'key = "key"\nfolder = "state"\n'
+                         '[recovery]\nfolder = "kept"\nask_s = 1\nsettle_s = 1\nprime_s = 1\n')
+        peer.close()
+
+    def start(self, program, library, boxes, faults="", under=""):
+        proxy = Proxy(program, library, boxes.at, faults, under=under, folder=self.folder, operator=self.operator)
+        proxy.ready(30)
+        return proxy
+
+
 def recovery_folder_fails(program, library):
     """What the folder of the recovery is owed is written once it can be, with nothing told meanwhile."""
     for faults in DISK_ERRORS:
-        boxes = Boxes()
-        peer, folder = listening(), tempfile.TemporaryDirectory(prefix="sumackeel-faults-")
-        with open(os.path.join(folder.name, "key"), "w", encoding="utf-8") as out:
-            out.write("a key of this test alone\n")
-        operator = (f'[peers]\ngroup = "school"\nname = "n0"\nlisten = "127.0.0.1:{peer.getsockname()[1]}"\nkey = "key"\n'
-                    'folder = "state"\n[recovery]\nfolder = "kept"\nask_s = 1\nsettle_s = 1\nprime_s = 1\n')
-        peer.close()
-        first = Proxy(program, library, boxes.at, faults.replace("@1-4", "@5-8"), under="kept", folder=folder,
-                      operator=operator)
-        first.ready()
+        boxes, talking = Boxes(), Talking()
+        first = talking.start(program, library, boxes, faults.replace("@1-4", "@5-8"), "kept")
         first.wait_until(6)
         status, said = first.call("/ops/pop-caches/down/s-a")
         want(status == 200 and "not kept" in said, f"{faults}: {status} {said!r}")
         first.wait_until(10)
         first.kill()
-        shown = subprocess.run([program, "recovery", "verify", os.path.join(folder.name, "kept")], check=False,
+        shown = subprocess.run([program, "recovery", "verify", os.path.join(talking.folder.name, "kept")], check=False,
                                capture_output=True, text=True).stdout
-        folder.cleanup()
+        talking.folder.cleanup()
         want(", 1 bans" in shown.splitlines()[0], f"{faults}: the ban is not in the newest file: {shown!r}")
         print(f"{faults}: kept")
 
 
+def start_number_of(talking):
+    with open(os.path.join(talking.folder.name, "state", "start"), encoding="utf-8") as file:
+        return int(file.read().split()[2])
+
+
+def folders_fail_at_start(program, library):
+    """A start whose folders can't be read or written for two seconds forgets neither a ban nor its start number."""
+    for faults in ("open=EIO/1@0-2", "write=ENOSPC/1@0-2", "fsync=EIO/1@0-2", "rename=EIO+ENOSPC/1@0-2"):
+        for under in ("state", "kept"):
+            boxes, talking = Boxes(), Talking()
+            first = talking.start(program, library, boxes)
+            want(first.call("/ops/pop-caches/down/s-a")[0] == 200, "the ban was refused")
+            first.kill()
+            before = start_number_of(talking)
+            second = talking.start(program, library, boxes, faults, under)
+            try:
+                want(bans_of(second) == "1", f"{faults}: the ban was forgotten: {second.said()}")
+                want(start_number_of(talking) > before, f"{faults}: start {start_number_of(talking)} behind {before}")
+            finally:
+                second.end()
+            print(f"{faults} under {under}: known")
+
+
+def closing_box(listener):
+    """A pop cache that closes each connection behind its first answer."""
+    while True:
+        conn, _ = listener.accept()
+        with conn, conn.makefile("rb") as lines:
+            words = lines.readline().decode().split()
+            if words and words[0] == "REQ":
+                lines.read(int(words[3]) + 2)
+                conn.sendall(f"{words[1]} DONE digest=e1,dated=1764576000123,tell=pulled 2\r\nok\r\n".encode())
+
+
+def own_shortage(program, library):
+    """Descriptors that this process can't have for a moment are no failure of the pop caches it wanted them for."""
+    listener = listening()
+    for _ in range(16):
+        threading.Thread(target=closing_box, args=(listener,), daemon=True).start()
+    for error in ("ENFILE", "ENOBUFS", "EMFILE"):
+        proxy = Proxy(program, library, "127.0.0.1:%d" % listener.getsockname()[1], f"socket={error}/1@2-2.8")
+        try:
+            proxy.ready()
+            crowd = Crowd(proxy.port)
+            proxy.wait_until(4.5)
+            crowd.stop()
+            print(f"{error}: {crowd.told()}")
+            after = proxy.began + 3.3
+            want(not crowd.lost(), f"lost: {crowd.lost()[:3]}")
+            want("breaker open" not in proxy.said(), "a server that never failed was blamed")
+            want(crowd.count(REFUSED, after) + crowd.count(FAILED, after) == 0, "refused or failed once it was over")
+            want(crowd.count(SERVED, after) > 20, "hardly anything served once it was over")
+        finally:
+            proxy.end()
+
+
+FORGET_AFTER_S = 1.0
+
+
+def forgetful_box(listener, forgotten):
+    """A pop cache that answers at once, and forgets a connection that rested: what comes there then is never answered."""
+    def serve(conn):
+        heard = time.monotonic()
+        with conn, conn.makefile("rb") as lines:
+            while line := lines.readline():
+                words = line.decode().split()
+                if not words or words[0] != "REQ":
+                    continue
+                lines.read(int(words[3]) + 2)
+                rested, heard = time.monotonic() - heard, time.monotonic()
+                if rested > FORGET_AFTER_S:
+                    heard = float("-inf")  # from now on for good
+                    forgotten.append(words[1])
+                else:
+                    conn.sendall(f"{words[1]} DONE digest=e1,dated=1764576000123,tell=pulled 2\r\nok\r\n".encode())
+    while True:
+        conn, _ = listener.accept()
+        threading.Thread(target=serve, args=(conn,), daemon=True).start()
+
+
+def idle_connections_forgotten(program, library):
+    """After a quiet time all connections to pop caches are dead without a word: reads are served all the same, and what
+    must not run twice has its answer in time."""
+    listener = listening()
+    forgotten = []
+    threading.Thread(target=forgetful_box, args=(listener, forgotten), daemon=True).start()
+    proxy = Proxy(program, library, "127.0.0.1:%d" % listener.getsockname()[1])
+    try:
+        proxy.ready()
+        for round_ in range(2):
+            crowd = Crowd(proxy.port, 8, kind=b"sheet" if round_ == 0 else b"video", until_first=True)
+            enrols = Crowd(proxy.port, 2, kind=b"enrol", until_first=True)
+            crowd.join(), enrols.join()
+            print(f"round {round_}: {crowd.told()}; enrol: {enrols.told()}")
+            want(not crowd.lost() and not enrols.lost(), "lost")
+            want(crowd.count(SERVED) == 8, "a read was not served")
+            late = [took for client in crowd.all + enrols.all for _, took, _ in client.answers if took > 3.05]
+            want(not late, f"answered after the deadline: {late}")
+            want((len(forgotten) > 0) == (round_ > 0), f"forgotten: {forgotten}")
+            time.sleep(FORGET_AFTER_S + 1)
+    finally:
+        proxy.end()
+
+
 STORIES = {story.__name__: story for story in (clock_steps, accept_fails, accept_stands_still, socket_at_start,
                                                process_stands_still, hand_over_fails, hand_over_unreadable,
-                                               recovery_folder_fails)}
+                                               recovery_folder_fails, folders_fail_at_start, own_shortage,
+                                               idle_connections_forgotten)}
 
 
 def main():
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -119,8 +119,9 @@
     numbers = iter(range(1, 1 << 40))
     lock = threading.Lock()
 
-    def __init__(self, port, fresh, kind=b"sheet", pause=PAUSE_AFTER_REFUSAL_S):
+    def __init__(self, port, fresh, kind=b"sheet", pause=PAUSE_AFTER_REFUSAL_S, until_first=False):
         super().__init__(daemon=True)
+        self.until_first = until_first  # it asks once
         self.port, self.fresh, self.kind, self.pause = port, fresh, kind, pause
         self.going, self.answers, self.lost, self.away = True, [], [], 0
 
@@ -143,6 +144,8 @@
                 written = True
                 place = reply(conn)[1]
                 self.answers.append((began, time.monotonic() - began, place))
+                if self.until_first:
+                    break
                 if place != SERVED:
                     time.sleep(self.pause)
             except (OSError, ConnectionError) as why:
@@ -170,6 +173,10 @@
         for client in self.all:
             client.start()
 
+    def join(self):
+        for client in self.all:
+            client.join(BOUND_S)
+
     def stop(self):
         for client in self.all:
             client.going = False
