A start waits for a folder that fails; a socket that can't be made blames no server

Cause: Recovery::read set a generation aside that could not be read for a moment, a start number that could not be read began anew at 1 or ended the start; Pool::dial gave up at once where socket failed, and 'not connected' was booked at the pop cache. Change: base::retry_folder_at_start (5 s); a channel without a socket of its own dials again each 20 ms within the connect time-out, and what waits on it ends as never sent (Upstream::is_short).

--- a/src/base/system_error.cpp
+++ b/src/base/system_error.cpp
@@ -12,6 +12,8 @@
 // The platform waits 30 s for a process to be ready; one that can't be by then had better end and say why.
 constexpr std::chrono::seconds kStartPatience{20};
 constexpr std::chrono::milliseconds kStartPause{20};
+// Nine in ten processes are to be ready within 10 s of their start.
+constexpr std::chrono::seconds kFolderPatience{5};
 
 }  // namespace
 
@@ -26,4 +28,15 @@
     }
 }
 
+std::string retry_folder_at_start(const std::function<std::string()>& attempt) {
+    const auto until = std::chrono::steady_clock::now() + kFolderPatience;
+    log::Sparing line;
+    for (;;) {
+        std::string fault = attempt();
+        if (fault.empty() || std::chrono::steady_clock::now() >= until) return fault;
+        line.warn("the start waits: {}", fault);
+        std::this_thread::sleep_for(kStartPause);
+    }
+}
+
 }  // namespace sumackeel::base
--- a/src/base/system_error.h
+++ b/src/base/system_error.h
@@ -31,6 +31,10 @@
     return std::string(name ? name : "error") + " (" + strerrordesc_np(number) + ')';
 }
 
+// The same for a folder at a start: it may also fail for a while and heal. Calls `attempt` until it says that
+// nothing is wrong, for `kFolderPatience` at the most, and gives what the last call said.
+std::string retry_folder_at_start(const std::function<std::string()>& attempt);
+
 // Calls `attempt` until it gives 0 or an error that is not transient, for `kStartPatience` at the most.
 // Blocks between the calls, so it is for the start of the program alone. Gives what the last call gave.
 int retry_at_start(const std::function<int()>& attempt);
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -295,8 +295,11 @@
         ++figures_.sent;
     }
     attempts_.find(handle)->limit = deadlines_.set(now + limit, [this, handle] {
+        const bool is_short = upstream_->is_short(handle);
         const bool written = upstream_->stop(handle);
-        ended(handle, Ending{.verdict = written ? Verdict::timed_out : Verdict::not_connected});
+        ended(handle, Ending{.verdict = written    ? Verdict::timed_out
+                                        : is_short ? Verdict::never_sent
+                                                   : Verdict::not_connected});
         run();
     });
     Sending sending;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -102,6 +102,8 @@
     virtual bool stop(Handle attempt) = 0;
     // Whether the attempt waits and not a byte of it has been written.
     virtual bool unbegun(Handle attempt) const = 0;
+    // Whether it waits for a socket that this process can't make: that is no failure of its target.
+    virtual bool is_short(Handle attempt) const { return static_cast<void>(attempt), false; }
     virtual void close_idle(const std::string& target) = 0;
 };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -28,7 +28,8 @@
     finishing_.data = this;
 }
 
-Stream* Stream::connect(Loop& loop, Budget& budget, const sockaddr_in& to, Owner& owner) {
+Stream* Stream::connect(Loop& loop, Budget& budget, const sockaddr_in& to, Owner& owner, int* why) {
+    if (why) *why = 0;
     if (!budget.take()) return nullptr;
     auto* stream = new Stream(loop, budget, owner);
     const int failed =
@@ -41,6 +42,7 @@
                            self->owner_->opened(*self);
                        });
     if (failed == 0) return stream;
+    if (why) *why = failed;
     stream->close();
     return nullptr;
 }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -31,8 +31,10 @@
         virtual void gone(Stream& stream, Gone how) = 0;
     };
 
-    // Null: no descriptor is left. A failure to connect is told from the loop, never from within the call.
-    static Stream* connect(Loop& loop, Budget& budget, const sockaddr_in& to, Owner& owner);
+    // Null: nothing was begun, for want of a place in the budget or by the error that `why` then holds
+    // (libuv's; 0: the budget). A failure to connect is told from the loop, never from within the call.
+    static Stream* connect(Loop& loop, Budget& budget, const sockaddr_in& to, Owner& owner,
+                           int* why = nullptr);
     // Of a connection that a listener took; `fd` is closed in any case. Null: no descriptor is left.
     static Stream* adopt(Loop& loop, Budget& budget, int fd, Owner& owner);
 
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -7,6 +7,7 @@
 
 #include "base/json_line.h"
 #include "base/log.h"
+#include "base/system_error.h"
 
 namespace sumackeel::peers {
 
@@ -59,8 +60,8 @@
     std::string fault;
     const std::uint64_t start = number.read(fault) + 1;
     if (!fault.empty()) log::error("peers: {}", fault);
-    if (const std::string wrong = number.write(start); !wrong.empty())
-        throw std::runtime_error("peers: the start number can't be kept: " + wrong);
+    const std::string wrong = base::retry_folder_at_start([&] { return number.write(start); });
+    if (!wrong.empty()) throw std::runtime_error("peers: the start number can't be kept: " + wrong);
     return start;
 }
 
--- a/src/peers/recovery.cpp
+++ b/src/peers/recovery.cpp
@@ -10,6 +10,7 @@
 #include "base/json_line.h"
 #include "base/log.h"
 #include "base/packed.h"
+#include "base/system_error.h"
 
 namespace sumackeel::peers {
 
@@ -72,9 +73,12 @@
     std::string text, fault;
     for (const std::uint64_t generation : files_.all()) {
         generation_ = std::max(generation_, generation);
-        if (base::read_plain(files_.path_of(generation), recovery::kLongestKept, text, fault) ==
-            base::Reading::done)
-            fault = recovery::decode(text, kept_);
+        base::Reading reading{};
+        base::retry_folder_at_start([&] {
+            reading = base::read_plain(files_.path_of(generation), recovery::kLongestKept, text, fault);
+            return reading == base::Reading::unreadable ? fault : std::string{};
+        });
+        if (reading == base::Reading::done) fault = recovery::decode(text, kept_);
         if (fault.empty()) {
             good_ = generation;
             return;
@@ -82,7 +86,7 @@
         log::error("recovery: {} is set aside, {}: bans and drains of the last moments may be missing",
                    files_.path_of(generation), fault);
         aside_.push_back(files_.path_of(generation) + ": " + fault);
-        files_.set_aside(generation);
+        if (reading != base::Reading::unreadable) files_.set_aside(generation);
         fault.clear();
     }
 }
--- a/src/peers/start_number.cpp
+++ b/src/peers/start_number.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 
 #include "base/files.h"
+#include "base/system_error.h"
 
 namespace sumackeel::peers {
 
@@ -27,7 +28,12 @@
 std::uint64_t StartNumber::read(std::string& fault) const {
     const std::string path = folder_ + '/' + kName;
     std::string bytes;
-    switch (base::read_plain(path, kLongest, bytes, fault)) {
+    base::Reading reading{};
+    base::retry_folder_at_start([&] {
+        reading = base::read_plain(path, kLongest, bytes, fault);
+        return reading == base::Reading::unreadable ? fault : std::string{};
+    });
+    switch (reading) {
         case base::Reading::done:
             break;
         case base::Reading::missing:
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/system_error.h"
 
 namespace sumackeel::upstream {
 
@@ -32,6 +33,13 @@
 // than this gets nothing new and closes once nothing is open on it.
 constexpr std::size_t kMostGivenUp = 256;
 
+constexpr Micros kDialAgain = 20'000;  // a socket could not be made here
+
+// An error of connect that tells of this machine, not of the one called.
+bool is_own_shortage(int error) {
+    return error != 0 && (base::is_transient(error) || error == UV_EADDRNOTAVAIL);
+}
+
 }  // namespace
 
 struct Pool::Channel : net::Stream::Owner {
@@ -40,6 +48,7 @@
     std::string target;
     net::Stream* stream = nullptr;
     bool up = false;
+    bool lost = false;     // its connection has gone, or could not come up
     bool suspect = false;  // an attempt ran out of time here without a byte in the meanwhile
     struct Waiting {
         std::string id, text;
@@ -99,6 +108,7 @@
 
     void gone(net::Stream&, net::Gone how) override {
         stream = nullptr;
+        lost = true;
         if (how == net::Gone::refused) {
             log::debug("{} refused a connection", target);
             Target& to = pool.targets_[target];
@@ -207,11 +217,13 @@
     sockaddr_in address{};
     if (!net::read_address(target.address, address)) return nullptr;
     auto channel = std::make_unique<Channel>(*this, next_channel_++, name);
-    channel->stream = net::Stream::connect(loop_, budget_, address, *channel);
-    if (!channel->stream) return nullptr;
+    int why = 0;
+    channel->stream = net::Stream::connect(loop_, budget_, address, *channel, &why);
+    if (!channel->stream && !is_own_shortage(why)) return nullptr;
     log::debug("dialled at={} open={}", name, target.channels.size());
     Channel* raw = channel.get();
     raw->used = loop_.clock().now();
+    if (!raw->stream) dial_later(raw->number);
     raw->connect_by =
         loop_.deadlines().set(raw->used + limits_.connect_timeout, [this, number = raw->number] {
             const auto found = channels_.find(number);
@@ -224,6 +236,24 @@
     return raw;
 }
 
+// What waits for the connection goes on waiting; no pop cache has failed by it.
+void Pool::dial_later(std::uint64_t number) {
+    loop_.deadlines().set(loop_.clock().now() + kDialAgain, [this, number] {
+        const auto found = channels_.find(number);
+        if (found == channels_.end()) return;
+        Channel& channel = *found->second;
+        sockaddr_in address{};
+        int why = 0;
+        if (net::read_address(targets_[channel.target].address, address))
+            channel.stream = net::Stream::connect(loop_, budget_, address, channel, &why);
+        if (channel.stream) return;
+        if (is_own_shortage(why)) return dial_later(number);
+        channel.lost = why != 0;
+        drop(channel, false);
+        core_.run();
+    });
+}
+
 std::uint64_t Pool::send(const core::Sending& sending) {
     const auto place = targets_.find(sending.target);
     Channel* channel = place == targets_.end() ? nullptr : pick(place->second, sending);
@@ -273,6 +303,12 @@
     return at != channels_.end() && !at->second->up;
 }
 
+bool Pool::is_short(Handle attempt) const {
+    const auto found = carried_.find(attempt.number());
+    const auto at = found == carried_.end() ? channels_.end() : channels_.find(found->second.channel);
+    return at != channels_.end() && !at->second->stream && !at->second->lost;
+}
+
 void Pool::end(Handle attempt, Verdict verdict) {
     carried_.erase(attempt.number());
     core_.ended(attempt, core::Ending{.verdict = verdict});
@@ -283,8 +319,12 @@
 void Pool::drop(Channel& channel, bool came_up) {
     if (!channels_.erase(channel.number)) return;
     loop_.deadlines().drop(channel.connect_by);
+    const bool ever_dialled = channel.stream || channel.lost;
     if (channel.stream) channel.stream->close();
     channel.stream = nullptr;
+    const Verdict verdict = came_up        ? Verdict::broken_off
+                            : ever_dialled ? Verdict::not_connected
+                                           : Verdict::never_sent;  // for want of a socket of our own
     Target& target = targets_[channel.target];
     const auto place = std::find_if(target.channels.begin(), target.channels.end(),
                                     [&](const auto& c) { return c.get() == &channel; });
@@ -295,7 +335,7 @@
     std::sort(open.begin(), open.end(), [](Handle a, Handle b) { return a.number() < b.number(); });
     for (const Handle attempt : open) {
         carried_.erase(attempt.number());
-        core_.ended(attempt, core::Ending{.verdict = came_up ? Verdict::broken_off : Verdict::not_connected});
+        core_.ended(attempt, core::Ending{.verdict = verdict});
     }
 }
 
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -37,6 +37,7 @@
     std::uint64_t send(const core::Sending& sending) override;
     bool stop(Handle attempt) override;
     bool unbegun(Handle attempt) const override;
+    bool is_short(Handle attempt) const override;
     void close_idle(const std::string& target) override;
 
   private:
@@ -60,6 +61,7 @@
     bool make_room(const Channel* keep);
     void sweep();
     void begin_opened();
+    void dial_later(std::uint64_t number);
 
     net::Loop& loop_;
     net::Budget& budget_;
--- a/tests/daemon/store_test.cpp
+++ b/tests/daemon/store_test.cpp
@@ -9,9 +9,9 @@
 #include <filesystem>
 #include <fstream>
 
+#include "net/listener.h"
 #include "net/stream.h"
 #include "store/old_store.h"
-#include "net/listener.h"
 #include "store/redis_one_time.h"
 
 using namespace sumackeel;
--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -225,26 +225,20 @@
             print(f"{faults} under {under}: known")
 
 
-def closing_box(listener):
-    """A pop cache that closes each connection behind its first answer."""
-    while True:
-        conn, _ = listener.accept()
-        with conn, conn.makefile("rb") as lines:
-            words = lines.readline().decode().split()
-            if words and words[0] == "REQ":
-                lines.read(int(words[3]) + 2)
-                conn.sendall(f"{words[1]} DONE digest=e1,dated=1764576000123,tell=pulled 2\r\nok\r\n".encode())
+def many_caches(settings):
+    """So many pop caches that requests go on meeting some to which no connection is open."""
+    hosts = settings["known"]["results"][0]["fleet"]["hosts"]
+    hosts += [dict(hosts[0], host=f"s-{number:03d}") for number in range(200)]
 
 
 def own_shortage(program, library):
     """Descriptors that this process can't have for a moment are no failure of the pop caches it wanted them for."""
-    listener = listening()
-    for _ in range(16):
-        threading.Thread(target=closing_box, args=(listener,), daemon=True).start()
-    for error in ("ENFILE", "ENOBUFS", "EMFILE"):
-        proxy = Proxy(program, library, "127.0.0.1:%d" % listener.getsockname()[1], f"socket={error}/1@2-2.8")
+    for error in ("ENFILE", "ENOBUFS", "EMFILE", "ENOMEM"):
+        boxes = Boxes(BOX_DELAY_S)
+        proxy = Proxy(program, library, boxes.at, f"socket={error}/1@2-2.8", change=many_caches)
         try:
             proxy.ready()
+            proxy.wait_until(2.0)
             crowd = Crowd(proxy.port)
             proxy.wait_until(4.5)
             crowd.stop()
