Audit: attempts bounded and broken connections on sockets; accept's errors told apart

Cause: on reading, an error of accept that is none of one connection (a socket shut down elsewhere) would have been tried 64 times a turn and kept stop_listening from its end. Change: Listener backs off on whatever is not known to end one connection; two stories that hold: most_tries and second_copies as a pop cache sees them, reads and writes that fail with ETIMEDOUT, EHOSTUNREACH, ECONNRESET, EPIPE.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -22,6 +22,28 @@
 // Connections that ended in the queue, one after another, before others get their turn of the loop.
 constexpr int kMostAborted = 64;
 
+// Whether accept failed for that one connection alone, or was broken off by a signal: the next one may be
+// taken.
+bool ended_in_queue(int error) {
+    switch (error) {
+        case EINTR:
+        case ECONNABORTED:
+        case EPROTO:
+        case EPERM:
+        case ENETDOWN:
+        case ENETUNREACH:
+        case EHOSTDOWN:
+        case EHOSTUNREACH:
+        case ENONET:
+        case ENOPROTOOPT:
+        case EOPNOTSUPP:
+        case ETIMEDOUT:
+            return true;
+        default:
+            return false;
+    }
+}
+
 // A socket that listens at `address`, or the negative errno.
 int listening_socket(const sockaddr_in& address) {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -106,22 +128,14 @@
     for (int aborted = 0; aborted < kMostAborted; ++aborted) {
         const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd >= 0) return fd;
-        switch (const int error = errno) {
-            case EAGAIN:
-                return -1;
-            case EMFILE:
-            case ENFILE:
-            case ENOBUFS:
-            case ENOMEM:
-                back_off(error);
-                return -1;
-            default: {
-                // Of that one connection, which has ended in the queue, or of a call that a signal broke off.
-                thread_local log::Sparing line;
-                if (error != EINTR)
-                    line.warn("a connection could not be taken: {}", base::describe_error(error));
-            }
+        const int error = errno;
+        if (error == EAGAIN) return -1;
+        if (!ended_in_queue(error)) {
+            back_off(error);
+            return -1;
         }
+        thread_local log::Sparing line;
+        if (error != EINTR) line.warn("a connection could not be taken: {}", base::describe_error(error));
     }
     return -1;
 }
@@ -140,7 +154,7 @@
 
 bool Listener::has_waiting() const {
     pollfd one{.fd = fd_, .events = POLLIN, .revents = 0};
-    return fd_ >= 0 && ::poll(&one, 1, 0) == 1;
+    return fd_ >= 0 && ::poll(&one, 1, 0) == 1 && (one.revents & POLLIN);
 }
 
 void Listener::pause() {
--- a/tests/faults/calls.cpp
+++ b/tests/faults/calls.cpp
@@ -3,7 +3,8 @@
 //
 //     CALL=ERRNO[+ERRNO...]/N[@FROM-TO]   one call in N fails, with each error in turn; N = 1: every one
 //     read=SHORT/N, write=SHORT/N         one call in N moves a single byte (sockets alone)
-//     clock=SECONDS@AT                    CLOCK_REALTIME is read as SECONDS off from AT on
+//     read=ERRNO/N, write=ERRNO/N         fails on sockets to the port in FAULTS_PEER alone (write: and on
+//     files) clock=SECONDS@AT                    CLOCK_REALTIME is read as SECONDS off from AT on
 //
 // FROM, TO and AT are seconds of the monotonic clock since the program started. CALL is socket, connect,
 // accept, poll, open, write, fsync or rename; open, write, fsync and rename fail for files alone, and only
@@ -11,6 +12,7 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -54,6 +56,8 @@
     {"ENETUNREACH", ENETUNREACH},
     {"EHOSTUNREACH", EHOSTUNREACH},
     {"ETIMEDOUT", ETIMEDOUT},
+    {"ECONNRESET", ECONNRESET},
+    {"EPIPE", EPIPE},
     {"ENETDOWN", ENETDOWN},
     {"EPERM", EPERM},
     {"EADDRINUSE", EADDRINUSE},
@@ -67,6 +71,7 @@
 unsigned seed = 1;
 double started = 0;
 const char* under = "";
+int peer_port = 0;
 
 template <typename F>
 F real(const char* name) {
@@ -115,6 +120,7 @@
     started = seconds_since_start();
     if (const char* text = getenv("FAULTS_SEED")) seed = static_cast<unsigned>(atoi(text));
     if (const char* text = getenv("FAULTS_UNDER")) under = text;
+    if (const char* text = getenv("FAULTS_PEER")) peer_port = atoi(text);
     const char* text = getenv("FAULTS");
     if (!text) return;
     char* copy = strdup(text);
@@ -149,6 +155,25 @@
     return fstat(fd, &about) == 0 && S_ISSOCK(about.st_mode);
 }
 
+bool is_to_peer(int fd) {
+    sockaddr_in to{};
+    socklen_t length = sizeof to;
+    return peer_port != 0 && getpeername(fd, reinterpret_cast<sockaddr*>(&to), &length) == 0 &&
+           ntohs(to.sin_port) == peer_port;
+}
+
+// What a read or write of `count` bytes on a socket is to do: fewer bytes, or none and the error set.
+bool breaks_off(const char* call, int fd, size_t& count) {
+    if (!is_socket(fd)) return false;
+    const bool to_peer = is_to_peer(fd);
+    if (peer_port != 0 && !to_peer) return false;
+    const int fault = count > 0 ? fault_of(call) : 0;
+    if (fault == kShort) count = 1;
+    if (fault <= 0 || !to_peer) return false;
+    errno = fault;
+    return true;
+}
+
 bool is_covered_file(int fd) {
     char link[32], path[4096];
     snprintf(link, sizeof link, "/proc/self/fd/%d", fd);
@@ -207,16 +232,12 @@
 }
 
 ssize_t read(int fd, void* bytes, size_t count) {
-    if (count > 1 && is_socket(fd) && fault_of("read") == kShort) count = 1;
+    if (breaks_off("read", fd, count)) return -1;
     return real<ssize_t (*)(int, void*, size_t)>("read")(fd, bytes, count);
 }
 
 ssize_t write(int fd, const void* bytes, size_t count) {
-    if (is_covered_file(fd)) {
-        if (fails("write")) return -1;
-    } else if (count > 1 && is_socket(fd) && fault_of("write") == kShort) {
-        count = 1;
-    }
+    if (is_covered_file(fd) ? fails("write") : breaks_off("write", fd, count)) return -1;
     return real<ssize_t (*)(int, const void*, size_t)>("write")(fd, bytes, count);
 }
 
--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -10,6 +10,7 @@
 import tempfile
 import threading
 import time
+from collections import Counter
 
 from rig import FAILED, REFUSED, SERVED, Boxes, Crowd, Failure, Proxy, listening
 
@@ -252,6 +253,85 @@
             proxy.end()
 
 
+def server_connections_break(program, library):
+    """Reads and writes on connections to pop caches fail in all the ways of a broken one: all have their answer, and
+    what must not run twice is sent once where it may have run."""
+    boxes = Boxes(BOX_DELAY_S)
+    port = boxes.at.rsplit(":", 1)[1]
+    for faults in ("read=ETIMEDOUT+EHOSTUNREACH+ECONNRESET/20", "write=ETIMEDOUT+EPIPE+EHOSTUNREACH/20"):
+        boxes.seen.clear()
+        proxy = Proxy(program, library, boxes.at, faults, env={"FAULTS_PEER": port})
+        try:
+            proxy.ready()
+            reads, enrols = Crowd(proxy.port), Crowd(proxy.port, 4, kind=b"enrol")
+            proxy.wait_until(4)
+            reads.stop(), enrols.stop()
+            print(f"{faults}: {reads.told()}; enrol: {enrols.told()}")
+            want(not reads.lost() and not enrols.lost(), f"lost: {reads.lost()[:3]} {enrols.lost()[:3]}")
+            want(reads.count(SERVED) > 100, "hardly anything served")
+            often = Counter(request for _, request, fields in boxes.seen if fields["cls"] == "enrol")
+            want(max(often.values()) == 1, f"enrol went out twice: {often.most_common(2)}")
+        finally:
+            proxy.end()
+
+
+class Recorder:
+    """A pop cache that answers BROKE after a while, or never, and notes when each attempt was out."""
+
+    def __init__(self):
+        self.listener, self.lock, self.out = listening(), threading.Lock(), {}
+        self.at = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            conn, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(conn,), daemon=True).start()
+
+    def serve(self, conn):
+        with conn, conn.makefile("rb") as lines:
+            while line := lines.readline():
+                words = line.decode().split()
+                if words and words[0] == "STOP":
+                    self.ended(words[1])
+                if not words or words[0] != "REQ":
+                    continue
+                lines.read(int(words[3]) + 2)
+                with self.lock:
+                    self.out.setdefault(words[1], []).append([time.monotonic(), None])
+                if int(words[1], 16) % 2 == 0:  # the others never have an answer
+                    time.sleep(BOX_DELAY_S)
+                    self.ended(words[1])
+                    conn.sendall(f"{words[1]} BROKE - 0\r\n\r\n".encode())
+
+    def ended(self, request):
+        with self.lock:
+            for attempt in self.out.get(request, []):
+                attempt[1] = attempt[1] or time.monotonic()
+
+
+def attempts_are_bounded(program, library):
+    """Where the settings allow no second copy and three tries, no two are out at once and there is no fourth."""
+    def change(settings):
+        settings["settings"]["limits"].update(second_copies=False, most_tries=3)
+    boxes = Recorder()
+    proxy = Proxy(program, library, boxes.at, change=change)
+    try:
+        proxy.ready()
+        crowd = Crowd(proxy.port)
+        proxy.wait_until(6)
+        crowd.stop()
+        print(crowd.told(), f"{sum(len(one) for one in boxes.out.values())} attempts of {len(boxes.out)} requests")
+        want(not crowd.lost(), f"lost: {crowd.lost()[:3]}")
+        want(max(len(one) for one in boxes.out.values()) <= 3, "a fourth try")
+        want(any(len(one) > 1 for one in boxes.out.values()), "nothing was tried again")
+        slack = 0.02  # threads of this program note the two ends
+        both = [one for one in boxes.out.values() for a, b in zip(one, one[1:]) if a[1] is None or b[0] < a[1] - slack]
+        want(not both, f"two out at once: {both[:2]}")
+    finally:
+        proxy.end()
+
+
 FORGET_AFTER_S = 1.0
 
 
@@ -303,6 +383,7 @@
 STORIES = {story.__name__: story for story in (clock_steps, accept_fails, accept_stands_still, socket_at_start,
                                                process_stands_still, hand_over_fails, hand_over_unreadable,
                                                recovery_folder_fails, folders_fail_at_start, own_shortage,
+                                               server_connections_break, attempts_are_bounded,
                                                idle_connections_forgotten)}
 
 
