--- /dev/null
+++ b/tests/faults/drain_test.py
@@ -0,0 +1,213 @@
+#!/usr/bin/env python3
+"""Drains of a real process under clients of unlike habits, judged by the day-to-day page from what the clients saw.
+
+Usage: drain_test.py SUMACKEEL LIBRARY STORY
+"""
+import asyncio
+import signal
+import sys
+import time
+
+from habits import COME_AFTER_NO_S, PopCaches, World, all_habits, held
+from rig import REFUSED, SERVED, Failure, Proxy
+
+HELD_AFTER_S = 4.0
+READY_AFTER_S = 2.0  # a yes is due so long after the drain's end
+BEFORE_S = 1.0       # of traffic before the first drain
+
+
+def want(holds, text):
+    if not holds:
+        raise Failure(text)
+
+
+class Play:
+    """One process, its pop caches, its clients, and the front that asks each 0.1 s whether it is ready."""
+
+    def __init__(self, program, library, delay, timeout=3.0, body=b"ok", **more):
+        self.pop_caches = PopCaches(delay, body)
+        self.proxy = Proxy(program, library, self.pop_caches.at, change=settings_with(timeout), **more)
+        self.delay, self.timeout, self.told_at, self.ready_seen = delay, timeout, None, []
+        self.world = self.front = None
+
+    async def call(self, path, method="POST"):
+        return (await asyncio.to_thread(self.proxy.call, path, method))[0]
+
+    async def ask_readiness(self):
+        """As the front does: new connections come until 0.2 s after the first no, and again after a yes."""
+        while True:
+            status = await self.call("/ops/readiness", "GET")
+            now = time.monotonic()
+            self.ready_seen.append((now, status))
+            if status == 200:
+                self.world.may_connect = True
+            elif self.world.may_connect:
+                asyncio.get_running_loop().call_later(COME_AFTER_NO_S, self.close_front)
+            await asyncio.sleep(0.1)
+
+    def close_front(self):
+        self.world.may_connect = self.ready_seen[-1][1] == 200
+
+    async def begin(self, habits=all_habits):
+        await self.pop_caches.start()
+        await asyncio.to_thread(self.proxy.ready, 20)
+        self.world = World(self.proxy.port, timeout=self.timeout)
+        self.tasks = self.world.add(*habits(self.world, self.delay))
+        self.front = asyncio.ensure_future(self.ask_readiness())
+        await asyncio.sleep(BEFORE_S)
+
+    async def drain(self):
+        want(await self.call("/ops/drain/start") == 200, "the drain got no yes")
+        self.told_at = time.monotonic()
+
+    async def until(self, seconds):
+        await asyncio.sleep(max(0.0, self.told_at + seconds - time.monotonic()))
+
+    def check_held(self):
+        now = time.monotonic()
+        found = held(self.world, self.told_at, now)
+        want(not found, f"held {now - self.told_at:.2f} s after the yes: {found}")
+
+    async def watch_held(self, seconds):
+        """No connection is held from 4 s after the yes on, for so many seconds."""
+        await self.until(HELD_AFTER_S)
+        for _ in range(int(seconds / 0.05)):
+            self.check_held()
+            await asyncio.sleep(0.05)
+
+    async def stop_drain(self):
+        """The drain ends: a yes within 2 s, and clients are served again."""
+        want(await self.call("/ops/drain/stop") == 200, "the end of the drain got no yes")
+        ended = time.monotonic()
+        await asyncio.sleep(READY_AFTER_S)
+        want(self.ready_seen[-1][1] == 200, "no yes 2 s after the drain's end")
+        await asyncio.sleep(0.5)
+        after = self.world.count(SERVED, ended + READY_AFTER_S)
+        want(self.pop_caches.hanging or after > 50, f"hardly anything served after the drain: {after}")
+        return ended
+
+    async def finish(self):
+        self.world.going = False
+        for task in self.tasks + [self.front, self.world.watching]:
+            task.cancel()
+        await asyncio.gather(*self.tasks, self.front, return_exceptions=True)
+        want(not self.world.lost(), f"lost {len(self.world.lost())}: {self.world.lost()[:4]}")
+
+
+def settings_with(timeout):
+    def change(settings):
+        for one in settings["settings"]["classes"]:
+            one["give_up"] = int(timeout * 1e6)
+    return change
+
+
+def played(script, program, library, delay, **more):
+    async def run():
+        play = Play(program, library, delay, **more)
+        try:
+            await play.begin()
+            await script(play)
+            await play.finish()
+        finally:
+            play.proxy.end()
+        return play
+    return asyncio.run(run())
+
+
+def served_share(play):
+    """Of the requests written in the first two seconds of the drain, how many were served."""
+    first = [one for client in play.world.clients for one in client.done
+             if play.told_at <= one.written < play.told_at + 1.9]
+    return sum(one.place == SERVED for one in first) / max(1, len(first))
+
+
+def unlike_habits(program, library):
+    """At 4 s no connection is idle or has had a request in the last 2 s; nothing is lost; two seconds are served."""
+    for delay, timeout in ((0.05, 3.0), (0.3, 3.0), (0.05, 1.0)):
+        async def script(play):
+            await play.drain()
+            await play.watch_held(1.0)
+            play.share = served_share(play)
+            await play.stop_drain()
+        play = played(script, program, library, delay, timeout=timeout)
+        print(f"pop caches answer after {delay} s, deadlines of {timeout} s: {play.world.told()}, "
+              f"{play.share:.3f} of the first two seconds served")
+        want(play.share > 0.97, "requests of the first two seconds were not served")
+
+
+def pop_caches_hang(program, library):
+    """Pop caches hang through the whole drain, deadlines are longer than it, clients go on sending."""
+    for timeout in (3.0, 6.0):
+        async def script(play):
+            play.pop_caches.hanging = True
+            await play.drain()
+            await play.watch_held(1.0)
+            play.pop_caches.hanging = False
+            await play.stop_drain()
+        play = played(script, program, library, 0.05, timeout=timeout)
+        print(f"pop caches hang, deadlines of {timeout} s: {play.world.told()}")
+
+
+def stopped(program, library):
+    """A drain that is stopped at any moment goes back to serving, and no request is lost by it."""
+    async def script(play):
+        for seconds in (0.0, 0.3, 1.9, 2.02, 2.1, 3.4, 3.52, 3.7):
+            await play.drain()
+            await play.until(seconds)
+            ended = await play.stop_drain()
+            refused = play.world.count(REFUSED, ended + 0.3)
+            want(refused == 0, f"stopped at {seconds} s: {refused} refused 0.3 s later and on")
+    for delay in (0.05, 0.3):
+        print(played(script, program, library, delay).world.told())
+
+
+def series(program, library):
+    """Drains in series, with reloads in them, a pause, and one that is told again while it holds."""
+    async def script(play):
+        for round_ in range(4):
+            await play.drain()
+            if round_ == 1:
+                for _ in range(3):
+                    await asyncio.sleep(0.5)
+                    play.proxy.process.send_signal(signal.SIGHUP)
+            if round_ == 2:
+                await play.until(1.0)
+                play.proxy.process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(1.5)
+                play.proxy.process.send_signal(signal.SIGCONT)
+            if round_ == 3:
+                await play.until(1.0)
+                want(await play.call("/ops/drain/start") == 200, "told again: no yes")
+            await play.watch_held(0.5)
+            await play.stop_drain()
+    print(played(script, program, library, 0.1).world.told())
+
+
+def then_ended(program, library):
+    """SIGTERM at any moment of a drain: nothing is lost, and the process leaves before it is killed."""
+    for seconds in (0.1, 1.5, 2.1, 3.6):
+        async def script(play):
+            await play.drain()
+            await play.until(seconds)
+            play.proxy.process.send_signal(signal.SIGTERM)
+            ended = time.monotonic()
+            while play.proxy.process.poll() is None and time.monotonic() < ended + 3.7:
+                await asyncio.sleep(0.01)
+            want(play.proxy.process.poll() == 0, f"it had not left 3.7 s after SIGTERM at {seconds} s")
+        print(f"SIGTERM {seconds} s after the yes: {played(script, program, library, 0.1).world.told()}")
+
+
+STORIES = {story.__name__: story for story in (unlike_habits, pop_caches_hang, stopped, series, then_ended)}
+
+
+def main():
+    try:
+        STORIES[sys.argv[3]](sys.argv[1], sys.argv[2])
+    except Failure as why:
+        print(f"FAIL: {why}\n0 passed, 1 failed")
+        sys.exit(1)
+    print("1 passed, 0 failed")
+
+
+if __name__ == "__main__":
+    main()
