A drain brings about the moment in which a connection may end

Cause (H1): nothing but an idle connection was sent away, and one with overlapping requests is never idle. The drain waited for what the client does, with no timer of its own. A connection ends only once the system has sent all (SIOCOUTQNSD). Signed front: Connection: close on the last answer, 503 for what was sent ahead, 408 for half a request. Logged at each stage; counters in /ops/stats.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -73,7 +73,7 @@
     const Handle handle = requests_.add(std::move(request));
     Request& taken = *requests_.find(handle);
     taken.name = arrival.id = name_of(handle);
-    taken.guard = guard(handle, taken.deadline);
+    taken.guard = guard(handle, taken);
     if (const auto come_back = gate_ ? gate_(taken.ask) : std::nullopt) {
         turned_away_.emplace_back(handle, *come_back);
         return handle;
@@ -83,22 +83,32 @@
 }
 
 // The core's own answer comes just before the client gives up, or at the last word where that is sooner.
-base::Deadlines::Key Core::guard(Handle handle, Micros deadline) {
-    const Micros at = last_word_ > 0 ? std::min(deadline - kGuard, last_word_) : deadline - kGuard;
+base::Deadlines::Key Core::guard(Handle handle, const Request& request) {
+    Micros at = request.deadline - kGuard;
+    if (last_word_ > 0) at = std::min(at, last_word_);
+    if (request.answer_by) at = std::min(at, *request.answer_by);
     return deadlines_.set(at, [this, handle] { time_up(handle); });
 }
 
+void Core::renew_guard(Handle handle, Request& request) {
+    deadlines_.drop(request.guard);
+    request.guard = guard(handle, request);
+}
+
+void Core::answer_by(Handle handle, std::optional<Micros> at) {
+    Request* request = requests_.find(handle);
+    if (!request) return;
+    request->answer_by = at;
+    renew_guard(handle, *request);
+}
+
 void Core::last_word_by(Micros at) {
     last_word_ = at;
     std::vector<Handle> later;
     requests_.each([&](Handle handle, const Request& request) {
         if (request.deadline - kGuard > at) later.push_back(handle);
     });
-    for (const Handle handle : later) {
-        Request& request = *requests_.find(handle);
-        deadlines_.drop(request.guard);
-        request.guard = guard(handle, request.deadline);
-    }
+    for (const Handle handle : later) renew_guard(handle, *requests_.find(handle));
 }
 
 void Core::leave(Handle handle) {
@@ -130,7 +140,10 @@
 void Core::time_up(Handle handle) {
     Request* request = requests_.find(handle);
     if (!request) return;
-    log::warn("request {} had no answer from the module at its deadline", request->ask.id);
+    if (!request->answer_by) {
+        thread_local log::Sparing line;
+        line.warn("request {} had no answer from the module at its deadline", request->ask.id);
+    }
     events_.push_back(nettlethread::ClientLeft{request->name});
     finish(handle, Reply{.how = Answered::out_of_time});
     run();
@@ -139,8 +152,8 @@
 void Core::finish(Handle handle, Reply reply) {
     const std::optional<Request> request = forget(handle);
     if (!request) return;
-    log::debug("answered req={} how={} attempts={} left_us={}", request->name, static_cast<int>(reply.how),
-               request->attempts, request->deadline - clock_.now());
+    log::debug("answered req={} id={} how={} attempts={} left_us={}", request->name, request->ask.id,
+               static_cast<int>(reply.how), request->attempts, request->deadline - clock_.now());
     ++figures_.answered[static_cast<std::size_t>(reply.how)];
     if (reply.how == Answered::served || reply.how == Answered::same) {
         const Micros took = clock_.now() - (request->deadline - request->ask.left);
@@ -290,6 +303,7 @@
     if (forbidden || limit <= 0 || request->attempts > settings_.most_tries)
         return ended(handle, Ending{.verdict = limit <= 0 ? Verdict::timed_out : Verdict::never_sent});
     request->out.push_back(handle);
+    ++figures_.attempts;
     if (request->attempts == 1) {
         figures_.own_us += static_cast<std::uint64_t>(std::max<Micros>(0, request->ask.left - left));
         ++figures_.sent;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -89,7 +89,8 @@
 struct Figures {
     std::uint64_t answered[5] = {};  // by Answered
     std::array<std::uint64_t, 16>
-        took{};  // of those served: up to 2^i ms; the last one takes all that is longer
+        took{};                  // of those served: up to 2^i ms; the last one takes all that is longer
+    std::uint64_t attempts = 0;  // handed to upstream
     std::uint64_t own_us = 0, sent = 0;  // from taking a request to its first attempt, summed; of how many
 };
 
@@ -137,6 +138,8 @@
     // word (out of time) at `at`, so that no client is left with a connection that dies unanswered. Requests
     // taken from now on have until then and no longer: what can't end by `at` is refused at once.
     void last_word_by(Micros at);
+    // This request is to have its answer by `at` where nobody gave one before; nothing: by its own deadline.
+    void answer_by(Handle request, std::optional<Micros> at);
     // Danger: caches know a request by its client's id alone. Two open under one id would get each other's
     // answers, so fronts turn the second away.
     bool is_open(const std::string& id) const { return ids_.contains(id); }
@@ -149,6 +152,7 @@
         std::uint64_t cookie = 0;
         std::string name;  // what the module calls it
         Micros deadline = 0;
+        std::optional<Micros> answer_by;  // sooner than the deadline
         Deadlines::Key guard;
         std::vector<Handle> out;
         int attempts = 0;
@@ -185,7 +189,8 @@
     void time_up(Handle request);
     std::optional<Request> forget(Handle request);
     Micros begin_by(const Request& request);
-    Deadlines::Key guard(Handle request, Micros deadline);
+    Deadlines::Key guard(Handle handle, const Request& request);
+    void renew_guard(Handle handle, Request& request);
     Handle named(std::string_view name) const;
 
     nettlethread::Settings settings_;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -13,8 +13,10 @@
 #include "base/version.h"
 #include "core/core.h"
 #include "core/one_time.h"
+#include "daemon/drain_report.h"
 #include "daemon/ending.h"
 #include "daemon/expectation_gate.h"
+#include "daemon/figures.h"
 #include "daemon/fleet.h"
 #include "daemon/hand_over.h"
 #include "daemon/leaves.h"
@@ -129,6 +131,8 @@
     std::unique_ptr<front_signed::Front> signed_front;
     std::unique_ptr<Fleet> fleet;
     ops::Board board;
+    ops::Drain drain;  // the one that is on, or none
+    std::unique_ptr<DrainReport> drain_report;
     // The process before this one, as its file last told; the file's text from it and from here.
     ops::Board old_board;
     HandOverFile hand_over;
@@ -197,6 +201,7 @@
             signed_front = std::make_unique<front_signed::Front>(loop, core, c.site, *setup.signed_front,
                                                                  one_time.get(), c.seed, std::move(live));
         }
+        drain_report = std::make_unique<DrainReport>(loop, front, signed_front.get());
         if (setup.peers) start_peers(*setup.peers);
         if (setup.agreed) start_agreed(*setup.agreed);
         if (setup.store) start_registry(*setup.store);
@@ -624,7 +629,8 @@
                                    .connections = front.connections(),
                                    .pop_caches_listed = fleet->view().size(),
                                    .timers = loop.deadlines().size(),
-                                   .list_seq = fleet->view().newest_list()};
+                                   .list_seq = fleet->view().newest_list(),
+                                   .counters = counters_of(core, front, signed_front.get())};
         ops::Reply reply = ops::take_call(
             board, call, [this](const std::string& id) { return fleet->listed(id); }, figures);
         if (reply.changed) {
@@ -662,9 +668,18 @@
         if (agreed && recovery && !agreed->known())
             bans.insert(recovery->kept().leased.begin(), recovery->kept().leased.end());
         fleet->set_bans(bans);
-        front.send_away(board.sending_away());
+        time_drain();
+        front.send_away(board.sending_away(), drain);
         front.set_ready(board.ready());
-        if (signed_front) signed_front->send_away(board.sending_away());
+        if (signed_front) signed_front->send_away(board.sending_away(), drain);
+        drain_report->now(drain);
+    }
+
+    // A drain counts from its first yes, also where it is told again; one that is on when the process is told
+    // to end goes on.
+    void time_drain() {
+        if (board.phase() == ops::Phase::draining && !drain.on()) drain = ops::Drain(loop.clock().now());
+        if (board.phase() == ops::Phase::serving) drain = {};
     }
 
     void end() {
--- a/src/front_platform/front.cpp
+++ b/src/front_platform/front.cpp
@@ -3,6 +3,10 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
 
 namespace sumackeel::front_platform {
 
@@ -53,7 +57,12 @@
 struct Front::Client : net::Guest {
     Front& front;
     FrameReader reader;
-    std::map<std::int32_t, std::pair<Handle, Handle>> open;  // seqid to our entry and the core's
+    struct OpenCall {
+        Handle ours, cores;    // our entry and the core's request
+        bool held = false;     // to be refused by a drain: the core does not know it
+        bool hurried = false;  // to be answered by the drain's own time
+    };
+    std::map<std::int32_t, OpenCall> open;  // by seqid
     std::int32_t last_seqid = 0;
     bool heard = false;      // a whole frame has come
     base::Micros delay = 0;  // from the last byte of what is being read until now
@@ -68,6 +77,7 @@
             front.call(*this, read_call(frame));
             return stream() != nullptr;
         });
+        front.refuse_held(*this);
         tell_door();
     }
     void drained(net::Stream&) override { tell_door(true); }
@@ -85,12 +95,15 @@
         front.door_.now(*this, doing, has_read);
     }
     void left() override {
-        for (const auto& [seqid, handles] : open) {
-            front.open_.remove(handles.first);
-            front.core_.leave(handles.second);
+        for (const auto& [seqid, one] : open) {
+            front.open_.remove(one.ours);
+            front.core_.leave(one.cores);
         }
         open.clear();
     }
+    bool waits_for_core() const {
+        return std::ranges::any_of(open, [](const auto& entry) { return !entry.second.held; });
+    }
 };
 
 Front::Front(net::Loop& loop, core::Core& core, const config::Site& site, const net::Place& listen,
@@ -98,6 +111,7 @@
     : core_(core),
       site_(site),
       limits_(limits),
+      loop_(loop),
       door_(loop, listen, limits.connections, {.request = kRequestIn, .idle = kIdle, .reading = kReading},
             [this] { return std::make_unique<Client>(*this); }) {}
 
@@ -138,16 +152,19 @@
         case Verb::cancel: {
             const auto found = client.open.find(call.cancelled);
             if (found == client.open.end()) return;  // answered already
-            const auto [ours, cores] = found->second;
+            const Client::OpenCall one = found->second;
             client.open.erase(found);
-            open_.remove(ours);
-            return core_.leave(cores);
+            open_.remove(one.ours);
+            return core_.leave(one.cores);
         }
         case Verb::dispatch:
             break;
     }
     if (call.seqid <= client.last_seqid) throw FrameError("sequence numbers don't rise");
     client.last_seqid = call.seqid;
+    const base::Micros now = loop_.clock().now();
+    const bool refuses = door_.drain().refuses(now);
+    if (refuses) hurry(client, now);
     core::Ask ask;
     if (!read_ask(call, ask) || core_.is_open(ask.id))
         return client.stream()->write(write_answer(call.seqid, {}));
@@ -159,11 +176,68 @@
     ask.left -= client.delay;  // the time runs from the moment at which the request came
     if (crowded || ask.left <= 0)
         return client.stream()->write(write_answer(call.seqid, {.how = core::Answered::refused}));
+    if (refuses) return turn_away(client, call.seqid, ask.left, now);
     const Handle ours = open_.add({client.number(), call.seqid});
     const Handle cores = core_.take(std::move(ask), *this, ours.number());
     client.open[call.seqid] = {ours, cores};
 }
 
+// What is open on a connection on which requests go on coming late in a drain: it may not hold up the moment
+// with nothing open beyond the drain's own time.
+void Front::hurry(Client& client, base::Micros now) {
+    for (auto& [seqid, one] : client.open) {
+        if (one.held || std::exchange(one.hurried, true)) continue;
+        ++drain_figures_.hurried;
+        core_.answer_by(one.cores, door_.drain().answer_by(now));
+    }
+}
+
+// A request that comes late in a drain is refused, so that its connection gets a moment with nothing open.
+void Front::turn_away(Client& client, std::int32_t seqid, base::Micros left, base::Micros now) {
+    ++drain_figures_.refused;
+    if (!client.waits_for_core())
+        return client.stream()->write(write_answer(seqid, {.how = core::Answered::refused}));
+    ++drain_figures_.held;
+    const Handle ours = open_.add({client.number(), seqid});
+    client.open[seqid] = {.ours = ours, .cores = {}, .held = true};
+    log::debug("connection={} seqid={} held by the drain", client.number(), seqid);
+    loop_.deadlines().set(door_.drain().refuse_by(now, left),
+                          [this, ours, alive = std::weak_ptr<bool>(alive_)] {
+                              if (!alive.expired()) answer(ours.number(), {.how = core::Answered::refused});
+                          });
+}
+
+// Once nothing else is open on their connection.
+void Front::refuse_held(Client& client) {
+    if (!client.stream() || client.waits_for_core()) return;
+    for (const auto& [seqid, one] : std::exchange(client.open, {})) {
+        open_.remove(one.ours);
+        client.stream()->write(write_answer(seqid, {.how = core::Answered::refused}));
+    }
+}
+
+void Front::send_away(bool on, const ops::Drain& drain) {
+    const bool over = door_.drain().on() && !drain.on();
+    door_.set_drain(drain);
+    door_.send_away(on);
+    if (over) end_drain();
+}
+
+// What was held is refused, and what was hurried has its own time again.
+void Front::end_drain() {
+    std::vector<std::uint64_t> held;
+    open_.each([&](Handle ours, const Open& open) {
+        auto* client = static_cast<Client*>(door_.find(open.client));
+        if (!client) return;
+        const auto found = client->open.find(open.seqid);
+        if (found == client->open.end()) return;
+        if (found->second.held) return held.push_back(ours.number());
+        found->second.hurried = false;
+        core_.answer_by(found->second.cores, std::nullopt);
+    });
+    for (const std::uint64_t ours : held) answer(ours, {.how = core::Answered::refused});
+}
+
 void Front::answer(std::uint64_t cookie, core::Reply reply) {
     const Handle ours = Handle::of(cookie);
     const Open* open = open_.find(ours);
@@ -175,6 +249,7 @@
     Client& client = *found;
     client.open.erase(seqid);
     client.stream()->write(write_answer(seqid, reply));
+    refuse_held(client);
     client.tell_door();
 }
 
--- a/src/front_platform/front.h
+++ b/src/front_platform/front.h
@@ -1,6 +1,7 @@
 // The front for the platform's clients: Thrift calls to requests of the core, replies to answers.
 #pragma once
 
+#include <memory>
 #include <string>
 
 #include "base/slots.h"
@@ -24,7 +25,8 @@
 
     int port() const { return door_.port(); }
     void stop_listening(bool others_listen) { door_.stop_listening(others_listen); }
-    void send_away(bool on) { door_.send_away(on); }
+    // On a drain or at the end; `drain`: the one that is on, or none.
+    void send_away(bool on, const ops::Drain& drain);
     void part_with_all() { door_.part_with_all(); }
     bool coming() const { return door_.coming(); }
     std::size_t connections() const { return door_.connections(); }
@@ -32,12 +34,25 @@
     void set_ready(bool ready) { ready_ = ready; }
     void set_limits(const Limits& limits) { limits_ = limits, door_.set_connections(limits.connections); }
     bool unsent() const { return door_.unsent() > 0; }
+    const net::Door& door() const { return door_; }  // for figures
+
+    // Requests that drains turned away, since the start.
+    struct DrainFigures {
+        std::uint64_t refused = 0;  // at once, or once nothing else was open on their connection
+        std::uint64_t held = 0;     // of those, held back first
+        std::uint64_t hurried = 0;  // open beside refused ones, and so to be answered before their deadline
+    };
+    const DrainFigures& drain_figures() const { return drain_figures_; }
 
   private:
     struct Client;
 
     void answer(std::uint64_t cookie, core::Reply reply) override;
     void call(Client& client, Call call);
+    void hurry(Client& client, base::Micros now);
+    void turn_away(Client& client, std::int32_t seqid, base::Micros left, base::Micros now);
+    void refuse_held(Client& client);
+    void end_drain();
     bool read_ask(Call& call, core::Ask& ask) const;
 
     core::Core& core_;
@@ -49,6 +64,9 @@
     };
     base::Slots<Open> open_;
     bool ready_ = false;  // what `alive` says: not before the daemon has said so
+    DrainFigures drain_figures_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what is set in the loop
+    net::Loop& loop_;
     net::Door door_;
 };
 
--- a/src/front_signed/front.cpp
+++ b/src/front_signed/front.cpp
@@ -42,6 +42,8 @@
             return "Not Found";
         case 405:
             return "Method Not Allowed";
+        case 408:
+            return "Request Timeout";
         case 413:
             return "Content Too Large";
         case 431:
@@ -145,15 +147,19 @@
     }
 
     void received(net::Stream&, std::string_view bytes) override {
-        if (ahead.size() + bytes.size() > kMostAhead + sizeof(char) * kLongestBody)
-            throw std::runtime_error("a client sends ahead without end");
         const base::Micros delay = waited();
         if (left_meanwhile(delay)) return front.door_.part(*this);
         came = front.loop_.clock().now() - delay;
         ahead += bytes;
         work();
+        if (front.door_.drain().refuses(front.loop_.clock().now())) front.hurry(*this);
         tell_door();
     }
+    void request_timed_out() override {
+        if (!busy && parser.nread > 0)
+            front.write(*this, front.problem_of(408, "the request did not come whole in time"), true);
+    }
+    bool too_far_ahead() const { return ahead.size() > kMostAhead; }
     void drained(net::Stream&) override { tell_door(true); }
 
     // Parses up to the end of one request; the rest waits until that is answered.
@@ -176,6 +182,7 @@
 
     void tell_door(bool has_read = false) {
         if (!stream()) return;
+        stream()->pause(too_far_ahead());
         const net::Doing doing = busy                                 ? net::Doing::busy
                                  : stream()->unsent() > 0             ? net::Doing::unsent
                                  : !heard                             ? net::Doing::arriving
@@ -251,6 +258,8 @@
 }
 
 void Front::asked(Client& client) {
+    if (door_.drain().refuses(loop_.clock().now()))
+        return problem(client, 503, "this proxy sends its clients away, nothing ran");
     const auto host = client.headers.find("host");
     Target target;
     if (host == client.headers.end() || lower(host->second) != lower(setup_.host) ||
@@ -298,6 +307,36 @@
         ask.left <= 0)
         return answer(ours.number(), {.how = Answered::refused});
     client.cores = core_.take(std::move(ask), *this, ours.number());
+    if (client.too_far_ahead() || door_.drain().refuses(loop_.clock().now())) hurry(client);
+}
+
+// During a drain what is open may not keep its connection beyond the drain's own time where further requests
+// were sent behind it.
+void Front::hurry(Client& client) {
+    if (!door_.drain().on() || !client.busy || client.ahead.empty()) return;
+    core_.answer_by(client.cores, door_.drain().answer_by(loop_.clock().now()));
+}
+
+void Front::send_away(bool on, const ops::Drain& drain) {
+    const bool changed = door_.drain().on() != drain.on();
+    door_.set_drain(drain);
+    door_.send_away(on);
+    if (!changed) return;
+    open_.each([&](Handle, const Open& open) {
+        auto* client = static_cast<Client*>(door_.find(open.client));
+        if (!client) return;
+        if (drain.on() && client->too_far_ahead()) hurry(*client);
+        if (!drain.on()) core_.answer_by(client->cores, std::nullopt);
+    });
+}
+
+// Whether the connection ends behind this answer, which then says so. During a drain requests that were sent
+// ahead are answered first, for as long as the drain has time.
+bool Front::is_last(const Client& client) const {
+    if (!client.keep || leaving_) return true;
+    if (!door_.drain().on()) return false;
+    if (door_.drain().stage(loop_.clock().now()) >= ops::DrainStage::closing) return true;
+    return client.ahead.empty() && !client.stream()->unread();
 }
 
 void Front::answer(std::uint64_t cookie, core::Reply reply_given) {
@@ -334,26 +373,33 @@
 
 // Details are words of this program's own, so they need no escapes.
 void Front::problem(Client& client, int status, const std::string& detail) {
+    reply(client, problem_of(status, detail));
+}
+
+Front::Answer Front::problem_of(int status, const std::string& detail) const {
     std::string headers = "Content-Type: application/problem+json\r\n";
     if (status == 401) headers += "WWW-Authenticate: Bearer error=\"invalid_token\"\r\n";
     if (status == 405) headers += "Allow: GET, POST\r\n";
     if (status == 503) headers += fmt::format("Retry-After: {}\r\n", retry_after());
-    reply(client,
-          {status, headers,
-           fmt::format(R"({{"status":{},"title":"{}","detail":"{}"}})", status, title(status), detail)});
+    return {status, headers,
+            fmt::format(R"({{"status":{},"title":"{}","detail":"{}"}})", status, title(status), detail)};
 }
 
-void Front::reply(Client& client, const Answer& answer) {
-    if (!client.stream()) return;
-    const bool keep = client.keep && !leaving_;
+void Front::write(Client& client, const Answer& answer, bool last) {
     std::string text =
         fmt::format("HTTP/1.1 {} {}\r\n{}", answer.status, title(answer.status), answer.headers);
     if (answer.status != 304) text += fmt::format("Content-Length: {}\r\n", answer.body.size());
     text += "Cache-Control: private\r\n";
-    text += keep ? "\r\n" : "Connection: close\r\n\r\n";
+    text += last ? "Connection: close\r\n\r\n" : "\r\n";
     client.stream()->write(text + answer.body);
+}
+
+void Front::reply(Client& client, const Answer& answer) {
+    if (!client.stream()) return;
+    const bool last = is_last(client);
+    write(client, answer, last);
     client.busy = false;
-    if (!keep) return door_.part(client);
+    if (last) return door_.part(client, door_.drain().on() ? net::EndReason::drain : net::EndReason::front);
     client.tell_door();
     // What was sent ahead is taken up from the loop: answers may come in the middle of the core's work.
     if (!client.ahead.empty())
--- a/src/front_signed/front.h
+++ b/src/front_signed/front.h
@@ -23,7 +23,8 @@
 
     int port() const { return door_.port(); }
     void stop_listening() { door_.stop_listening(false); }
-    void send_away(bool on) { door_.send_away(on); }
+    // On a drain or at the end; `drain`: the one that is on, or none.
+    void send_away(bool on, const ops::Drain& drain);
     void part_with_all() { door_.part_with_all(); }
     bool coming() const { return door_.coming(); }
     std::size_t connections() const { return door_.connections(); }
@@ -31,6 +32,7 @@
     // Keys, issuers, names and limits from now on; what was let in before goes on.
     void renew(const config::SignedFront& setup);
     bool unsent() const { return door_.unsent() > 0; }
+    const net::Door& door() const { return door_; }  // for figures
 
   private:
     struct Client;
@@ -49,7 +51,11 @@
     void enter(base::Handle ours, core::Ask ask);
     void once_known(base::Handle ours, core::Ask ask, core::Use use);
     void problem(Client& client, int status, const std::string& detail);
+    Answer problem_of(int status, const std::string& detail) const;
+    void write(Client& client, const Answer& answer, bool last);
     void reply(Client& client, const Answer& answer);
+    bool is_last(const Client& client) const;
+    void hurry(Client& client);
     double now_s() const;
     int retry_after() const;
 
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -24,9 +24,23 @@
 
 }  // namespace
 
-void Guest::gone(Stream&, Gone) {
+const char* name_of(EndReason reason) {
+    static constexpr std::array<const char*, kEndReasons> kNames{
+        "client",       "broken",          "drain", "process_end", "request_timeout",
+        "idle_timeout", "reading_timeout", "room",  "memory",      "front"};
+    return kNames[static_cast<std::size_t>(reason)];
+}
+
+const char* name_of(Doing doing) {
+    static constexpr std::array<const char*, kDoings> kNames{"arriving", "sending", "idle",
+                                                             "unsent",   "busy",    "leaving"};
+    return kNames[static_cast<std::size_t>(doing)];
+}
+
+void Guest::gone(Stream&, Gone how) {
     stream_ = nullptr;
     Door& door = *door_;
+    door.note_end(*this, how == Gone::ended ? EndReason::client : EndReason::broken);
     door.lost(*this);
     door.admit();
 }
@@ -127,13 +141,13 @@
 // so this does not wait for the other side's end.
 bool Door::make_room() {
     for (Guest* guest : queue(Doing::leaving))
-        if (guest->stream_->unsent() == 0) return let_go(*guest), true;
+        if (guest->stream_->unsent() == 0) return let_go(*guest, EndReason::room), true;
     const Micros before = loop_.clock().now() - kSettled;
     for (const Doing doing : {Doing::arriving, Doing::sending, Doing::idle})
         for (Guest* guest : queue(doing)) {
             if (guest->since_ > before) break;
             if (guest->stream_->unread()) continue;
-            let_go(*guest);
+            let_go(*guest, EndReason::room);
             return true;
         }
     thread_local log::Sparing line;
@@ -146,19 +160,28 @@
     for (const Doing doing : {Doing::unsent, Doing::leaving})
         for (Guest* guest : queue(doing)) {
             if (guest->since_ > before) break;
-            if (guest != &keep && guest->stream_->unsent() > 0) return let_go(*guest);
+            if (guest != &keep && guest->stream_->unsent() > 0) return let_go(*guest, EndReason::memory);
         }
 }
 
 void Door::now(Guest& guest, Doing doing, bool has_read) {
     const bool same = guest.doing_ == doing && doing != Doing::idle && !(doing == Doing::unsent && has_read);
     if (!guest.stream() || same) return;
+    if (guest.doing_ != doing)
+        log::debug("connection={} state={} was={}", guest.number_, name_of(doing), name_of(guest.doing_));
     std::list<Guest*>& to = queue(doing);
     to.splice(to.end(), queue(guest.doing_), guest.place_);
     guest.doing_ = doing;
     guest.since_ = loop_.clock().now();
     // Between two requests is the one moment at which ending loses nothing that was sent.
-    if (sending_away_ && doing == Doing::idle && !guest.stream_->unread()) part(guest);
+    if (sending_away_ && doing == Doing::idle && may_end(guest)) part(guest, away());
+}
+
+// Danger: what the client sends before it sees the end is lost where that takes it longer than a way there.
+// So nothing may wait to be read here, and nothing that it reads slowly may lie before the end.
+bool Door::may_end(const Guest& guest) const {
+    if (guest.stream_->congested()) return false;
+    return !guest.stream_->unread() || drain_.stage(loop_.clock().now()) == ops::DrainStage::forcing;
 }
 
 void Door::send_away(bool on) {
@@ -166,8 +189,9 @@
     if (on) part_with(Doing::idle);
 }
 
-void Door::part(Guest& guest) {
+void Door::part(Guest& guest, EndReason reason) {
     if (!guest.stream()) return;
+    note_end(guest, reason);
     std::list<Guest*>& leaving = queue(Doing::leaving);
     leaving.splice(leaving.end(), queue(guest.doing_), guest.place_);
     guest.doing_ = Doing::leaving;
@@ -179,8 +203,29 @@
 void Door::part_with(Doing doing) {
     std::vector<Guest*> quiet;
     for (Guest* guest : queue(doing))
-        if (!guest->stream_->unread()) quiet.push_back(guest);
-    for (Guest* guest : quiet) part(*guest);
+        if (may_end(*guest)) quiet.push_back(guest);
+    for (Guest* guest : quiet) part(*guest, away());
+}
+
+// Bytes that wait to be read are no reason to bear longer with a request that never ends.
+void Door::part_with_overdue(Doing doing) {
+    const Micros now = loop_.clock().now(), patience = drain_.patience(patience_.request, now);
+    std::vector<Guest*> overdue;
+    for (Guest* guest : queue(doing)) {
+        if (guest->since_ > now - patience) break;
+        overdue.push_back(guest);
+    }
+    for (Guest* guest : overdue) {
+        guest->request_timed_out();
+        part(*guest, EndReason::request_timeout);
+    }
+}
+
+// Told of each connection once, at the first of its ends.
+void Door::note_end(const Guest& guest, EndReason reason) {
+    if (guest.doing_ == Doing::leaving) return;
+    ++ended_[static_cast<std::size_t>(reason)];
+    log::debug("connection={} ended why={} state={}", guest.number_, name_of(reason), name_of(guest.doing_));
 }
 
 void Door::part_with_all() {
@@ -205,16 +250,16 @@
         }
         return found;
     };
-    // Bytes that wait to be read are no reason to bear longer with a request that never ends.
-    for (const Doing doing : {Doing::arriving, Doing::sending})
-        for (Guest* guest : over(doing, patience_.request)) part(*guest);
+    part_with_overdue(Doing::arriving);
+    part_with_overdue(Doing::sending);
     // One that could not be half-closed has gone, and another may have gone for who came in its place.
     for (Guest* guest : over(Doing::idle, patience_.idle))
-        if (guest->stream() && !guest->stream_->unread()) part(*guest);
-    for (Guest* guest : over(Doing::unsent, patience_.reading)) let_go(*guest);
+        if (guest->stream() && !guest->stream_->unread()) part(*guest, EndReason::idle_timeout);
+    for (Guest* guest : over(Doing::unsent, patience_.reading)) let_go(*guest, EndReason::reading_timeout);
     // Its last answer may take as long to be read as any other.
     for (Guest* guest : over(Doing::leaving, kLeaving))
-        if (guest->stream_->unsent() == 0 || guest->since_ <= now - patience_.reading) let_go(*guest);
+        if (guest->stream_->unsent() == 0 || guest->since_ <= now - patience_.reading)
+            let_go(*guest, EndReason::reading_timeout);
     if (sending_away_) part_with(Doing::idle);  // those whose bytes were unread at the last look
     admit();
     loop_.deadlines().set(now + kSweep, [this, alive = std::weak_ptr<bool>(alive_)] {
@@ -222,7 +267,8 @@
     });
 }
 
-void Door::let_go(Guest& guest) {
+void Door::let_go(Guest& guest, EndReason reason) {
+    note_end(guest, reason);
     guest.stream_->close();
     guest.stream_ = nullptr;
     lost(guest);
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -12,6 +12,7 @@
 
 #include "net/listener.h"
 #include "net/stream.h"
+#include "ops/drain.h"
 
 namespace sumackeel::net {
 
@@ -27,6 +28,25 @@
     leaving    // sent away: half-closed, until it has ended too
 };
 
+// Why a connection was ended, or by whom. Names for counters and logs: name_of().
+enum class EndReason : std::size_t {
+    client,           // the client ended it
+    broken,           // reset, failed, or what came could not be read
+    drain,            // nothing was open on it during a drain
+    process_end,      // nothing was open on it, and the process is told to end
+    request_timeout,  // no whole request in time
+    idle_timeout,     // nothing between two requests
+    reading_timeout,  // its answers were not read
+    room,             // its place was needed for another
+    memory,           // its unread answers took the memory that others needed
+    front             // the front's own protocol ends it
+};
+constexpr std::size_t kEndReasons = 10;
+const char* name_of(EndReason reason);
+const char* name_of(Doing doing);
+
+constexpr std::size_t kDoings = 6;
+
 // One client's connection. Its door destroys it in the turn after it has gone.
 class Guest : public Stream::Owner {
   public:
@@ -36,6 +56,9 @@
 
   protected:
     virtual void left() = 0;  // told once, after the connection has gone or was sent away
+    // Told before it is sent away in the middle of a request that took too long to come: a last word may be
+    // written.
+    virtual void request_timed_out() {}
     // Asked from received(), once in each call: how long ago the last of these bytes came. It is more than a
     // turn of the loop where the connection waited at the listener, or the process stood still.
     Micros waited();
@@ -82,13 +105,18 @@
     // On: clients are sent away as on a drain or at the end. Idle connections end now, the others once
     // their last answer is read; the listener goes on as it was. Off: all as before.
     void send_away(bool on);
+    // The drain that is on, or none: how long clients are borne with while they are sent away.
+    void set_drain(const ops::Drain& drain) { drain_ = drain; }
+    const ops::Drain& drain() const { return drain_; }
     // Ends one connection behind what was written to it. Requests that cross this are not read.
-    void part(Guest& guest);
+    void part(Guest& guest, EndReason reason = EndReason::front);
     // Ends all at which nothing is open, half sent or unread, those too that never sent a thing.
     void part_with_all();
     // A request is half sent, or has come and was not read yet, or a connection waits at the listener.
     bool coming() const;
     std::size_t connections() const { return guests_.size(); }  // those leaving too
+    std::size_t doing(Doing doing) const { return queue(doing).size(); }
+    std::uint64_t ended(EndReason reason) const { return ended_[static_cast<std::size_t>(reason)]; }
     int port() const { return listener_.port(); }
 
   private:
@@ -100,8 +128,12 @@
     bool make_room();
     void sweep();
     void take(int fd);
-    void let_go(Guest& guest);
+    void let_go(Guest& guest, EndReason reason);
     void part_with(Doing doing);
+    void part_with_overdue(Doing doing);
+    void note_end(const Guest& guest, EndReason reason);
+    bool may_end(const Guest& guest) const;
+    EndReason away() const { return drain_.on() ? EndReason::drain : EndReason::process_end; }
     void lost(Guest& guest);
     std::list<Guest*>& queue(Doing doing) { return queues_[static_cast<std::size_t>(doing)]; }
     const std::list<Guest*>& queue(Doing doing) const { return queues_[static_cast<std::size_t>(doing)]; }
@@ -110,11 +142,13 @@
     Patience patience_;
     std::function<std::unique_ptr<Guest>()> make_;
     Budget budget_;
-    std::array<std::list<Guest*>, 6> queues_;  // by what they do, longest at it first
+    std::array<std::list<Guest*>, kDoings> queues_;  // by what they do, longest at it first
     std::map<std::uint64_t, std::unique_ptr<Guest>> guests_;
     std::vector<std::unique_ptr<Guest>> gone_;
     std::uint64_t next_ = 1;
     bool sending_away_ = false;
+    ops::Drain drain_;
+    std::array<std::uint64_t, kEndReasons> ended_{};
     bool waiting_ = false;      // connections may wait at the listener
     Micros backlog_since_ = 0;  // who waits there came after this; 0: nobody has waited over a turn
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what is set in the loop
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,5 +1,6 @@
 #include "net/stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -144,6 +145,13 @@
            ioctl(fd, FIONREAD, &count) == 0 && count > 0;
 }
 
+bool Stream::congested() const {
+    uv_os_fd_t fd = -1;
+    int count = 0;
+    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
+           ioctl(fd, SIOCOUTQNSD, &count) == 0 && count > 0;
+}
+
 Micros Stream::since_last_byte() const {
     uv_os_fd_t fd = -1;
     tcp_info info{};
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -41,7 +41,10 @@
     void write(std::string bytes);
     std::size_t unsent() const { return uv_stream_get_write_queue_size(as_stream()); }
     void pause(bool on);
-    bool unread() const;             // bytes have arrived that were not read yet
+    bool unread() const;  // bytes have arrived that were not read yet
+    // The system still holds bytes back for want of room at the other side, which reads slowly: an end would
+    // reach it only behind them. False where the system can't tell.
+    bool congested() const;
     Micros since_last_byte() const;  // by the system's account, in its ticks; 0 where it can't tell
     bool peer_ended() const;         // all was read, and the other side has ended the connection
     void close();                    // at once; what is unsent is dropped
--- a/src/ops/calls.cpp
+++ b/src/ops/calls.cpp
@@ -47,12 +47,16 @@
     }
     if (path == "/ops/stats") {
         if (!get) return wrong_method("GET");
+        std::string counters;
+        for (const Counter& one : figures.counters)
+            counters += fmt::format("gw_{} {}\n", one.name, one.value);
         return {200,
                 fmt::format("gw_ready {}\ngw_phase {}\ngw_pop_caches_down {}\ngw_pop_caches_listed {}\n"
                             "gw_list_seq {}\ngw_inflight {}\ngw_connections {}\ngw_timers {}\n",
                             board.ready() ? 1 : 0, name_of(board.phase()), board.bans().size(),
                             figures.pop_caches_listed, figures.list_seq, figures.requests_open,
-                            figures.connections, figures.timers),
+                            figures.connections, figures.timers) +
+                    counters,
                 false};
     }
     const Asked asked = asked_in(path);
--- a/src/ops/calls.h
+++ b/src/ops/calls.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "ops/board.h"
 
@@ -21,11 +22,18 @@
     bool changed = false;  // the board is to be handed over anew
 };
 
+// One counter or gauge.
+struct Counter {
+    std::string name;
+    std::uint64_t value = 0;
+};
+
 // What GET /ops/stats shows besides the board, as `gw_NAME VALUE` lines.
 struct Figures {
     std::size_t requests_open = 0, connections = 0, pop_caches_listed = 0;
     std::size_t timers = 0;     // deadlines set
     std::int64_t list_seq = 0;  // the number of the newest change the list has taken
+    std::vector<Counter> counters = {};
 };
 
 // What a path of the operators' calls asks for.
