--- a/tests/faults/calls.cpp
+++ b/tests/faults/calls.cpp
@@ -2,6 +2,7 @@
 // steps. The environment variable FAULTS holds rules separated by blanks:
 //
 //     CALL=ERRNO[+ERRNO...]/N[@FROM-TO]   one call in N fails, with each error in turn; N = 1: every one
+//     CALL=WAITSECONDS/N[@FROM-TO]        it is carried out so many seconds later, as on a disk that hangs
 //     read=SHORT/N, write=SHORT/N         one call in N moves a single byte (sockets alone)
 //     read=ERRNO/N, write=ERRNO/N         fails on sockets to the port in FAULTS_PEER alone (write: and on
 //     files) clock=SECONDS@AT                    CLOCK_REALTIME is read as SECONDS off from AT on
@@ -29,6 +30,8 @@
 namespace {
 
 constexpr int kShort = -1;  // in place of an errno: the call moves one byte
+constexpr int kWait = -2;   // in place of an errno: the call is carried out later
+constexpr char kWaitWord[] = "WAIT";
 constexpr int kMostRules = 16, kMostErrors = 8;
 
 struct Rule {
@@ -107,10 +110,15 @@
     }
     rule.seconds = atof(equals + 1);
     char* rest = nullptr;
-    for (char* word = strtok_r(equals + 1, "+", &rest); word; word = strtok_r(nullptr, "+", &rest))
+    for (char* word = strtok_r(equals + 1, "+", &rest); word; word = strtok_r(nullptr, "+", &rest)) {
+        if (!strncmp(word, kWaitWord, strlen(kWaitWord)) && rule.count < kMostErrors) {
+            rule.errors[rule.count++] = kWait;
+            rule.seconds = atof(word + strlen(kWaitWord));
+        }
         for (const ErrorName& known : kNames)
             if (!strcmp(word, known.name) && rule.count < kMostErrors)
                 rule.errors[rule.count++] = known.value;
+    }
     if (strcmp(rule.call, "clock") != 0 && (rule.count == 0 || rule.one_in < 1)) abort();
     ++rule_count;
 }
@@ -139,7 +147,9 @@
         unsigned mixed = (rule.calls++ + seed) * 2654435761u;
         mixed = (mixed ^ (mixed >> 15)) * 2246822519u;
         if (rule.one_in > 1 && (mixed ^ (mixed >> 13)) % static_cast<unsigned>(rule.one_in) != 0) continue;
-        return rule.errors[rule.failed++ % static_cast<unsigned>(rule.count)];
+        const int fault = rule.errors[rule.failed++ % static_cast<unsigned>(rule.count)];
+        if (fault == kWait) usleep(static_cast<useconds_t>(rule.seconds * 1e6));
+        return fault == kWait ? 0 : fault;
     }
     return 0;
 }
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -37,8 +37,9 @@
     """A process of the program. `faults` are rules of calls.cpp, whose clock starts with the process."""
 
     def __init__(self, program, library, boxes_at, faults="", seed=1, under="", change=None, env=None, operator="",
-                 folder=None, log_level="info"):
-        """`under`: the folder, below the process's own, whose files the faults are for. `folder`: of a process before."""
+                 folder=None, log_level="info", log_to=None):
+        """`under`: the folder, below the process's own, whose files the faults are for. `folder`: of a process before. `log_to`: a
+        descriptor that its log goes to in place of a file."""
         self.folder = folder or tempfile.TemporaryDirectory(prefix="sumackeel-faults-")
         hold, ops = listening(), listening()
         self.ops = ops.getsockname()[1]
@@ -64,7 +65,7 @@
         ops.close()
         self.began = time.monotonic()
         with open(self.log, "w", encoding="utf-8") as err:
-            self.process = subprocess.Popen(command, stderr=err, stdout=err, env=environment)
+            self.process = subprocess.Popen(command, stderr=log_to or err, stdout=err, env=environment)
 
     def write(self, settings):
         with open(self.config, "w", encoding="utf-8") as out:
