Nothing on the loop waits for a disk or a log; silent callers hold nobody up

Calls waited 100 ms for each eight silent callers; hand-over, recovery's folder, the start number and a reload's files were read and synced on the loop; the log was written where it was said. Change: how long a silent caller is borne with falls with the length of the listener's queue (TCP_INFO), the backlog is 4096. net::OffLoop and net::LatestOnDisk write and read on libuv's pool; the yes comes once it is kept, 0.3 s later at the latest and then says so. spdlog's async logger with a bounded queue; what it left out is counted (gw_log_lines_dropped). A reload's expectations are checked on the text that is taken up: it was read twice. A late text of the process before is written over.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,10 +1,19 @@
 #include "base/log.h"
 
 #include <fmt/chrono.h>
+#include <spdlog/async.h>
+#include <spdlog/async_logger.h>
+#include <spdlog/sinks/base_sink.h>
+#include <unistd.h>
 
 #include <array>
+#include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <cstdio>
+#include <memory>
+#include <mutex>
+#include <thread>
 
 namespace sumackeel::log {
 
@@ -13,8 +22,70 @@
 Level threshold = Level::info;
 constexpr std::array<std::string_view, 4> kNames{"debug", "info", "warn", "error"};
 
+constexpr std::size_t kQueuedLines = 1024;
+constexpr std::chrono::milliseconds kLastLines{200}, kLookAgain{2};
+
+// A line that can't be written is lost, nothing else.
+class StandardError final : public spdlog::sinks::base_sink<std::mutex> {
+  public:
+    std::uint64_t taken() const { return taken_; }  // lines, written or lost
+
+  protected:
+    void sink_it_(const spdlog::details::log_msg& line) override {
+        std::string_view rest(line.payload.data(), line.payload.size());
+        while (!rest.empty()) {
+            const ssize_t written = ::write(STDERR_FILENO, rest.data(), rest.size());
+            if (written < 0 && errno == EINTR) continue;
+            if (written <= 0) break;
+            rest.remove_prefix(static_cast<std::size_t>(written));
+        }
+        ++taken_;
+    }
+    void flush_() override {}
+
+  private:
+    std::atomic<std::uint64_t> taken_ = 0;
+};
+
+struct Writer {
+    std::shared_ptr<StandardError> sink = std::make_shared<StandardError>();
+    std::shared_ptr<spdlog::details::thread_pool> thread =
+        std::make_shared<spdlog::details::thread_pool>(kQueuedLines, 1);
+    std::shared_ptr<spdlog::async_logger> logger = std::make_shared<spdlog::async_logger>(
+        "sumackeel", sink, thread, spdlog::async_overflow_policy::overrun_oldest);
+    std::atomic<std::uint64_t> given = 0;
+
+    void write(const std::string& line) {
+        ++given;
+        logger->log(spdlog::level::critical, line);
+    }
+    bool idle() const { return sink->taken() + thread->overrun_counter() >= given; }
+};
+
+std::atomic<Writer*> writer = nullptr;  // null: lines are written by whoever says them
+
 }  // namespace
 
+Background::Background() {
+    writer = new Writer;
+}
+
+// Danger: a thread that waits in a write can't be joined. It then goes on until the process ends.
+Background::~Background() {
+    Writer* const mine = writer;
+    const auto latest = std::chrono::steady_clock::now() + kLastLines;
+    while (!mine->idle() && std::chrono::steady_clock::now() < latest)
+        std::this_thread::sleep_for(kLookAgain);
+    if (!mine->idle()) return;
+    writer = nullptr;
+    delete mine;
+}
+
+std::uint64_t dropped_lines() {
+    const Writer* const mine = writer;
+    return mine ? mine->thread->overrun_counter() : 0;
+}
+
 bool set_level(std::string_view name) {
     for (std::size_t i = 0; i < kNames.size(); ++i)
         if (kNames[i] == name) {
@@ -36,6 +107,7 @@
     // written from calls out of C. A line that can't be written is lost, nothing else.
     const std::string line =
         fmt::format("{}.{:03} {} {}\n", ms / 1000, ms % 1000, kNames[static_cast<std::size_t>(level)], text);
+    if (Writer* const mine = writer) return mine->write(line);
     std::fwrite(line.data(), 1, line.size(), stderr);
 }
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,9 +1,14 @@
 // A small levelled logger on standard error. Nothing is written for each request by default.
+//
+// Danger: standard error may be a pipe that nobody reads, or a file on a disk that hangs. While a Background
+// lives no caller waits for that: lines are queued for a thread, and the oldest are left out where it can't
+// keep up.
 #pragma once
 
 #include <fmt/format.h>
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -16,6 +21,17 @@
 bool wanted(Level level);
 void write(Level level, std::string_view text);
 
+// Writes all lines on a thread of its own for as long as it lives; there is one at most.
+class Background {
+  public:
+    Background();
+    ~Background();  // waits for lines that are not written yet, within a bound
+    Background(const Background&) = delete;
+    Background& operator=(const Background&) = delete;
+};
+// Lines that were left out since the start, as nobody took those before them.
+std::uint64_t dropped_lines();
+
 template <typename... Args>
 void debug(fmt::format_string<Args...> form, Args&&... args) {
     if (wanted(Level::debug)) write(Level::debug, fmt::format(form, std::forward<Args>(args)...));
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -179,6 +179,7 @@
 
 int serve(const Flags& flags) {
     hold_signals();
+    const log::Background log_thread;  // behind the signals, which it is not to take
     if (flags.config.empty()) return wrong("no configuration: give --config or set GW_CONFIG");
     auto config = load_at_start([&] { return config::load_config(flags.config); });
     from_platform(config);
@@ -191,7 +192,8 @@
         log::warn("{}: JSON is read for this version only, the next one reads TOML", flags.setup);
     if (setup.expectations) {
         const std::atomic<bool> never = false;
-        const auto verdict = daemon::check_expectations(flags.config, *setup.expectations, 0, never);
+        const auto verdict =
+            daemon::check_expectations(daemon::fleet_of_config(flags.config), *setup.expectations, 0, never);
         if (!daemon::log_verdict(verdict, *setup.expectations) &&
             setup.expectations->gate != config::Expectations::Gate::warn)
             return wrong("not started: expectations of " + setup.expectations->file + " break");
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -3,9 +3,7 @@
 #include <signal.h>
 
 #include <atomic>
-#include <mutex>
 #include <optional>
-#include <thread>
 #include <utility>
 
 #include "base/log.h"
@@ -19,6 +17,7 @@
 #include "daemon/figures.h"
 #include "daemon/fleet.h"
 #include "daemon/hand_over.h"
+#include "daemon/kept_replies.h"
 #include "daemon/leaves.h"
 #include "daemon/registry.h"
 #include "daemon/release_calls.h"
@@ -51,6 +50,8 @@
 // Where leaves are agreed on: what voters know is waited for this long before this proxy says that it is
 // ready.
 constexpr Micros kLearnWithin = 3'000'000;
+// What the process before handed over is read within this, where that time is over already.
+constexpr Micros kReadWithin = 1'000'000;
 // Purges are surely known where the list was confirmed this lately; sources speak each second.
 constexpr Micros kSureFor = 3'000'000;
 constexpr Micros kLookAtFleet = 200'000;
@@ -137,6 +138,8 @@
     ops::Board old_board;
     HandOverFile hand_over;
     std::string handed_over, own_hand_over;
+    bool took_over = false;  // what the process before handed over, or that there was nothing
+    KeptReplies kept_replies;
     std::unique_ptr<front_ops::Front> ops_front;
     std::unique_ptr<peers::Peers> peers;  // off unless the operator's file names them
     std::unique_ptr<Leaves> leaves;
@@ -159,17 +162,17 @@
         config::Config config;
         config::Operator setup;
         GateVerdict verdict;
-        std::string fault;
+        bool checks = false;             // the expectations were to be checked
+        std::string fault, check_fault;  // of the files, of the expectations
     };
-    std::thread checking;
-    std::atomic<bool> ending = false;  // a check under way is to stop
-    std::mutex checked_mutex;
-    std::shared_ptr<Fresh> checked;
+    // Files are read and worlds checked off the loop, one reload at a time.
+    net::OffLoop reading;
+    std::shared_ptr<std::atomic<bool>> ending = std::make_shared<std::atomic<bool>>(false);  // a check stops
     bool reload_again = false;
+    std::atomic<std::uint64_t> reloads = 0;  // decided, whether taken up or not
 
     ~Parts() {
-        ending = true;
-        if (checking.joinable()) checking.join();
+        *ending = true;
         if (agreed) agreed->shut();  // while all that its callbacks touch is there
         core.gate({}), core.oldest({}), core.on_served({});
         fleet->on_sure({});
@@ -186,8 +189,13 @@
                 .connect_timeout = connect_timeout(c.site.settings),
                 .idle_close = c.site.keepalive}),
           front(loop, core, c.site, net::Place(c.listen, c.inherited_fd), front_limits(c)),
-          hand_over(loop, files.hand_over) {
+          hand_over(loop, files.hand_over),
+          kept_replies(loop, {.undecided = [this] { return disk_undecided(); },
+                              .missing = [this] { return disk_missing(); },
+                              .silent_for = [this] { return disk_silent_for(); }}),
+          reading(loop) {
         core.attach(pool);
+        hand_over.disk().on_settled([this] { kept_replies.look(); });
         fleet = std::make_unique<Fleet>(loop, sockets, core, pool, c, setup);
         if (setup.signed_front) {
             if (setup.signed_front->one_time == "local") one_time = std::make_unique<core::LocalOneTime>();
@@ -219,7 +227,6 @@
             auto* self = static_cast<Parts*>(handle->data);
             if (self->stop_told) return self->loop.stop();
             if (self->reload_told.exchange(false)) self->reload();
-            self->take_checked();
             if (self->end_told) self->end();
         });
         told.data = this;
@@ -266,12 +273,23 @@
             });
             return;
         }
-        // Danger: taken for none, a file that can't be read for a moment would have its bans forgotten.
-        const std::optional<std::string> text = hand_over.read();
-        if (!text && loop.clock().now() < until)
-            return void(loop.deadlines().set(loop.clock().now() + kLookForEnd, [this, until] {
-                if (!told_to_end) become_able(until);
-            }));
+        const Micros read_until = std::max(until, loop.clock().now() + kReadWithin);
+        read_hand_over(read_until);
+        loop.deadlines().set(read_until, [this] { take_over(std::nullopt); });
+    }
+
+    // Danger: taken for none, a file that can't be read for a moment would have its bans forgotten.
+    void read_hand_over(Micros until) {
+        hand_over.read([this, until](const std::optional<std::string>& text) {
+            if (text) return take_over(text);
+            if (told_to_end || took_over) return;
+            loop.deadlines().set(loop.clock().now() + kLookForEnd, [this, until] { read_hand_over(until); });
+        });
+    }
+
+    // Nothing: it could not be read in time, and is looked for further on.
+    void take_over(const std::optional<std::string>& text) {
+        if (told_to_end || std::exchange(took_over, true)) return;
         if (agreed && !agreed->known()) log::warn("agreed: no voter answers; serving by what is known");
         board.able();
         handed_over = text.value_or("");
@@ -297,22 +315,29 @@
     void follow_hand_over(Micros until) {
         if (told_to_end || loop.clock().now() >= until) return;
         loop.deadlines().set(loop.clock().now() + kLookAtHandOver, [this, until] {
-            const std::optional<std::string> text = hand_over.read();
-            if (text && *text != handed_over && *text != own_hand_over) {
-                handed_over = *text;
-                if (const auto told = read_board(files.hand_over, *text)) {
-                    board.follow(old_board, *told);
-                    old_board = *told;
-                    log::info("hand-over followed: {} pop caches down, {}", board.bans().size(),
-                              ops::name_of(board.phase()));
-                    leaving = board.drain_told();
-                    changed_board();
-                }
-            }
+            hand_over.read([this](const std::optional<std::string>& text) {
+                if (text) followed(*text);
+            });
             follow_hand_over(until);
         });
     }
 
+    void followed(const std::string& text) {
+        if (told_to_end || text == own_hand_over) return;
+        // Danger: the process before may have put its text over ours, late, from a disk that was slow.
+        if (text == handed_over)
+            return own_hand_over.empty() || hand_over.disk().owes() ? void() : hand_over.keep(own_hand_over);
+        handed_over = text;
+        const auto told = read_board(files.hand_over, text);
+        if (!told) return;
+        board.follow(old_board, *told);
+        old_board = *told;
+        log::info("hand-over followed: {} pop caches down, {}", board.bans().size(),
+                  ops::name_of(board.phase()));
+        leaving = board.drain_told();
+        changed_board();
+    }
+
     void start_registry(const config::Store& setup) {
         registry = std::make_unique<Registry>(
             loop, sockets, *peers, *agreed, setup, [this](const registry::Purge& purge) {
@@ -527,62 +552,74 @@
         return leave_reply(answer, member);
     }
 
-    // Empty: all of it is kept. Else why it is not yet; that goes on by itself.
-    std::string changed_board() {
+    void changed_board() {
         carry_out();
         own_hand_over = board.hand_over();
-        const std::string handed = hand_over.keep(own_hand_over), kept = keep();
-        return !handed.empty() ? handed : kept;
+        hand_over.keep(own_hand_over);
+        keep();
+    }
+
+    bool disk_undecided() {
+        return hand_over.disk().undecided() || (recovery && recovery->disk().undecided());
+    }
+    std::string disk_missing() {
+        const std::string handed = hand_over.disk().missing();
+        return handed.empty() && recovery ? recovery->disk().missing() : handed;
+    }
+    Micros disk_silent_for() {
+        return std::max(hand_over.disk().silent_for(), recovery ? recovery->disk().silent_for() : 0);
+    }
+    bool disk_busy() const {
+        return fleet->disk_busy() || hand_over.disk_busy() || reading.busy() ||
+               (recovery && recovery->disk_busy());
     }
 
     // Both files are read before anything is changed: one that can't be used leaves all as it was. What the
     // module was made with, the addresses listened on and the store hold until the next start.
-    void reload() try {
+    void reload() {
         if (files.config.empty()) return log::warn("told to reload, but started without a file");
-        if (checking.joinable()) {  // one at a time; what the files say then counts
+        if (reading.busy()) {  // what the files say then counts
             reload_again = true;
             return;
         }
-        auto fresh = std::make_shared<Fresh>();
-        fresh->config = config::load_config(files.config);
-        if (!files.setup.empty()) fresh->setup = config::load_operator(files.setup);
-        if (fresh->setup.signed_front)
-            front_signed::Gate{*fresh->setup.signed_front};  // its keys must be usable
-        if (!fresh->setup.expectations ||
-            fresh->setup.expectations->gate == config::Expectations::Gate::start)
-            return take_up(*fresh);
-        // Worlds take seconds: on a thread of its own, so that no request waits for them.
-        checking = std::thread([this, fresh] {
-            try {
-                fresh->verdict = check_expectations(files.config, *fresh->setup.expectations, 1, ending);
-            } catch (const std::exception& wrong) {
-                fresh->fault = wrong.what();
-            }
-            const std::lock_guard held(checked_mutex);
-            checked = fresh;
-            uv_async_send(&told);
-        });
-    } catch (const std::exception& wrong) {
-        log::error("the configuration stays as it was: {}", wrong.what());
+        const auto fresh = std::make_shared<Fresh>();
+        reading.run([fresh, files = files, ending = ending] { read_anew(files, *ending, *fresh); },
+                    [this, fresh] {
+                        take_read(*fresh);
+                        ++reloads;
+                        if (std::exchange(reload_again, false)) reload();
+                    });
     }
 
-    // On the loop, once the expectations of a reload were checked.
-    void take_checked() {
-        std::shared_ptr<Fresh> fresh;
-        {
-            const std::lock_guard held(checked_mutex);
-            fresh = std::exchange(checked, nullptr);
+    // Off the loop: a disk may hang, and worlds take seconds.
+    static void read_anew(const Files& files, const std::atomic<bool>& ending, Fresh& fresh) try {
+        // Danger: read once. What is checked has to be what is taken up.
+        const std::string text = config::file_text(files.config);
+        fresh.config = config::read_config(text);
+        if (!files.setup.empty()) fresh.setup = config::load_operator(files.setup);
+        if (fresh.setup.signed_front)
+            front_signed::Gate{*fresh.setup.signed_front};  // its keys must be usable
+        fresh.checks =
+            fresh.setup.expectations && fresh.setup.expectations->gate != config::Expectations::Gate::start;
+        if (!fresh.checks) return;
+        try {
+            fresh.verdict =
+                check_expectations(fleet_of_text(text, files.config), *fresh.setup.expectations, 1, ending);
+        } catch (const std::exception& wrong) {
+            fresh.check_fault = wrong.what();
         }
-        if (!fresh) return;
-        checking.join();
-        const config::Expectations& setup = *fresh->setup.expectations;
-        const bool hold = fresh->fault.empty() && log_verdict(fresh->verdict, setup);
-        if (!fresh->fault.empty()) log::error("expectations can't be checked: {}", fresh->fault);
-        if (hold || setup.gate == config::Expectations::Gate::warn)
-            take_up(*fresh);
-        else
-            log::error("the configuration stays as it was: expectations break");
-        if (std::exchange(reload_again, false)) reload();
+    } catch (const std::exception& wrong) {
+        fresh.fault = wrong.what();
+    }
+
+    void take_read(const Fresh& fresh) {
+        if (!fresh.fault.empty()) return log::error("the configuration stays as it was: {}", fresh.fault);
+        if (!fresh.checks) return take_up(fresh);
+        const config::Expectations& setup = *fresh.setup.expectations;
+        const bool hold = fresh.check_fault.empty() && log_verdict(fresh.verdict, setup);
+        if (!fresh.check_fault.empty()) log::error("expectations can't be checked: {}", fresh.check_fault);
+        if (hold || setup.gate == config::Expectations::Gate::warn) return take_up(fresh);
+        log::error("the configuration stays as it was: expectations break");
     }
 
     void take_up(const Fresh& fresh) {
@@ -635,8 +672,8 @@
             board, call, [this](const std::string& id) { return fleet->listed(id); }, figures);
         if (reply.changed) {
             log::info("ops: {} {}: {}", call.method, call.path, reply.status);
-            const std::string missing = changed_board();
-            if (!missing.empty()) reply.body += "not kept yet, trying again: " + missing + "\n";
+            changed_board();
+            return kept_replies.give(std::move(reply), later);
         }
         return reply;
     }
@@ -650,13 +687,13 @@
 
     // For the way back from a loss of power. What the agreed log says stays as it was until it is heard
     // again.
-    std::string keep() {
-        if (!recovery || board.phase() == ops::Phase::starting) return {};
-        return recovery->keep(board.bans(),
-                              !agreed           ? std::set<std::string>{}
-                              : agreed->known() ? leased()
-                                                : recovery->kept().leased,
-                              board.drain_told());
+    void keep() {
+        if (!recovery || board.phase() == ops::Phase::starting) return;
+        recovery->keep(board.bans(),
+                       !agreed           ? std::set<std::string>{}
+                       : agreed->known() ? leased()
+                                         : recovery->kept().leased,
+                       board.drain_told());
     }
 
     // What the board says, done: bans to the module, clients sent away while draining or ending.
@@ -705,8 +742,8 @@
         const bool closed = since >= accepting;
         if (closed) front.stop_listening(config.inherited_fd >= 0);
         if (closed && signed_front) signed_front->stop_listening();
-        const bool done =
-            core.open_requests() == 0 && !front.unsent() && !(signed_front && signed_front->unsent());
+        const bool done = core.open_requests() == 0 && !front.unsent() &&
+                          !(signed_front && signed_front->unsent()) && !hand_over.disk().owes();
         // Danger: half a request may become a whole one at any moment, and one that has come unread is one.
         // Both are owed an answer for as long as this process is there.
         const bool coming = front.coming() || (signed_front && signed_front->coming());
@@ -746,7 +783,10 @@
     return parts_->front.port();
 }
 bool Daemon::disk_busy() const {
-    return parts_->fleet->disk_busy();
+    return parts_->disk_busy();
+}
+std::uint64_t Daemon::reloads() const {
+    return parts_->reloads;
 }
 int Daemon::ops_port() const {
     return parts_->ops_front ? parts_->ops_front->port() : -1;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,6 +1,7 @@
 // The daemon: everything put together round one loop.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 
 #include "config/config.h"
@@ -26,9 +27,10 @@
     void stop();    // at once, with all that is open; from any thread
     // A write to the list on disk hangs; ending in the usual way would wait for it. Ask after run() only.
     bool disk_busy() const;
-    int port() const;         // of the platform's front
-    int signed_port() const;  // of the front for signed links; -1: it is off
-    int ops_port() const;     // of the operators' address; -1: there is none
+    std::uint64_t reloads() const;  // read and decided since the start; from any thread
+    int port() const;               // of the platform's front
+    int signed_port() const;        // of the front for signed links; -1: it is off
+    int ops_port() const;           // of the operators' address; -1: there is none
 
   private:
     struct Parts;
--- a/src/daemon/expectation_gate.cpp
+++ b/src/daemon/expectation_gate.cpp
@@ -89,7 +89,10 @@
 }
 
 expect::Fleet fleet_of_config(const std::string& config_file) {
-    const std::string text = config::file_text(config_file);
+    return fleet_of_text(config::file_text(config_file), config_file);
+}
+
+expect::Fleet fleet_of_text(const std::string& text, const std::string& config_file) {
     return expect::make_fleet(settings_in(text, config_file), config::read_config(text).known);
 }
 
@@ -97,9 +100,8 @@
     return expect::read_suite(config::read_toml(config::file_text(file), file), file, fleet);
 }
 
-GateVerdict check_expectations(const std::string& config_file, const config::Expectations& setup, int threads,
+GateVerdict check_expectations(const expect::Fleet& fleet, const config::Expectations& setup, int threads,
                                const std::atomic<bool>& stop) {
-    const expect::Fleet fleet = fleet_of_config(config_file);
     const expect::Suite suite = load_suite(setup.file, fleet);
     const auto until = std::chrono::steady_clock::now() + std::chrono::microseconds(setup.budget);
     const SuiteRun run = run_suite(fleet, suite, threads, [&](std::size_t, std::size_t) {
--- a/src/daemon/expectation_gate.h
+++ b/src/daemon/expectation_gate.h
@@ -28,6 +28,8 @@
 // config::ConfigError.
 std::string settings_of_config(const std::string& config_file);
 expect::Fleet fleet_of_config(const std::string& config_file);
+// Of the text of a configuration; `config_file`: where it was read, for faults.
+expect::Fleet fleet_of_text(const std::string& text, const std::string& config_file);
 // A file of expectations. Throws config::Complaints with all that is wrong.
 expect::Suite load_suite(const std::string& file, const expect::Fleet& fleet);
 
@@ -38,7 +40,7 @@
 // Checks the configuration's list against the file of expectations within the budget. Throws
 // config::ConfigError where the file can't be read or the configuration has no list to check. `stop` ends it
 // early.
-GateVerdict check_expectations(const std::string& config_file, const config::Expectations& setup, int threads,
+GateVerdict check_expectations(const expect::Fleet& fleet, const config::Expectations& setup, int threads,
                                const std::atomic<bool>& stop);
 // The lines of a verdict go to the log. True: none is broken.
 bool log_verdict(const GateVerdict& verdict, const config::Expectations& setup);
--- a/src/daemon/figures.cpp
+++ b/src/daemon/figures.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <string>
 
+#include "base/log.h"
+
 namespace sumackeel::daemon {
 
 namespace {
@@ -34,6 +36,7 @@
                                       const front_signed::Front* signed_front) {
     Counters counters;
     add_answers(counters, core.figures());
+    counters.push_back({"log_lines_dropped", log::dropped_lines()});
     const auto& drain = front.drain_figures();
     counters.push_back({"drain_refused", drain.refused});
     counters.push_back({"drain_held", drain.held});
--- a/src/daemon/hand_over.cpp
+++ b/src/daemon/hand_over.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <filesystem>
+#include <memory>
 #include <utility>
 
 #include "base/files.h"
@@ -14,20 +15,10 @@
 
 // A hand-over file is a few lines; one far longer is none of ours.
 constexpr std::size_t kLongest = 2 << 20;
-constexpr base::Micros kTryAgain = 100'000;
 
-}  // namespace
-
-HandOverFile::HandOverFile(net::Loop& loop, std::string path) : loop_(loop), path_(std::move(path)) {}
-
-HandOverFile::~HandOverFile() {
-    if (again_) loop_.deadlines().drop(*again_);
-}
-
-std::optional<std::string> HandOverFile::read() const {
+std::optional<std::string> read_file(const std::string& path) {
     std::string text, fault;
-    if (path_.empty()) return text;
-    switch (base::read_plain(path_, kLongest, text, fault)) {
+    switch (base::read_plain(path, kLongest, text, fault)) {
         case base::Reading::done:
         case base::Reading::missing:
             return text;
@@ -43,33 +34,31 @@
     return std::nullopt;
 }
 
-std::string HandOverFile::keep(std::string text) {
-    if (path_.empty()) return {};
-    text_ = std::move(text);
-    return write();
+// The process before this one or behind it may write at the same moment: each beside the file under its own
+// number.
+std::string write_file(const std::filesystem::path& path, const std::string& text) {
+    const std::string name = path.filename().string();
+    const std::string unfinished = name + "." + std::to_string(getpid()) + ".next";
+    return base::put_in_place(path.parent_path().string(), unfinished, name, text);
 }
 
-std::string HandOverFile::write() {
-    const std::filesystem::path path(path_);
-    // The process before this one or behind it may write at the same moment: each beside it under its own
-    // number.
-    const std::string unfinished = path.filename().string() + "." + std::to_string(getpid()) + ".next";
-    std::string fault =
-        base::put_in_place(path.parent_path().string(), unfinished, path.filename().string(), text_);
-    if (again_) loop_.deadlines().drop(*again_);
-    again_.reset();
-    if (fault.empty()) return {};
-    thread_local log::Sparing line;
-    line.warn("hand-over not kept yet, trying again: {}", fault);
-    try_later();
-    return fault;
+}  // namespace
+
+HandOverFile::HandOverFile(net::Loop& loop, std::string path)
+    : path_(std::move(path)),
+      writes_(loop, "hand-over", [path = path_](const std::string& text) { return write_file(path, text); }),
+      reads_(loop) {}
+
+void HandOverFile::read(std::function<void(const std::optional<std::string>& text)> then) {
+    if (path_.empty()) return then(std::string{});
+    if (reads_.busy()) return;
+    const auto text = std::make_shared<std::optional<std::string>>();
+    reads_.run([path = path_, text] { *text = read_file(path); },
+               [text, then = std::move(then)] { then(*text); });
 }
 
-void HandOverFile::try_later() {
-    again_ = loop_.deadlines().set(loop_.clock().now() + kTryAgain, [this] {
-        again_.reset();
-        if (write().empty()) log::info("hand-over kept again");
-    });
+void HandOverFile::keep(std::string text) {
+    if (!path_.empty()) writes_.keep(std::move(text));
 }
 
 }  // namespace sumackeel::daemon
--- a/src/daemon/hand_over.h
+++ b/src/daemon/hand_over.h
@@ -1,13 +1,16 @@
 // The file in which a proxy's bans and its drain cross over to the process that replaces it.
 //
 // It is put in place whole: whoever reads it finds the old text or the new one. A write that fails is tried
-// again until it is done, since an operator was told yes.
+// again until it is done, since an operator was told yes. The loop never waits for the disk.
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 
+#include "net/latest_on_disk.h"
 #include "net/loop.h"
+#include "net/off_loop.h"
 
 namespace sumackeel::daemon {
 
@@ -15,24 +18,19 @@
   public:
     // An empty path: nothing is read or kept.
     HandOverFile(net::Loop& loop, std::string path);
-    ~HandOverFile();
-    HandOverFile(const HandOverFile&) = delete;
-    HandOverFile& operator=(const HandOverFile&) = delete;
 
     bool used() const { return !path_.empty(); }
-    const std::string& path() const { return path_; }
-    // Empty where there is none; nothing where it is there and can't be read just now.
-    std::optional<std::string> read() const;
-    // Empty: it is on disk. Else the reason why it is not yet; it is tried again from the loop.
-    std::string keep(std::string text);
+    // `then` gets what is there: empty where there is no file, nothing where it can't be read just now. Not
+    // called where the disk hangs, nor while another read is under way.
+    void read(std::function<void(const std::optional<std::string>& text)> then);
+    void keep(std::string text);
+    net::LatestOnDisk& disk() { return writes_; }
+    bool disk_busy() const { return writes_.writing() || reads_.busy(); }
 
   private:
-    std::string write();
-    void try_later();
-
-    net::Loop& loop_;
-    std::string path_, text_;
-    std::optional<base::Deadlines::Key> again_;
+    std::string path_;
+    net::LatestOnDisk writes_;
+    net::OffLoop reads_;
 };
 
 }  // namespace sumackeel::daemon
--- /dev/null
+++ b/src/daemon/kept_replies.cpp
@@ -0,0 +1,52 @@
+#include "daemon/kept_replies.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace sumackeel::daemon {
+
+namespace {
+
+// Each answer is due within 1 s, and callers before it may have taken up to 0.4 s of that. Counted from when
+// the disk fell silent: where it hangs only the first call waits.
+constexpr base::Micros kWaitForDisk = 300'000;
+
+}  // namespace
+
+KeptReplies::~KeptReplies() {
+    for (const auto& [number, one] : waiting_) loop_.deadlines().drop(one.latest);
+}
+
+std::optional<ops::Reply> KeptReplies::give(ops::Reply reply, const front_ops::Later& later) {
+    const base::Micros wait = kWaitForDisk - disks_.silent_for();
+    if (!disks_.undecided() || wait <= 0) return worded(std::move(reply));
+    const std::uint64_t number = next_++;
+    const auto latest = loop_.deadlines().set(loop_.clock().now() + wait, [this, number] { answer(number); });
+    waiting_.emplace(number, Waiting{std::move(reply), later, latest});
+    return std::nullopt;
+}
+
+void KeptReplies::look() {
+    if (disks_.undecided()) return;
+    std::vector<std::uint64_t> all;
+    for (const auto& [number, one] : waiting_) all.push_back(number);
+    for (const std::uint64_t number : all) answer(number);
+}
+
+void KeptReplies::answer(std::uint64_t number) {
+    const auto found = waiting_.find(number);
+    if (found == waiting_.end()) return;
+    const Waiting one = std::move(found->second);
+    waiting_.erase(found);
+    loop_.deadlines().drop(one.latest);
+    one.later(worded(one.reply));
+}
+
+ops::Reply KeptReplies::worded(ops::Reply reply) const {
+    const std::string missing = disks_.missing();
+    if (!missing.empty()) reply.body += "not kept yet, trying again: " + missing + "\n";
+    return reply;
+}
+
+}  // namespace sumackeel::daemon
--- a/src/front_ops/front.cpp
+++ b/src/front_ops/front.cpp
@@ -9,6 +9,15 @@
 
 // Each answer is due within 1 s; a caller that has not sent its call whole by then never will.
 constexpr base::Micros kPatience = 1'000'000;
+// Silent callers in front of one do not hold it up for longer than this, which leaves time for its answer.
+constexpr base::Micros kQueue = 400'000;
+constexpr int kBacklog = 4096;
+
+net::Place place_of(const std::string& listen) {
+    net::Place place(listen);
+    place.backlog = kBacklog;
+    return place;
+}
 
 const char* title(int status) {
     switch (status) {
@@ -103,7 +112,8 @@
 Front::Front(net::Loop& loop, const std::string& listen, Taker taker, std::size_t longest_call)
     : taker_(std::move(taker)),
       longest_call_(longest_call),
-      door_(loop, listen, kPlaces, {.request = kPatience, .idle = kPatience, .reading = kPatience},
+      door_(loop, place_of(listen), kPlaces,
+            {.request = kPatience, .idle = kPatience, .reading = kPatience, .queue = kQueue},
             [this] { return std::make_unique<Caller>(*this); }) {}
 
 }  // namespace sumackeel::front_ops
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -13,6 +13,7 @@
 // A client sends its request as soon as it is connected. One younger than this at what it does is no victim,
 // so that a flood of new connections can't sweep out the honest ones among them.
 constexpr Micros kSettled = 100'000;
+constexpr Micros kLeastSettled = 1'000;  // with however many waiting: what timers can tell apart
 // One that reads at all takes an answer in less; it need not go when memory is short.
 constexpr Micros kSlow = 1'000'000;
 // One sent away ends within a way there and back; a request that crossed is seen by its client within 50 ms.
@@ -92,6 +93,7 @@
         if (!room && !listener_.has_waiting()) return none_waits();
         if (!room && !make_room()) {
             some_wait();
+            if (patience_.queue > 0) admit_later(settled());
             return listener_.pause();
         }
         const int fd = listener_.accept();
@@ -105,6 +107,7 @@
 
 void Door::none_waits() {
     waiting_ = false;
+    longest_queue_ = 0;
     backlog_since_ = 0;
     listener_.resume();
 }
@@ -142,7 +145,7 @@
 bool Door::make_room() {
     for (Guest* guest : queue(Doing::leaving))
         if (guest->stream_->unsent() == 0) return let_go(*guest, EndReason::room), true;
-    const Micros before = loop_.clock().now() - kSettled;
+    const Micros before = loop_.clock().now() - settled();
     for (const Doing doing : {Doing::arriving, Doing::sending, Doing::idle})
         for (Guest* guest : queue(doing)) {
             if (guest->since_ > before) break;
@@ -155,6 +158,24 @@
     return false;
 }
 
+// How old at what it does a connection has to be before it may make room.
+// Danger: by the queue as it stands the last in it would wait for much longer than the first, since the pace
+// would slow down as it gets shorter.
+Micros Door::settled() {
+    if (patience_.queue == 0) return kSettled;
+    longest_queue_ = std::max({longest_queue_, listener_.waiting(), 1});
+    return std::clamp(patience_.queue * budget_.most() / longest_queue_, kLeastSettled, kSettled);
+}
+
+void Door::admit_later(Micros wait) {
+    if (std::exchange(admits_later_, true)) return;
+    loop_.deadlines().set(loop_.clock().now() + wait, [this, alive = std::weak_ptr<bool>(alive_)] {
+        if (alive.expired()) return;
+        admits_later_ = false;
+        admit();
+    });
+}
+
 void Door::let_go_slowest(const Guest& keep) {
     const Micros before = loop_.clock().now() - kSlow;
     for (const Doing doing : {Doing::unsent, Doing::leaving})
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -82,6 +82,9 @@
         Micros request;  // from connecting, or from a later request's first byte, until it has come whole
         Micros idle;     // between two requests
         Micros reading;  // until it has read one more answer
+        // Within this whoever waits at the listener is taken, however many wait: the more, the sooner one
+        // that sent nothing makes room. 0: nobody younger than 100 ms does.
+        Micros queue = 0;
     };
 
     Door(Loop& loop, const Place& place, int connections, Patience patience,
@@ -126,6 +129,8 @@
     void none_waits();
     void some_wait();
     bool make_room();
+    Micros settled();
+    void admit_later(Micros wait);
     void sweep();
     void take(int fd);
     void let_go(Guest& guest, EndReason reason);
@@ -149,8 +154,10 @@
     bool sending_away_ = false;
     ops::Drain drain_;
     std::array<std::uint64_t, kEndReasons> ended_{};
-    bool waiting_ = false;      // connections may wait at the listener
-    Micros backlog_since_ = 0;  // who waits there came after this; 0: nobody has waited over a turn
+    int longest_queue_ = 0;      // at the listener since it was last empty
+    bool admits_later_ = false;  // a deadline for that is set
+    bool waiting_ = false;       // connections may wait at the listener
+    Micros backlog_since_ = 0;   // who waits there came after this; 0: nobody has waited over a turn
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what is set in the loop
     Listener listener_;
 };
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,6 +1,7 @@
 #include "net/listener.h"
 
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -16,7 +17,6 @@
 
 namespace {
 
-constexpr int kBacklog = 1024;
 // accept() failed for want of a descriptor or memory: it is called again this much later.
 constexpr Micros kAcceptAgain = 10'000;
 // Connections that ended in the queue, one after another, before others get their turn of the loop.
@@ -45,13 +45,13 @@
 }
 
 // A socket that listens at `address`, or the negative errno.
-int listening_socket(const sockaddr_in& address) {
+int listening_socket(const sockaddr_in& address, int backlog) {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0) return -errno;
     const int on = 1;
     const auto* at = reinterpret_cast<const sockaddr*>(&address);
     if (::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0 &&
-        ::bind(fd, at, sizeof address) == 0 && ::listen(fd, kBacklog) == 0)
+        ::bind(fd, at, sizeof address) == 0 && ::listen(fd, backlog) == 0)
         return fd;
     const int error = errno;
     ::close(fd);
@@ -64,7 +64,7 @@
         throw std::runtime_error("can't listen on " + place.address + ": no address");
     int fd = -1;
     const int failed = base::retry_at_start([&] {
-        fd = listening_socket(address);
+        fd = listening_socket(address, place.backlog);
         return fd < 0 ? fd : 0;
     });
     if (failed != 0)
@@ -99,7 +99,7 @@
         fd_ = bind_at_start(place);
     if (place.inherited >= 0) {
         fd_ = place.inherited;
-        ::listen(fd_, kBacklog);  // it listens already: this sets the queue's length alone
+        ::listen(fd_, place.backlog);  // it listens already: this sets the queue's length alone
     }
     poll_ = new uv_poll_t;
     const int failed = uv_poll_init(loop.raw(), poll_, fd_);
@@ -157,6 +157,13 @@
     return fd_ >= 0 && ::poll(&one, 1, 0) == 1 && (one.revents & POLLIN);
 }
 
+int Listener::waiting() const {
+    tcp_info info{};
+    socklen_t length = sizeof info;
+    const bool told = fd_ >= 0 && getsockopt(fd_, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+    return told ? static_cast<int>(info.tcpi_unacked) : 0;  // of a listener: the length of its queue
+}
+
 void Listener::pause() {
     if (fd_ < 0 || paused_) return;
     paused_ = true;
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -20,8 +20,10 @@
     Place(const std::string& at) : address(at) {}  // NOLINT: an address is the usual place
     Place(const char* at) : address(at) {}         // NOLINT
     Place(const std::string& at, int fd) : address(at), inherited(fd) {}
+    static constexpr int kUsualBacklog = 1024;
     std::string address;
-    int inherited = -1;  // below 0: none; `address` is then bound
+    int inherited = -1;           // below 0: none; `address` is then bound
+    int backlog = kUsualBacklog;  // connections that may wait to be taken; the system's own bound holds too
 };
 
 // Throws with a plain line unless `fd` is a listening TCP socket over IPv4.
@@ -41,6 +43,8 @@
     // now.
     int accept();
     bool has_waiting() const;
+    // How many connections wait in the system's queue, by its own account; 0 where it can't tell.
+    int waiting() const;
     // accept() failed for want of descriptors or memory a moment ago; on_ready comes again by itself.
     bool is_short() const { return short_; }
     void pause();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -64,6 +64,7 @@
     void unsent(std::ptrdiff_t more) { shared_->unsent += more; }
     std::size_t unsent() const { return static_cast<std::size_t>(shared_->unsent); }
     void set_most(int most) { shared_->most = most; }
+    int most() const { return shared_->most; }
     int left() const { return shared_->most - shared_->used; }
 
   private:
--- /dev/null
+++ b/src/net/off_loop.cpp
@@ -0,0 +1,33 @@
+#include "net/off_loop.h"
+
+#include <memory>
+#include <utility>
+
+namespace sumackeel::net {
+
+struct OffLoop::Job {
+    uv_work_t work{};
+    OffLoop* owner;  // null: it is gone
+    std::function<void()> task, done;
+};
+
+OffLoop::~OffLoop() {
+    if (job_) job_->owner = nullptr;
+}
+
+void OffLoop::run(std::function<void()> work, std::function<void()> done) {
+    began_ = loop_.clock().now();
+    job_ = new Job{{}, this, std::move(work), std::move(done)};
+    job_->work.data = job_;
+    uv_queue_work(
+        loop_.raw(), &job_->work, [](uv_work_t* work) { static_cast<Job*>(work->data)->task(); },
+        [](uv_work_t* work, int) {
+            const std::unique_ptr<Job> job(static_cast<Job*>(work->data));
+            if (!job->owner) return;
+            job->owner->last_took_ = job->owner->busy_for();
+            job->owner->job_ = nullptr;
+            job->done();
+        });
+}
+
+}  // namespace sumackeel::net
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -283,6 +283,7 @@
       setup_(setup),
       codec_(setup.group, load_keys(setup.key_file)),
       number_(setup.folder),
+      raising_(loop),
       rng_(seed ^ 0x9e3779b97f4a7c15ULL),
       group_(options_of(setup), first_word(setup, zone, version, next_start(number_), new_life()), rng_(),
              steady()),
@@ -412,10 +413,17 @@
 }
 
 void Peers::raise_start(std::uint64_t at_least) {
-    if (const std::string wrong = number_.write(at_least); !wrong.empty())
-        return log::error("peers: the start number can't be kept: {}", wrong);
-    log::warn("peers: {} is known by a later start, going on with {}", group_.self().name, at_least);
-    group_.restarted(steady(), at_least);
+    if (raising_.busy()) return;
+    const auto wrong = std::make_shared<std::string>();
+    raising_.run([number = number_, at_least, wrong] { *wrong = number.write(at_least); },
+                 [this, at_least, wrong] {
+                     if (!wrong->empty())
+                         return log::error("peers: the start number can't be kept: {}", *wrong);
+                     log::warn("peers: {} is known by a later start, going on with {}", group_.self().name,
+                               at_least);
+                     group_.restarted(steady(), at_least);
+                     pump();
+                 });
 }
 
 void Peers::arm() {
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -13,6 +13,7 @@
 #include "config/operator.h"
 #include "group/group.h"
 #include "net/listener.h"
+#include "net/off_loop.h"
 #include "net/stream.h"
 #include "peers/meter.h"
 #include "peers/start_number.h"
@@ -93,6 +94,7 @@
     const config::Peers setup_;
     const Codec codec_;
     StartNumber number_;
+    net::OffLoop raising_;  // the start number on disk
     std::mt19937_64 rng_;
     group::Group group_;
     Seen seen_;
--- a/src/peers/recovery.cpp
+++ b/src/peers/recovery.cpp
@@ -44,7 +44,9 @@
       setup_(setup),
       cleared_within_(cleared_within),
       hooks_(std::move(hooks)),
-      files_(setup.folder, "kept-", ".sumkept"),
+      folder_(new Folder{.files = {setup.folder, "kept-", ".sumkept"}, .path = setup.folder, .lock = {}}),
+      writes_(loop, "recovery",
+              [folder = folder_](const std::string& packed) { return folder->put(packed); }),
       ladder_({.ask = setup.ask,
                .settle = setup.settle,
                .prime = setup.prime,
@@ -71,49 +73,44 @@
 // word.
 void Recovery::read() {
     std::string text, fault;
-    for (const std::uint64_t generation : files_.all()) {
-        generation_ = std::max(generation_, generation);
+    for (const std::uint64_t generation : folder_->files.all()) {
+        folder_->generation = std::max(folder_->generation, generation);
         base::Reading reading{};
         base::retry_folder_at_start([&] {
-            reading = base::read_plain(files_.path_of(generation), recovery::kLongestKept, text, fault);
+            reading =
+                base::read_plain(folder_->files.path_of(generation), recovery::kLongestKept, text, fault);
             return reading == base::Reading::unreadable ? fault : std::string{};
         });
         if (reading == base::Reading::done) fault = recovery::decode(text, kept_);
         if (fault.empty()) {
-            good_ = generation;
+            folder_->good = generation;
             return;
         }
         log::error("recovery: {} is set aside, {}: bans and drains of the last moments may be missing",
-                   files_.path_of(generation), fault);
-        aside_.push_back(files_.path_of(generation) + ": " + fault);
-        if (reading != base::Reading::unreadable) files_.set_aside(generation);
+                   folder_->files.path_of(generation), fault);
+        aside_.push_back(folder_->files.path_of(generation) + ": " + fault);
+        if (reading != base::Reading::unreadable) folder_->files.set_aside(generation);
         fault.clear();
     }
 }
 
-bool Recovery::write() {
-    const Micros began = steady();
-    std::string fault;
-    // Another process of this proxy writes until it ends; the lock is asked for anew each time.
-    if (!lock_ || !lock_->fault().empty()) lock_ = std::make_unique<base::FolderLock>(setup_.folder, kLock);
-    fault = lock_->fault();
-    if (fault.empty()) fault = files_.write(recovery::encode(kept_), generation_ + 1, good_);
-    longest_us_ = std::max(longest_us_, static_cast<std::uint64_t>(steady() - began));
-    if (fault != fault_ && !fault.empty()) log::error("recovery: nothing can be kept: {}", fault);
-    if (fault.empty() && !fault_.empty()) log::info("recovery: kept again");
-    fault_ = fault;
-    if (!fault.empty()) return false;
-    good_ = ++generation_;
-    ++written_;
-    return true;
+// Another process of this proxy writes until it ends; the lock is asked for anew each time.
+std::string Recovery::Folder::put(const std::string& packed) {
+    if (!lock || !lock->fault().empty()) lock = std::make_unique<base::FolderLock>(path, kLock);
+    std::string fault = lock->fault();
+    if (fault.empty()) fault = files.write(packed, generation + 1, good);
+    if (fault.empty()) good = ++generation;
+    return fault;
 }
 
-std::string Recovery::keep(const std::set<std::string>& bans, const std::set<std::string>& leased,
-                           bool drain) {
+void Recovery::write() {
+    writes_.keep(recovery::encode(kept_));
+}
+
+void Recovery::keep(const std::set<std::string>& bans, const std::set<std::string>& leased, bool drain) {
     const bool same = bans == kept_.bans && leased == kept_.leased && drain == kept_.drain;
     kept_.bans = bans, kept_.leased = leased, kept_.drain = drain;
     if (!same) write();
-    return fault_;
 }
 
 void Recovery::follow(Stage before) {
@@ -128,7 +125,6 @@
 void Recovery::tick() {
     const Stage before = ladder_.stage();
     const Micros now = steady();
-    if (!fault_.empty()) write();  // what was told is still owed
     ladder_.tick(now);
     ladder_.counted(now, peers_.group().reached());
     follow(before);
@@ -268,7 +264,8 @@
     root["ready"] = ladder_.ready(), root["sure_of_purges"] = ladder_.sure();
     root["back"] = Json::UInt64{ladder_.back()}, root["before"] = Json::UInt64{ladder_.before()};
     Json::Value& kept = root["kept"];
-    kept["file"] = good_ > 0 ? files_.path_of(good_) : "", kept["fault"] = fault_;
+    const std::uint64_t good = folder_->good;
+    kept["file"] = good > 0 ? folder_->files.path_of(good) : "", kept["fault"] = writes_.missing();
     kept["drain"] = kept_.drain, kept["members"] = Json::UInt64{kept_.members.size()};
     kept["bans"] = Json::Value(Json::arrayValue);
     for (const std::string& ban : kept_.bans) kept["bans"].append(ban);
@@ -276,14 +273,15 @@
     for (const std::string& one : aside_) root["set_aside"].append(one);
     for (const std::string& one : hands_) root["hands"].append(one);
     Json::Value& counters = root["counters"];
-    const std::pair<const char*, std::uint64_t> all[] = {{"let_through", budget_.let_through()},
-                                                         {"turned_away", budget_.turned_away()},
-                                                         {"too_large", budget_.too_large()},
-                                                         {"asks", asks_},
-                                                         {"answers", answers_},
-                                                         {"pauses", ladder_.pauses()},
-                                                         {"written", written_},
-                                                         {"longest_write_us", longest_us_}};
+    const std::pair<const char*, std::uint64_t> all[] = {
+        {"let_through", budget_.let_through()},
+        {"turned_away", budget_.turned_away()},
+        {"too_large", budget_.too_large()},
+        {"asks", asks_},
+        {"answers", answers_},
+        {"pauses", ladder_.pauses()},
+        {"written", writes_.written()},
+        {"longest_write_us", static_cast<std::uint64_t>(writes_.longest_write())}};
     for (const auto& [name, value] : all) counters[name] = Json::UInt64{value};
     return base::json_line(root);
 }
--- a/src/peers/recovery.h
+++ b/src/peers/recovery.h
@@ -3,6 +3,7 @@
 // [recovery].
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -13,6 +14,7 @@
 #include "base/files.h"
 #include "base/generations.h"
 #include "config/operator.h"
+#include "net/latest_on_disk.h"
 #include "net/loop.h"
 #include "peers/peers.h"
 #include "recovery/budget.h"
@@ -45,8 +47,10 @@
     Recovery& operator=(const Recovery&) = delete;
 
     const recovery::Kept& kept() const { return kept_; }
-    // Empty: on disk. Else why it is not yet; that is logged, and tried again with each tick.
-    std::string keep(const std::set<std::string>& bans, const std::set<std::string>& leased, bool drain);
+    // Goes to disk; where that fails it is logged and tried again until it is there.
+    void keep(const std::set<std::string>& bans, const std::set<std::string>& leased, bool drain);
+    net::LatestOnDisk& disk() { return writes_; }
+    bool disk_busy() const { return writes_.writing(); }
     const recovery::Ladder& ladder() const { return ladder_; }
     void listed();
     void led(bool leader);
@@ -61,7 +65,7 @@
 
   private:
     void read();
-    bool write();
+    void write();
     void tick();
     void ask();
     void heard(const std::string& from, const std::string& body);
@@ -74,18 +78,25 @@
     const config::Recovery setup_;
     const base::Micros cleared_within_;
     Hooks hooks_;
-    base::Generations files_;
-    std::unique_ptr<base::FolderLock> lock_;
+    // The folder's files. Once reading is over the writer's thread alone touches them.
+    struct Folder {
+        base::Generations files;
+        std::string path;
+        std::unique_ptr<base::FolderLock> lock;
+        std::uint64_t generation = 0;
+        std::atomic<std::uint64_t> good = 0;
+        std::string put(const std::string& packed);
+    };
+    std::shared_ptr<Folder> folder_;
+    net::LatestOnDisk writes_;
     recovery::Kept kept_;
     recovery::Ladder ladder_;
     recovery::Budget budget_;
-    std::uint64_t generation_ = 0, good_ = 0;
     base::Micros unsure_since_ = 0, members_kept_ = 0, asked_ = 0;
     std::size_t next_ = 0;  // whom to ask
     std::vector<std::string> aside_;
     std::vector<std::string> hands_;  // operators', the newest last
-    std::uint64_t asks_ = 0, answers_ = 0, written_ = 0, longest_us_ = 0;
-    std::string fault_;
+    std::uint64_t asks_ = 0, answers_ = 0;
     std::optional<base::Deadlines::Key> next_tick_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/daemon/support.h
+++ b/tests/daemon/support.h
@@ -345,6 +345,13 @@
     int ops_port() const { return daemon_.ops_port(); }
     void end() { daemon_.end(); }
     void reload() { daemon_.reload(); }
+    // Until so many reloads in all were decided; false: not within the bound.
+    bool reloaded(std::uint64_t count) const {
+        const auto bound = std::chrono::steady_clock::now() + std::chrono::milliseconds(kBoundMs);
+        while (daemon_.reloads() < count && std::chrono::steady_clock::now() < bound)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        return daemon_.reloads() >= count;
+    }
     void crash() {  // at once, with all that is open
         daemon_.stop();
         thread_.join();
