Failing test: the limit of what waits for a connection behind a pause

Change: rule connect=STOP of the preloaded library stops the process right behind a connect; story limit_behind_pause.

--- a/tests/faults/calls.cpp
+++ b/tests/faults/calls.cpp
@@ -1,11 +1,12 @@
 // Preloaded into a program under test: library calls that fail as Linux documents them, and a wall clock that
 // steps. The environment variable FAULTS holds rules separated by blanks:
 //
-//     CALL=ERRNO[+ERRNO...]/N[@FROM-TO]   one call in N fails, with each error in turn; N = 1: every one
-//     CALL=WAITSECONDS/N[@FROM-TO]        it is carried out so many seconds later, as on a disk that hangs
-//     (files alone) read=SHORT/N, write=SHORT/N         one call in N moves a single byte (sockets alone)
-//     read=ERRNO/N, write=ERRNO/N         fails on sockets to the port in FAULTS_PEER alone (write: and on
-//     files) clock=SECONDS@AT                    CLOCK_REALTIME is read as SECONDS off from AT on
+//     CALL=ERRNO[+ERRNO...]/N[@FROM-TO]  one call in N fails, with each error in turn; N = 1: every one
+//     CALL=WAITSECONDS/N[@FROM-TO]       done so many seconds later, as on a disk that hangs (files alone)
+//     connect=STOP/N[@FROM-TO]           the process stops behind it (SIGSTOP) until it is told to go on
+//     read=SHORT/N, write=SHORT/N        one call in N moves a single byte (sockets alone)
+//     read=ERRNO/N, write=ERRNO/N        fails on sockets to the port in FAULTS_PEER alone (write: files too)
+//     clock=SECONDS@AT                   CLOCK_REALTIME is read as SECONDS off from AT on
 //
 // FROM, TO and AT are seconds of the monotonic clock since the program started. CALL is socket, connect,
 // accept, poll, open, write, fsync or rename; open, write, fsync and rename fail for files alone, and only
@@ -14,6 +15,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -31,6 +33,7 @@
 
 constexpr int kShort = -1;  // in place of an errno: the call moves one byte
 constexpr int kWait = -2;   // in place of an errno: the call is carried out later
+constexpr int kStop = -3;   // in place of an errno: the process stops behind the call
 constexpr char kWaitWord[] = "WAIT";
 constexpr int kMostRules = 16, kMostErrors = 8;
 
@@ -48,6 +51,7 @@
 };
 constexpr ErrorName kNames[] = {
     {"SHORT", kShort},
+    {"STOP", kStop},
     {"EINTR", EINTR},
     {"EMFILE", EMFILE},
     {"ENFILE", ENFILE},
@@ -216,8 +220,14 @@
 }
 
 int connect(int fd, const sockaddr* to, socklen_t length) {
-    if (fails("connect")) return -1;
-    return real<int (*)(int, const sockaddr*, socklen_t)>("connect")(fd, to, length);
+    const int fault = fault_of("connect");
+    if (fault > 0) errno = fault;
+    if (fault > 0) return -1;
+    const int result = real<int (*)(int, const sockaddr*, socklen_t)>("connect")(fd, to, length);
+    const int error = errno;
+    if (fault == kStop) raise(SIGSTOP);
+    errno = error;
+    return result;
 }
 
 int accept4(int fd, sockaddr* from, socklen_t* length, int flags) {
--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -332,6 +332,43 @@
         proxy.end()
 
 
+PAUSE_S, TIMEOUT_S, LIMIT_SLACK_S = 0.8, 3.0, 0.15
+
+
+def stopped_state(process):
+    with open(f"/proc/{process.pid}/stat", encoding="utf-8") as stat:
+        return stat.read().rsplit(")", 1)[1].split()[0] == "T"
+
+
+def limit_behind_pause(program, library):
+    """The limit told to a pop cache is what the client has left when it is written, also where the process stood still while
+    the connection for it came up."""
+    boxes = Boxes()
+    proxy = Proxy(program, library, boxes.at, "connect=STOP/25@2-30", change=many_caches)
+    stops = 0
+    try:
+        proxy.ready()
+        proxy.wait_until(2.0)
+        crowd = Crowd(proxy.port, 4, kind=b"enrol")
+        while proxy.since_start() < 8:
+            if stopped_state(proxy.process):
+                time.sleep(PAUSE_S)
+                proxy.process.send_signal(signal.SIGCONT)
+                stops += 1
+            time.sleep(0.005)
+        crowd.stop()
+        asked = {ident: when for client in crowd.all for ident, when in client.asked.items()}
+        over = [when + int(fields["limit"]) / 1000 - asked[request] - TIMEOUT_S for when, request, fields in boxes.seen
+                if request in asked]
+        print(f"{crowd.told()}, {stops} pauses, limits over the client's time by {max(over):.2f} s at the most")
+        want(stops >= 1, "it never stopped")
+        want(not crowd.lost(), f"lost: {crowd.lost()[:3]}")
+        want(max(over) <= LIMIT_SLACK_S, f"a limit {max(over):.2f} s over what its client had left")
+    finally:
+        proxy.process.send_signal(signal.SIGCONT)
+        proxy.end()
+
+
 FORGET_AFTER_S = 1.0
 
 
@@ -384,7 +421,7 @@
                                                process_stands_still, hand_over_fails, hand_over_unreadable,
                                                recovery_folder_fails, folders_fail_at_start, own_shortage,
                                                server_connections_break, attempts_are_bounded,
-                                               idle_connections_forgotten)}
+                                               idle_connections_forgotten, limit_behind_pause)}
 
 
 def main():
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -125,6 +125,7 @@
         self.until_first = until_first  # it asks once
         self.port, self.fresh, self.kind, self.pause = port, fresh, kind, pause
         self.going, self.answers, self.lost, self.away = True, [], [], 0
+        self.asked = {}  # when each request was written
 
     def next_id(self):
         with Client.lock:
@@ -140,8 +141,9 @@
                 if conn is None:
                     conn, sequence = socket.create_connection(("127.0.0.1", self.port), timeout=BOUND_S), 0
                 sequence += 1
-                conn.sendall(dispatch(sequence, b"%016x" % (0x5a0000000000 + number), b"%016x" % (number * 7919 % 40),
-                                      self.kind))
+                ident = b"%016x" % (0x5a0000000000 + number)
+                conn.sendall(dispatch(sequence, ident, b"%016x" % (number * 7919 % 40), self.kind))
+                self.asked[ident.decode()] = began
                 written = True
                 place = reply(conn)[1]
                 self.answers.append((began, time.monotonic() - began, place))
