The limit told to a pop cache is reckoned when the request is written

The text of a request, its limit in it, was made when its attempt began and could lie for as long as its connection came up, or as the bytes before it were stuck, with a pause of the process on top. Change: RequestText holds all but the limit; Pool writes it once the connection is up and all before it has left, with what is left by then. What was not written is told as such when its connection breaks, and taken back without a STOP.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -320,7 +320,7 @@
     sending.attempt = handle;
     sending.target = serve.cache;
     sending.source = serve.source == serve.cache ? std::string{} : serve.source;
-    sending.limit = limit;
+    sending.until = now + limit;
     sending.age = serve.age;
     if (const Micros most = oldest_ ? oldest_() : 0; most > 0) {
         const Micros usual = serve.age > 0 ? serve.age : settings_.classes[request->ask.service].fresh;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -64,7 +64,7 @@
 struct Sending {
     Handle attempt;
     std::string target, source;  // source empty: no fill
-    Micros limit = 0;            // how long it will be waited for
+    Micros until = 0;            // it will be waited for until then
     Micros age = 0;
     int rank = 0;
     bool join = false, source_holds = false, parent_skips = false, renew = false;
--- a/src/upstream/lines.cpp
+++ b/src/upstream/lines.cpp
@@ -84,11 +84,12 @@
 
 }  // namespace
 
-std::string write_request(const core::Sending& sending) {
+RequestText::RequestText(const core::Sending& sending) : until_(sending.until) {
     const core::Ask& ask = *sending.ask;
-    std::string text = "REQ " + ask.id + " cls=" + ask.service_name;
-    if (!ask.object.empty()) text += ",item=" + ask.object + ",chunk=" + std::to_string(ask.part);
-    text += ",limit=" + std::to_string(whole_ms(sending.limit, 1));
+    before_limit_ = "REQ " + ask.id + " cls=" + ask.service_name;
+    if (!ask.object.empty()) before_limit_ += ",item=" + ask.object + ",chunk=" + std::to_string(ask.part);
+    before_limit_ += ",limit=";
+    std::string& text = behind_limit_;
     if (!ask.idempotency_key.empty()) text += ",nonce=" + ask.idempotency_key;
     if (!sending.source.empty()) text += ",parent=" + sending.source;
     if (sending.rank > 0) text += ",shelf=" + std::to_string(sending.rank);
@@ -104,7 +105,11 @@
     hint(sending.renew, "freshen");
     if (!hints.empty()) text += ",hints=" + hints;
     if (!ask.have.empty()) text += ",got=" + ask.have;
-    return text + ' ' + std::to_string(ask.body.size()) + "\r\n" + ask.body + "\r\n";
+    text += ' ' + std::to_string(ask.body.size()) + "\r\n" + ask.body + "\r\n";
+}
+
+std::string RequestText::at(base::Micros now) const {
+    return before_limit_ + std::to_string(whole_ms(until_ - now, 1)) + behind_limit_;
 }
 
 std::string write_stop(const std::string& id) {
--- a/src/upstream/lines.h
+++ b/src/upstream/lines.h
@@ -14,8 +14,17 @@
     using std::runtime_error::runtime_error;
 };
 
-// The text of a request as it goes on the wire.
-std::string write_request(const core::Sending& sending);
+// A request as it goes on the wire, but for the limit: that is what is left when it is written.
+class RequestText {
+  public:
+    explicit RequestText(const core::Sending& sending);
+    std::string at(base::Micros now) const;
+    base::Micros until() const { return until_; }
+
+  private:
+    std::string before_limit_, behind_limit_;
+    base::Micros until_;
+};
 std::string write_stop(const std::string& id);
 
 struct Answer {
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -51,10 +51,13 @@
     bool lost = false;     // its connection has gone, or could not come up
     bool suspect = false;  // an attempt ran out of time here without a byte in the meanwhile
     struct Waiting {
-        std::string id, text;
-        Micros begin_by;
+        std::string id;
+        RequestText request;
+        Micros begin_by;  // 0: no such moment
     };
-    std::vector<Waiting> waiting;  // to be written once it is up
+    // To be written once it is up and all before it has left here. Danger: what lay in a queue as text would
+    // tell a limit from before the wait.
+    std::vector<Waiting> waiting;
     std::unordered_map<std::string, Open> open;
     std::unordered_set<std::string> given_up;  // written here, stopped, and not answered since
     AnswerReader reader;
@@ -69,14 +72,28 @@
         pool.opened_.push_back(number);
     }
 
-    // What waited goes out.
+    bool can_write() const { return up && stream->unsent() == 0; }
+
     void begin() {
         up = true;
         heard = pool.loop_.clock().now();
-        std::string all;
-        for (const Waiting& one : std::exchange(waiting, {})) {
-            if (one.begin_by == 0 || heard < one.begin_by) {
-                all += one.text;
+        write_waiting();
+    }
+
+    void drained(net::Stream&) override {
+        if (can_write()) write_waiting();
+    }
+
+    void write_waiting() {
+        std::vector<Waiting> todo = std::exchange(waiting, {});
+        for (Waiting& one : todo) {
+            if (!can_write()) {
+                waiting.push_back(std::move(one));
+                continue;
+            }
+            const Micros now = pool.loop_.clock().now();
+            if (now < one.request.until() && (one.begin_by == 0 || now < one.begin_by)) {
+                write(one.id, one.request);
                 continue;
             }
             const Handle late = open.at(one.id).attempt;
@@ -84,7 +101,13 @@
             pool.carried_.erase(late.number());
             pool.core_.ended(late, core::Ending{.verdict = Verdict::not_connected});
         }
-        if (!all.empty()) stream->write(std::move(all));
+    }
+
+    void write(const std::string& id, const RequestText& request) {
+        Open& one = open.at(id);
+        one.begun = true;
+        one.sent = pool.loop_.clock().now();
+        stream->write(request.at(one.sent));
     }
 
     void received(net::Stream&, std::string_view bytes) override {
@@ -264,15 +287,16 @@
         return 0;
     }
     const Micros now = loop_.clock().now();
-    std::string text = write_request(sending);
+    const std::string& id = sending.ask->id;
     if (channel->open.empty()) channel->heard = now;
-    channel->open[sending.ask->id] = {attempt, now};
+    channel->open[id] = {attempt, now};
     channel->used = now;
-    carried_[attempt.number()] = {channel->number, sending.ask->id};
-    if (channel->up)
-        channel->stream->write(std::move(text));
+    carried_[attempt.number()] = {channel->number, id};
+    RequestText request(sending);
+    if (channel->can_write())
+        channel->write(id, request);
     else
-        channel->waiting.push_back({sending.ask->id, std::move(text), sending.begin_by});
+        channel->waiting.push_back({id, std::move(request), sending.begin_by});
     return channel->number;
 }
 
@@ -284,23 +308,22 @@
     const auto at = channels_.find(where.channel);
     if (at == channels_.end()) return true;
     Channel& channel = *at->second;
-    const Micros sent = channel.open[where.id].sent;
+    const Open one = channel.open[where.id];
     channel.open.erase(where.id);
-    if (channel.up && loop_.clock().now() - std::max(channel.heard, sent) > kSuspectAfter)
-        channel.suspect = true;
-    if (channel.up) {
-        channel.stream->write(write_stop(where.id));
-        if (channel.given_up.size() < kMostGivenUp) channel.given_up.insert(where.id);
-    } else {
-        std::erase_if(channel.waiting, [&](const auto& one) { return one.id == where.id; });
+    if (!one.begun) {
+        std::erase_if(channel.waiting, [&](const auto& other) { return other.id == where.id; });
+        return false;
     }
-    return channel.up;
+    if (loop_.clock().now() - std::max(channel.heard, one.sent) > kSuspectAfter) channel.suspect = true;
+    channel.stream->write(write_stop(where.id));
+    if (channel.given_up.size() < kMostGivenUp) channel.given_up.insert(where.id);
+    return true;
 }
 
 bool Pool::unbegun(Handle attempt) const {
     const auto found = carried_.find(attempt.number());
     const auto at = found == carried_.end() ? channels_.end() : channels_.find(found->second.channel);
-    return at != channels_.end() && !at->second->up;
+    return at != channels_.end() && !at->second->open.at(found->second.id).begun;
 }
 
 bool Pool::is_short(Handle attempt) const {
@@ -322,20 +345,20 @@
     const bool ever_dialled = channel.stream || channel.lost;
     if (channel.stream) channel.stream->close();
     channel.stream = nullptr;
-    const Verdict verdict = came_up        ? Verdict::broken_off
-                            : ever_dialled ? Verdict::not_connected
-                                           : Verdict::never_sent;  // for want of a socket of our own
+    const Verdict unbegun = came_up || ever_dialled ? Verdict::not_connected
+                                                    : Verdict::never_sent;  // for want of a socket of our own
     Target& target = targets_[channel.target];
     const auto place = std::find_if(target.channels.begin(), target.channels.end(),
                                     [&](const auto& c) { return c.get() == &channel; });
     dead_.push_back(std::move(*place));
     target.channels.erase(place);
-    std::vector<Handle> open;
-    for (const auto& [id, o] : channel.open) open.push_back(o.attempt);
-    std::sort(open.begin(), open.end(), [](Handle a, Handle b) { return a.number() < b.number(); });
-    for (const Handle attempt : open) {
-        carried_.erase(attempt.number());
-        core_.ended(attempt, core::Ending{.verdict = verdict});
+    std::vector<Open> open;
+    for (const auto& [id, one] : channel.open) open.push_back(one);
+    std::sort(open.begin(), open.end(),
+              [](const Open& a, const Open& b) { return a.attempt.number() < b.attempt.number(); });
+    for (const Open& one : open) {
+        carried_.erase(one.attempt.number());
+        core_.ended(one.attempt, core::Ending{.verdict = one.begun ? Verdict::broken_off : unbegun});
     }
 }
 
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -44,6 +44,7 @@
     struct Open {
         Handle attempt;
         Micros sent = 0;
+        bool begun = false;  // written
     };
     struct Channel;
     struct Target {
