The soak plays operators and clients of unlike habits; a request counts from its coming

Cause: the soak had neither. Found with them: a hand-over's own older text, read while a newer one was on its way, was taken for the other process's word, so a drain came back behind its stop (since the read left the loop); a request's deadline was reckoned at its taking, so a stop between its read and that moved it; the preloaded library looked up the file behind each descriptor before a write, and so made the moment between a limit's reckoning and its write some 50 times as long as the program's own.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -53,19 +53,21 @@
 }
 
 Handle Core::take(Ask ask, Asker& asker, std::uint64_t cookie) {
+    // Danger: counted from now, the time would grow by as much as the process stood still since it was read.
+    const Micros now = clock_.now(), deadline = (ask.came > 0 ? ask.came : now) + ask.left;
     nettlethread::Arrival arrival;
     arrival.service = ask.service;
     arrival.object = ask.object;
-    arrival.grace = ask.left;
+    arrival.grace = deadline - now;
     // The module is to give up at once what can't end before the process does, while another proxy can still
     // answer it.
-    if (last_word_ > 0) arrival.ends_in = last_word_ - clock_.now();
+    if (last_word_ > 0) arrival.ends_in = last_word_ - now;
     arrival.size_kb = ask.size_kb;
     arrival.group = ask.group;
     arrival.part = ask.part;
     arrival.write = settings_.classes[ask.service].uncached;
     Request request;
-    request.deadline = clock_.now() + ask.left;
+    request.deadline = deadline;
     request.ask = std::move(ask);
     request.asker = &asker;
     request.cookie = cookie;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -36,7 +36,8 @@
     int part = 0;
     int group = 0;
     double size_kb = 0;
-    Micros left = 0;   // until the client gives up
+    Micros came = 0;   // when its last byte came; 0: just now
+    Micros left = 0;   // from then until the client gives up
     std::string have;  // the tag of a copy that the client holds
     // The client's idempotency key, the same for all its tries of one operation; empty but in keyed classes.
     std::string idempotency_key;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -138,7 +138,8 @@
     ops::Board old_board;
     HandOverFile hand_over;
     std::string handed_over, own_hand_over;
-    bool took_over = false;  // what the process before handed over, or that there was nothing
+    std::uint64_t kept_count = 0;  // texts of our own so far
+    bool took_over = false;        // what the process before handed over, or that there was nothing
     KeptReplies kept_replies;
     std::unique_ptr<front_ops::Front> ops_front;
     std::unique_ptr<peers::Peers> peers;  // off unless the operator's file names them
@@ -315,9 +316,12 @@
     void follow_hand_over(Micros until) {
         if (told_to_end || loop.clock().now() >= until) return;
         loop.deadlines().set(loop.clock().now() + kLookAtHandOver, [this, until] {
-            hand_over.read([this](const std::optional<std::string>& text) {
-                if (text) followed(*text);
-            });
+            // Danger: a text of our own that a write of ours took the place of meanwhile is none of the
+            // others'.
+            if (!hand_over.disk().owes())
+                hand_over.read([this, kept = kept_count](const std::optional<std::string>& text) {
+                    if (text && kept == kept_count) followed(*text);
+                });
             follow_hand_over(until);
         });
     }
@@ -325,8 +329,7 @@
     void followed(const std::string& text) {
         if (told_to_end || text == own_hand_over) return;
         // Danger: the process before may have put its text over ours, late, from a disk that was slow.
-        if (text == handed_over)
-            return own_hand_over.empty() || hand_over.disk().owes() ? void() : hand_over.keep(own_hand_over);
+        if (text == handed_over) return own_hand_over.empty() ? void() : keep_hand_over();
         handed_over = text;
         const auto told = read_board(files.hand_over, text);
         if (!told) return;
@@ -555,10 +558,15 @@
     void changed_board() {
         carry_out();
         own_hand_over = board.hand_over();
-        hand_over.keep(own_hand_over);
+        keep_hand_over();
         keep();
     }
 
+    void keep_hand_over() {
+        ++kept_count;
+        hand_over.keep(own_hand_over);
+    }
+
     bool disk_undecided() {
         return hand_over.disk().undecided() || (recovery && recovery->disk().undecided());
     }
--- a/src/front_platform/front.cpp
+++ b/src/front_platform/front.cpp
@@ -64,13 +64,14 @@
     };
     std::map<std::int32_t, OpenCall> open;  // by seqid
     std::int32_t last_seqid = 0;
-    bool heard = false;      // a whole frame has come
-    base::Micros delay = 0;  // from the last byte of what is being read until now
+    bool heard = false;     // a whole frame has come
+    base::Micros came = 0;  // when the last byte of what is being read came
 
     explicit Client(Front& owner) : front(owner) {}
 
     void received(net::Stream&, std::string_view bytes) override {
-        delay = waited();
+        const base::Micros delay = waited();
+        came = front.loop_.clock().now() - delay;
         if (left_meanwhile(delay)) return front.door_.part(*this);
         reader.read(bytes, [this](std::string_view frame) {
             heard = true;
@@ -173,10 +174,10 @@
     const bool crowded =
         client.open.size() >= kMostOpen || unread || client.stream()->unsent() > kMostUnsent ||
         core_.open_requests() >= static_cast<std::size_t>(std::max(1, site_.settings.most_held));
-    ask.left -= client.delay;  // the time runs from the moment at which the request came
-    if (crowded || ask.left <= 0)
+    ask.came = client.came;  // from then on the time runs
+    if (crowded || ask.came + ask.left <= now)
         return client.stream()->write(write_answer(call.seqid, {.how = core::Answered::refused}));
-    if (refuses) return turn_away(client, call.seqid, ask.left, now);
+    if (refuses) return turn_away(client, call.seqid, ask.came + ask.left - now, now);
     const Handle ours = open_.add({client.number(), call.seqid});
     const Handle cores = core_.take(std::move(ask), *this, ours.number());
     client.open[call.seqid] = {ours, cores};
--- a/src/front_signed/front.cpp
+++ b/src/front_signed/front.cpp
@@ -247,7 +247,8 @@
     ask.part = target.part;
     ask.group = std::max(0, target.group);
     ask.size_kb = target.size_kb;
-    ask.left = wanted_wait(header("prefer"), service.give_up) - (loop_.clock().now() - client.came);
+    ask.came = client.came;
+    ask.left = wanted_wait(header("prefer"), service.give_up);
     if (!service.uncached) ask.have = bare_tag(header("if-none-match"));
     if (service.semantics == nettlethread::Semantics::keyed) {
         ask.idempotency_key = bare_tag(header("idempotency-key"));
@@ -280,12 +281,10 @@
     if (verdict.once.empty()) return enter(client.ours, std::move(ask));
     if (!one_time_) return once_known(client.ours, std::move(ask), core::Use::unknown);
     open_.find(client.ours)->once = verdict.once;
-    const Micros came = loop_.clock().now();
     one_time_->use(verdict.once, now_s(), verdict.once_until,
-                   [this, came, ours = client.ours, ask = std::move(ask),
+                   [this, ours = client.ours, ask = std::move(ask),
                     alive = std::weak_ptr<bool>(alive_)](core::Use use) mutable {
                        if (alive.expired()) return;
-                       ask.left -= loop_.clock().now() - came;
                        once_known(ours, std::move(ask), use);
                    });
 }
@@ -304,7 +303,7 @@
 void Front::enter(Handle ours, core::Ask ask) {
     Client& client = static_cast<Client&>(*door_.find(open_.find(ours)->client));
     if (core_.open_requests() >= static_cast<std::size_t>(std::max(1, site_.settings.most_held)) ||
-        ask.left <= 0)
+        ask.came + ask.left <= loop_.clock().now())
         return answer(ours.number(), {.how = Answered::refused});
     client.cores = core_.take(std::move(ask), *this, ours.number());
     if (client.too_far_ahead() || door_.drain().refuses(loop_.clock().now())) hurry(client);
--- a/tests/faults/calls.cpp
+++ b/tests/faults/calls.cpp
@@ -3,7 +3,7 @@
 //
 //     CALL=ERRNO[+ERRNO...]/N[@FROM-TO]  one call in N fails, with each error in turn; N = 1: every one
 //     CALL=WAITSECONDS/N[@FROM-TO]       done so many seconds later, as on a disk that hangs (files alone)
-//     connect=STOP/N[@FROM-TO]           the process stops behind it (SIGSTOP) until it is told to go on
+//     connect=STOP/N, read_done=STOP/N   the process stops behind it (SIGSTOP) until it is told to go on
 //     read=SHORT/N, write=SHORT/N        one call in N moves a single byte (sockets alone)
 //     read=ERRNO/N, write=ERRNO/N        fails on sockets to the port in FAULTS_PEER alone (write: files too)
 //     clock=SECONDS@AT                   CLOCK_REALTIME is read as SECONDS off from AT on
@@ -158,6 +158,15 @@
     return 0;
 }
 
+// Danger: what is looked up before a call (the file behind a descriptor) takes far longer than the way to the
+// call in the program, which is to be stopped at any moment of its own. So nothing is, where no rule needs
+// it.
+bool has_rule(const char* call) {
+    for (int i = 0; i < rule_count; ++i)
+        if (!strcmp(rules[i].call, call)) return true;
+    return false;
+}
+
 bool fails(const char* call) {
     const int fault = fault_of(call);
     if (fault > 0) errno = fault;
@@ -216,14 +225,16 @@
 
 int socket(int domain, int type, int protocol) {
     if (fails("socket")) return -1;
-    return real<int (*)(int, int, int)>("socket")(domain, type, protocol);
+    static const auto call = real<int (*)(int, int, int)>("socket");
+    return call(domain, type, protocol);
 }
 
 int connect(int fd, const sockaddr* to, socklen_t length) {
     const int fault = fault_of("connect");
     if (fault > 0) errno = fault;
     if (fault > 0) return -1;
-    const int result = real<int (*)(int, const sockaddr*, socklen_t)>("connect")(fd, to, length);
+    static const auto call = real<int (*)(int, const sockaddr*, socklen_t)>("connect");
+    const int result = call(fd, to, length);
     const int error = errno;
     if (fault == kStop) raise(SIGSTOP);
     errno = error;
@@ -232,38 +243,50 @@
 
 int accept4(int fd, sockaddr* from, socklen_t* length, int flags) {
     if (fails("accept")) return -1;
-    return real<int (*)(int, sockaddr*, socklen_t*, int)>("accept4")(fd, from, length, flags);
+    static const auto call = real<int (*)(int, sockaddr*, socklen_t*, int)>("accept4");
+    return call(fd, from, length, flags);
 }
 
 int accept(int fd, sockaddr* from, socklen_t* length) {
     if (fails("accept")) return -1;
-    return real<int (*)(int, sockaddr*, socklen_t*)>("accept")(fd, from, length);
+    static const auto call = real<int (*)(int, sockaddr*, socklen_t*)>("accept");
+    return call(fd, from, length);
 }
 
 int epoll_wait(int fd, epoll_event* events, int most, int timeout) {
     if (fails("poll")) return -1;
-    return real<int (*)(int, epoll_event*, int, int)>("epoll_wait")(fd, events, most, timeout);
+    static const auto call = real<int (*)(int, epoll_event*, int, int)>("epoll_wait");
+    return call(fd, events, most, timeout);
 }
 
 int epoll_pwait(int fd, epoll_event* events, int most, int timeout, const sigset_t* mask) {
     if (fails("poll")) return -1;
-    return real<int (*)(int, epoll_event*, int, int, const sigset_t*)>("epoll_pwait")(fd, events, most,
-                                                                                      timeout, mask);
+    static const auto call = real<int (*)(int, epoll_event*, int, int, const sigset_t*)>("epoll_pwait");
+    return call(fd, events, most, timeout, mask);
 }
 
 ssize_t read(int fd, void* bytes, size_t count) {
-    if (breaks_off("read", fd, count)) return -1;
-    return real<ssize_t (*)(int, void*, size_t)>("read")(fd, bytes, count);
+    if (has_rule("read") && breaks_off("read", fd, count)) return -1;
+    static const auto call = real<ssize_t (*)(int, void*, size_t)>("read");
+    const ssize_t result = call(fd, bytes, count);
+    const int error = errno;
+    if (result > 0 && has_rule("read_done") && is_socket(fd) && fault_of("read_done") == kStop)
+        raise(SIGSTOP);
+    errno = error;
+    return result;
 }
 
 ssize_t write(int fd, const void* bytes, size_t count) {
-    if (is_covered_file(fd) ? fails("write") : breaks_off("write", fd, count)) return -1;
-    return real<ssize_t (*)(int, const void*, size_t)>("write")(fd, bytes, count);
+    if (has_rule("write") && (is_covered_file(fd) ? fails("write") : breaks_off("write", fd, count)))
+        return -1;
+    static const auto call = real<ssize_t (*)(int, const void*, size_t)>("write");
+    return call(fd, bytes, count);
 }
 
 ssize_t writev(int fd, const iovec* parts, int count) {
-    if (is_covered_file(fd) && fails("write")) return -1;
-    return real<ssize_t (*)(int, const iovec*, int)>("writev")(fd, parts, count);
+    if (has_rule("write") && is_covered_file(fd) && fails("write")) return -1;
+    static const auto call = real<ssize_t (*)(int, const iovec*, int)>("writev");
+    return call(fd, parts, count);
 }
 
 int open(const char* path, int flags, ...) {
@@ -272,27 +295,32 @@
     const mode_t mode = flags & O_CREAT ? va_arg(rest, mode_t) : 0;
     va_end(rest);
     if (is_covered_path(path) && fails("open")) return -1;
-    return real<int (*)(const char*, int, ...)>("open")(path, flags, mode);
+    static const auto call = real<int (*)(const char*, int, ...)>("open");
+    return call(path, flags, mode);
 }
 
 FILE* fopen(const char* path, const char* mode) {
     if (is_covered_path(path) && fails("open")) return nullptr;
-    return real<FILE* (*)(const char*, const char*)>("fopen")(path, mode);
+    static const auto call = real<FILE* (*)(const char*, const char*)>("fopen");
+    return call(path, mode);
 }
 
 FILE* fopen64(const char* path, const char* mode) {
     if (is_covered_path(path) && fails("open")) return nullptr;
-    return real<FILE* (*)(const char*, const char*)>("fopen64")(path, mode);
+    static const auto call = real<FILE* (*)(const char*, const char*)>("fopen64");
+    return call(path, mode);
 }
 
 int fsync(int fd) {
     if (is_covered_file(fd) && fails("fsync")) return -1;
-    return real<int (*)(int)>("fsync")(fd);
+    static const auto call = real<int (*)(int)>("fsync");
+    return call(fd);
 }
 
 int rename(const char* from, const char* to) {
     if (is_covered_path(from) && fails("rename")) return -1;
-    return real<int (*)(const char*, const char*)>("rename")(from, to);
+    static const auto call = real<int (*)(const char*, const char*)>("rename");
+    return call(from, to);
 }
 
 }  // extern "C"
--- a/tests/faults/drain_test.py
+++ b/tests/faults/drain_test.py
@@ -10,7 +10,7 @@
 
 from habits import COME_AFTER_NO_S, PopCaches, SlowReader, World, all_habits, held
 from http_clients import HttpClient, SignedSetup
-from rig import SERVED, Failure, Proxy
+from rig import SERVED, Failure, Proxy, listening
 
 HELD_AFTER_S = 4.0
 READY_AFTER_S = 2.0  # a yes is due so long after the drain's end
@@ -33,6 +33,7 @@
         self.proxy = Proxy(program, library, self.pop_caches.at, change=settings_with(timeout), **more)
         self.delay, self.timeout, self.told_at, self.ready_seen = delay, timeout, None, []
         self.world = self.front = self.at_stop = None
+        self.others = []  # processes that this one has replaced
 
     def links(self):
         return self.signed.links(self.program)
@@ -120,6 +121,8 @@
             await script(play)
             await play.finish()
         finally:
+            for proxy in play.others:
+                proxy.end(keep_folder=True)
             play.proxy.end()
         return play
     return asyncio.run(run())
@@ -210,6 +213,38 @@
         print(f"SIGTERM {seconds} s after the yes: {played(script, program, library, 0.1).world.told()}")
 
 
+def phase_of(proxy):
+    """What readiness says; empty where nobody answers yet."""
+    return proxy.call("/ops/readiness", "GET")[1].strip()
+
+
+def upgrade(program, library):
+    """A drain told before an upgrade, in the middle of one, or to both processes: it holds on both, and nothing is lost."""
+    for told_to in ("old before", "old in the middle", "new"):
+        clients = listening()
+
+        async def script(play):
+            old = play.proxy
+            if told_to == "old before":
+                await play.drain()
+                await play.until(0.5)
+            new = Proxy(program, library, play.pop_caches.at, folder=old.folder, inherited=clients)
+            play.others.append(old)
+            while await asyncio.to_thread(phase_of, new) not in ("serving", "draining"):
+                await asyncio.sleep(0.02)
+            if told_to == "old in the middle":
+                await play.drain()
+            play.proxy = new
+            old.process.send_signal(signal.SIGTERM)
+            if told_to == "new":
+                await play.drain()
+            await play.watch_held(0.5)
+            want(old.process.poll() == 0, "the old process had not left")
+            await play.stop_drain()
+        print(f"told to {told_to}: {played(script, program, library, 0.1, inherited=clients).world.told()}")
+        clients.close()
+
+
 def slow_readers(program, library):
     """Clients that read 1 MB a second and ask on while large answers still lie before them lose nothing by a drain's end."""
     def habits(world, _delay):
@@ -249,7 +284,7 @@
 
 
 STORIES = {story.__name__: story for story in (unlike_habits, pop_caches_hang, stopped, series, then_ended,
-                                               slow_readers, signed_front)}
+                                               upgrade, slow_readers, signed_front)}
 
 
 def main():
--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -342,31 +342,32 @@
 
 def limit_behind_pause(program, library):
     """The limit told to a pop cache is what the client has left when it is written, also where the process stood still while
-    the connection for it came up."""
-    boxes = Boxes()
-    proxy = Proxy(program, library, boxes.at, "connect=STOP/25@2-30", change=many_caches)
-    stops = 0
-    try:
-        proxy.ready()
-        proxy.wait_until(2.0)
-        crowd = Crowd(proxy.port, 4, kind=b"enrol")
-        while proxy.since_start() < 8:
-            if stopped_state(proxy.process):
-                time.sleep(PAUSE_S)
-                proxy.process.send_signal(signal.SIGCONT)
-                stops += 1
-            time.sleep(0.005)
-        crowd.stop()
-        asked = {ident: when for client in crowd.all for ident, when in client.asked.items()}
-        over = [when + int(fields["limit"]) / 1000 - asked[request] - TIMEOUT_S for when, request, fields in boxes.seen
-                if request in asked]
-        print(f"{crowd.told()}, {stops} pauses, limits over the client's time by {max(over):.2f} s at the most")
-        want(stops >= 1, "it never stopped")
-        want(not crowd.lost(), f"lost: {crowd.lost()[:3]}")
-        want(max(over) <= LIMIT_SLACK_S, f"a limit {max(over):.2f} s over what its client had left")
-    finally:
-        proxy.process.send_signal(signal.SIGCONT)
-        proxy.end()
+    the connection for it came up, or right behind reading it."""
+    for faults in ("connect=STOP/25@2-30", "read_done=STOP/2500@2-30"):
+        boxes = Boxes()
+        proxy = Proxy(program, library, boxes.at, faults, change=many_caches)
+        stops = 0
+        try:
+            proxy.ready()
+            proxy.wait_until(2.0)
+            crowd = Crowd(proxy.port, 4, kind=b"enrol")
+            while proxy.since_start() < 8:
+                if stopped_state(proxy.process):
+                    time.sleep(PAUSE_S)
+                    proxy.process.send_signal(signal.SIGCONT)
+                    stops += 1
+                time.sleep(0.005)
+            crowd.stop()
+            asked = {ident: when for client in crowd.all for ident, when in client.asked.items()}
+            over = [when + int(fields["limit"]) / 1000 - asked[request] - TIMEOUT_S for when, request, fields in boxes.seen
+                    if request in asked]
+            print(f"{faults}: {crowd.told()}, {stops} pauses, limits over the client's time by {max(over):.2f} s at the most")
+            want(stops >= 1, "it never stopped")
+            want(not crowd.lost(), f"lost: {crowd.lost()[:3]}")
+            want(max(over) <= LIMIT_SLACK_S, f"a limit {max(over):.2f} s over what its client had left")
+        finally:
+            proxy.process.send_signal(signal.SIGCONT)
+            proxy.end()
 
 
 FORGET_AFTER_S = 1.0
--- a/tests/faults/habits.py
+++ b/tests/faults/habits.py
@@ -146,6 +146,10 @@
         self.done, self.lost, self.connections, self.crossed = [], [], [], 0
         self.room = asyncio.Event()
 
+    def reads_at_once(self):
+        """Whether its answers are noted as they come."""
+        return not (self.pause or self.retry_pause or self.reads_every)
+
     async def run(self):
         while self.world.going:
             if not self.world.may_connect:
@@ -232,6 +236,9 @@
         self.world, self.habit = world, habit
         self.done, self.lost, self.connections, self.crossed = [], [], [], 0
 
+    def reads_at_once(self):
+        return True
+
     async def run(self):
         while self.world.going:
             if not self.world.may_connect:
@@ -268,6 +275,9 @@
 
     CHUNK, WINDOW, RATE = 4096, 32768, 1_000_000
 
+    def reads_at_once(self):
+        return False
+
     async def run(self):
         loop = asyncio.get_running_loop()
         sock = socket.socket()
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -37,25 +37,27 @@
     """A process of the program. `faults` are rules of calls.cpp, whose clock starts with the process."""
 
     def __init__(self, program, library, boxes_at, faults="", seed=1, under="", change=None, env=None, operator="",
-                 folder=None, log_level="info", log_to=None):
+                 folder=None, log_level="info", log_to=None, inherited=None):
         """`under`: the folder, below the process's own, whose files the faults are for. `folder`: of a process before. `log_to`: a
-        descriptor that its log goes to in place of a file."""
+        descriptor that its log goes to in place of a file. `inherited`: the listening socket that it gets from the platform."""
         self.folder = folder or tempfile.TemporaryDirectory(prefix="sumackeel-faults-")
         hold, ops = listening(), listening()
         self.ops = ops.getsockname()[1]
-        self.port = hold.getsockname()[1]
+        self.port = (inherited or hold).getsockname()[1]
         settings = settings_for("n0", f"127.0.0.1:{self.port}", lambda _: boxes_at)
         if change:
             change(settings)
         self.config = os.path.join(self.folder.name, "config.json")
         self.write(settings)
-        self.log = os.path.join(self.folder.name, "log")
+        self.log = os.path.join(self.folder.name, f"log-{self.ops}")
         self.settings = settings
         options = os.environ.get("ASAN_OPTIONS", "")
         environment = dict(os.environ, LD_PRELOAD=library, FAULTS=faults, FAULTS_SEED=str(seed),
                            FAULTS_UNDER=os.path.join(self.folder.name, under), TMPDIR=self.folder.name,
                            GW_OPS=f"127.0.0.1:{self.ops}", ASAN_OPTIONS=options + ":verify_asan_link_order=0")
         environment.update(env or {})
+        if inherited:
+            environment["GW_INHERITED_FD"] = str(inherited.fileno())
         command = [program, "serve", "--config", self.config, "--log-level", log_level]
         if operator:
             with open(os.path.join(self.folder.name, "operator.toml"), "w", encoding="utf-8") as out:
@@ -65,7 +67,8 @@
         ops.close()
         self.began = time.monotonic()
         with open(self.log, "w", encoding="utf-8") as err:
-            self.process = subprocess.Popen(command, stderr=log_to or err, stdout=err, env=environment)
+            self.process = subprocess.Popen(command, stderr=log_to or err, stdout=err, env=environment,
+                                            pass_fds=[inherited.fileno()] if inherited else [])
 
     def write(self, settings):
         with open(self.config, "w", encoding="utf-8") as out:
--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -2,14 +2,17 @@
 """A seeded soak of one real process, judged from what its clients and its stand-ins saw.
 
 Each seed draws deadlines, how pop caches answer, library calls that fail, a step of the wall clock, a pause of the
-process, reloads in series that move the change log, a drain, and on some seeds a crowd of idle clients. Clients go on
-using open connections until SIGKILL, which comes at its earliest: the longest deadline (3 s at most) and 0.7 s after
-the first of several SIGTERMs. The process has to have left by itself before that.
+process, reloads in series that move the change log, a drained pop cache, and on some seeds a crowd of idle clients. Beside
+them operators call in series (drains of any length, bans, questions, behind silent callers), and clients of unlike
+habits ask (operators.py). All go on using open connections until SIGKILL, which comes at its earliest: the longest
+deadline (3 s at most) and 0.7 s after the first of several SIGTERMs, at any moment of a drain. The process has to have left
+by itself before that.
 Usage: soak.py SUMACKEEL LIBRARY FIRST LAST [AT_ONCE]
 """
 import asyncio
 import concurrent.futures
 import json
+import os
 import random
 import select
 import signal
@@ -18,12 +21,13 @@
 import threading
 import time
 
+from operators import Habits, Operators
 from rig import BOUND_S, SERVED, Failure, Proxy
 from wire import cancel, dispatch, reply
 
 OBEY_DRAIN_S, LEFT_S, LIMIT_SLACK_S, LATE_S, CROSSING_S = 2.05, 0.1, 0.15, 0.5, 0.06
 NEW_CONNECTIONS_S, KILL_AFTER_S = 0.4, 0.7
-CLIENTS, SERVED_FOR_S, ACCEPT_STILL_S = 14, 4.0, 0.6
+CLIENTS, SERVED_FOR_S, LONG_SERVED_FOR_S, ACCEPT_STILL_S = 14, 4.0, 8.0, 0.6
 CONNECT_ERRORS = "EADDRNOTAVAIL+ENETUNREACH+EHOSTUNREACH+ETIMEDOUT"
 ACCEPT_ERRORS = "ECONNABORTED+ENFILE+ENOBUFS+EMFILE+EPROTO+EINTR"
 
@@ -48,10 +52,12 @@
         self.hang_at_end = draw.random() < 0.4
         self.trouble = draw.choice([0.0, 0.1, 0.3])
         self.ends = draw.randint(1, 4)
+        self.served_for = draw.choice([SERVED_FOR_S, LONG_SERVED_FOR_S])
 
     def __str__(self):
         return (f"seed {self.seed}: deadline {self.deadline} s, trouble {self.trouble}, crowd {self.crowd}, pause "
-                f"{self.pause:.1f} s, {self.reloads} reloads, {self.ends} ends, hang {self.hang_at_end}, {self.faults}")
+                f"{self.pause:.1f} s, {self.reloads} reloads, {self.ends} ends, hang {self.hang_at_end}, served for "
+                f"{self.served_for:.0f} s, {self.faults}")
 
 
 class Servers:
@@ -259,6 +265,13 @@
         # A test build looks for leaks for 60 ms after the program has ended, and would be killed at it.
         self.proxy = Proxy(program, library, "", " ".join(self.plan.faults), seed, change=self.settings,
                            env={"ASAN_OPTIONS": "detect_leaks=0:verify_asan_link_order=0"})
+        self.habits = Habits(self.proxy.port, random.Random(seed + 1), self.plan.deadline)
+        self.operators = Operators(self, self.habits, random.Random(seed + 2))
+
+    def still(self):
+        """For how long the process is stopped, or takes no connection."""
+        closed = any(rule.endswith(f"@2-{2 + ACCEPT_STILL_S}") for rule in self.plan.faults)
+        return self.plan.pause + ACCEPT_STILL_S * closed
 
     def count(self, what):
         self.counts[what] = self.counts.get(what, 0) + 1
@@ -278,6 +291,9 @@
         clients = [Client(self, place) for place in range(CLIENTS)]
         for client in clients:
             client.start()
+        self.habits.start()
+        self.habits.up.wait(BOUND_S)
+        self.operators.start()
         began = time.monotonic()
         if plan.pause:
             time.sleep(0.8)
@@ -289,9 +305,11 @@
             proxy.write(dict(proxy.settings, changelog=f"127.0.0.1:{self.servers.logs[(turn + 1) % 2]}"))
             proxy.process.send_signal(signal.SIGHUP)
             time.sleep(plan.draw.uniform(0, 0.3))
-        time.sleep(max(0.0, began + SERVED_FOR_S - time.monotonic()))
+        time.sleep(max(0.0, began + plan.served_for - time.monotonic()))
         self.servers.hanging = plan.hang_at_end
+        self.operators.stop()
         self.ended_at = time.monotonic()
+        threading.Timer(NEW_CONNECTIONS_S, self.close_front).start()
         kill_at = self.ended_at + min(plan.deadline, 3.0) + KILL_AFTER_S
         for turn in range(plan.ends):
             proxy.process.send_signal(signal.SIGTERM if turn == 0 or plan.draw.random() < 0.7 else signal.SIGHUP)
@@ -301,6 +319,9 @@
         gone = proxy.process.poll()
         spare = kill_at - time.monotonic()
         proxy.kill()
+        time.sleep(0.02)
+        self.habits.stop()
+        self.operators.join(BOUND_S)
         self.going = self.lag.going = False
         for client in clients:
             client.join(BOUND_S)
@@ -311,11 +332,24 @@
         self.judge()
         return spare
 
+    def close_front(self):
+        self.habits.world.may_connect = False
+
+    def judge_operators(self):
+        world = self.habits.world
+        self.wrong += self.operators.wrong
+        self.wrong += [f"{habit}: {why}" for habit, why in world.lost()]
+        self.wrong += [f"s-c was asked {when - since:.2f} s after its ban was to hold" for since, until in
+                       self.operators.bans for when, name, _, _ in self.servers.seen
+                       if name == "s-c" and since + self.lag.worst < when < until]
+        late = LATE_S + self.lag.worst + self.still()
+        self.wrong += [f"{client.habit}: {one.number:x} {one.answered - one.written:.2f} s" for client in world.clients
+                       if client.reads_at_once() for one in client.done
+                       if one.answered - one.written > world.timeout + late]
+
     def judge(self):
-        own = self.lag.worst
-        # A process that is stopped, or can take no connection, can't answer meanwhile.
-        closed = any(rule.endswith(f"@2-{2 + ACCEPT_STILL_S}") for rule in self.plan.faults)
-        still = self.plan.pause + ACCEPT_STILL_S * closed
+        own, still = self.lag.worst, self.still()
+        self.judge_operators()
         self.wrong += [f"{ident}: {late:.2f} s late" for ident, late in self.late if late > LATE_S + own + still]
         self.wrong += [f"{request}: enrol ran twice" for request in self.servers.doubled]
         for when, name, request, limit in self.servers.seen:
@@ -332,12 +366,17 @@
     run = Run(program, library, seed)
     try:
         spare = run.play()
-        told = f"{run.counts}, left {spare:.2f} s before the kill, own lag {run.lag.worst:.2f} s"
+        told = (f"{run.counts}, left {spare:.2f} s before the kill, own lag {run.lag.worst:.2f} s; "
+                f"{run.operators.calls} calls, {run.operators.drains} drains, the slowest {run.operators.slowest:.2f} s, "
+                f"habits: {run.habits.world.told()}")
     except Failure as why:
         run.wrong.append(str(why))
         told = "broken off"
     finally:
-        run.going = False
+        run.going = run.operators.going = False
+        run.habits.stop()
+        if run.wrong and os.environ.get("SOAK_LOG"):
+            print(run.proxy.said()[-20000:])
         try:
             run.proxy.end()
         except Failure as why:
