--- a/tests/faults/duties_test.py
+++ b/tests/faults/duties_test.py
@@ -5,6 +5,7 @@
 Usage: duties_test.py SUMACKEEL LIBRARY STORY
 """
 import os
+import signal
 import socket
 import sys
 import time
@@ -12,6 +13,7 @@
 from rig import SERVED, Boxes, Crowd, Failure, Proxy
 
 ANSWER_WITHIN_S = 1.0   # each operators' call, under any load
+READY_WITHIN_S = 10
 SLOW_REQUEST_S = 0.3    # pop caches answer at once
 CALLS = (("GET", "/ops/readiness"), ("GET", "/ops/stats"), ("POST", "/ops/pop-caches/down/s-a"),
          ("POST", "/ops/pop-caches/up/s-a"), ("POST", "/ops/drain/start"), ("POST", "/ops/drain/stop"))
@@ -29,13 +31,14 @@
 
 
 def silent_callers(program, library):
-    """An operators' call has its answer within 1 s behind any number of callers that send nothing, or half a call."""
+    """An operators' call has its answer within 1 s behind any number of callers that send nothing, half a call, or a whole
+    one whose answer they never read."""
     boxes = Boxes()
     proxy = Proxy(program, library, boxes.at)
     try:
         proxy.ready()
         for count in (8, 60, 300, 900):
-            for text in (b"", b"GET /ops/read"):
+            for text in (b"", b"GET /ops/read", b"GET /ops/stats HTTP/1.1\r\n\r\n"):
                 worst = 0.0
                 for method, path in CALLS:
                     callers = [socket.create_connection(("127.0.0.1", proxy.ops), timeout=10) for _ in range(count)]
@@ -90,6 +93,34 @@
             proxy.end()
 
 
+def disk_hangs_elsewhere(program, library):
+    """A hand-over that is never read at a start, and a configuration that is never read at a reload, hold up nobody."""
+    boxes = Boxes()
+    proxy = Proxy(program, library, boxes.at, "open=WAIT1000/1@0-1000", under="sumackeel")
+    try:
+        proxy.ready(READY_WITHIN_S)
+        print(f"ready {proxy.since_start():.2f} s after its start, the hand-over unread")
+    finally:
+        proxy.end()
+    proxy = Proxy(program, library, boxes.at, "open=WAIT1000/1@1-1000", under="config.json")
+    try:
+        proxy.ready()
+        proxy.wait_until(1.1)
+
+        def reloads():
+            for _ in range(3):
+                proxy.process.send_signal(signal.SIGHUP)
+                time.sleep(0.2)
+            return timed_call(proxy, "GET", "/ops/readiness")
+        (status, _, took), slowest = served_meanwhile(proxy, reloads)
+        print(f"reloads whose file is never read: call {took:.3f} s, slowest request {slowest:.3f} s")
+        want(status == 200 and took < ANSWER_WITHIN_S and slowest < SLOW_REQUEST_S, "a reload held it up")
+        proxy.process.terminate()
+        want(proxy.process.wait(3.7) == 0, "it did not leave")
+    finally:
+        proxy.end()
+
+
 def log_unread(program, library):
     """A log that nobody reads holds up neither a call nor a request, nor the end; what was left out is counted."""
     for level in ("info", "debug"):
@@ -125,7 +156,7 @@
             proxy.end()
 
 
-STORIES = {story.__name__: story for story in (silent_callers, slow_disk, log_unread)}
+STORIES = {story.__name__: story for story in (silent_callers, slow_disk, disk_hangs_elsewhere, log_unread)}
 
 
 def main():
