--- a/tests/faults/drain_test.py
+++ b/tests/faults/drain_test.py
@@ -5,23 +5,17 @@
 """
 import asyncio
 import signal
-import sys
 import time
 
 from habits import COME_AFTER_NO_S, PopCaches, SlowReader, World, all_habits, held
 from http_clients import HttpClient, SignedSetup
-from rig import SERVED, Failure, Proxy, listening
+from rig import SERVED, Proxy, listening, run_story, want
 
 HELD_AFTER_S = 4.0
 READY_AFTER_S = 2.0  # a yes is due so long after the drain's end
 BEFORE_S = 1.0       # of traffic before the first drain
 
 
-def want(holds, text):
-    if not holds:
-        raise Failure(text)
-
-
 class Play:
     """One process, its pop caches, its clients, and the front that asks each 0.1 s whether it is ready."""
 
@@ -287,14 +281,5 @@
                                                upgrade, slow_readers, signed_front)}
 
 
-def main():
-    try:
-        STORIES[sys.argv[3]](sys.argv[1], sys.argv[2])
-    except Failure as why:
-        print(f"FAIL: {why}\n0 passed, 1 failed")
-        sys.exit(1)
-    print("1 passed, 0 failed")
-
-
 if __name__ == "__main__":
-    main()
+    run_story(STORIES)
--- a/tests/faults/duties_test.py
+++ b/tests/faults/duties_test.py
@@ -7,10 +7,9 @@
 import os
 import signal
 import socket
-import sys
 import time
 
-from rig import SERVED, Boxes, Crowd, Failure, Proxy
+from rig import SERVED, Boxes, Crowd, Proxy, run_story, want
 
 ANSWER_WITHIN_S = 1.0   # each operators' call, under any load
 READY_WITHIN_S = 10
@@ -19,11 +18,6 @@
          ("POST", "/ops/pop-caches/up/s-a"), ("POST", "/ops/drain/start"), ("POST", "/ops/drain/stop"))
 
 
-def want(holds, text):
-    if not holds:
-        raise Failure(text)
-
-
 def timed_call(proxy, method, path):
     began = time.monotonic()
     status, said = proxy.call(path, method)
@@ -159,14 +153,5 @@
 STORIES = {story.__name__: story for story in (silent_callers, slow_disk, disk_hangs_elsewhere, log_unread)}
 
 
-def main():
-    try:
-        STORIES[sys.argv[3]](sys.argv[1], sys.argv[2])
-    except Failure as why:
-        print(f"FAIL: {why}\n0 passed, 1 failed")
-        sys.exit(1)
-    print("1 passed, 0 failed")
-
-
 if __name__ == "__main__":
-    main()
+    run_story(STORIES)
--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -6,24 +6,18 @@
 import os
 import signal
 import subprocess
-import sys
 import tempfile
 import threading
 import time
 from collections import Counter
 
-from rig import FAILED, REFUSED, SERVED, Boxes, Crowd, Failure, Proxy, listening
+from rig import FAILED, REFUSED, SERVED, Boxes, Crowd, Proxy, listening, run_story, want
 
 ACCEPT_ERRORS = "ECONNABORTED+ENFILE+ENOBUFS+EMFILE+EPROTO+EINTR"
 HOUR = 3600
 BOX_DELAY_S = 0.03  # an answer is out for a while, so that there is something for a fault to meet
 
 
-def want(holds, text):
-    if not holds:
-        raise Failure(text)
-
-
 def play(program, library, faults, seconds, judge, during=None, **more):
     """Clients ask for so many seconds of the process's own time; `judge` gets the crowd and the proxy."""
     boxes = Boxes(BOX_DELAY_S)
@@ -425,14 +419,5 @@
                                                idle_connections_forgotten, limit_behind_pause)}
 
 
-def main():
-    try:
-        STORIES[sys.argv[3]](sys.argv[1], sys.argv[2])
-    except Failure as why:
-        print(f"FAIL: {why}\n0 passed, 1 failed")
-        sys.exit(1)
-    print("1 passed, 0 failed")
-
-
 if __name__ == "__main__":
-    main()
+    run_story(STORIES)
--- a/tests/faults/habits.py
+++ b/tests/faults/habits.py
@@ -134,16 +134,35 @@
     return Connection(reader, asyncio.StreamWriter(transport, protocol, reader, loop))
 
 
-class Client:
+class Habit:
+    """A client with one connection after another, and what it noted of them."""
+
+    def __init__(self, world, habit):
+        self.world, self.habit = world, habit
+        self.done, self.lost, self.connections, self.crossed = [], [], [], 0
+
+    async def connected(self):
+        """A new connection; none where none may be made, or could be, just now."""
+        try:
+            if self.world.may_connect:
+                self.connections.append(await connect(self.world.port))
+                return self.connections[-1]
+        except OSError:
+            pass
+        await asyncio.sleep(0.01)
+        return None
+
+
+class Client(Habit):
     """Keeps `most_open` requests open (a new one as soon as one has its answer), or sends by the clock (`every`: the seconds
     between two, or a function that draws them). `pause`: rests so long after each answer. `cancels`: gives each
     third request up. `reads_every`: reads one answer and then rests so long. `retry_pause`: after a refusal."""
 
     def __init__(self, world, habit, most_open=None, every=None, pause=0.0, cancels=False, reads_every=0.0, retry_pause=0.0):
-        self.world, self.habit, self.every, self.pause = world, habit, every, pause
+        super().__init__(world, habit)
+        self.every, self.pause = every, pause
         self.most_open = most_open or (MOST_OPEN if every else 1)
         self.cancels, self.reads_every, self.retry_pause = cancels, reads_every, retry_pause
-        self.done, self.lost, self.connections, self.crossed = [], [], [], 0
         self.room = asyncio.Event()
 
     def reads_at_once(self):
@@ -152,15 +171,9 @@
 
     async def run(self):
         while self.world.going:
-            if not self.world.may_connect:
-                await asyncio.sleep(0.01)
-                continue
-            try:
-                conn = await connect(self.world.port)
-            except OSError:
-                await asyncio.sleep(0.02)
+            conn = await self.connected()
+            if conn is None:
                 continue
-            self.connections.append(conn)
             sending = asyncio.ensure_future(self.send(conn))
             try:
                 await self.read(conn)
@@ -229,27 +242,17 @@
         self.room.set()
 
 
-class Odd:
+class Odd(Habit):
     """A connection that never has a request: `silent`, `half` a request, or a byte each 35 ms (`dribbling`)."""
 
-    def __init__(self, world, habit):
-        self.world, self.habit = world, habit
-        self.done, self.lost, self.connections, self.crossed = [], [], [], 0
-
     def reads_at_once(self):
         return True
 
     async def run(self):
         while self.world.going:
-            if not self.world.may_connect:
-                await asyncio.sleep(0.01)
-                continue
-            try:
-                conn = await connect(self.world.port)
-            except OSError:
-                await asyncio.sleep(0.02)
+            conn = await self.connected()
+            if conn is None:
                 continue
-            self.connections.append(conn)
             sending = asyncio.ensure_future(self.send(conn.writer))
             try:
                 while await conn.reader.read(1000):
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -21,6 +21,21 @@
     """What must hold does not."""
 
 
+def want(holds, text):
+    if not holds:
+        raise Failure(text)
+
+
+def run_story(stories):
+    """The one that the third argument names, with the program and the library in front of it."""
+    try:
+        stories[sys.argv[3]](sys.argv[1], sys.argv[2])
+    except Failure as why:
+        print(f"FAIL: {why}\n0 passed, 1 failed")
+        sys.exit(1)
+    print("1 passed, 0 failed")
+
+
 class Boxes:
     """Stand-in pop caches, parent and origin behind one address; `seen` has (when, request, fields) of each attempt."""
 
--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -3,7 +3,7 @@
 
 Each seed draws deadlines, how pop caches answer, library calls that fail, a step of the wall clock, a pause of the
 process, reloads in series that move the change log, a drained pop cache, and on some seeds a crowd of idle clients. Beside
-them operators call in series (drains of any length, bans, questions, behind silent callers), and clients of unlike
+them operators call in series (/ops/drain, /ops/pop-caches, /ops/readiness; drains of any length, behind silent callers), and clients of unlike
 habits ask (operators.py). All go on using open connections until SIGKILL, which comes at its earliest: the longest
 deadline (3 s at most) and 0.7 s after the first of several SIGTERMs, at any moment of a drain. The process has to have left
 by itself before that.
