Nothing is written over a hand-over that was not read yet

Cause: keep_hand_over wrote the new process's text at once, also before the old one's had been read.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -140,6 +140,8 @@
     std::string handed_over, own_hand_over;
     std::uint64_t kept_count = 0;  // texts of our own so far
     bool took_over = false;        // what the process before handed over, or that there was nothing
+    bool hand_over_read = false;   // until then nothing is written over it
+    bool called_early = false;     // the board was changed before that
     KeptReplies kept_replies;
     std::unique_ptr<front_ops::Front> ops_front;
     std::unique_ptr<peers::Peers> peers;  // off unless the operator's file names them
@@ -291,6 +293,7 @@
     // Nothing: it could not be read in time, and is looked for further on.
     void take_over(const std::optional<std::string>& text) {
         if (told_to_end || std::exchange(took_over, true)) return;
+        hand_over_read = text.has_value();
         if (agreed && !agreed->known()) log::warn("agreed: no voter answers; serving by what is known");
         board.able();
         handed_over = text.value_or("");
@@ -307,14 +310,18 @@
             if (recovery->kept().drain && !agreed) board.drain_start();
         }
         leaving = board.drain_told();
-        carry_out();
+        if (hand_over_read && std::exchange(called_early, false))
+            changed_board();
+        else
+            carry_out();
         follow_own();
     }
 
     // Danger: a call that the process before this one takes after its file was read here would be lost with
     // it, and a pop cache taken out would go on being asked.
     void follow_hand_over(Micros until) {
-        if (told_to_end || loop.clock().now() >= until) return;
+        if (told_to_end) return;
+        if (loop.clock().now() >= until) return write_unread();
         loop.deadlines().set(loop.clock().now() + kLookAtHandOver, [this, until] {
             // Danger: a text of our own that a write of ours took the place of meanwhile is none of the
             // others'.
@@ -327,17 +334,30 @@
     }
 
     void followed(const std::string& text) {
-        if (told_to_end || text == own_hand_over) return;
+        if (told_to_end) return;
+        hand_over_read = true;
+        const bool early = std::exchange(called_early, false);
+        if (text != handed_over && text != own_hand_over) return heard_from_before(text);
+        if (early) return changed_board();
         // Danger: the process before may have put its text over ours, late, from a disk that was slow.
-        if (text == handed_over) return own_hand_over.empty() ? void() : keep_hand_over();
+        if (text != own_hand_over && !own_hand_over.empty()) keep_hand_over();
+    }
+
+    // What is there can't be read at all: what was told since goes over it.
+    void write_unread() {
+        hand_over_read = true;
+        if (std::exchange(called_early, false)) changed_board();
+    }
+
+    void heard_from_before(const std::string& text) {
         handed_over = text;
-        const auto told = read_board(files.hand_over, text);
-        if (!told) return;
-        board.follow(old_board, *told);
-        old_board = *told;
-        log::info("hand-over followed: {} pop caches down, {}", board.bans().size(),
-                  ops::name_of(board.phase()));
-        leaving = board.drain_told();
+        if (const auto told = read_board(files.hand_over, text)) {
+            board.follow(old_board, *told);
+            old_board = *told;
+            log::info("hand-over followed: {} pop caches down, {}", board.bans().size(),
+                      ops::name_of(board.phase()));
+            leaving = board.drain_told();
+        }
         changed_board();
     }
 
@@ -563,14 +583,17 @@
     }
 
     void keep_hand_over() {
+        // Danger: what the process before handed over is not read yet, and would be gone.
+        if (!hand_over_read) return void(called_early = true);
         ++kept_count;
         hand_over.keep(own_hand_over);
     }
 
     bool disk_undecided() {
-        return hand_over.disk().undecided() || (recovery && recovery->disk().undecided());
+        return called_early || hand_over.disk().undecided() || (recovery && recovery->disk().undecided());
     }
     std::string disk_missing() {
+        if (called_early) return "hand-over: not read yet";
         const std::string handed = hand_over.disk().missing();
         return handed.empty() && recovery ? recovery->disk().missing() : handed;
     }
--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -153,21 +153,22 @@
     first.ready()
     want(first.call("/ops/pop-caches/down/s-a") == (200, "down s-a\n"), "the ban was refused")
     first.kill()
-    second = Proxy(program, library, boxes.at, "open=ENFILE/1@0-1.5", under="sumackeel", folder=first.folder)
-    while second.call("/ops/readiness", "GET")[0] == 0:
-        time.sleep(0.01)
-    status, said = second.call("/ops/pop-caches/down/s-b")  # before the first is read: the two are put together
-    want(status == 200 and "not kept" in said, f"a ban before the hand-over was read: {status} {said!r}")
-    second.ready()
-    want(bans_of(second) == "2", f"a ban was forgotten: {second.said()}")
-    time.sleep(0.5)
-    second.kill()
-    third = Proxy(program, library, boxes.at, folder=first.folder)
-    try:
+    for unreadable_for in (1.5, 4.5):
+        second = Proxy(program, library, boxes.at, f"open=ENFILE/1@0-{unreadable_for}", under="sumackeel", folder=first.folder)
+        while second.call("/ops/readiness", "GET")[0] == 0:
+            time.sleep(0.01)
+        status, said = second.call("/ops/pop-caches/down/s-b")  # before the first is read: the two are put together
+        want(status == 200 and "not kept" in said, f"a ban before the hand-over was read: {status} {said!r}")
+        second.ready()
+        second.wait_until(unreadable_for + 0.7)
+        want(bans_of(second) == "2", f"a ban was forgotten: {second.said()}")
+        second.end(keep_folder=True)
+        third = Proxy(program, library, boxes.at, folder=first.folder)
         third.ready()
         want(bans_of(third) == "2", f"a ban was forgotten over the next start: {third.said()}")
-    finally:
-        third.end()
+        want(third.call("/ops/pop-caches/up/s-b") == (200, "up s-b\n"), "the ban was not taken back")
+        third.end(keep_folder=True)
+    first.folder.cleanup()
 
 
 class Talking:
