--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -138,10 +138,11 @@
     ops::Board old_board;
     HandOverFile hand_over;
     std::string handed_over, own_hand_over;
-    std::uint64_t kept_count = 0;  // texts of our own so far
-    bool took_over = false;        // what the process before handed over, or that there was nothing
-    bool hand_over_read = false;   // until then nothing is written over it
-    bool called_early = false;     // the board was changed before that
+    std::uint64_t kept_count = 0;                // texts of our own so far
+    std::optional<base::Deadlines::Key> unread;  // when it is no longer waited for
+    bool took_over = false;       // what the process before handed over, or that there was nothing
+    bool hand_over_read = false;  // until then nothing is written over it
+    bool called_early = false;    // the board was changed before that
     KeptReplies kept_replies;
     std::unique_ptr<front_ops::Front> ops_front;
     std::unique_ptr<peers::Peers> peers;  // off unless the operator's file names them
@@ -277,8 +278,8 @@
             return;
         }
         const Micros read_until = std::max(until, loop.clock().now() + kReadWithin);
+        unread = loop.deadlines().set(read_until, [this] { take_over(std::nullopt); });
         read_hand_over(read_until);
-        loop.deadlines().set(read_until, [this] { take_over(std::nullopt); });
     }
 
     // Danger: taken for none, a file that can't be read for a moment would have its bans forgotten.
@@ -294,6 +295,7 @@
     void take_over(const std::optional<std::string>& text) {
         if (told_to_end || std::exchange(took_over, true)) return;
         hand_over_read = text.has_value();
+        if (unread) loop.deadlines().drop(*unread);
         if (agreed && !agreed->known()) log::warn("agreed: no voter answers; serving by what is known");
         board.able();
         handed_over = text.value_or("");
