A connection that has gone meanwhile gets no last word

Cause: found on reading the change. Door::part_with_overdue ends several connections; the end of one may let another go for who waits (admit, make_room), and request_timed_out then wrote a 408 on a connection that was gone: a null stream on the signed front. Measured: signed_test, crossings_test and drain_signed_front pass, sanitized. The case itself was not forced by a test.

--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -237,6 +237,8 @@
         overdue.push_back(guest);
     }
     for (Guest* guest : overdue) {
+        // One that could not be half-closed has gone, and another may have gone for who came in its place.
+        if (!guest->stream()) continue;
         guest->request_timed_out();
         part(*guest, EndReason::request_timeout);
     }
