A stop ahead of a reading of the clock makes a limit too long: failing test

Change: calls.cpp can stop a process ahead of the first to sixteenth reading of the clock behind a read, in turn; faults_limit_behind_pause has a row with 48 such stops, and lets the process go on until its clients have ended.

--- a/tests/faults/calls.cpp
+++ b/tests/faults/calls.cpp
@@ -4,6 +4,9 @@
 //     CALL=ERRNO[+ERRNO...]/N[@FROM-TO]  one call in N fails, with each error in turn; N = 1: every one
 //     CALL=WAITSECONDS/N[@FROM-TO]       done so many seconds later, as on a disk that hangs (files alone)
 //     connect=STOP/N, read_done=STOP/N   the process stops behind it (SIGSTOP) until it is told to go on
+//     clock_read=STOP/N                  behind one read in N from a socket it stops ahead of the first
+//     reading
+//                                        of CLOCK_MONOTONIC, the next time of the second, and so on in turn
 //     read=SHORT/N, write=SHORT/N        one call in N moves a single byte (sockets alone)
 //     read=ERRNO/N, write=ERRNO/N        fails on sockets to the port in FAULTS_PEER alone (write: files too)
 //     clock=SECONDS@AT                   CLOCK_REALTIME is read as SECONDS off from AT on
@@ -36,6 +39,7 @@
 constexpr int kStop = -3;   // in place of an errno: the process stops behind the call
 constexpr char kWaitWord[] = "WAIT";
 constexpr int kMostRules = 16, kMostErrors = 8;
+constexpr int kMostReadings = 16;  // behind a read, ahead of which the process is stopped in turn
 
 struct Rule {
     char call[16] = {};
@@ -79,6 +83,8 @@
 double started = 0;
 const char* under = "";
 int peer_port = 0;
+thread_local int readings_to_stop = 0;  // of the clock, until the process stops ahead of one; 0: it does not
+thread_local int stops_at_readings = 0;
 
 template <typename F>
 F real(const char* name) {
@@ -215,6 +221,7 @@
 extern "C" {
 
 int clock_gettime(clockid_t id, timespec* at) {
+    if (id == CLOCK_MONOTONIC && readings_to_stop > 0 && --readings_to_stop == 0) raise(SIGSTOP);
     const int result = real_clock_gettime(id, at);
     if (result != 0 || (id != CLOCK_REALTIME && id != CLOCK_REALTIME_COARSE)) return result;
     for (int i = 0; i < rule_count; ++i)
@@ -272,6 +279,8 @@
     const int error = errno;
     if (result > 0 && has_rule("read_done") && is_socket(fd) && fault_of("read_done") == kStop)
         raise(SIGSTOP);
+    if (result > 0 && has_rule("clock_read") && is_socket(fd) && fault_of("clock_read") == kStop)
+        readings_to_stop = 1 + stops_at_readings++ % kMostReadings;
     errno = error;
     return result;
 }
--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -11,7 +11,7 @@
 import time
 from collections import Counter
 
-from rig import FAILED, REFUSED, SERVED, Boxes, Crowd, Proxy, listening, run_story, want
+from rig import BOUND_S, FAILED, REFUSED, SERVED, Boxes, Crowd, Proxy, listening, run_story, want
 
 ACCEPT_ERRORS = "ECONNABORTED+ENFILE+ENOBUFS+EMFILE+EPROTO+EINTR"
 HOUR = 3600
@@ -336,40 +336,61 @@
         proxy.end()
 
 
-PAUSE_S, TIMEOUT_S, LIMIT_SLACK_S = 0.8, 3.0, 0.15
+TIMEOUT_S, LIMIT_SLACK_S = 3.0, 0.15
+READINGS = 16  # of the clock behind a read, ahead of which calls.cpp stops the process in turn
 
 
-def stopped_state(process):
+def is_stopped(process):
     with open(f"/proc/{process.pid}/stat", encoding="utf-8") as stat:
         return stat.read().rsplit(")", 1)[1].split()[0] == "T"
 
 
+class Resumer(threading.Thread):
+    """Lets a process that has stopped go on `pause` seconds later, each time, until it is told to end."""
+
+    def __init__(self, process, pause):
+        super().__init__(daemon=True)
+        self.process, self.pause, self.stops, self.going = process, pause, 0, True
+        self.start()
+
+    def run(self):
+        while self.going:
+            if is_stopped(self.process):
+                time.sleep(self.pause)
+                self.stops += 1
+                self.process.send_signal(signal.SIGCONT)
+            time.sleep(0.005)
+
+    def end(self):
+        self.going = False
+        self.join(BOUND_S)
+
+
 def limit_behind_pause(program, library):
     """The limit told to a pop cache is what the client has left when it is written, also where the process stood still while
-    the connection for it came up, or right behind reading it."""
-    for faults in ("connect=STOP/100@2-30", "read_done=STOP/1500@2-30"):
+    the connection for it came up, right behind reading it, or ahead of any reading of the clock from then on."""
+    for faults, pause, least_stops in (("connect=STOP/100@2-30", 0.8, 6), ("read_done=STOP/1500@2-30", 0.8, 3),
+                                       ("clock_read=STOP/40@2-30", 0.3, 3 * READINGS)):
         boxes = Boxes(once=True)  # so that each request waits for a connection
         proxy = Proxy(program, library, boxes.at, faults)
-        stops = 0
+        resumer = Resumer(proxy.process, pause)
         try:
             proxy.ready()
             proxy.wait_until(2.0)
             crowd = Crowd(proxy.port, 4, kind=b"enrol")
-            while proxy.since_start() < 8:
-                if stopped_state(proxy.process):
-                    time.sleep(PAUSE_S)
-                    proxy.process.send_signal(signal.SIGCONT)
-                    stops += 1
-                time.sleep(0.005)
+            while proxy.since_start() < 25 and resumer.stops < least_stops:
+                time.sleep(0.05)
             crowd.stop()
             asked = {ident: when for client in crowd.all for ident, when in client.asked.items()}
             over = [when + int(fields["limit"]) / 1000 - asked[request] - TIMEOUT_S for when, request, fields in boxes.seen
                     if request in asked]
-            print(f"{faults}: {crowd.told()}, {stops} pauses, limits over the client's time by {max(over):.2f} s at the most")
-            want(stops >= 1, "it never stopped")
+            print(f"{faults}: {crowd.told()}, {resumer.stops} pauses, limits over the client's time by {max(over):.2f} s "
+                  "at the most")
+            want(resumer.stops >= least_stops, f"it stopped {resumer.stops} times alone")
             want(not crowd.lost(), f"lost: {crowd.lost()[:3]}")
             want(max(over) <= LIMIT_SLACK_S, f"a limit {max(over):.2f} s over what its client had left")
         finally:
+            resumer.end()
             proxy.process.send_signal(signal.SIGCONT)
             proxy.end()
 
