When a request came is told by one reading of the clock

Change: Guest::arrived_at reads the clock once; a request's text is made anew where its limit was reckoned over 1 ms before, and written by uv_try_write.

--- a/src/front_platform/front.cpp
+++ b/src/front_platform/front.cpp
@@ -70,9 +70,8 @@
     explicit Client(Front& owner) : front(owner) {}
 
     void received(net::Stream&, std::string_view bytes) override {
-        const base::Micros delay = waited();
-        came = front.loop_.clock().now() - delay;
-        if (left_meanwhile(delay)) return front.door_.part(*this);
+        came = arrived_at();
+        if (left_meanwhile()) return front.door_.part(*this);
         reader.read(bytes, [this](std::string_view frame) {
             heard = true;
             front.call(*this, read_call(frame));
--- a/src/front_signed/front.cpp
+++ b/src/front_signed/front.cpp
@@ -147,9 +147,8 @@
     }
 
     void received(net::Stream&, std::string_view bytes) override {
-        const base::Micros delay = waited();
-        if (left_meanwhile(delay)) return front.door_.part(*this);
-        came = front.loop_.clock().now() - delay;
+        came = arrived_at();
+        if (left_meanwhile()) return front.door_.part(*this);
         ahead += bytes;
         work();
         if (front.door_.drain().refuses(front.loop_.clock().now())) front.hurry(*this);
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -46,17 +46,19 @@
     door.admit();
 }
 
-Micros Guest::waited() {
+// Danger: one reading of the clock. The process may be stopped between two, and what came before the stop
+// would seem to have come behind it.
+Micros Guest::arrived_at() {
     const Micros now = door_->loop_.clock().now();
     const Micros earliest = came_after_ > 0 ? came_after_ : door_->loop_.looked_at();
-    const Micros most = now - earliest;
+    read_late_ = now - earliest >= kDelayed;
     // What had come by then may be read in several turns.
-    came_after_ = most >= kDelayed && stream_->unread() ? earliest : 0;
-    return most < kDelayed ? 0 : std::min(most, stream_->since_last_byte());
+    came_after_ = read_late_ && stream_->unread() ? earliest : 0;
+    return read_late_ ? std::max(earliest, now - stream_->since_last_byte()) : now;
 }
 
-bool Guest::left_meanwhile(Micros waited) const {
-    return waited > 0 && stream_->peer_ended();
+bool Guest::left_meanwhile() const {
+    return read_late_ && stream_->peer_ended();
 }
 
 Door::Door(Loop& loop, const Place& place, int connections, Patience patience,
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -59,11 +59,12 @@
     // Told before it is sent away in the middle of a request that took too long to come: a last word may be
     // written.
     virtual void request_timed_out() {}
-    // Asked from received(), once in each call: how long ago the last of these bytes came. It is more than a
-    // turn of the loop where the connection waited at the listener, or the process stood still.
-    Micros waited();
-    // Behind such a wait: the client has left meanwhile, and nothing it asked for is wanted any more.
-    bool left_meanwhile(Micros waited) const;
+    // Asked from received(), once in each call: when the last of these bytes came. It is long ago where the
+    // connection waited at the listener, or the process stood still.
+    Micros arrived_at();
+    // The bytes that arrived_at() was asked for were read late, and the client has left meanwhile: nothing it
+    // asked for is wanted any more.
+    bool left_meanwhile() const;
 
   private:
     friend class Door;
@@ -73,6 +74,7 @@
     Doing doing_ = Doing::arriving;
     Micros since_ = 0;
     Micros came_after_ = 0;  // what is not read yet came after this; 0: after the last look of the loop
+    bool read_late_ = false;
     std::list<Guest*>::iterator place_;
 };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -122,6 +122,15 @@
     }
 }
 
+void Stream::write_at_once(std::string_view bytes) {
+    if (state_ != State::open) return;
+    // libuv does not change what it writes.
+    const uv_buf_t buffer = uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
+    const int taken = uv_try_write(as_stream(), &buffer, 1);
+    bytes.remove_prefix(taken > 0 ? static_cast<std::size_t>(taken) : 0);
+    if (!bytes.empty()) write(std::string(bytes));
+}
+
 void Stream::lose(Gone how) {
     Owner* owner = owner_;
     close();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -39,6 +39,9 @@
     static Stream* adopt(Loop& loop, Budget& budget, int fd, Owner& owner);
 
     void write(std::string bytes);
+    // The same by the shortest way to the system, for what is true for a moment. What the system does not
+    // take at once follows by write(); Owner::drained() is told of that alone.
+    void write_at_once(std::string_view bytes);
     std::size_t unsent() const { return uv_stream_get_write_queue_size(as_stream()); }
     void pause(bool on);
     bool unread() const;  // bytes have arrived that were not read yet
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -33,7 +33,8 @@
 // than this gets nothing new and closes once nothing is open on it.
 constexpr std::size_t kMostGivenUp = 256;
 
-constexpr Micros kDialAgain = 20'000;  // a socket could not be made here
+constexpr Micros kLimitWithin = 1'000;  // a limit is written so soon after it was reckoned
+constexpr Micros kDialAgain = 20'000;   // a socket could not be made here
 
 // An error of connect that tells of this machine, not of the one called.
 bool is_own_shortage(int error) {
@@ -106,8 +107,13 @@
     void write(const std::string& id, const RequestText& request) {
         Open& one = open.at(id);
         one.begun = true;
-        one.sent = pool.loop_.clock().now();
-        stream->write(request.at(one.sent));
+        // Danger: the process may be stopped while the text is made, and its limit be too long by then.
+        std::string text;
+        do {
+            one.sent = pool.loop_.clock().now();
+            text = request.at(one.sent);
+        } while (pool.loop_.clock().now() - one.sent > kLimitWithin);
+        stream->write_at_once(text);
     }
 
     void received(net::Stream&, std::string_view bytes) override {
