Folders that hang at a start: failing tests

Cause: two rows of the incident's table of duties had neither a timer nor a test; a third, recovery's folder that hangs while the process runs, had no test. Change: duties_kept_folder_hangs_at_start, duties_start_number_hangs, duties_kept_folder_hangs; the set-up of a talking process moved to rig.py.

--- a/tests/faults/duties_test.py
+++ b/tests/faults/duties_test.py
@@ -7,12 +7,14 @@
 import os
 import signal
 import socket
+import subprocess
 import time
 
-from rig import SERVED, Boxes, Crowd, Proxy, run_story, want
+from rig import SERVED, Boxes, Crowd, Proxy, Talking, bans_of, run_story, want
 
 ANSWER_WITHIN_S = 1.0   # each operators' call, under any load
 READY_WITHIN_S = 10
+ENDS_WITHIN_S, CAN_NOT_START = 20, 2  # a start that can't be finished, and its status
 SLOW_REQUEST_S = 0.3    # pop caches answer at once
 CALLS = (("GET", "/ops/readiness"), ("GET", "/ops/stats"), ("POST", "/ops/pop-caches/down/s-a"),
          ("POST", "/ops/pop-caches/up/s-a"), ("POST", "/ops/drain/start"), ("POST", "/ops/drain/stop"))
@@ -115,6 +117,75 @@
         proxy.end()
 
 
+def newest_kept(program, talking):
+    """What the tool says of the newest file in the folder of the recovery."""
+    return subprocess.run([program, "recovery", "verify", os.path.join(talking.folder.name, "kept")], check=False,
+                          capture_output=True, text=True).stdout.splitlines()
+
+
+def kept_folder_hangs_at_start(program, library):
+    """Nobody waits for a folder of the recovery that is never read; one that is read late gets its next generation behind
+    those that were there."""
+    for faults, answers in (("open=WAIT1000/1@0-1000", False), ("open=WAIT8/1@0-1", True)):
+        boxes, talking = Boxes(), Talking()
+        first = talking.start(program, library, boxes)
+        want(first.call("/ops/pop-caches/down/s-a")[0] == 200, "the ban was refused")
+        first.kill()
+        before = newest_kept(program, talking)[0]
+        second = talking.begin(program, library, boxes, faults, "kept")
+        try:
+            second.ready(READY_WITHIN_S)
+            print(f"{faults}: ready {second.since_start():.2f} s after its start")
+            want("the folder does not answer" in second.said(), "it is not said that the folder does not answer")
+            (status, said, took), slowest = served_meanwhile(
+                second, lambda p=second: timed_call(p, "POST", "/ops/pop-caches/down/s-b"))
+            print(f"{faults}: call {took:.3f} s, {said!r}, slowest request {slowest:.3f} s")
+            want(status == 200 and "not kept yet" in said and took < ANSWER_WITHIN_S, f"{status} {said!r} in {took:.2f} s")
+            want(slowest < SLOW_REQUEST_S, f"a request took {slowest:.2f} s")
+            second.wait_until(11 if answers else 0)
+            second.process.terminate()
+            want(second.process.wait(3.7) == 0, "it did not leave")
+            after = newest_kept(program, talking)[0]
+            print(f"before: {before}; after: {after}")
+            # The ban from before came by the hand-over.
+            want((after > before and ", 2 bans" in after) == answers, f"{before!r}, then {after!r}")
+        finally:
+            second.end()
+
+
+def kept_folder_hangs(program, library):
+    """A folder of the recovery that hangs while the process runs holds up neither a call nor a request, nor the end."""
+    for call in ("open", "write", "fsync", "rename"):
+        boxes, talking = Boxes(), Talking()
+        proxy = talking.start(program, library, boxes, f"{call}=WAIT1000/1@6-1000", "kept")
+        try:
+            proxy.wait_until(6.1)
+            (status, said, took), slowest = served_meanwhile(
+                proxy, lambda p=proxy: timed_call(p, "POST", "/ops/pop-caches/down/s-a"))
+            print(f"{call} hangs: call {took:.3f} s, {said!r}, slowest request {slowest:.3f} s")
+            want(status == 200 and "not kept yet" in said and took < ANSWER_WITHIN_S, f"{status} {said!r} in {took:.2f} s")
+            want(slowest < SLOW_REQUEST_S, f"a request took {slowest:.2f} s")
+            want(bans_of(proxy) == "1", "the ban does not hold")
+            proxy.process.terminate()
+            want(proxy.process.wait(3.7) == 0, "it did not leave")
+        finally:
+            proxy.end()
+
+
+def start_number_hangs(program, library):
+    """A process whose start number is never on disk says so and ends: the platform starts another."""
+    boxes, talking = Boxes(), Talking()
+    proxy = talking.begin(program, library, boxes, "open=WAIT1000/1@0-1000", "state")
+    try:
+        status = proxy.process.wait(ENDS_WITHIN_S)
+        print(f"ended with {status} after {proxy.since_start():.2f} s")
+        want(status == CAN_NOT_START and "does not answer" in proxy.said(), f"ended with {status}: {proxy.said()}")
+    except subprocess.TimeoutExpired:
+        want(False, "it neither served nor ended")
+    finally:
+        proxy.kill()
+
+
 def log_unread(program, library):
     """A log that nobody reads holds up neither a call nor a request, nor the end; what was left out is counted."""
     for level in ("info", "debug"):
@@ -150,7 +221,8 @@
             proxy.end()
 
 
-STORIES = {story.__name__: story for story in (silent_callers, slow_disk, disk_hangs_elsewhere, log_unread)}
+STORIES = {story.__name__: story for story in (silent_callers, slow_disk, disk_hangs_elsewhere, kept_folder_hangs_at_start,
+                                               kept_folder_hangs, start_number_hangs, log_unread)}
 
 
 if __name__ == "__main__":
--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -11,7 +11,7 @@
 import time
 from collections import Counter
 
-from rig import BOUND_S, FAILED, REFUSED, SERVED, Boxes, Crowd, Proxy, listening, run_story, want
+from rig import BOUND_S, FAILED, REFUSED, SERVED, Boxes, Crowd, Proxy, Talking, bans_of, listening, run_story, want
 
 ACCEPT_ERRORS = "ECONNABORTED+ENFILE+ENOBUFS+EMFILE+EPROTO+EINTR"
 HOUR = 3600
@@ -120,10 +120,6 @@
                "open=EMFILE/1@1-4")
 
 
-def bans_of(proxy):
-    return proxy.call("/ops/stats", "GET")[1].split("gw_pop_caches_down ")[1].split()[0]
-
-
 def hand_over_fails(program, library):
     """A ban told while the hand-over's folder fails is known to the process behind, also where this one is killed
     once it has said that it is kept."""
@@ -171,25 +167,6 @@
     first.folder.cleanup()
 
 
-class Talking:
-    """A folder and an operator's file for a process with [peers] and [recovery]."""
-
-    def __init__(self):
-        peer = listening()
-        self.folder = tempfile.TemporaryDirectory(prefix="sumackeel-faults-")
-        with open(os.path.join(self.folder.name, "key"), "w", encoding="utf-8") as out:
-            out.write("a key of this test alone\n")
-        self.operator = (f'[peers]\ngroup = "school"\nname = "n0"\nlisten = "127.0.0.1:{peer.getsockname()[1]}"\n'
-                         'key = "key"\nfolder = "state"\n'
-                         '[recovery]\nfolder = "kept"\nask_s = 1\nsettle_s = 1\nprime_s = 1\n')
-        peer.close()
-
-    def start(self, program, library, boxes, faults="", under=""):
-        proxy = Proxy(program, library, boxes.at, faults, under=under, folder=self.folder, operator=self.operator)
-        proxy.ready(30)
-        return proxy
-
-
 def recovery_folder_fails(program, library):
     """What the folder of the recovery is owed is written once it can be, with nothing told meanwhile."""
     for faults in DISK_ERRORS:
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -133,6 +133,32 @@
             raise Failure(f"ended with {status}: {said[-2000:]}")
 
 
+def bans_of(proxy):
+    return proxy.call("/ops/stats", "GET")[1].split("gw_pop_caches_down ")[1].split()[0]
+
+
+class Talking:
+    """A folder and an operator's file for a process with [peers] and [recovery]."""
+
+    def __init__(self):
+        peer = listening()
+        self.folder = tempfile.TemporaryDirectory(prefix="sumackeel-faults-")
+        with open(os.path.join(self.folder.name, "key"), "w", encoding="utf-8") as out:
+            out.write("a key of this test alone\n")
+        self.operator = (f'[peers]\ngroup = "school"\nname = "n0"\nlisten = "127.0.0.1:{peer.getsockname()[1]}"\n'
+                         'key = "key"\nfolder = "state"\n'
+                         '[recovery]\nfolder = "kept"\nask_s = 1\nsettle_s = 1\nprime_s = 1\n')
+        peer.close()
+
+    def begin(self, program, library, boxes, faults="", under=""):
+        return Proxy(program, library, boxes.at, faults, under=under, folder=self.folder, operator=self.operator)
+
+    def start(self, program, library, boxes, faults="", under=""):
+        proxy = self.begin(program, library, boxes, faults, under)
+        proxy.ready(30)
+        return proxy
+
+
 class Client(threading.Thread):
     """Asks without pause, one request at a time; on a connection of its own for each where `fresh`."""
     numbers = iter(range(1, 1 << 40))
