A folder that hangs at a start is waited for only so long

Cause: the folders of [peers] and [recovery] were read on the loop before it runs, however long that took. Change: base::finished_within runs such work on a thread of its own; recovery's folder counts as empty after 6 s and nothing is written to it before it was read; a start number that can't be kept ends the process after 12 s with a reason.

--- a/src/base/system_error.h
+++ b/src/base/system_error.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <functional>
 #include <string>
@@ -35,6 +36,9 @@
 // nothing is wrong, for `kFolderPatience` at the most, and gives what the last call said.
 std::string retry_folder_at_start(const std::function<std::string()>& attempt);
 
+// A folder that has not answered by then at a start hangs: retry_folder_at_start() would have given up.
+constexpr std::chrono::seconds kFolderAnswersWithin{6};
+
 // Calls `attempt` until it gives 0 or an error that is not transient, for `kStartPatience` at the most.
 // Blocks between the calls, so it is for the start of the program alone. Gives what the last call gave.
 int retry_at_start(const std::function<int()>& attempt);
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <stdexcept>
 
+#include "base/finished_within.h"
 #include "base/json_line.h"
 #include "base/log.h"
 #include "base/system_error.h"
@@ -55,16 +56,29 @@
     return static_cast<std::uint64_t>(chance()) << 32 | chance();
 }
 
-// The number of this start, on disk before anything is said under it.
-std::uint64_t next_start(const StartNumber& number) {
-    std::string fault;
-    const std::uint64_t start = number.read(fault) + 1;
-    if (!fault.empty()) log::error("peers: {}", fault);
-    const std::string wrong = base::retry_folder_at_start([&] { return number.write(start); });
-    if (!wrong.empty()) throw std::runtime_error("peers: the start number can't be kept: " + wrong);
+struct Start {
+    std::uint64_t number = 0;
+    std::string read_fault, write_fault;  // empty: none
+};
+
+Start count_start(const StartNumber& on_disk) {
+    Start start;
+    start.number = on_disk.read(start.read_fault) + 1;
+    start.write_fault = base::retry_folder_at_start([&] { return on_disk.write(start.number); });
     return start;
 }
 
+// The number of this start, on disk before anything is said under it. Throws where that can't be.
+std::uint64_t next_start(const StartNumber& on_disk) {
+    const auto start =
+        base::finished_within(2 * base::kFolderAnswersWithin, [on_disk] { return count_start(on_disk); });
+    if (!start) throw std::runtime_error("peers: the start number can't be kept: its folder does not answer");
+    if (!start->read_fault.empty()) log::error("peers: {}", start->read_fault);
+    if (!start->write_fault.empty())
+        throw std::runtime_error("peers: the start number can't be kept: " + start->write_fault);
+    return start->number;
+}
+
 const char* name_of(group::Side side) {
     return side == group::Side::alone ? "alone" : side == group::Side::majority ? "majority" : "minority";
 }
--- a/src/peers/recovery.cpp
+++ b/src/peers/recovery.cpp
@@ -7,6 +7,7 @@
 #include <stdexcept>
 
 #include "base/files.h"
+#include "base/finished_within.h"
 #include "base/json_line.h"
 #include "base/log.h"
 #include "base/packed.h"
@@ -44,7 +45,7 @@
       setup_(setup),
       cleared_within_(cleared_within),
       hooks_(std::move(hooks)),
-      folder_(new Folder{.files = {setup.folder, "kept-", ".sumkept"}, .path = setup.folder, .lock = {}}),
+      folder_(std::make_shared<Folder>(setup.folder)),
       writes_(loop, "recovery",
               [folder = folder_](const std::string& packed) { return folder->put(packed); }),
       ladder_({.ask = setup.ask,
@@ -69,33 +70,46 @@
     if (next_tick_) loop_.deadlines().drop(*next_tick_);
 }
 
+void Recovery::read() {
+    auto found =
+        base::finished_within(base::kFolderAnswersWithin, [folder = folder_] { return folder->read(); });
+    if (!found) found = Found{{}, {folder_->path + ": the folder does not answer"}};
+    for (const std::string& one : found->aside)
+        log::error("recovery: passed over, {}: bans and drains of the last moments may be missing", one);
+    kept_ = std::move(found->kept);
+    aside_ = std::move(found->aside);
+}
+
 // The newest generation that is whole. A damaged one is named and set aside, never passed over without a
 // word.
-void Recovery::read() {
+Recovery::Found Recovery::Folder::read() {
+    const std::scoped_lock held(in_use);
+    Found found;
     std::string text, fault;
-    for (const std::uint64_t generation : folder_->files.all()) {
-        folder_->generation = std::max(folder_->generation, generation);
+    for (const std::uint64_t one : files.all()) {
+        generation = std::max(generation, one);
         base::Reading reading{};
         base::retry_folder_at_start([&] {
-            reading =
-                base::read_plain(folder_->files.path_of(generation), recovery::kLongestKept, text, fault);
+            reading = base::read_plain(files.path_of(one), recovery::kLongestKept, text, fault);
             return reading == base::Reading::unreadable ? fault : std::string{};
         });
-        if (reading == base::Reading::done) fault = recovery::decode(text, kept_);
+        if (reading == base::Reading::done) fault = recovery::decode(text, found.kept);
         if (fault.empty()) {
-            folder_->good = generation;
-            return;
+            good = one;
+            return found;
         }
-        log::error("recovery: {} is set aside, {}: bans and drains of the last moments may be missing",
-                   folder_->files.path_of(generation), fault);
-        aside_.push_back(folder_->files.path_of(generation) + ": " + fault);
-        if (reading != base::Reading::unreadable) folder_->files.set_aside(generation);
+        found.aside.push_back(files.path_of(one) + ": " + fault);
+        if (reading != base::Reading::unreadable) files.set_aside(one);
         fault.clear();
     }
+    return found;
 }
 
 // Another process of this proxy writes until it ends; the lock is asked for anew each time.
 std::string Recovery::Folder::put(const std::string& packed) {
+    // Danger: before all generations are known a new one might be numbered below them.
+    const std::unique_lock held(in_use, std::try_to_lock);
+    if (!held) return "what was kept before is still being read";
     if (!lock || !lock->fault().empty()) lock = std::make_unique<base::FolderLock>(path, kLock);
     std::string fault = lock->fault();
     if (fault.empty()) fault = files.write(packed, generation + 1, good);
--- a/src/peers/recovery.h
+++ b/src/peers/recovery.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
@@ -38,8 +39,8 @@
         std::function<void(recovery::Stage from)> entered;    // another stage
     };
 
-    // Reads the folder. Throws where it can't be used. `elects`: there is an agreed log. `cleared_within`:
-    // after a purge no box has an older copy. Peers outlive this.
+    // Reads the folder; one that does not answer counts as empty. `elects`: there is an agreed log.
+    // `cleared_within`: after a purge no box has an older copy. Peers outlive this.
     Recovery(net::Loop& loop, Peers& peers, const config::Recovery& setup, bool elects,
              std::vector<double> worths, base::Micros cleared_within, std::uint64_t seed, Hooks hooks);
     ~Recovery();
@@ -78,13 +79,20 @@
     const config::Recovery setup_;
     const base::Micros cleared_within_;
     Hooks hooks_;
-    // The folder's files. Once reading is over the writer's thread alone touches them.
+    struct Found {
+        recovery::Kept kept;
+        std::vector<std::string> aside;  // files that can't be used, each with the reason
+    };
+    // The folder's files. One thread at a time: the one that reads at the start, then the writer's.
     struct Folder {
+        explicit Folder(const std::string& at) : files(at, "kept-", ".sumkept"), path(at) {}
         base::Generations files;
         std::string path;
+        std::mutex in_use;
         std::unique_ptr<base::FolderLock> lock;
         std::uint64_t generation = 0;
         std::atomic<std::uint64_t> good = 0;
+        Found read();
         std::string put(const std::string& packed);
     };
     std::shared_ptr<Folder> folder_;
