--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -230,16 +230,22 @@
     for (Guest* guest : quiet) part(*guest, away());
 }
 
-// Bytes that wait to be read are no reason to bear longer with a request that never ends.
-void Door::part_with_overdue(Doing doing) {
-    const Micros now = loop_.clock().now(), patience = drain_.patience(patience_.request, now);
-    std::vector<Guest*> overdue;
+// Those that have been at it for longer than that.
+// Danger: one that could not be half-closed has gone, and another may have gone for who came in its place. So
+// before each is sent away it is asked whether it is still there.
+std::vector<Guest*> Door::overdue(Doing doing, Micros patience) const {
+    const Micros before = loop_.clock().now() - patience;
+    std::vector<Guest*> found;
     for (Guest* guest : queue(doing)) {
-        if (guest->since_ > now - patience) break;
-        overdue.push_back(guest);
+        if (guest->since_ > before) break;
+        found.push_back(guest);
     }
-    for (Guest* guest : overdue) {
-        // One that could not be half-closed has gone, and another may have gone for who came in its place.
+    return found;
+}
+
+// Bytes that wait to be read are no reason to bear longer with a request that never ends.
+void Door::part_with_overdue(Doing doing) {
+    for (Guest* guest : overdue(doing, drain_.patience(patience_.request, loop_.clock().now()))) {
         if (!guest->stream()) continue;
         guest->request_timed_out();
         part(*guest, EndReason::request_timeout);
@@ -267,22 +273,13 @@
 
 void Door::sweep() {
     const Micros now = loop_.clock().now();
-    const auto over = [&](Doing doing, Micros patience) {
-        std::vector<Guest*> found;
-        for (Guest* guest : queue(doing)) {
-            if (guest->since_ > now - patience) break;
-            found.push_back(guest);
-        }
-        return found;
-    };
     part_with_overdue(Doing::arriving);
     part_with_overdue(Doing::sending);
-    // One that could not be half-closed has gone, and another may have gone for who came in its place.
-    for (Guest* guest : over(Doing::idle, patience_.idle))
+    for (Guest* guest : overdue(Doing::idle, patience_.idle))
         if (guest->stream() && !guest->stream_->unread()) part(*guest, EndReason::idle_timeout);
-    for (Guest* guest : over(Doing::unsent, patience_.reading)) let_go(*guest, EndReason::reading_timeout);
+    for (Guest* guest : overdue(Doing::unsent, patience_.reading)) let_go(*guest, EndReason::reading_timeout);
     // Its last answer may take as long to be read as any other.
-    for (Guest* guest : over(Doing::leaving, kLeaving))
+    for (Guest* guest : overdue(Doing::leaving, kLeaving))
         if (guest->stream_->unsent() == 0 || guest->since_ <= now - patience_.reading)
             let_go(*guest, EndReason::reading_timeout);
     if (sending_away_) part_with(Doing::idle);  // those whose bytes were unread at the last look
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -137,6 +137,7 @@
     void take(int fd);
     void let_go(Guest& guest, EndReason reason);
     void part_with(Doing doing);
+    std::vector<Guest*> overdue(Doing doing, Micros patience) const;
     void part_with_overdue(Doing doing);
     void note_end(const Guest& guest, EndReason reason);
     bool may_end(const Guest& guest) const;
