Voters elect over a disk that hangs: failing test

Change: duties_voters_disk_hangs, three voters whose disk takes 3 s for a sync and whose leader is killed; calls.cpp also takes fdatasync, pwrite64 and open64, which the library's disk uses by way of libuv.

--- a/tests/faults/calls.cpp
+++ b/tests/faults/calls.cpp
@@ -298,6 +298,12 @@
     return call(fd, parts, count);
 }
 
+ssize_t pwrite64(int fd, const void* bytes, size_t count, off64_t at) {
+    if (has_rule("write") && is_covered_file(fd) && fails("write")) return -1;
+    static const auto call = real<ssize_t (*)(int, const void*, size_t, off64_t)>("pwrite64");
+    return call(fd, bytes, count, at);
+}
+
 int open(const char* path, int flags, ...) {
     va_list rest;
     va_start(rest, flags);
@@ -308,6 +314,14 @@
     return call(path, flags, mode);
 }
 
+int open64(const char* path, int flags, ...) {
+    va_list rest;
+    va_start(rest, flags);
+    const mode_t mode = flags & O_CREAT ? va_arg(rest, mode_t) : 0;
+    va_end(rest);
+    return open(path, flags, mode);
+}
+
 FILE* fopen(const char* path, const char* mode) {
     if (is_covered_path(path) && fails("open")) return nullptr;
     static const auto call = real<FILE* (*)(const char*, const char*)>("fopen");
@@ -326,6 +340,12 @@
     return call(fd);
 }
 
+int fdatasync(int fd) {
+    if (is_covered_file(fd) && fails("fsync")) return -1;
+    static const auto call = real<int (*)(int)>("fdatasync");
+    return call(fd);
+}
+
 int rename(const char* from, const char* to) {
     if (is_covered_path(from) && fails("rename")) return -1;
     static const auto call = real<int (*)(const char*, const char*)>("rename");
--- a/tests/faults/duties_test.py
+++ b/tests/faults/duties_test.py
@@ -4,13 +4,14 @@
 
 Usage: duties_test.py SUMACKEEL LIBRARY STORY
 """
+import json
 import os
 import signal
 import socket
 import subprocess
 import time
 
-from rig import SERVED, Boxes, Crowd, Proxy, Talking, bans_of, run_story, want
+from rig import SERVED, Boxes, Crowd, Proxy, Talking, bans_of, listening, run_story, want
 
 ANSWER_WITHIN_S = 1.0   # each operators' call, under any load
 READY_WITHIN_S = 10
@@ -186,6 +187,67 @@
         proxy.kill()
 
 
+class Voters:
+    """Three processes that vote on the agreed log; calls for files below their logs' folders take `faults`."""
+
+    def __init__(self, program, library, boxes, faults):
+        names = ["n0", "n1", "n2"]
+        held = {name: (listening(), listening()) for name in names}
+        peers, votes = ({name: "127.0.0.1:%d" % held[name][place].getsockname()[1] for name in names} for place in (0, 1))
+        for pair in held.values():
+            for one in pair:
+                one.close()
+        self.all = []
+        for name in names:
+            talking = Talking()
+            operator = (f'[peers]\ngroup = "school"\nname = "{name}"\nlisten = "{peers[name]}"\nkey = "key"\nfolder = "state"\n'
+                        f'seeds = {json.dumps([peers[other] for other in names if other != name])}\n'
+                        '[agreed]\nfolder = "agreed"\nelection_ms = 400\n'
+                        'voters = { %s }\n' % ", ".join(f'{one} = "{at}"' for one, at in votes.items()))
+            self.all.append(Proxy(program, library, boxes.at, faults, under="agreed", folder=talking.folder, operator=operator))
+
+    def leader(self):
+        for proxy in self.all:
+            if proxy.process.poll() is None and '"leads":true' in proxy.call("/ops/rollout", "GET")[1].replace(" ", ""):
+                return proxy
+        return None
+
+
+def voters_disk_hangs(program, library):
+    """Voters whose disk takes 3 s for a sync serve on, and answer calls, while they elect another leader."""
+    boxes = Boxes()
+    voters = Voters(program, library, boxes, "fsync=WAIT3/1@8-1000")
+    try:
+        for proxy in voters.all:
+            proxy.ready(READY_WITHIN_S)
+        until = time.monotonic() + READY_WITHIN_S
+        while not (led := voters.leader()):
+            want(time.monotonic() < until, "no leader")
+            time.sleep(0.05)
+        led.wait_until(8.5)
+        led.kill()
+        left = [proxy for proxy in voters.all if proxy is not led]
+
+        def calls():
+            seen = []
+            while led.since_start() < 13:
+                seen += [timed_call(proxy, "GET", "/ops/readiness") for proxy in left]
+                time.sleep(0.1)
+            return seen
+        crowds = [Crowd(proxy.port) for proxy in left]
+        seen = calls()
+        for crowd in crowds:
+            crowd.stop()
+        slowest = max(took for crowd in crowds for client in crowd.all for _, took, _ in client.answers)
+        worst = max(took for _, _, took in seen)
+        print(f"an election over a disk that takes 3 s: calls {worst:.3f} s, requests {slowest:.3f} s at the worst")
+        want(worst < ANSWER_WITHIN_S, f"a call took {worst:.2f} s")
+        want(slowest < SLOW_REQUEST_S, f"a request took {slowest:.2f} s")
+    finally:
+        for proxy in voters.all:
+            proxy.kill()
+
+
 def log_unread(program, library):
     """A log that nobody reads holds up neither a call nor a request, nor the end; what was left out is counted."""
     for level in ("info", "debug"):
@@ -222,7 +284,7 @@
 
 
 STORIES = {story.__name__: story for story in (silent_callers, slow_disk, disk_hangs_elsewhere, kept_folder_hangs_at_start,
-                                               kept_folder_hangs, start_number_hangs, log_unread)}
+                                               kept_folder_hangs, start_number_hangs, voters_disk_hangs, log_unread)}
 
 
 if __name__ == "__main__":
