Voters' terms and votes are written off the loop

Cause: the raft library writes each term and vote before it goes on, on the loop; an election over a slow disk held up all requests and calls. Change: peers::RaftDisk writes them on another thread and holds what tells of them, or stands on them in the log, until they are on disk; the folder is read off the loop before its log is opened and where it is set aside; an end over a disk that hangs does not wait for it.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -604,7 +604,7 @@
     }
     bool disk_busy() const {
         return fleet->disk_busy() || hand_over.disk_busy() || reading.busy() ||
-               (recovery && recovery->disk_busy());
+               (recovery && recovery->disk_busy()) || (agreed && agreed->disk_hangs());
     }
 
     // Both files are read before anything is changed: one that can't be used leaves all as it was. What the
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -3,10 +3,12 @@
 #include <json/json.h>
 
 #include <algorithm>
+#include <chrono>
 #include <filesystem>
 #include <stdexcept>
 
 #include "base/files.h"
+#include "base/finished_within.h"
 #include "base/json_line.h"
 #include "base/log.h"
 #include "peers/agreed_words.h"
@@ -25,9 +27,11 @@
 constexpr Micros kTryAgain = 60'000;  // while there is no leader
 // Of those that do not vote: bans reach them within 1 s. Stretched where they are many, up to the longest.
 constexpr Micros kPollEvery = 250'000, kPollEach = 2'000, kPollLongest = 900'000;
-constexpr Micros kTendEvery = 1'000'000;  // who votes, against the operator's file
-constexpr Micros kAlone = 3'000'000;      // one that votes and knows no leader asks the others
-constexpr Micros kVoteLater = 200'000;    // while the process before this one has the folder
+constexpr Micros kTendEvery = 1'000'000;                 // who votes, against the operator's file
+constexpr Micros kAlone = 3'000'000;                     // one that votes and knows no leader asks the others
+constexpr Micros kVoteLater = 200'000;                   // while the process before this one has the folder
+constexpr std::chrono::seconds kFolderAnswersWithin{2};  // at a start
+constexpr Micros kDiskHangs = 100'000;                   // a disk that works takes less
 constexpr const char* kWishVerb = "wish";
 constexpr const char* kStateVerb = "state";
 
@@ -35,6 +39,18 @@
     return {rules.school_out, rules.school_share, rules.fleet_out, rules.between};
 }
 
+// Empty: done; else what went wrong.
+std::string move_files(const std::string& from, const std::filesystem::path& to) {
+    std::error_code fault;
+    std::filesystem::create_directories(to, fault);
+    std::vector<std::filesystem::path> files;
+    for (std::filesystem::directory_iterator it(from, fault), end; !fault && it != end; it.increment(fault))
+        if (it->is_regular_file() && it->path().filename() != "lock") files.push_back(it->path());
+    for (const auto& file : files)
+        if (!fault) std::filesystem::rename(file, to / file.filename(), fault);
+    return fault ? fault.message() : std::string{};
+}
+
 }  // namespace
 
 struct Agreed::Wish {
@@ -46,7 +62,12 @@
 
 Agreed::Agreed(net::Loop& loop, Peers& peers, const config::Agreed& setup, bool wait_for_folder, World world,
                Changed changed)
-    : loop_(loop), peers_(peers), setup_(setup), world_(std::move(world)), changed_(std::move(changed)) {
+    : loop_(loop),
+      peers_(peers),
+      setup_(setup),
+      world_(std::move(world)),
+      changed_(std::move(changed)),
+      files_(loop) {
     const std::string& name = peers_.group().self().name;
     for (const char* verb : {kWishVerb, kStateVerb})
         peers_.on_call(verb, [this](const std::string& from, const std::string& of, const std::string& body,
@@ -61,7 +82,10 @@
             log::error(
                 "agreed: {} voted before and its log in {} is gone; it waits for a leader of the others",
                 name, setup_.folder);
-        if (wait_for_folder || voter_->lost_log()) {
+        const auto answers = base::finished_within(
+            kFolderAnswersWithin, [folder = setup_.folder] { return Voter::try_folder(folder); });
+        if (!answers) log::error("agreed: {} does not answer; this proxy votes once it does", setup_.folder);
+        if (!answers || wait_for_folder || voter_->lost_log()) {
             vote_later();
         } else if (const std::string wrong = voter_->open(joins_); !wrong.empty()) {
             voter_->shut();
@@ -187,26 +211,27 @@
 // other.
 void Agreed::set_aside(std::uint64_t history) {
     const std::weak_ptr<bool> alive = alive_;
-    if (voter_->closing()) {
+    if (voter_->closing() || files_.busy()) {
         loop_.deadlines().set(loop_.clock().now() + kVoteLater, [this, alive, history] {
             if (!alive.expired()) set_aside(history);
         });
         return;
     }
     const std::string aside = fmt::format("{}/aside-{}", setup_.folder, loop_.clock().now());
-    std::error_code fault;
-    std::filesystem::create_directories(aside, fault);
-    std::vector<std::filesystem::path> files;
-    for (std::filesystem::directory_iterator it(setup_.folder, fault), end; !fault && it != end;
-         it.increment(fault))
-        if (it->is_regular_file() && it->path().filename() != "lock") files.push_back(it->path());
-    for (const auto& file : files)
-        if (!fault) std::filesystem::rename(file, std::filesystem::path(aside) / file.filename(), fault);
-    std::string wrong = fault ? fault.message() : Voter::put_history(setup_.folder, history);
-    if (!wrong.empty())
+    const auto fault = std::make_shared<std::string>();
+    files_.run(
+        [folder = setup_.folder, aside, history, fault] {
+            *fault = move_files(folder, aside);
+            if (fault->empty()) *fault = Voter::put_history(folder, history);
+        },
+        [this, fault] { was_set_aside(*fault); });
+}
+
+void Agreed::was_set_aside(const std::string& fault) {
+    if (!fault.empty())
         return log::error("agreed: the old log in {} can't be set aside, {}; this proxy does not vote",
-                          setup_.folder, wrong);
-    log::warn("agreed: the old log is in {}", aside);
+                          setup_.folder, fault);
+    log::warn("agreed: the old log in {} is set aside", setup_.folder);
     yielding_ = false, joins_ = true;
     voter_ = make_voter();
     vote_later();
@@ -225,19 +250,30 @@
     const std::weak_ptr<bool> alive = alive_;
     loop_.deadlines().set(loop_.clock().now() + kVoteLater, [this, alive] {
         if (alive.expired()) return;
-        if (!base::FolderLock(setup_.folder).fault().empty()) return vote_later();
-        if ((voter_->lost_log() || joins_) && (!known_ || leader_.empty())) return vote_later();
-        if (const std::string wrong = voter_->open(joins_); !wrong.empty()) {
-            log::error("{}; this proxy does not vote", wrong);
-            return voter_->stop();
-        }
-        if (poll_) loop_.deadlines().drop(*poll_), poll_.reset();
-        known_ = false;
-        heard_history_ = std::max(heard_history_, voter_->history());
-        log::info("agreed: {} votes now", peers_.group().self().name);
+        if (files_.busy()) return vote_later();
+        const auto fault = std::make_shared<std::string>();
+        files_.run([folder = setup_.folder, fault] { *fault = Voter::try_folder(folder); },
+                   [this, fault] { fault->empty() ? take_folder() : vote_later(); });
     });
 }
 
+// The folder has just been read, and nobody else has it.
+void Agreed::take_folder() {
+    if ((voter_->lost_log() || joins_) && (!known_ || leader_.empty())) return vote_later();
+    if (const std::string wrong = voter_->open(joins_); !wrong.empty()) {
+        log::error("{}; this proxy does not vote", wrong);
+        return voter_->stop();
+    }
+    if (poll_) loop_.deadlines().drop(*poll_), poll_.reset();
+    known_ = false;
+    heard_history_ = std::max(heard_history_, voter_->history());
+    log::info("agreed: {} votes now", peers_.group().self().name);
+}
+
+bool Agreed::disk_hangs() const {
+    return files_.busy_for() > kDiskHangs || (voter_ && voter_->disk_hangs());
+}
+
 Agreed::~Agreed() {
     shut();
 }
--- a/src/peers/agreed.h
+++ b/src/peers/agreed.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "config/operator.h"
+#include "net/off_loop.h"
 #include "peers/peers.h"
 #include "peers/voter.h"
 #include "registry/registry.h"
@@ -81,6 +82,7 @@
     void close();
     // The same at once; the loop is run until that is done. Nothing is told any more.
     void shut();
+    bool disk_hangs() const;  // shut() would wait for it
 
   private:
     struct Wish;
@@ -104,6 +106,8 @@
     void keep_own();
     void yield(std::uint64_t history);
     void set_aside(std::uint64_t history);
+    void was_set_aside(const std::string& fault);
+    void take_folder();
     bool votes() const;
     bool there(const std::string& voter) const;
     void hold(const std::string& answer);
@@ -114,6 +118,7 @@
     std::map<std::string, std::string> voters_ever_;  // by name: also those that the file named before
     World world_;
     Changed changed_;
+    net::OffLoop files_;            // what is done in the folder while no log is open there
     std::unique_ptr<Voter> voter_;  // null: this one does not vote
     rollout::State heard_;          // of one that does not vote
     registry::State heard_registry_;
--- a/src/peers/voter.cpp
+++ b/src/peers/voter.cpp
@@ -9,6 +9,7 @@
 #include "base/files.h"
 #include "base/log.h"
 #include "base/packed.h"
+#include "peers/raft_disk.h"
 #include "peers/raft_transport.h"
 
 namespace sumackeel::peers {
@@ -20,6 +21,7 @@
 
 constexpr unsigned kSnapshotAfter = 512, kTrailing = 128;  // entries; each is some KB at most
 constexpr std::size_t kSegment = 1 << 20;
+constexpr std::size_t kLongestFile = 256 << 20;  // a snapshot
 // Danger: a voter that is taking a snapshot of its own turns one that comes away without a word, and the
 // leader sends it nothing more until this is over. The library's 30 s leave that voter behind for as long.
 constexpr unsigned kInstallWithinMs = 3'000;
@@ -70,9 +72,8 @@
     net::Loop& loop;
     const Hooks hooks;
     const std::string self, address;
-    std::unique_ptr<base::FolderLock> lock;
     RaftTransport transport;
-    raft_io io{};
+    RaftDisk disk;
     // What the library says of its own steps, at the debug level.
     raft_tracer tracer{nullptr, log::wanted(log::Level::debug),
                        [](raft_tracer*, const char* file, int line, const char* message) {
@@ -91,34 +92,6 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::optional<raft_index> met_at;  // the log's end when a leader was first known
 
-    // Danger: the library (0.15) follows a pointer into nothing when an append of its own as leader fails on
-    // disk. So it is never told: the log is closed instead, and this member asks the others from then on.
-    struct Appending {
-        raft_io_append request{};
-        raft_io_append* told = nullptr;
-        raft_io_append_cb cb = nullptr;
-        Log* voter = nullptr;
-    };
-    decltype(raft_io::append) real_append = nullptr;
-
-    void guard_appends() {
-        real_append = io.append;
-        io.append = [](raft_io* on, raft_io_append* request, const raft_entry entries[], unsigned count,
-                       raft_io_append_cb cb) {
-            auto* self = static_cast<Log*>(static_cast<raft*>(on->data)->data);
-            auto* appending = new Appending{{}, request, cb, self};
-            appending->request.data = appending;
-            const int result = self->real_append(
-                on, &appending->request, entries, count, [](raft_io_append* done, int status) {
-                    const std::unique_ptr<Appending> whole(static_cast<Appending*>(done->data));
-                    if (status == 0 || whole->voter->closed) return whole->cb(whole->told, status);
-                    whole->voter->give_up(status);
-                });
-            if (result != 0) delete appending;
-            return result;
-        };
-    }
-
     void give_up(int status) {
         if (std::exchange(failed, true)) return;
         log::error(
@@ -143,7 +116,8 @@
           hooks(std::move(h)),
           self(std::move(name)),
           address(hooks.setup.voters.at(self)),
-          transport(l, codec, address, hooks.reach, hooks.older) {}
+          transport(l, codec, address, hooks.reach, hooks.older),
+          disk(l, [this](int status) { give_up(status); }) {}
 
     // Of the log in the folder; throws std::runtime_error where the file can't be read.
     static std::uint64_t history_in(const std::string& folder) {
@@ -179,13 +153,13 @@
     std::string open(bool joins) {
         const std::string& folder = hooks.setup.folder;
         const bool lost = lost_log();
-        lock = std::make_unique<base::FolderLock>(folder);
+        auto lock = std::make_unique<base::FolderLock>(folder);
         if (!lock->fault().empty()) return lock->fault();
-        if (const int made = raft_uv_init(&io, loop.raw(), folder.c_str(), transport.raw()); made != 0)
+        if (const int made = disk.open(folder, transport.raw(), std::move(lock)); made != 0)
             return fault_of(made, "the folder");
-        raft_uv_set_tracer(&io, &tracer);
-        raft_uv_set_segment_size(&io, kSegment);
-        raft_uv_set_connect_retry_delay(&io, 200);
+        raft_uv_set_tracer(disk.io(), &tracer);
+        raft_uv_set_segment_size(disk.io(), kSegment);
+        raft_uv_set_connect_retry_delay(disk.io(), 200);
         fsm.version = 1;
         fsm.data = this;
         fsm.apply = [](raft_fsm* f, const raft_buffer* buf, void** result) {
@@ -211,11 +185,10 @@
             self->hooks.registered();
             return 0;
         };
-        if (const int made = raft_init(&raft_, &io, &fsm, id_of(self), address.c_str()); made != 0)
+        if (const int made = raft_init(&raft_, disk.io(), &fsm, id_of(self), address.c_str()); made != 0)
             return fault_of(made, "the log");
         raft_.data = this;
         raft_.tracer = &tracer;
-        guard_appends();
         up = true;
         raft_set_pre_vote(&raft_, true);
         raft_set_election_timeout(&raft_, hooks.setup.election_ms);
@@ -332,7 +305,7 @@
 
     std::string fault_of(int result, const char* what) {
         return fmt::format("agreed: {} in {}: {} ({})", what, hooks.setup.folder, raft_strerror(result),
-                           up ? raft_errmsg(&raft_) : io.errmsg);
+                           up ? raft_errmsg(&raft_) : disk.io()->errmsg);
     }
 
     // Begins to close; what the library still has to end, it ends on the loop.
@@ -340,19 +313,18 @@
         if (!up || std::exchange(closed, true)) return;
         raft_close(&raft_, [](raft* r) {
             auto* self = static_cast<Log*>(r->data);
-            raft_uv_close(&self->io);
             self->up = false;
-            self->lock.reset();  // whoever waits for the folder may have it now
+            self->disk.release();  // whoever waits for the folder may have it now
         });
+        disk.close();
     }
     // Not from within a call of the loop.
     void shut() {
         alive.reset();
         close();
         while (up) uv_run(loop.raw(), UV_RUN_ONCE);
-        if (!closed && io.impl) raft_uv_close(&io);  // made, but never taken into use
         closed = true;
-        lock.reset();
+        disk.release();
     }
     ~Log() { shut(); }
 
@@ -476,6 +448,17 @@
 std::string Voter::open(bool joins) {
     return log_->open(joins);
 }
+std::string Voter::try_folder(const std::string& folder) {
+    const base::FolderLock lock(folder);
+    if (!lock.fault().empty()) return lock.fault();
+    std::error_code fault;
+    for (std::filesystem::directory_iterator it(folder, fault), end; !fault && it != end;
+         it.increment(fault)) {
+        std::string bytes;
+        if (it->is_regular_file(fault)) base::read_all(it->path().string(), kLongestFile, bytes);
+    }
+    return fault ? fault.message() : std::string{};
+}
 bool Voter::lost_log() const {
     return log_->lost_log();
 }
@@ -495,6 +478,9 @@
 void Voter::shut() {
     log_->shut();
 }
+bool Voter::disk_hangs() const {
+    return log_->disk.hangs();
+}
 bool Voter::votes() const {
     return log_->votes();
 }
--- a/src/peers/voter.h
+++ b/src/peers/voter.h
@@ -45,6 +45,9 @@
     // Takes the folder and starts. Empty: done; else what went wrong, and this is to be closed. `joins`:
     // there is a log, so none is begun.
     std::string open(bool joins);
+    // Reads all that is in the folder, for one that may hang: not on the loop. Empty: it can be opened; else
+    // what is wrong with it.
+    static std::string try_folder(const std::string& folder);
     // It had a log before, and what that voted for is lost with it.
     bool lost_log() const;
     // Votes no more, and closes.
@@ -54,6 +57,7 @@
     bool closing() const;  // the library still has something to end, or was never told to
     // At once; the loop is run until that is done. Not from within a call of the loop.
     void shut();
+    bool disk_hangs() const;  // shut() would wait for it
 
     bool votes() const;
     bool leads() const;
--- a/tests/faults/duties_test.py
+++ b/tests/faults/duties_test.py
@@ -16,6 +16,7 @@
 ANSWER_WITHIN_S = 1.0   # each operators' call, under any load
 READY_WITHIN_S = 10
 ENDS_WITHIN_S, CAN_NOT_START = 20, 2  # a start that can't be finished, and its status
+LEADER_WITHIN_S = 20    # once the disk answers again
 SLOW_REQUEST_S = 0.3    # pop caches answer at once
 CALLS = (("GET", "/ops/readiness"), ("GET", "/ops/stats"), ("POST", "/ops/pop-caches/down/s-a"),
          ("POST", "/ops/pop-caches/up/s-a"), ("POST", "/ops/drain/start"), ("POST", "/ops/drain/stop"))
@@ -213,36 +214,64 @@
         return None
 
 
+def elect_over_hanging_disk(voters):
+    """The leader is killed while the disk hangs: how long the calls and the requests of the other two took at the worst."""
+    until = time.monotonic() + READY_WITHIN_S
+    for proxy in voters.all:
+        proxy.ready(READY_WITHIN_S)
+    while not (led := voters.leader()):
+        want(time.monotonic() < until, "no leader")
+        time.sleep(0.05)
+    led.wait_until(8.5)
+    led.kill()
+    left = [proxy for proxy in voters.all if proxy is not led]
+    crowds, calls = [Crowd(proxy.port) for proxy in left], []
+    while led.since_start() < 13:
+        calls += [timed_call(proxy, "GET", "/ops/readiness")[2] for proxy in left]
+        time.sleep(0.1)
+    for crowd in crowds:
+        crowd.stop()
+    return left, max(calls), max(took for crowd in crowds for client in crowd.all for _, took, _ in client.answers)
+
+
 def voters_disk_hangs(program, library):
-    """Voters whose disk takes 3 s for a sync serve on, and answer calls, while they elect another leader."""
-    boxes = Boxes()
-    voters = Voters(program, library, boxes, "fsync=WAIT3/1@8-1000")
+    """Voters whose disk hangs for a sync, a write or an open serve on and answer calls while they elect another leader; there
+    is one once the disk answers again, and they leave in time where it never does."""
+    for faults, heals in (("fsync=WAIT3/1@8-14", True), ("write=WAIT1000/1@8-1000", False), ("open=WAIT1000/1@8-1000", False)):
+        boxes = Boxes()
+        voters = Voters(program, library, boxes, faults)
+        try:
+            left, call, request = elect_over_hanging_disk(voters)
+            print(f"{faults}: calls {call:.3f} s, requests {request:.3f} s at the worst")
+            want(call < ANSWER_WITHIN_S, f"a call took {call:.2f} s")
+            want(request < SLOW_REQUEST_S, f"a request took {request:.2f} s")
+            until = time.monotonic() + (LEADER_WITHIN_S if heals else 0)
+            while not voters.leader() and time.monotonic() < until:
+                time.sleep(0.1)
+            print(f"a leader: {voters.leader() is not None}, {left[0].since_start():.1f} s after the start")
+            want(voters.leader() or not heals, "no leader once the disk answers again")
+            for proxy in left:
+                proxy.process.terminate()
+                want(proxy.process.wait(3.7) == 0, "it did not leave")
+        finally:
+            for proxy in voters.all:
+                proxy.kill()
+
+
+def voters_folder_hangs_at_start(program, library):
+    """Nobody waits for a folder of the agreed log that is never read."""
+    voters = Voters(program, library, Boxes(), "open=WAIT1000/1@0-1000")
     try:
         for proxy in voters.all:
             proxy.ready(READY_WITHIN_S)
-        until = time.monotonic() + READY_WITHIN_S
-        while not (led := voters.leader()):
-            want(time.monotonic() < until, "no leader")
-            time.sleep(0.05)
-        led.wait_until(8.5)
-        led.kill()
-        left = [proxy for proxy in voters.all if proxy is not led]
-
-        def calls():
-            seen = []
-            while led.since_start() < 13:
-                seen += [timed_call(proxy, "GET", "/ops/readiness") for proxy in left]
-                time.sleep(0.1)
-            return seen
-        crowds = [Crowd(proxy.port) for proxy in left]
-        seen = calls()
-        for crowd in crowds:
-            crowd.stop()
-        slowest = max(took for crowd in crowds for client in crowd.all for _, took, _ in client.answers)
-        worst = max(took for _, _, took in seen)
-        print(f"an election over a disk that takes 3 s: calls {worst:.3f} s, requests {slowest:.3f} s at the worst")
-        want(worst < ANSWER_WITHIN_S, f"a call took {worst:.2f} s")
-        want(slowest < SLOW_REQUEST_S, f"a request took {slowest:.2f} s")
+        proxy = voters.all[0]
+        print(f"ready {proxy.since_start():.2f} s after its start")
+        want("does not answer" in proxy.said(), "it is not said that the folder does not answer")
+        (status, _, took), slowest = served_meanwhile(proxy, lambda: timed_call(proxy, "GET", "/ops/readiness"))
+        want(status == 200 and took < ANSWER_WITHIN_S and slowest < SLOW_REQUEST_S, f"{status} in {took:.2f} s, {slowest:.2f} s")
+        for proxy in voters.all:
+            proxy.process.terminate()
+            want(proxy.process.wait(3.7) == 0, "it did not leave")
     finally:
         for proxy in voters.all:
             proxy.kill()
@@ -284,7 +313,8 @@
 
 
 STORIES = {story.__name__: story for story in (silent_callers, slow_disk, disk_hangs_elsewhere, kept_folder_hangs_at_start,
-                                               kept_folder_hangs, start_number_hangs, voters_disk_hangs, log_unread)}
+                                               kept_folder_hangs, start_number_hangs, voters_disk_hangs,
+                                               voters_folder_hangs_at_start, log_unread)}
 
 
 if __name__ == "__main__":
--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -4,7 +4,9 @@
 Usage: faults_test.py SUMACKEEL LIBRARY STORY
 """
 import os
+import random
 import signal
+import socket
 import subprocess
 import tempfile
 import threading
@@ -12,6 +14,7 @@
 from collections import Counter
 
 from rig import BOUND_S, FAILED, REFUSED, SERVED, Boxes, Crowd, Proxy, Talking, bans_of, listening, run_story, want
+from wire import dispatch
 
 ACCEPT_ERRORS = "ECONNABORTED+ENFILE+ENOBUFS+EMFILE+EPROTO+EINTR"
 HOUR = 3600
@@ -372,6 +375,59 @@
             proxy.end()
 
 
+LEFT_S, LEAVES_WITHIN_S = 0.1, 0.02
+
+
+class Leaver(threading.Thread):
+    """Asks on a new connection each time, and closes it soon; `left` has when."""
+
+    def __init__(self, port, place):
+        super().__init__(daemon=True)
+        self.port, self.going, self.left = port, True, {}
+        self.draw, self.first = random.Random(place), place << 32
+        self.start()
+
+    def run(self):
+        number = self.first
+        while self.going:
+            number += 1
+            ident = b"%016x" % number
+            try:
+                with socket.create_connection(("127.0.0.1", self.port), timeout=BOUND_S) as conn:
+                    conn.sendall(dispatch(1, ident, b"%016x" % (number * 7919), b"sheet"))
+                    time.sleep(self.draw.uniform(0, LEAVES_WITHIN_S))
+            except OSError:
+                continue
+            self.left[ident.decode()] = time.monotonic()
+
+
+def left_behind_pause(program, library):
+    """No attempt begins for a client that left while the process stood still, at whichever reading of the clock behind a read
+    it was stopped."""
+    boxes = Boxes()
+    proxy = Proxy(program, library, boxes.at, "clock_read=STOP/300@2-60")
+    resumer = Resumer(proxy.process, 0.3)
+    try:
+        proxy.ready()
+        proxy.wait_until(2.0)
+        leavers = [Leaver(proxy.port, place) for place in range(1, 9)]
+        while proxy.since_start() < 40 and resumer.stops < 4 * READINGS:
+            time.sleep(0.05)
+        for leaver in leavers:
+            leaver.going = False
+        for leaver in leavers:
+            leaver.join(BOUND_S)
+        left = {ident: when for leaver in leavers for ident, when in leaver.left.items()}
+        late = [(request, when - left[request]) for when, request, _ in boxes.seen if when > left.get(request, when) + LEFT_S]
+        print(f"{resumer.stops} pauses, {len(left)} clients left, {len(boxes.seen)} attempts, begun too late: {late}")
+        want(resumer.stops >= 4 * READINGS, f"it stopped {resumer.stops} times alone")
+        want(not late, f"begun for clients that had left: {late[:3]}")
+    finally:
+        resumer.end()
+        proxy.process.send_signal(signal.SIGCONT)
+        proxy.end()
+
+
 FORGET_AFTER_S = 1.0
 
 
@@ -424,7 +480,7 @@
                                                process_stands_still, hand_over_fails, hand_over_unreadable,
                                                recovery_folder_fails, folders_fail_at_start, own_shortage,
                                                server_connections_break, attempts_are_bounded,
-                                               idle_connections_forgotten, limit_behind_pause)}
+                                               idle_connections_forgotten, limit_behind_pause, left_behind_pause)}
 
 
 if __name__ == "__main__":
