Nothing goes to a pop cache on what was read before the process stood still

Cause: what a turn of the loop has read is acted on in that turn; a stop in the middle of it let an attempt begin for a client that had left meanwhile, or whose time was over. Change: a request is written only if its time is not over at that moment; where the turn has lasted 50 ms it is put off, once, until what came meanwhile is read.

--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -33,6 +33,8 @@
     std::vector<char>& read_room() { return read_room_; }
     // What becomes readable in this turn arrived after this moment: the turn before had looked by then.
     Micros looked_at() const { return previous_look_; }
+    // For how long this turn has been at work: what came since it began is not read yet.
+    Micros turn_age() const { return static_cast<Micros>(uv_hrtime() / 1'000 - uv_now(&loop_) * 1'000); }
     // Called at the end of each turn, after the deadlines.
     void each_turn(std::function<void()> what) { turns_.push_back(std::move(what)); }
 
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -33,6 +33,7 @@
 // than this gets nothing new and closes once nothing is open on it.
 constexpr std::size_t kMostGivenUp = 256;
 
+constexpr Micros kTurnTooOld = 50'000;  // what came meanwhile is read before a request goes out
 constexpr Micros kLimitWithin = 1'000;  // a limit is written so soon after it was reckoned
 constexpr Micros kDialAgain = 20'000;   // a socket could not be made here
 
@@ -54,8 +55,10 @@
     struct Waiting {
         std::string id;
         RequestText request;
-        Micros begin_by;  // 0: no such moment
+        Micros begin_by;       // 0: no such moment
+        bool put_off = false;  // once already, until what came meanwhile is read
     };
+    enum class Begin { written, too_late, put_off };
     // To be written once it is up and all before it has left here. Danger: what lay in a queue as text would
     // tell a limit from before the wait.
     std::vector<Waiting> waiting;
@@ -92,11 +95,9 @@
                 waiting.push_back(std::move(one));
                 continue;
             }
-            const Micros now = pool.loop_.clock().now();
-            if (now < one.request.until() && (one.begin_by == 0 || now < one.begin_by)) {
-                write(one.id, one.request);
-                continue;
-            }
+            const Begin how = write(one);
+            if (how == Begin::put_off) put_off(std::move(one));
+            if (how != Begin::too_late) continue;
             const Handle late = open.at(one.id).attempt;
             open.erase(one.id);
             pool.carried_.erase(late.number());
@@ -104,16 +105,32 @@
         }
     }
 
-    void write(const std::string& id, const RequestText& request) {
-        Open& one = open.at(id);
-        one.begun = true;
-        // Danger: the process may be stopped while the text is made, and its limit be too long by then.
-        std::string text;
-        do {
-            one.sent = pool.loop_.clock().now();
-            text = request.at(one.sent);
-        } while (pool.loop_.clock().now() - one.sent > kLimitWithin);
-        stream->write_at_once(text);
+    // Danger: the process may be stopped at any moment. Behind that the limit in a text is too long, and the
+    // client may have left: that is read before anything goes out.
+    Begin write(const Waiting& one) {
+        for (;;) {
+            const Micros now = pool.loop_.clock().now();
+            if (now >= one.request.until() || (one.begin_by > 0 && now >= one.begin_by))
+                return Begin::too_late;
+            if (!one.put_off && pool.loop_.turn_age() > kTurnTooOld) return Begin::put_off;
+            const std::string text = one.request.at(now);
+            if (pool.loop_.clock().now() - now > kLimitWithin) continue;
+            Open& begun = open.at(one.id);
+            begun.begun = true;
+            begun.sent = now;
+            stream->write_at_once(text);
+            return Begin::written;
+        }
+    }
+
+    // Until the next turn of the loop, which reads before it does what is due.
+    void put_off(Waiting one) {
+        one.put_off = true;
+        waiting.push_back(std::move(one));
+        pool.loop_.deadlines().set(pool.loop_.clock().now(), [&pool = pool, number = number] {
+            const auto found = pool.channels_.find(number);
+            if (found != pool.channels_.end() && found->second->can_write()) found->second->write_waiting();
+        });
     }
 
     void received(net::Stream&, std::string_view bytes) override {
@@ -298,14 +315,32 @@
     channel->open[id] = {attempt, now};
     channel->used = now;
     carried_[attempt.number()] = {channel->number, id};
-    RequestText request(sending);
-    if (channel->can_write())
-        channel->write(id, request);
-    else
-        channel->waiting.push_back({id, std::move(request), sending.begin_by});
+    Channel::Waiting waiting{id, RequestText(sending), sending.begin_by};
+    if (!channel->can_write()) {
+        channel->waiting.push_back(std::move(waiting));
+        return channel->number;
+    }
+    switch (channel->write(waiting)) {
+        case Channel::Begin::written:
+            break;
+        case Channel::Begin::put_off:
+            channel->put_off(std::move(waiting));
+            break;
+        case Channel::Begin::too_late:
+            loop_.deadlines().set(now, [this, attempt] { end_unbegun(attempt); });
+            break;
+    }
     return channel->number;
 }
 
+void Pool::end_unbegun(Handle attempt) {
+    const auto found = carried_.find(attempt.number());
+    if (found == carried_.end()) return;  // given up meanwhile
+    const auto channel = channels_.find(found->second.channel);
+    if (channel != channels_.end()) channel->second->open.erase(found->second.id);
+    end(attempt, Verdict::not_connected);
+}
+
 bool Pool::stop(Handle attempt) {
     const auto found = carried_.find(attempt.number());
     if (found == carried_.end()) return true;
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -58,6 +58,7 @@
     Channel* dial(const std::string& name, Target& target);
     void end(Handle attempt, nettlethread::Verdict verdict);
     void drop(Channel& channel, bool came_up);
+    void end_unbegun(Handle attempt);
     bool silent(const Channel& channel) const;
     bool make_room(const Channel* keep);
     void sweep();
