One way to tell that a disk hangs, and that a process left in time

Cause: the same constant and the same lines of tests stood in several places. No change in behaviour.

--- a/src/net/off_loop.h
+++ b/src/net/off_loop.h
@@ -19,6 +19,9 @@
     bool busy() const { return job_ != nullptr; }
     Micros last_took() const { return last_took_; }
     Micros busy_for() const { return busy() ? loop_.clock().now() - began_ : 0; }
+    // The work has been under way for longer than a disk that works takes.
+    bool hangs() const { return busy_for() > kHangs; }
+    static constexpr Micros kHangs = 100'000;
     // Not while busy. `work` may not throw; `done` is called on the loop, where more work may be given.
     void run(std::function<void()> work, std::function<void()> done);
 
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -31,7 +31,6 @@
 constexpr Micros kAlone = 3'000'000;                     // one that votes and knows no leader asks the others
 constexpr Micros kVoteLater = 200'000;                   // while the process before this one has the folder
 constexpr std::chrono::seconds kFolderAnswersWithin{2};  // at a start
-constexpr Micros kDiskHangs = 100'000;                   // a disk that works takes less
 constexpr const char* kWishVerb = "wish";
 constexpr const char* kStateVerb = "state";
 
@@ -271,7 +270,7 @@
 }
 
 bool Agreed::disk_hangs() const {
-    return files_.busy_for() > kDiskHangs || (voter_ && voter_->disk_hangs());
+    return files_.hangs() || (voter_ && voter_->disk_hangs());
 }
 
 Agreed::~Agreed() {
--- a/src/peers/raft_disk.cpp
+++ b/src/peers/raft_disk.cpp
@@ -9,7 +9,6 @@
 
 // With a disk that hangs the library goes on trying to be elected; what it sends meanwhile is old by then.
 constexpr std::size_t kMostHeld = 1'024;
-constexpr net::Micros kHangs = 100'000;
 
 }  // namespace
 
@@ -165,8 +164,8 @@
 }
 
 bool RaftDisk::hangs() const {
-    const bool appends = appends_ > 0 && loop_.clock().now() - progressed_ > kHangs;
-    return appends || writes_.busy_for() > kHangs;
+    const bool appends = appends_ > 0 && loop_.clock().now() - progressed_ > net::OffLoop::kHangs;
+    return appends || writes_.hangs();
 }
 
 void RaftDisk::close() {
--- a/tests/faults/duties_test.py
+++ b/tests/faults/duties_test.py
@@ -13,6 +13,7 @@
 
 from rig import SERVED, Boxes, Crowd, Proxy, Talking, bans_of, keep_ban, listening, run_story, want
 
+KILLED_AFTER_S = 3.7    # behind SIGTERM, at the earliest
 ANSWER_WITHIN_S = 1.0   # each operators' call, under any load
 READY_WITHIN_S = 10
 ENDS_WITHIN_S, CAN_NOT_START = 20, 2  # a start that can't be finished, and its status
@@ -53,6 +54,12 @@
         proxy.end()
 
 
+def leaves_in_time(proxy):
+    """Told to end, it has left by itself before a SIGKILL at its earliest."""
+    proxy.process.terminate()
+    want(proxy.process.wait(KILLED_AFTER_S) == 0, "it did not leave")
+
+
 def served_meanwhile(proxy, action):
     """Clients ask while `action` runs: what it returned, and how long the slowest request took."""
     crowd = Crowd(proxy.port)
@@ -85,7 +92,7 @@
                 proxy.process.terminate()
                 began = time.monotonic()
                 status = proxy.process.wait(10)
-                want(status == 0 and time.monotonic() - began < 3.7, f"{call} hangs: left with {status} "
+                want(status == 0 and time.monotonic() - began < KILLED_AFTER_S, f"{call} hangs: left with {status} "
                      f"{time.monotonic() - began:.2f} s after SIGTERM")
         finally:
             proxy.end()
@@ -113,8 +120,7 @@
         (status, _, took), slowest = served_meanwhile(proxy, reloads)
         print(f"reloads whose file is never read: call {took:.3f} s, slowest request {slowest:.3f} s")
         want(status == 200 and took < ANSWER_WITHIN_S and slowest < SLOW_REQUEST_S, "a reload held it up")
-        proxy.process.terminate()
-        want(proxy.process.wait(3.7) == 0, "it did not leave")
+        leaves_in_time(proxy)
     finally:
         proxy.end()
 
@@ -145,8 +151,7 @@
             want(status == 200 and "not kept yet" in said and took < ANSWER_WITHIN_S, f"{status} {said!r} in {took:.2f} s")
             want(slowest < SLOW_REQUEST_S, f"a request took {slowest:.2f} s")
             second.wait_until(11 if answers else 0)
-            second.process.terminate()
-            want(second.process.wait(3.7) == 0, "it did not leave")
+            leaves_in_time(second)
             after = newest_kept(program, talking)[0]
             print(f"before: {before}; after: {after}")
             # The ban from before came by the hand-over.
@@ -168,8 +173,7 @@
             want(status == 200 and "not kept yet" in said and took < ANSWER_WITHIN_S, f"{status} {said!r} in {took:.2f} s")
             want(slowest < SLOW_REQUEST_S, f"a request took {slowest:.2f} s")
             want(bans_of(proxy) == "1", "the ban does not hold")
-            proxy.process.terminate()
-            want(proxy.process.wait(3.7) == 0, "it did not leave")
+            leaves_in_time(proxy)
         finally:
             proxy.end()
 
@@ -213,6 +217,15 @@
                 return proxy
         return None
 
+    @staticmethod
+    def end(which):
+        for proxy in which:
+            leaves_in_time(proxy)
+
+    def kill(self):
+        for proxy in self.all:
+            proxy.kill()
+
 
 def elect_over_hanging_disk(voters):
     """The leader is killed while the disk hangs: how long the calls and the requests of the other two took at the worst."""
@@ -250,12 +263,9 @@
                 time.sleep(0.1)
             print(f"a leader: {voters.leader() is not None}, {left[0].since_start():.1f} s after the start")
             want(voters.leader() or not heals, "no leader once the disk answers again")
-            for proxy in left:
-                proxy.process.terminate()
-                want(proxy.process.wait(3.7) == 0, "it did not leave")
+            voters.end(left)
         finally:
-            for proxy in voters.all:
-                proxy.kill()
+            voters.kill()
 
 
 def voters_folder_hangs_at_start(program, library):
@@ -269,12 +279,9 @@
         want("does not answer" in proxy.said(), "it is not said that the folder does not answer")
         (status, _, took), slowest = served_meanwhile(proxy, lambda: timed_call(proxy, "GET", "/ops/readiness"))
         want(status == 200 and took < ANSWER_WITHIN_S and slowest < SLOW_REQUEST_S, f"{status} in {took:.2f} s, {slowest:.2f} s")
-        for proxy in voters.all:
-            proxy.process.terminate()
-            want(proxy.process.wait(3.7) == 0, "it did not leave")
+        voters.end(voters.all)
     finally:
-        for proxy in voters.all:
-            proxy.kill()
+        voters.kill()
 
 
 def log_unread(program, library):
@@ -306,7 +313,7 @@
             proxy.process.terminate()
             began = time.monotonic()
             status = proxy.process.wait(10)
-            want(status == 0 and time.monotonic() - began < 3.7, f"left with {status} {time.monotonic() - began:.2f} s on")
+            want(status == 0 and time.monotonic() - began < KILLED_AFTER_S, f"left with {status} {time.monotonic() - began:.2f} s on")
         finally:
             os.close(unread)
             proxy.end()
