A dead accessor, an unused include and a name that stood for two spans

Cause: read again before landing. Change: BoardTransfer::taken() and an include are gone; the 2 s for the agreed log's folder has a name of its own (base::kFolderAnswersWithin is 6 s).

--- a/src/daemon/board_transfer.h
+++ b/src/daemon/board_transfer.h
@@ -28,7 +28,6 @@
     // Reads what was handed over, until then at the longest. `follows`: the process before this one goes on
     // for a while, and what it is told meanwhile is looked for.
     void take(base::Micros until, bool follows);
-    bool taken() const { return taken_; }
     // The board as it stands now is owed to the next process.
     void keep();
     void end() { ended_ = true; }  // nothing more is taken over
--- a/src/peers/agreed.cpp
+++ b/src/peers/agreed.cpp
@@ -27,10 +27,10 @@
 constexpr Micros kTryAgain = 60'000;  // while there is no leader
 // Of those that do not vote: bans reach them within 1 s. Stretched where they are many, up to the longest.
 constexpr Micros kPollEvery = 250'000, kPollEach = 2'000, kPollLongest = 900'000;
-constexpr Micros kTendEvery = 1'000'000;                 // who votes, against the operator's file
-constexpr Micros kAlone = 3'000'000;                     // one that votes and knows no leader asks the others
-constexpr Micros kVoteLater = 200'000;                   // while the process before this one has the folder
-constexpr std::chrono::seconds kFolderAnswersWithin{2};  // at a start
+constexpr Micros kTendEvery = 1'000'000;              // who votes, against the operator's file
+constexpr Micros kAlone = 3'000'000;                  // one that votes and knows no leader asks the others
+constexpr Micros kVoteLater = 200'000;                // while the process before this one has the folder
+constexpr std::chrono::seconds kFolderReadWithin{2};  // at a start
 constexpr const char* kWishVerb = "wish";
 constexpr const char* kStateVerb = "state";
 
@@ -82,7 +82,7 @@
                 "agreed: {} voted before and its log in {} is gone; it waits for a leader of the others",
                 name, setup_.folder);
         const auto answers = base::finished_within(
-            kFolderAnswersWithin, [folder = setup_.folder] { return Voter::try_folder(folder); });
+            kFolderReadWithin, [folder = setup_.folder] { return Voter::try_folder(folder); });
         if (!answers) log::error("agreed: {} does not answer; this proxy votes once it does", setup_.folder);
         if (!answers || wait_for_folder || voter_->lost_log()) {
             vote_later();
--- a/src/peers/raft_disk.cpp
+++ b/src/peers/raft_disk.cpp
@@ -1,7 +1,6 @@
 #include "peers/raft_disk.h"
 
 #include <utility>
-#include <vector>
 
 namespace sumackeel::peers {
 
