Hand-over: a file for each process, merged by item, so no call undoes another

What callers saw: while two processes of an upgrade ran, a ban lifted at one came back at the other, a ban set at one was gone, a drain went on behind its stop. Each call had been answered 200, and later processes took the wrong state over.

Cause: one file held the whole state, and each process replaced it by its own view. A text that was replaced within the 0.1 s between two readings, or while a process stood still, was never seen by the other; the old process never read at all.

Change: each process writes a record of its own, a last-writer-wins register for each pop cache and the drain under a logical clock; a call is answered once it is written and no other record has a later version. Both processes follow the other's file. Files of processes that have ended (their lock is free) are merged and removed. The file of form version 1 is followed, and kept as a copy for a process of the version before. What recovery's folder had at a start no longer overrides what was handed over. Why it works: of two calls, one answered before the other began, the second has read the first's version and goes above it, whoever is stopped or killed meanwhile.

Routes left: one file under a lock (a stopped holder keeps the other from answering), comparing a version before the rename (no one step), the wall clock (it is stepped), the new process as the only writer (the two don't speak).

--- a/src/admin/state.cpp
+++ b/src/admin/state.cpp
@@ -1,41 +1,19 @@
 #include "admin/state.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cctype>
-#include <charconv>
-#include <vector>
 
-#define XXH_INLINE_ALL
-#include <fmt/format.h>
-#include <xxhash.h>
+#include "admin/sealed_text.h"
 
 namespace sumackeel::admin {
 
 namespace {
 
-constexpr std::string_view kFirst = "sumackeel ops hand-over ";
-constexpr std::string_view kSum = "sum ";
-// The file of kMostBans ids of the longest kind, with room for the lines round them.
+// The file of kMaxBans ids of the longest kind, with room for the lines round them.
 constexpr std::size_t kLongestText = kMaxBans * (kMaxIdLength + 5) + 4096;
 
-std::vector<std::string_view> lines_of(std::string_view text) {
-    std::vector<std::string_view> lines;
-    while (!text.empty()) {
-        const auto end = text.find('\n');
-        if (end == std::string_view::npos) {
-            lines.push_back(text);  // no end of line: torn, found by the caller
-            break;
-        }
-        lines.push_back(text.substr(0, end));
-        text.remove_prefix(end + 1);
-    }
-    return lines;
-}
-
-std::string sum_of(std::string_view body) {
-    return fmt::format("{:016x}", XXH3_64bits(body.data(), body.size()));
-}
-
 }  // namespace
 
 const char* name_of(ProcessPhase phase) {
@@ -98,10 +76,9 @@
 }
 
 std::string State::encode() const {
-    std::string body =
-        fmt::format("{}{}\ndrain {}\n", kFirst, kStateVersion, drain_requested_ ? "on" : "off");
-    for (const std::string& id : bans_) body += fmt::format("down {}\n", id);
-    return body + std::string(kSum) + sum_of(body) + "\n";
+    std::string lines = fmt::format("drain {}\n", drain_requested_ ? "on" : "off");
+    for (const std::string& id : bans_) lines += fmt::format("down {}\n", id);
+    return seal_text(kStateVersion, lines);
 }
 
 void State::adopt(const State& old) {
@@ -121,23 +98,11 @@
 
 DecodedState decode_state(std::string_view text) {
     const auto fault = [](std::string why) { return DecodedState{std::nullopt, std::move(why)}; };
-    if (text.size() > kLongestText) return fault("too long");
-    if (text.empty() || text.back() != '\n') return fault("torn: no end of line at its end");
-    const auto lines = lines_of(text);
-    if (!lines.front().starts_with(kFirst)) return fault("not a hand-over file of this program");
-    int version = 0;
-    const std::string_view number = lines.front().substr(kFirst.size());
-    const auto read = std::from_chars(number.data(), number.data() + number.size(), version);
-    if (read.ec != std::errc{} || read.ptr != number.data() + number.size()) return fault("no version");
-    if (version != kStateVersion)
-        return fault(fmt::format("version {}, this program reads {}", version, kStateVersion));
-    const std::string_view last = lines.back();
-    const std::size_t body_size = text.size() - last.size() - 1;
-    if (!last.starts_with(kSum) || last.substr(kSum.size()) != sum_of(text.substr(0, body_size)))
-        return fault("its checksum does not hold");
+    const UnsealedText unsealed = unseal_text(text, kStateVersion, kLongestText);
+    if (!unsealed.error.empty()) return fault(unsealed.error);
     State board;
-    for (std::size_t i = 1; i + 1 < lines.size(); ++i) {
-        const std::string_view line = lines[i];
+    for (std::size_t i = 0; i < unsealed.lines.size(); ++i) {
+        const std::string_view line = unsealed.lines[i];
         if (line == "drain on") {
             board.drain_requested_ = true;
         } else if (line == "drain off") {
@@ -146,7 +111,7 @@
             if (board.bans_.size() >= kMaxBans) return fault("more bans than there is room for");
             board.bans_.emplace(line.substr(5));
         } else {
-            return fault(fmt::format("line {} can't be read", i + 1));
+            return fault(fmt::format("line {} can't be read", i + 2));
         }
     }
     return {std::move(board), {}};
--- a/src/daemon/admin_routes.cpp
+++ b/src/daemon/admin_routes.cpp
@@ -75,7 +75,11 @@
         [&parts](const std::string& id) { return parts.endpoint_manager->is_known(id); }, stats());
     if (!reply.state_changed) return reply;
     log::info("admin: state_changed method={} path={} status={}", call.method, call.path, reply.status);
-    applier_.on_state_changed();
+    const admin::ParsedPath parsed = admin::parse_path(call.path.substr(0, call.path.find('?')));
+    if (parsed.id.empty())
+        applier_.on_drain_called();
+    else
+        applier_.on_ban_called(parsed.id);
     return parts.durable_replies.reply_when_durable(std::move(reply), later);
 }
 
--- a/src/daemon/admin_state_applier.cpp
+++ b/src/daemon/admin_state_applier.cpp
@@ -4,10 +4,19 @@
 
 void AdminStateApplier::on_state_changed() {
     apply();
-    components_.handover.keep();
     persist();
 }
 
+void AdminStateApplier::on_ban_called(const std::string& id) {
+    components_.handover.keep_ban(id);
+    on_state_changed();
+}
+
+void AdminStateApplier::on_drain_called() {
+    components_.handover.keep_drain();
+    on_state_changed();
+}
+
 void AdminStateApplier::apply() {
     Components& parts = components_;
     parts.endpoint_manager->set_bans(effective_bans());
--- a/src/daemon/admin_state_applier.h
+++ b/src/daemon/admin_state_applier.h
@@ -18,8 +18,11 @@
     void apply();
     // Persists bans, leases and the drain for recovery after a loss of power; nothing while starting.
     void persist();
-    // The state has changed: applies it, hands it over and persists it.
+    // The state has changed: applies and persists it.
     void on_state_changed();
+    // The same by a call to this process, also where it changed nothing: hands it over besides.
+    void on_ban_called(const std::string& id);
+    void on_drain_called();
 
   private:
     std::set<std::string> effective_bans() const;
--- a/src/daemon/admin_state_handover.cpp
+++ b/src/daemon/admin_state_handover.cpp
@@ -1,5 +1,7 @@
 #include "daemon/admin_state_handover.h"
 
+#include <algorithm>
+#include <random>
 #include <utility>
 
 #include "base/log.h"
@@ -10,109 +12,232 @@
 
 namespace {
 
+// A call to another process is in force here within a second.
+constexpr Micros kFollowInterval = 200'000;
+constexpr Micros kReadRetryDelay = 20'000;  // at a start, which waits for it
+constexpr Micros kRetryInterval = 100'000;
+// What another process wrote behind a reading that is older is not in it: this process stood still.
+constexpr Micros kMaxReadingAge = 100'000;
+// A file that can't be read for so long is passed over.
+constexpr Micros kUnreadableTimeout = 10'000'000;
 // Operators call the process before this one until the platform knows that this one is ready; it is killed
-// at most 6 s plus 3.7 s later. Its file shows what it was called for meanwhile.
-constexpr Micros kFollowDuration = 10'000'000;
-constexpr Micros kFollowInterval = 100'000;
-constexpr Micros kReadRetryDelay = 20'000;
+// at most 6 s plus 3.7 s later. One of an earlier version reads the legacy file for as long.
+constexpr Micros kLegacyReadDuration = 10'000'000;
+
+std::uint64_t random_writer() {
+    std::random_device device;
+    const std::uint64_t high = device();
+    const std::uint64_t writer = high << 32U | device();
+    return std::max<std::uint64_t>(1, writer);  // 0 stands for earlier versions
+}
+
+Micros steady_now() {
+    return static_cast<Micros>(uv_hrtime() / 1000);
+}
 
 }  // namespace
 
-AdminStateHandover::AdminStateHandover(net::Loop& loop, admin::State& board, std::string path, Hooks hooks)
-    : loop_(loop), state_(board), path_(std::move(path)), hooks_(std::move(hooks)), file_(loop, path_) {}
+AdminStateHandover::AdminStateHandover(net::Loop& loop, admin::State& state, std::string path, Hooks hooks)
+    : loop_(loop),
+      state_(state),
+      path_(std::move(path)),
+      hooks_(std::move(hooks)),
+      passes_(loop),
+      record_(random_writer()),
+      started_at_(loop.clock().now()) {
+    directory_ = std::make_shared<HandoverDirectory>(path_, record_.writer());
+}
 
-void AdminStateHandover::take(Micros until, bool follows) {
-    follows_ = follows;
-    patience_ = loop_.timers().schedule(until, [this] { took(std::nullopt); });
-    read();
+AdminStateHandover::~AdminStateHandover() {
+    if (take_deadline_) loop_.timers().cancel(*take_deadline_);
+    if (pass_timer_) loop_.timers().cancel(*pass_timer_);
 }
 
+// --- Taking over ---
+
 // Treated as missing, a file that can't be read for a moment would lose its bans.
-void AdminStateHandover::read() {
-    file_.read([this](const std::optional<std::string>& text) {
-        if (text) return took(text);
-        if (ended_ || taken_) return;
-        loop_.timers().schedule(loop_.clock().now() + kReadRetryDelay, [this] { read(); });
+void AdminStateHandover::take(Micros until, bool follows) {
+    follows_ = follows;
+    taking_ = true;
+    if (!used() || read_once_) return finish_take();
+    take_deadline_ = loop_.timers().schedule(until, [this] {
+        take_deadline_.reset();
+        finish_take();
     });
+    if (!passes_.busy()) start_pass();
 }
 
-// Nothing: it could not be read in time, and is looked for further on.
-void AdminStateHandover::took(const std::optional<std::string>& text) {
-    if (ended_ || std::exchange(taken_, true)) return;
-    read_ = text.has_value();
-    if (patience_) loop_.timers().cancel(*patience_);
+void AdminStateHandover::finish_take() {
+    if (std::exchange(taken_, true)) return;
+    if (take_deadline_) loop_.timers().cancel(*take_deadline_);
+    take_deadline_.reset();
     state_.on_started();
-    text_before_ = text.value_or("");
-    if (auto before = board_in(text_before_)) {
-        state_.adopt(*before);
-        before_ = *before;
+    if (!record_.empty()) {
+        state_.adopt(record_.state());
         log::info("handover: state_adopted bans={} phase={}", state_.bans().size(),
                   admin::name_of(state_.phase()));
     }
-    if ((follows_ || !text) && file_.used()) follow(loop_.clock().now() + kFollowDuration);
-    hooks_.taken(read_ && std::exchange(called_early_, false));
-}
-
-// A call that the process before this one takes after its file was read here would be lost with it,
-// and a pop cache taken out would go on being asked.
-void AdminStateHandover::follow(Micros until) {
-    if (ended_) return;
-    if (loop_.clock().now() >= until) return give_up_reading();
-    loop_.timers().schedule(loop_.clock().now() + kFollowInterval, [this, until] {
-        // A text of our own that was replaced by a later write of ours is not the other process's.
-        if (!file_.disk().has_unwritten())
-            file_.read([this, written = own_texts_](const std::optional<std::string>& text) {
-                if (text && written == own_texts_) followed(*text);
-            });
-        follow(until);
-    });
+    hooks_.taken();
+    if (used() && !passes_.busy()) schedule_next_pass();
 }
 
-void AdminStateHandover::followed(const std::string& text) {
-    if (ended_) return;
-    read_ = true;
-    const bool early = std::exchange(called_early_, false);
-    if (text != text_before_ && text != own_text_) return heard_from_before(text);
-    if (early) return hooks_.owed();
-    // The process before may have put its text over ours, late, from a disk that was slow.
-    if (text != own_text_ && !own_text_.empty()) write();
+// --- Calls ---
+
+void AdminStateHandover::keep_ban(const std::string& id) {
+    record_.set_banned(id, state_.is_banned(id));
+    call_made();
 }
 
-void AdminStateHandover::heard_from_before(const std::string& text) {
-    text_before_ = text;
-    if (const auto told = board_in(text)) {
-        state_.apply_difference(before_, *told);
-        before_ = *told;
-        log::info("handover: state_followed bans={} phase={}", state_.bans().size(),
-                  admin::name_of(state_.phase()));
-        hooks_.followed();
+void AdminStateHandover::keep_drain() {
+    record_.set_draining(state_.drain_requested());
+    call_made();
+}
+
+void AdminStateHandover::call_made() {
+    dirty_ = true;
+    has_unwritten_call_ = true;
+    read_since_call_ = false;
+    if (used() && !passes_.busy()) start_pass();
+}
+
+std::string AdminStateHandover::unkept_reason() const {
+    if (!has_unkept()) return {};
+    if (!last_error_.empty()) return "hand-over: " + last_error_;
+    return read_once_ ? "hand-over: the disk has not answered yet" : "hand-over: not read yet";
+}
+
+// --- Passes over the disk ---
+
+// Before a call is written, what others wrote is read: written below a version that is there already, it
+// would have to be written twice.
+bool AdminStateHandover::reads_before_writing() const {
+    const bool others_may_write = follows_ || has_running_writers_ || !read_once_;
+    return has_unwritten_call_ && others_may_write && !read_since_call_;
+}
+
+HandoverPass AdminStateHandover::next_pass() {
+    HandoverPass pass;
+    if (dirty_ && !reads_before_writing()) {
+        pass.own_text = record_.encode();
+        pass.ended_writers = ended_writers_;
+    } else if (!dirty_ && !record_.has_unconfirmed() && legacy_copy_outdated()) {
+        pass.legacy_text = admin::encode_legacy_copy(record_.state());
+    }
+    pass.read_always = dirty_ || record_.has_unconfirmed() || !read_once_;
+    pass.skip_unreadable = loop_.clock().now() - started_at_ >= kUnreadableTimeout;
+    return pass;
+}
+
+void AdminStateHandover::start_pass() {
+    if (pass_timer_) loop_.timers().cancel(*pass_timer_);
+    pass_timer_.reset();
+    const HandoverPass pass = next_pass();
+    if (!pass.own_text.empty()) {
+        dirty_ = false;
+        has_unwritten_call_ = false;
+    }
+    read_since_call_ = true;
+    const auto scan = std::make_shared<HandoverScan>();
+    passes_.run([directory = directory_, pass, scan] { *scan = directory->run(pass); },
+                [this, pass, scan] { on_pass_done(pass, *scan); });
+}
+
+void AdminStateHandover::on_pass_done(const HandoverPass& pass, const HandoverScan& scan) {
+    if (!scan.error.empty()) {
+        on_pass_failed(pass, scan.error);
+    } else {
+        if (!std::exchange(last_error_, {}).empty()) log::info("handover: pass succeeded again");
+        if (!pass.own_text.empty()) ended_writers_.clear();
+        if (scan.legacy_written) on_legacy_written(pass.legacy_text);
+        if (scan.was_read) merge(scan);
+        if (!has_unwritten_call_ && scan.was_read && steady_now() - scan.read_at <= kMaxReadingAge)
+            record_.confirm();
+        if (taking_ && read_once_) finish_take();
+    }
+    log::debug(
+        "handover: pass done took_us={} own_bytes={} read={} records={} ended={} unconfirmed={} error={}",
+        passes_.last_duration(), pass.own_text.size(), scan.was_read, scan.records.size(),
+        scan.ended_writers.size(), record_.has_unconfirmed(), scan.error);
+    if (pass_finished_) pass_finished_();
+    if (!passes_.busy()) schedule_next_pass();
+}
+
+void AdminStateHandover::on_pass_failed(const HandoverPass& pass, const std::string& error) {
+    if (last_error_.empty()) log::warn("handover: pass failed, retrying error={}", error);
+    last_error_ = error;
+    read_since_call_ = false;
+    if (pass.own_text.empty()) return;
+    dirty_ = true;
+    has_unwritten_call_ = record_.has_unconfirmed();
+}
+
+void AdminStateHandover::merge(const HandoverScan& scan) {
+    read_once_ = true;
+    has_running_writers_ = scan.has_running_writers;
+    const admin::State before = record_.state();
+    bool reasserted = false;
+    for (const admin::HandoverRecord& other : scan.records)
+        reasserted = record_.merge(other).reasserted || reasserted;
+    if (reasserted) log::info("handover: call reasserted reason=another process was called meanwhile");
+    const bool legacy_changed = !scan.legacy_text.empty() && merge_legacy(scan.legacy_text);
+    ended_writers_ = scan.ended_writers;
+    has_unwritten_call_ = has_unwritten_call_ || reasserted;
+    dirty_ = dirty_ || reasserted || legacy_changed || !ended_writers_.empty();
+    const admin::State after = record_.state();
+    if (!taken_ || after == before) return;
+    state_.apply_difference(before, after);
+    log::info("handover: state_followed bans={} phase={}", state_.bans().size(),
+              admin::name_of(state_.phase()));
+    hooks_.followed();
+}
+
+// Whether the record has changed by it.
+bool AdminStateHandover::merge_legacy(const std::string& text) {
+    const admin::DecodedState legacy = admin::decode_state(text);
+    if (!legacy.state) {
+        if (text != ignored_legacy_text_)
+            log::warn("handover: file_ignored path={} reason={}", path_, legacy.error);
+        ignored_legacy_text_ = text;
+        return false;
     }
-    hooks_.owed();
+    return record_.merge_legacy(*legacy.state);
 }
 
-// What is there can't be read at all: what was told since goes over it.
-void AdminStateHandover::give_up_reading() {
-    read_ = true;
-    if (std::exchange(called_early_, false)) hooks_.owed();
+// --- The file for processes of earlier versions ---
+
+bool AdminStateHandover::legacy_copy_outdated() const {
+    return taken_ && !record_.empty() && loop_.clock().now() - started_at_ >= kLegacyReadDuration &&
+           admin::encode_legacy_copy(record_.state()) != legacy_copy_;
 }
 
-std::optional<admin::State> AdminStateHandover::board_in(const std::string& text) const {
-    if (text.empty()) return std::nullopt;
-    admin::DecodedState read = admin::decode_state(text);
-    if (!read.state) log::warn("handover: file_ignored path={} reason={}", path_, read.error);
-    return std::move(read.state);
+void AdminStateHandover::on_legacy_written(const std::string& text) {
+    legacy_copy_ = text;
+    if (const admin::DecodedState written = admin::decode_state(text); written.state)
+        record_.set_legacy(*written.state);
+    dirty_ = true;
 }
 
-void AdminStateHandover::keep() {
-    own_text_ = state_.encode();
-    write();
+// --- When the next pass is due ---
+
+std::optional<Micros> AdminStateHandover::next_pass_delay() const {
+    if (!last_error_.empty()) return taking_ && !taken_ ? kReadRetryDelay : kRetryInterval;
+    if (dirty_ || record_.has_unconfirmed()) return 0;
+    if (follows_ || has_running_writers_) return kFollowInterval;
+    const Micros age = loop_.clock().now() - started_at_;
+    if (taken_ && !record_.empty() && age < kLegacyReadDuration) return kLegacyReadDuration - age;
+    if (legacy_copy_outdated()) return kFollowInterval;
+    return std::nullopt;
 }
 
-void AdminStateHandover::write() {
-    // Written now, the file would lose what the process before handed over and nobody has read yet.
-    if (!read_) return void(called_early_ = true);
-    ++own_texts_;
-    file_.keep(own_text_);
+void AdminStateHandover::schedule_next_pass() {
+    if (pass_timer_) loop_.timers().cancel(*pass_timer_);
+    pass_timer_.reset();
+    const std::optional<Micros> delay = next_pass_delay();
+    if (!delay) return;
+    pass_timer_ = loop_.timers().schedule(loop_.clock().now() + *delay, [this] {
+        pass_timer_.reset();
+        if (!passes_.busy()) start_pass();
+    });
 }
 
 }  // namespace sumackeel::daemon
--- a/src/daemon/components.cpp
+++ b/src/daemon/components.cpp
@@ -34,7 +34,7 @@
                              .silent_for = [this] { return write_running_for(); }}),
       reload(loop, files, std::move(hooks.apply_config)) {
     core.attach(connection_pool);
-    handover.disk().on_write_finished([this] { durable_replies.on_write_finished(); });
+    handover.on_pass_finished([this] { durable_replies.on_write_finished(); });
     endpoint_manager =
         std::make_unique<EndpointManager>(loop, socket_budget, core, connection_pool, configuration, setup);
     if (setup.signed_url_server) make_signed_url_server(setup);
@@ -113,19 +113,16 @@
 }
 
 bool Components::is_write_undecided() {
-    return handover.waits_to_be_read() || handover.disk().outcome_unknown() ||
-           (recovery && recovery->writer().outcome_unknown());
+    return handover.outcome_unknown() || (recovery && recovery->writer().outcome_unknown());
 }
 
 std::string Components::unwritten_reason() {
-    if (handover.waits_to_be_read()) return "hand-over: not read yet";
-    const std::string reason = handover.disk().unwritten_reason();
+    const std::string reason = handover.unkept_reason();
     return reason.empty() && recovery ? recovery->writer().unwritten_reason() : reason;
 }
 
 Micros Components::write_running_for() {
-    return std::max(handover.disk().write_running_for(),
-                    recovery ? recovery->writer().write_running_for() : 0);
+    return std::max(handover.pass_running_for(), recovery ? recovery->writer().write_running_for() : 0);
 }
 
 }  // namespace sumackeel::daemon
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -20,9 +20,12 @@
   public:
     Process(const config::Config& config, const config::Operator& setup, Files files)
         : components_(config, setup, std::move(files),
-                      {.handover = {.taken = [this](bool owed) { startup_.on_state_taken_over(owed); },
-                                    .followed = [this] { leases_.adopt_drain_request(); },
-                                    .owed = [this] { applier_.on_state_changed(); }},
+                      {.handover = {.taken = [this] { startup_.on_state_taken_over(); },
+                                    .followed =
+                                        [this] {
+                                            leases_.adopt_drain_request();
+                                            applier_.on_state_changed();
+                                        }},
                        .apply_config =
                            [this](const config::Config& fresh, const config::Operator& fresh_setup) {
                                apply_config(fresh, fresh_setup);
--- a/src/daemon/lease_controller.cpp
+++ b/src/daemon/lease_controller.cpp
@@ -71,7 +71,7 @@
                 parts.admin_state.stop_drain();
             else
                 parts.admin_state.start_drain();
-            applier_.on_state_changed();
+            applier_.on_drain_called();
         }
     }
     return_own_lease();
@@ -136,7 +136,7 @@
             stopped_lease_ = lease->number;
         drain_wanted_ = false;
         parts.admin_state.stop_drain();
-        applier_.on_state_changed();
+        applier_.on_drain_called();
     }
     parts.consensus_client->return_lease(
         kind, member, call.requested_by,
@@ -161,7 +161,7 @@
                                              [](const auto&) {});
         return {409, fmt::format("not while {}\n", admin::name_of(parts.admin_state.phase())), false};
     }
-    applier_.on_state_changed();
+    applier_.on_drain_called();
     return lease_reply(result, target.member);
 }
 
@@ -183,7 +183,7 @@
 void LeaseController::on_upgrade_lease_granted() {
     if (std::exchange(drain_wanted_, true)) return;
     components_.admin_state.start_drain();
-    applier_.on_state_changed();
+    applier_.on_drain_called();
 }
 
 rollout::MemberMetrics LeaseController::member_metrics() const {
--- a/src/daemon/shutdown_controller.cpp
+++ b/src/daemon/shutdown_controller.cpp
@@ -23,7 +23,7 @@
     Components& parts = components_;
     started_at_ = parts.loop.clock().now();
     parts.admin_state.on_shutdown();
-    parts.handover.end();
+    parts.handover.cancel_take();
     applier_.apply();
     deadlines_ = shutdown_deadlines(parts.core.settings());
     parts.core.set_shutdown_deadline(started_at_ + deadlines_.final_responses);
@@ -67,7 +67,7 @@
     Components& parts = components_;
     return parts.core.open_requests() == 0 && !parts.platform_server.has_unsent_responses() &&
            !(parts.signed_url_server && parts.signed_url_server->has_unsent_responses()) &&
-           !parts.handover.disk().has_unwritten();
+           !parts.handover.has_unkept();
 }
 
 bool ShutdownController::has_pending_input() const {
--- a/src/daemon/startup_controller.cpp
+++ b/src/daemon/startup_controller.cpp
@@ -37,20 +37,23 @@
     parts.handover.take(std::max(latest, now + kHandoverReadTimeout), parts.has_inherited_socket());
 }
 
-void StartupController::on_state_taken_over(bool has_unkept_change) {
+void StartupController::on_state_taken_over() {
     Components& parts = components_;
     if (parts.consensus_client && !parts.consensus_client->is_known())
         log::warn("consensus: serving_unconfirmed reason=no voter answered");
     if (parts.recovery) {
         const recovery::PersistedState& persisted = parts.recovery->persisted();
-        for (const std::string& id : persisted.bans) parts.admin_state.ban(id, true);
-        if (persisted.draining && !parts.consensus_client) parts.admin_state.start_drain();
+        // What was persisted may be older than what the process before this one was called for.
+        for (const std::string& id : persisted.bans) {
+            if (parts.handover.has_word_on_ban(id)) continue;
+            parts.admin_state.ban(id, true);
+            parts.handover.add_ban(id);
+        }
+        if (persisted.draining && !parts.consensus_client && !parts.handover.has_word_on_drain())
+            parts.admin_state.start_drain();
     }
     leases_.adopt_drain_request();
-    if (has_unkept_change)
-        applier_.on_state_changed();
-    else
-        applier_.apply();
+    applier_.on_state_changed();
     leases_.follow_own_lease();
 }
 
--- a/src/daemon/startup_controller.h
+++ b/src/daemon/startup_controller.h
@@ -19,9 +19,8 @@
     void start();
     // Start-up is given up, as the process shuts down.
     void cancel() { cancelled_ = true; }
-    // What was handed over is part of the administrative state now. `has_unkept_change`: a call changed the
-    // state before that, and it is still to be kept.
-    void on_state_taken_over(bool has_unkept_change);
+    // What was handed over is part of the administrative state now.
+    void on_state_taken_over();
 
   private:
     void take_over_when_known(base::Micros latest);
--- a/tests/compatibility/encoded_forms_test.cpp
+++ b/tests/compatibility/encoded_forms_test.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "admin/handover_record.h"
 #include "admin/state.h"
 #include "cluster_transport/message_codec.h"
 #include "cluster_transport/start_number.h"
@@ -341,6 +342,20 @@
     EXPECT_EQ(read.state->encode(), bytes);
 }
 
+TEST(EncodedForms, HandoverRecord) {
+    admin::HandoverRecord record(0xfeedfacecafebeefULL);
+    record.set_banned("s-a", true), record.set_banned("s-b.example", false), record.set_draining(true);
+    record.confirm();
+    admin::State earlier;
+    earlier.ban("s-c", true);
+    record.merge_legacy(earlier);
+    const std::string bytes = recorded("hand_over_2.txt", record.encode());
+    admin::HandoverRecord read(record.writer());
+    EXPECT_EQ(admin::HandoverRecord::decode(bytes, read), "");
+    EXPECT_EQ(read, record);
+    recorded("hand_over_copy.txt", admin::encode_legacy_copy(record.state()));
+}
+
 TEST(EncodedForms, StartNumber) {
     std::string folder = (std::filesystem::temp_directory_path() / "sumackeel-XXXXXX").string();
     ASSERT_TRUE(mkdtemp(folder.data()));
--- a/tests/daemon/service_test.cpp
+++ b/tests/daemon/service_test.cpp
@@ -4,8 +4,11 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <cstdio>
+#include <fstream>
 #include <mutex>
 
+#include "admin/state.h"
 #include "support.h"
 
 using namespace story;
@@ -187,6 +190,53 @@
     CHECK(down(0));
 }
 
+namespace {
+
+// Puts a hand-over text of form version 1 in place, as a process of the version before does on each call.
+void write_as_earlier_version(const std::string& file, const std::vector<std::string>& bans) {
+    sumackeel::admin::State state;
+    for (const std::string& id : bans) state.ban(id, true);
+    std::ofstream(file + ".next") << state.encode();
+    REQUIRE(std::rename((file + ".next").c_str(), file.c_str()) == 0);
+}
+
+std::string bans_of(int ops_port) {
+    std::string stats;
+    call(ops_port, "GET", "/ops/stats", &stats);
+    const std::string name = "gw_pop_caches_down ";
+    const auto at = stats.find(name) + name.size();
+    return stats.substr(at, stats.find('\n', at) - at);
+}
+
+bool bans_come_to(int ops_port, const std::string& count) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(kBoundMs);
+    while (bans_of(ops_port) != count && std::chrono::steady_clock::now() < end) continue;
+    return bans_of(ops_port) == count;
+}
+
+}  // namespace
+
+// Guards: calls that an old process of the version before got, and those of the new one, replaced each other.
+TEST_CASE("calls to an old process of the version before and to the new one are put together") {
+    TwoCaches fleet;
+    Peer shared;
+    Folder folder;
+    const std::string file = folder.path() + "/handover";
+    write_as_earlier_version(file, {"s-a", "s-b"});
+    Daemon fresh(with_ops(fleet.hosts(), dup(shared.fd())), {{}, {}, file});
+    wait_until_ready(fresh.ops_port());
+    CHECK(bans_of(fresh.ops_port()) == "2");
+    REQUIRE(call(fresh.ops_port(), "POST", "/ops/pop-caches/up/s-a") == 200);
+    write_as_earlier_version(file, {"s-a", "s-b", "s-parent"});  // knows nothing of the call above
+    CHECK(bans_come_to(fresh.ops_port(), "2"));                  // s-b and s-parent
+    write_as_earlier_version(file, {"s-a", "s-parent"});
+    CHECK(bans_come_to(fresh.ops_port(), "1"));
+    REQUIRE(call(fresh.ops_port(), "POST", "/ops/pop-caches/up/s-parent") == 200);
+    Daemon later(with_ops(fleet.hosts(), dup(shared.fd())), {{}, {}, file});
+    wait_until_ready(later.ops_port());
+    CHECK(bans_of(later.ops_port()) == "0");
+}
+
 TEST_CASE("a torn hand-over file is passed over and the proxy starts without it") {
     TwoCaches fleet;
     Folder folder;
