Start number: read, raised and written under a lock, so two starts never get the same

What callers saw: nothing yet; found by looking for the fault of the hand-over elsewhere, two processes of one member that write one file. Two that start at one moment read the same number and both stored it plus one, and each was taken for the other's incarnation; a process that raised its number could put a smaller one over a greater.

Evidence: StartNumber.IsNeverGivenTwice, without its last four lines, on the code before: 12 starts got 1 to 5 different numbers in 5 of 5 runs. Now 12 of 12 in 20 of 20. A lock that is held is tried again for 5 s, as a folder that fails is; a start that can't get it ends with its reason.

--- a/src/cluster_transport/cluster_transport.cpp
+++ b/src/cluster_transport/cluster_transport.cpp
@@ -210,7 +210,7 @@
 void ClusterTransport::raise_start(std::uint64_t start) {
     if (start_write_.busy()) return;
     const auto error = std::make_shared<std::string>();
-    start_write_.run([number = start_number_, start, error] { *error = number.write(start); },
+    start_write_.run([number = start_number_, start, error] { *error = number.raise_to(start); },
                      [this, start, error] {
                          if (!error->empty())
                              return log::error(
--- a/src/cluster_transport/start_number.cpp
+++ b/src/cluster_transport/start_number.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr const char* kFileName = "start";
+constexpr const char* kLockName = "start.lock";
 constexpr std::size_t kMaxFileBytes = 256;
 
 // "sumackeel-start 1 NUMBER CHECKSUM\n", the checksum over what stands before the space.
@@ -33,6 +34,12 @@
 
 ClaimResult read_and_store_next(const StartNumber& stored) {
     ClaimResult result;
+    std::unique_ptr<base::DirectoryLock> held;
+    result.write_fault = base::retry_directory_at_startup([&] {
+        held = stored.lock();
+        return held->error();
+    });
+    if (!result.write_fault.empty()) return result;
     result.number = stored.read(result.read_fault) + 1;
     result.write_fault = base::retry_directory_at_startup([&] { return stored.write(result.number); });
     return result;
@@ -67,6 +74,17 @@
     return base::replace_file(folder_, "start.tmp", kFileName, text_of(number));
 }
 
+std::unique_ptr<base::DirectoryLock> StartNumber::lock() const {
+    return std::make_unique<base::DirectoryLock>(folder_, kLockName);
+}
+
+std::string StartNumber::raise_to(std::uint64_t number) const {
+    const auto held = lock();
+    if (!held->error().empty()) return held->error();
+    std::string ignored;
+    return read(ignored) >= number ? std::string{} : write(number);
+}
+
 std::uint64_t claim_start_number(const StartNumber& stored) {
     const auto result = base::run_with_timeout(2 * base::kDirectoryResponseTimeout,
                                                [stored] { return read_and_store_next(stored); });
--- a/src/cluster_transport/start_number.h
+++ b/src/cluster_transport/start_number.h
@@ -3,10 +3,13 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <stdexcept>
 #include <string>
 #include <utility>
 
+#include "base/files.h"
+
 namespace sumackeel::cluster_transport {
 
 class StartNumber {
@@ -20,6 +23,12 @@
     // Synced to disk before it returns. Empty: done; else what went wrong.
     std::string write(std::uint64_t number) const;
 
+    // Stores `number` unless a greater one is. Empty: done; else what went wrong, or that another process of
+    // this member is at the file.
+    std::string raise_to(std::uint64_t number) const;
+    // Two processes of one member may read and write at one moment: only whoever holds this.
+    std::unique_ptr<base::DirectoryLock> lock() const;
+
   private:
     std::string folder_;
 };
@@ -35,8 +44,8 @@
     Code code_;
 };
 
-// The number of this start: one more than the stored one, and stored before it returns. Blocks for a bounded
-// time; throws StartNumberError.
+// The number of this start: one more than the stored one, and stored before it returns; no two starts get the
+// same. Blocks for a bounded time; throws StartNumberError.
 std::uint64_t claim_start_number(const StartNumber& stored);
 
 }  // namespace sumackeel::cluster_transport
--- a/tests/cluster_transport/message_codec_test.cpp
+++ b/tests/cluster_transport/message_codec_test.cpp
@@ -6,7 +6,10 @@
 
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
+#include <thread>
+#include <vector>
 
 #include "cluster_transport/rate_limiter.h"
 #include "cluster_transport/start_number.h"
@@ -179,6 +182,26 @@
     EXPECT_TRUE(std::filesystem::exists(scratch.path + "/state/start.bad"));
 }
 
+// Guards: two processes of one member that started at one moment read the same number.
+TEST(StartNumber, IsNeverGivenTwice) {
+    const Scratch scratch;
+    const StartNumber number(scratch.path + "/state");
+    constexpr std::size_t kStarts = 12;
+    std::vector<std::uint64_t> claimed(kStarts);
+    std::vector<std::thread> starts;
+    for (std::uint64_t& one : claimed)
+        starts.emplace_back([&number, &one] { one = claim_start_number(number); });
+    for (std::thread& start : starts) start.join();
+    const std::set<std::uint64_t> different(claimed.begin(), claimed.end());
+    EXPECT_EQ(different.size(), kStarts);
+    EXPECT_EQ(*different.rbegin(), kStarts);
+    std::string fault;
+    EXPECT_EQ(number.raise_to(5), "");
+    EXPECT_EQ(number.read(fault), kStarts);
+    EXPECT_EQ(number.raise_to(kStarts + 1), "");
+    EXPECT_EQ(number.read(fault), kStarts + 1);
+}
+
 TEST(Keys, RejectsAShortOrMissingKey) {
     const Scratch scratch;
     EXPECT_THROW(load_keys(scratch.path + "/none"), config::ConfigError);
