Recovery: no proxy serves before it has the leader's state; members tell the leases they know

What callers saw: a pop cache taken out by a call answered 200 right before a loss of power was asked again about 1 s after it returned.

Cause: `priming` waited for the name of a leader and called that "the bans are known". A voter counted as knowing the state once it had applied the end of its own log, which may lack what was committed last, and told those that polled it so. Without a leader nobody told the others of a lease at all.

Change: the state is known by a leader that has applied what was in its log when elected, or by who was told by one that knows; voters poll the leader at their start, and priming waits for it. Until then leases that any member replies to `recovery` count too. Who answers a lease call with 200 has it on disk before. Why it works: what was answered is on the disks of a majority, so every elected leader has it; nobody goes on by less than that, or, without a leader, by less than all that are back know.

--- a/src/consensus/consensus_client.cpp
+++ b/src/consensus/consensus_client.cpp
@@ -51,7 +51,7 @@
               }}),
       view_(voter_, follower_),
       processor_({loop, transport, setup_, voter_, view_, std::move(fleet)}),
-      server_(transport, voter_, processor_) {
+      server_(transport, voter_, view_, processor_) {
     voter_.start(wait_for_folder);
     log::info("consensus: started member={} role={}", self(), voter_.votes() ? "voter" : "follower");
     if (!voter_.votes()) follower_.start_polling();
--- a/src/consensus/consensus_server.cpp
+++ b/src/consensus/consensus_server.cpp
@@ -6,8 +6,9 @@
 
 namespace sumackeel::consensus {
 
-ConsensusServer::ConsensusServer(ClusterTransport& transport, LocalVoter& voter, RequestProcessor& processor)
-    : transport_(transport), voter_(voter), processor_(processor) {
+ConsensusServer::ConsensusServer(ClusterTransport& transport, LocalVoter& voter, const StateView& view,
+                                 RequestProcessor& processor)
+    : transport_(transport), voter_(voter), view_(view), processor_(processor) {
     for (const char* verb : {kRequestVerb, kStateVerb})
         transport_.on_call(verb,
                            [this](const std::string& from, const std::string& called, const std::string& body,
@@ -52,14 +53,13 @@
 
 // Revisions of another history say nothing of what that member lacks: it gets the complete state.
 std::string ConsensusServer::state_reply(const KnownRevision& known) const {
-    const RaftNode& node = voter_.node();
     const std::string leader = own_leader();
-    const std::uint64_t history = node.history();
+    const std::uint64_t history = voter_.node().history();
     const bool same_history = known.history == history;
-    const bool outdated = !same_history || known.revision != node.state().revision();
-    return encode(ConsensusReply{!leader.empty() && node.caught_up(), leader,
-                                 outdated ? node.state().encode() : std::string{}, history,
-                                 node.kv_store().update_since(same_history ? known.kv_store : 0)});
+    const bool outdated = !same_history || known.revision != view_.state().revision();
+    return encode(ConsensusReply{!leader.empty() && view_.is_known(), leader,
+                                 outdated ? view_.state().encode() : std::string{}, history,
+                                 view_.kv_store().update_since(same_history ? known.kv_store : 0)});
 }
 
 }  // namespace sumackeel::consensus
--- a/src/consensus/consensus_server.h
+++ b/src/consensus/consensus_server.h
@@ -8,13 +8,15 @@
 #include "consensus/consensus_messages.h"
 #include "consensus/local_voter.h"
 #include "consensus/request_processor.h"
+#include "consensus/state_view.h"
 
 namespace sumackeel::consensus {
 
 class ConsensusServer {
   public:
     // Handles the calls until close() or its end; all references outlive it.
-    ConsensusServer(ClusterTransport& transport, LocalVoter& voter, RequestProcessor& processor);
+    ConsensusServer(ClusterTransport& transport, LocalVoter& voter, const StateView& view,
+                    RequestProcessor& processor);
     ~ConsensusServer();
     ConsensusServer(const ConsensusServer&) = delete;
     ConsensusServer& operator=(const ConsensusServer&) = delete;
@@ -32,6 +34,7 @@
 
     ClusterTransport& transport_;
     LocalVoter& voter_;
+    const StateView& view_;
     RequestProcessor& processor_;
 };
 
--- a/src/consensus/local_voter.cpp
+++ b/src/consensus/local_voter.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr Micros kTickInterval = 1'000'000;
+constexpr Micros kConfirmInterval = 50'000, kConfirmTimeout = 350'000;
 constexpr Micros kLeaderlessTimeout = 3'000'000;  // after this a voter polls the others
 constexpr Micros kReopenInterval = 200'000;       // while another process holds the directory
 constexpr std::chrono::seconds kDirectoryCheckTimeout{2};
@@ -96,9 +97,22 @@
     node_->reconcile_voters();
     expire_keys();
     check_leader();
+    if (!confirm_timer_) confirm_state();
     tick_timer_ = loop_.timers().schedule(loop_.clock().now() + kTickInterval, [this] { tick(); });
 }
 
+// A voter that has just started may lack entries that were committed: a lease that was granted right before a
+// loss of power is on the disks of a majority alone. So its state counts once it leads and has applied its
+// log, or once the leader has sent its own.
+void LocalVoter::confirm_state() {
+    confirm_timer_.reset();
+    if (follower_.is_known()) return;
+    if (is_leader() && node_->leads_caught_up()) return follower_.mark_known(self());
+    if (votes() && !is_leader() && !node_->leader().empty()) follower_.poll(node_->leader(), kConfirmTimeout);
+    confirm_timer_ =
+        loop_.timers().schedule(loop_.clock().now() + kConfirmInterval, [this] { confirm_state(); });
+}
+
 void LocalVoter::expire_keys() {
     const auto due = node_->kv_store().next_expiry();
     if (!due || !is_leader() || *due > loop_.clock().now()) return;
@@ -119,7 +133,7 @@
     if (now - leader_known_at_ < kLeaderlessTimeout) return;
     if (!follower_.is_polling()) {
         follower_.set_leader({});  // from now on the replies count
-        follower_.set_known(false);
+        follower_.forget_known();
         follower_.start_polling();
     }
     const std::string& leader = follower_.leader();
@@ -179,7 +193,6 @@
 
 void LocalVoter::on_log_failed() {
     follower_.adopt(*node_);
-    follower_.set_known(true);
     follower_.start_polling();
 }
 
@@ -212,7 +225,6 @@
         return node_->stop();
     }
     follower_.stop_polling();
-    follower_.set_known(false);
     follower_.raise_history(node_->history());
     log::info("consensus: voting started member={}", self());
 }
@@ -223,9 +235,9 @@
 
 void LocalVoter::close_now() {
     alive_.reset();
-    if (tick_timer_) {
-        loop_.timers().cancel(*tick_timer_);
-        tick_timer_.reset();
+    for (auto* timer : {&tick_timer_, &confirm_timer_}) {
+        if (*timer) loop_.timers().cancel(**timer);
+        timer->reset();
     }
     if (node_) node_->close_now();
 }
--- a/src/consensus/local_voter.h
+++ b/src/consensus/local_voter.h
@@ -49,6 +49,7 @@
     void tick();
     void expire_keys();
     void check_leader();
+    void confirm_state();
     void on_newer_history(std::uint64_t history);
     void archive_log(std::uint64_t history);
     void on_log_archived(const std::string& error);
@@ -70,6 +71,7 @@
     bool archiving_ = false;                           // its log is of an older history
     base::Micros leader_known_at_ = 0;                 // 0: not yet
     std::optional<base::TimerQueue::Key> tick_timer_;
+    std::optional<base::TimerQueue::Key> confirm_timer_;  // while the state is not known
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -60,7 +60,8 @@
     bool closed = false;
     bool library_open = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
-    std::optional<raft_index> last_index_at_first_leader;
+    raft_term led_term = 0;                  // the last in which it was seen to lead
+    raft_index last_index_when_elected = 0;  // of that term, or a later one
 
     Impl(net::Loop& on_loop, const MessageCodec& codec, const std::string& name, Hooks given)
         : loop(on_loop),
@@ -88,7 +89,7 @@
     bool votes() const { return started && !failed && !closed; }
     bool leads() { return votes() && raft_state(&raft_instance) == RAFT_LEADER; }
     std::string leader();
-    bool caught_up();
+    bool leads_caught_up();
 
     void propose(const std::string& command, ResultCallback done);
     void read(const std::string& key, ResultCallback done);
@@ -215,13 +216,15 @@
     return id == 0 ? std::string{} : reconciler.name_of(id);
 }
 
-// A start that has only met a leader has an empty state yet.
-bool RaftNode::Impl::caught_up() {
-    if (!last_index_at_first_leader && !leader().empty())
-        last_index_at_first_leader = raft_last_index(&raft_instance);
-    return last_index_at_first_leader &&
-           raft_last_applied(&raft_instance) >=
-               std::min(*last_index_at_first_leader, raft_last_index(&raft_instance));
+// What is committed is in the log of whoever is elected, but is applied only behind the first entry of its
+// own term.
+bool RaftNode::Impl::leads_caught_up() {
+    if (!leads()) return false;
+    if (led_term != raft_instance.current_term) {
+        led_term = raft_instance.current_term;
+        last_index_when_elected = raft_last_index(&raft_instance);
+    }
+    return raft_last_applied(&raft_instance) >= last_index_when_elected;
 }
 
 void RaftNode::Impl::transfer_leadership(const std::string& to, ResultCallback done) {
@@ -317,8 +320,8 @@
 std::string RaftNode::leader() const {
     return impl_->leader();
 }
-bool RaftNode::caught_up() const {
-    return impl_->caught_up();
+bool RaftNode::leads_caught_up() const {
+    return impl_->leads_caught_up();
 }
 std::vector<std::string> RaftNode::voters() const {
     return impl_->reconciler.voters();
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -68,7 +68,9 @@
     bool is_voter() const;
     bool is_leader() const;
     std::string leader() const;  // a name; empty: none is known
-    bool caught_up() const;      // all that was in the log when a leader was first known is applied
+    // It leads, and all that was in its log when it began to lead is applied: with that, all that was ever
+    // committed before.
+    bool leads_caught_up() const;
     std::vector<std::string> voters() const;  // an empty name: one that no file here has named
     std::uint64_t history() const;            // of the log, see RaftDirectory
 
--- a/src/consensus/state_follower.cpp
+++ b/src/consensus/state_follower.cpp
@@ -15,6 +15,7 @@
 
 // Bans reach members that do not vote within 1 s; where members are many the interval grows up to its bound.
 constexpr Micros kMinPollInterval = 250'000, kPollIntervalPerMember = 2'000, kMaxPollInterval = 900'000;
+constexpr Micros kUnknownPollInterval = 100'000;  // at the least, while the state is not known: a start waits
 
 }  // namespace
 
@@ -37,11 +38,15 @@
     poll_timer_.reset();
 }
 
+Micros StateFollower::poll_interval() const {
+    const auto members = static_cast<Micros>(transport_.membership().member_count());
+    return std::clamp(kPollIntervalPerMember * members, known_ ? kMinPollInterval : kUnknownPollInterval,
+                      kMaxPollInterval);
+}
+
 void StateFollower::start_polling() {
     const std::string voter = next_voter();
-    const Micros interval =
-        std::clamp(kPollIntervalPerMember * static_cast<Micros>(transport_.membership().member_count()),
-                   kMinPollInterval, kMaxPollInterval);
+    const Micros interval = poll_interval();
     poll_timer_ = loop_.timers().schedule(loop_.clock().now() + interval, [this] { start_polling(); });
     poll(voter, interval);
 }
@@ -56,10 +61,10 @@
     const std::weak_ptr<bool> alive = alive_;
     const KnownRevision known{state_.revision(), needs_full_kv_store_ ? 0 : kv_store_.revision(), history_};
     transport_.call(voter, kStateVerb, encode(known), timeout,
-                    [this, alive](std::optional<std::string> body) {
+                    [this, alive, voter](std::optional<std::string> body) {
                         if (alive.expired() || !body) return;
                         try {
-                            on_reply(*body);
+                            on_reply(voter, *body);
                         } catch (const std::exception& error) {
                             log::warn("consensus: state reply rejected reason={}", error.what());
                         }
@@ -68,14 +73,11 @@
 
 // Of an earlier history, or of a voter that is behind, nothing is taken; a later history, as after a forced
 // start, makes the copy void.
-void StateFollower::on_reply(const std::string& body) {
+void StateFollower::on_reply(const std::string& voter, const std::string& body) {
     const ConsensusReply reply = decode_reply(body);
     if (reply.history < history_) return;
     if (!reply.leader.empty()) leader_ = reply.leader;
-    if (reply.done) {
-        known_ = true;
-        confirmed_at_ = loop_.clock().now();
-    }
+    if (reply.done) confirmed_at_ = loop_.clock().now();
     if (reply.history > history_) {
         if (!reply.done) return;
         state_ = {};
@@ -84,6 +86,13 @@
     }
     if (!reply.kv_store_update.empty()) apply_kv_store_update(reply.kv_store_update);
     if (!reply.body.empty()) apply_state(reply.body);
+    if (reply.done) mark_known(voter);
+}
+
+void StateFollower::mark_known(const std::string& source) {
+    if (std::exchange(known_, true)) return;
+    log::info("consensus: state_known source={} leader={} revision={} leases={}", source, leader_,
+              state_.revision(), state_.leases().size());
 }
 
 // A voter that is behind sends all that it has, which is less than the copy: the revision decides.
--- a/src/consensus/state_follower.h
+++ b/src/consensus/state_follower.h
@@ -45,9 +45,12 @@
     // Of the log that the copy is from; a later one makes the copy void.
     std::uint64_t history() const { return history_; }
     void raise_history(std::uint64_t history) { history_ = std::max(history_, history); }
-    // The copy is that of a voter that knows a leader.
+    // What this member holds is all that had been committed at some moment since the start: see
+    // StateView::is_known().
     bool is_known() const { return known_; }
-    void set_known(bool known) { known_ = known; }
+    // By the reply of `source`, a voter that knows, or by this member's own log where that is its own name.
+    void mark_known(const std::string& source);
+    void forget_known() { known_ = false; }
     // The leader's name by the last reply; empty: none is known.
     const std::string& leader() const { return leader_; }
     void set_leader(const std::string& leader) { leader_ = leader; }
@@ -62,7 +65,8 @@
     void close();
 
   private:
-    void on_reply(const std::string& body);
+    base::Micros poll_interval() const;
+    void on_reply(const std::string& voter, const std::string& body);
     void apply_kv_store_update(const std::string& update);
     void apply_state(const std::string& body);
 
--- a/src/consensus/state_view.cpp
+++ b/src/consensus/state_view.cpp
@@ -12,8 +12,10 @@
     return own ? voter_.node().kv_store() : follower_.kv_store();
 }
 
+// A voter's own log may lack entries that were committed, until a leader has sent them: only the leader, or
+// who was told by one, knows all of them.
 bool StateView::is_known() const {
-    if (voter_.votes() && !voter_.node().leader().empty()) return voter_.node().caught_up();
+    if (voter_.is_leader()) return voter_.node().leads_caught_up();
     return follower_.is_known();
 }
 
@@ -24,7 +26,7 @@
 }
 
 std::optional<base::Micros> StateView::confirmed_age() const {
-    if (voter_.votes() && !voter_.node().leader().empty() && voter_.node().caught_up()) return 0;
+    if (voter_.votes() && !voter_.node().leader().empty() && is_known()) return 0;
     return follower_.confirmed_age();
 }
 
--- a/src/consensus/state_view.h
+++ b/src/consensus/state_view.h
@@ -20,7 +20,8 @@
 
     const rollout::State& state() const;
     const kv_store::State& kv_store() const;
-    // It was received from a voter that knows a leader, or is a voter's own that has met one.
+    // It has all that was committed before some moment since this process started: this member leads and has
+    // applied what was in its log when it was elected, or was told by one that knows.
     bool is_known() const;
     std::string leader() const;  // a member's name; empty: none is known
     // How long ago what is known here was surely all that had been committed; none: never since the start.
--- a/src/daemon/admin_state_applier.cpp
+++ b/src/daemon/admin_state_applier.cpp
@@ -32,11 +32,7 @@
 void AdminStateApplier::persist() {
     const Components& parts = components_;
     if (!parts.recovery || parts.admin_state.phase() == admin::ProcessPhase::starting) return;
-    std::set<std::string> leased;
-    if (parts.consensus_client)
-        leased =
-            parts.consensus_client->is_known() ? leased_pop_caches() : parts.recovery->persisted().leased;
-    parts.recovery->persist(parts.admin_state.bans(), leased, parts.admin_state.drain_requested());
+    parts.recovery->persist(parts.admin_state.bans(), known_leases(), parts.admin_state.drain_requested());
 }
 
 // Those of the operators, those of leases, and until their present form is known those that were persisted.
@@ -46,16 +42,26 @@
     if (parts.recovery && parts.admin_state.phase() == admin::ProcessPhase::starting)
         bans.insert(parts.recovery->persisted().bans.begin(), parts.recovery->persisted().bans.end());
     if (!parts.consensus_client) return bans;
-    bans.merge(leased_pop_caches());
-    if (parts.recovery && !parts.consensus_client->is_known())
-        bans.insert(parts.recovery->persisted().leased.begin(), parts.recovery->persisted().leased.end());
+    bans.merge(known_leases());
+    if (parts.recovery && !parts.consensus_client->is_known()) {
+        const std::set<std::string>& learned = parts.recovery->learned_leases();
+        bans.insert(learned.begin(), learned.end());
+    }
     return bans;
 }
 
-std::set<std::string> AdminStateApplier::leased_pop_caches() const {
+// Those of the replicated state as it stands here, those granted here that it does not show yet, and while it
+// is not known those that were persisted.
+std::set<std::string> AdminStateApplier::known_leases() const {
+    const Components& parts = components_;
+    if (!parts.consensus_client) return {};
     std::set<std::string> leased;
-    for (const auto& [key, lease] : components_.consensus_client->state().leases())
+    for (const auto& [key, lease] : parts.consensus_client->state().leases())
         if (key.first == rollout::MemberKind::pop_cache) leased.insert(key.second);
+    for (const auto& [id, number] : parts.granted_leases)
+        if (number > parts.consensus_client->state().last_number()) leased.insert(id);
+    if (parts.recovery && !parts.consensus_client->is_known())
+        leased.insert(parts.recovery->persisted().leased.begin(), parts.recovery->persisted().leased.end());
     return leased;
 }
 
--- a/src/daemon/admin_state_applier.h
+++ b/src/daemon/admin_state_applier.h
@@ -24,9 +24,11 @@
     void on_ban_called(const std::string& id);
     void on_drain_called();
 
+    // The pop caches that this proxy knows to be out by lease; not those that it was told of by others.
+    std::set<std::string> known_leases() const;
+
   private:
     std::set<std::string> effective_bans() const;
-    std::set<std::string> leased_pop_caches() const;
     void update_drain_schedule();
 
     Components& components_;
--- a/src/daemon/components.h
+++ b/src/daemon/components.h
@@ -1,6 +1,8 @@
 // The parts that the daemon owns, in the order in which they are made. They are destroyed in reverse.
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -83,6 +85,9 @@
     std::unique_ptr<cluster_transport::ClusterTransport> cluster_transport;
     std::unique_ptr<DisruptionBudgetView> budget_view;
     std::unique_ptr<consensus::ConsensusClient> consensus_client;
+    // Leases of pop caches that were granted to calls here, by their number: the replicated state shows them
+    // later.
+    std::map<std::string, std::uint64_t> granted_leases;
     std::unique_ptr<consensus::ReleaseCoordinator> release_coordinator;
     std::unique_ptr<recovery_coordinator::RecoveryCoordinator> recovery;
     std::unique_ptr<KvStoreService> kv_store_service;
--- a/src/daemon/durable_replies.cpp
+++ b/src/daemon/durable_replies.cpp
@@ -6,21 +6,14 @@
 
 namespace sumackeel::daemon {
 
-namespace {
-
-// Each answer is due within 1 s, and callers before it may have taken up to 0.4 s of that. Counted from when
-// the disk fell silent: where it hangs only the first call waits.
-constexpr base::Micros kWaitForDisk = 300'000;
-
-}  // namespace
-
 DurableReplies::~DurableReplies() {
     for (const auto& [number, one] : waiting_) loop_.timers().cancel(one.latest);
 }
 
 std::optional<admin::ApiReply> DurableReplies::reply_when_durable(admin::ApiReply reply,
-                                                                  const admin_server::DeferredReply& later) {
-    const base::Micros wait = kWaitForDisk - disks_.silent_for();
+                                                                  const admin_server::DeferredReply& later,
+                                                                  base::Micros max_wait) {
+    const base::Micros wait = std::min(max_wait, kWaitForDisk - disks_.silent_for());
     if (!disks_.undecided() || wait <= 0) return worded(std::move(reply));
     const std::uint64_t number = next_++;
     const auto latest =
--- a/src/daemon/durable_replies.h
+++ b/src/daemon/durable_replies.h
@@ -14,6 +14,10 @@
 
 class DurableReplies {
   public:
+    // Each answer is due within 1 s, and callers before it may have taken up to 0.4 s of that. Counted from
+    // when the disk fell silent: where it hangs only the first call waits.
+    static constexpr base::Micros kWaitForDisk = 300'000;
+
     // What the disks say. Of all files together.
     struct Disks {
         std::function<bool()> undecided;           // a write is under way, and none has failed
@@ -26,9 +30,10 @@
     DurableReplies(const DurableReplies&) = delete;
     DurableReplies& operator=(const DurableReplies&) = delete;
 
-    // The reply at once, or none: then by `later`.
+    // The reply at once, or none: then by `later`, within `max_wait` at the longest.
     std::optional<admin::ApiReply> reply_when_durable(admin::ApiReply reply,
-                                                      const admin_server::DeferredReply& later);
+                                                      const admin_server::DeferredReply& later,
+                                                      base::Micros max_wait = kWaitForDisk);
     void on_write_finished();  // a write has ended
 
   private:
--- a/src/daemon/lease_controller.cpp
+++ b/src/daemon/lease_controller.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr Micros kReturnRetryDelay = 500'000;
+constexpr Micros kReplyTimeout = 950'000;  // operators' calls are answered within 1 s
 constexpr std::size_t kBytesPerKilobyte = 1024;
 
 }  // namespace
@@ -38,6 +39,8 @@
         [this, &parts](const rollout::State& state) {
             log::info("consensus: state_changed revision={} leases={}", state.revision(),
                       state.leases().size());
+            std::erase_if(parts.granted_leases,
+                          [&state](const auto& granted) { return granted.second <= state.last_number(); });
             applier_.apply();
             applier_.persist();
             follow_own_lease();
@@ -123,8 +126,9 @@
     if (call.target.kind == rollout::MemberKind::proxy) drain_wanted_ = true;
     components_.consensus_client->request_lease(
         call.target.kind, call.target.member, call.requested_by, call.forced,
-        [this, later, target = call.target](const std::optional<rollout::CommandResult>& result) {
-            later(on_lease_result(result, target));
+        [this, later, target = call.target,
+         called_at = components_.loop.clock().now()](const std::optional<rollout::CommandResult>& result) {
+            reply_when_durable(on_lease_result(result, target), later, called_at);
         });
 }
 
@@ -140,16 +144,22 @@
     }
     parts.consensus_client->return_lease(
         kind, member, call.requested_by,
-        [later, member = call.target.member](const std::optional<rollout::CommandResult>& result) {
-            later(result ? admin::ApiReply{200, "up " + member + "\n", false} : no_majority_reply());
+        [this, &parts, later, target = call.target,
+         called_at = parts.loop.clock().now()](const std::optional<rollout::CommandResult>& result) {
+            if (!result) return later(no_majority_reply());
+            if (target.kind == rollout::MemberKind::pop_cache) parts.granted_leases.erase(target.member);
+            reply_when_durable({200, "up " + target.member + "\n", false}, later, called_at);
         });
 }
 
 admin::ApiReply LeaseController::on_lease_result(const std::optional<rollout::CommandResult>& result,
                                                  const Target& target) {
     Components& parts = components_;
-    if (target.kind != rollout::MemberKind::proxy) return lease_reply(result, target.member);
     const bool granted = result && result->outcome == rollout::Outcome::granted;
+    if (target.kind != rollout::MemberKind::proxy) {
+        if (granted) on_pop_cache_granted(target.member, result->number);
+        return lease_reply(result, target.member);
+    }
     if (!granted) {
         drain_wanted_ = parts.admin_state.drain_requested();
         return lease_reply(result, target.member);
@@ -165,6 +175,24 @@
     return lease_reply(result, target.member);
 }
 
+// In force at once, and on disk before the call is answered: this proxy may be the only one of those told
+// that returns after a loss of power.
+void LeaseController::on_pop_cache_granted(const std::string& id, std::uint64_t number) {
+    Components& parts = components_;
+    if (number > parts.consensus_client->state().last_number() &&
+        parts.granted_leases.size() < admin::kMaxBans)
+        parts.granted_leases[id] = number;
+    applier_.on_state_changed();
+}
+
+void LeaseController::reply_when_durable(admin::ApiReply reply, const admin_server::DeferredReply& later,
+                                         Micros called_at) {
+    if (reply.status != 200) return later(std::move(reply));
+    const Micros wait = called_at + kReplyTimeout - components_.loop.clock().now();
+    if (auto at_once = components_.durable_replies.reply_when_durable(std::move(reply), later, wait))
+        later(std::move(*at_once));
+}
+
 std::optional<admin::ApiReply> LeaseController::handle_release_call(
     const admin::ApiCall& call, const admin_server::DeferredReply& later) {
     Components& parts = components_;
--- a/src/daemon/lease_controller.h
+++ b/src/daemon/lease_controller.h
@@ -50,6 +50,9 @@
     void return_lease(const LeaseCall& call, const admin_server::DeferredReply& later);
     admin::ApiReply on_lease_result(const std::optional<rollout::CommandResult>& result,
                                     const Target& target);
+    void on_pop_cache_granted(const std::string& id, std::uint64_t number);
+    void reply_when_durable(admin::ApiReply reply, const admin_server::DeferredReply& later,
+                            base::Micros called_at);
     void on_upgrade_lease_granted();
     void return_own_lease();
     rollout::MemberMetrics member_metrics() const;
--- a/src/daemon/recovery_controller.cpp
+++ b/src/daemon/recovery_controller.cpp
@@ -46,6 +46,8 @@
     Coordinator::Hooks hooks;
     hooks.purges = [this] { return recent_purges(); };
     hooks.learn = [this](const std::vector<Coordinator::RecentPurge>& recent) { learn_purges(recent); };
+    hooks.leased = [this] { return applier_.known_leases(); };
+    hooks.leases_learned = [this] { on_leases_learned(); };
     hooks.sure = [this] { return components_.endpoint_manager->is_confirmed(kConfirmedWithin); };
     hooks.proxies = [this] {
         std::size_t proxies = 0;
@@ -65,6 +67,13 @@
     return recent;
 }
 
+// Where the replicated log is known it alone counts.
+void RecoveryController::on_leases_learned() {
+    Components& parts = components_;
+    if (parts.consensus_client && !parts.consensus_client->is_known()) return applier_.apply();
+    parts.recovery->forget_learned_leases();
+}
+
 void RecoveryController::learn_purges(const std::vector<Coordinator::RecentPurge>& recent) {
     const Micros now = components_.loop.clock().now();
     std::vector<endpoints::Purge> purges;
@@ -115,8 +124,11 @@
     Components& parts = components_;
     if (parts.endpoint_manager->is_confirmed(kConfirmedWithin)) parts.recovery->on_endpoints_confirmed();
     if (parts.consensus_client) {
-        parts.recovery->on_leader_known(!parts.consensus_client->leader().empty());
-        if (parts.consensus_client->is_known() && !std::exchange(consensus_was_known_, true)) {
+        parts.recovery->on_leader_known(!parts.consensus_client->leader().empty() &&
+                                        parts.consensus_client->is_known());
+        const bool known = parts.consensus_client->is_known();
+        if (known && !std::exchange(consensus_was_known_, true)) {
+            parts.recovery->forget_learned_leases();
             applier_.apply();
             applier_.persist();
         }
--- a/src/daemon/recovery_controller.h
+++ b/src/daemon/recovery_controller.h
@@ -26,6 +26,7 @@
     Coordinator::Hooks coordinator_hooks();
     std::vector<Coordinator::RecentPurge> recent_purges() const;
     void learn_purges(const std::vector<Coordinator::RecentPurge>& recent);
+    void on_leases_learned();
     void on_phase_entered();
     void on_served(const core::Request& request, const std::string& source, routing::CacheStatus status);
     std::optional<base::Micros> admit(const core::Request& request);
--- a/src/recovery_coordinator/recovery_coordinator.cpp
+++ b/src/recovery_coordinator/recovery_coordinator.cpp
@@ -161,14 +161,23 @@
 
 void RecoveryCoordinator::on_reply(const std::string& from, const RecoveryReply& reply) {
     hooks_.learn(reply.purges);  // before all purges count as known
+    learn_leases(reply.leased);
     const Phase before = phases_.phase();
     phases_.on_report(steady_now(), {from, reply.phase, reply.serving_fleet, reply.purges_confirmed});
     on_phase_change(before);
 }
 
+void RecoveryCoordinator::learn_leases(const std::set<std::string>& leased) {
+    const std::size_t before = learned_leases_.size();
+    for (const std::string& id : leased)
+        if (learned_leases_.size() < recovery::kMaxNames) learned_leases_.insert(id);
+    if (learned_leases_.size() > before) hooks_.leases_learned();
+}
+
 RecoveryReply RecoveryCoordinator::reply() const {
     RecoveryReply reply;
     reply.purges = hooks_.purges();
+    reply.leased = hooks_.leased();
     const bool has_all = reply.purges.size() <= kMaxPurges;
     if (!has_all) reply.purges.resize(kMaxPurges);
     reply.phase = phases_.phase();
--- a/src/recovery_coordinator/recovery_coordinator.h
+++ b/src/recovery_coordinator/recovery_coordinator.h
@@ -29,8 +29,10 @@
     struct Hooks {
         std::function<std::vector<RecentPurge>()> purges;            // for the replies to others
         std::function<void(const std::vector<RecentPurge>&)> learn;  // from the replies of others
-        std::function<bool()> sure;                         // the endpoint list was confirmed just now
-        std::function<std::size_t()> proxies;               // as many as the cluster counts
+        std::function<std::set<std::string>()> leased;  // pop caches out by lease, for the replies to others
+        std::function<void()> leases_learned;           // learned_leases() has grown
+        std::function<bool()> sure;                     // the endpoint list was confirmed just now
+        std::function<std::size_t()> proxies;           // as many as the cluster counts
         std::function<void(recovery::Phase from)> entered;  // another phase
     };
 
@@ -46,6 +48,10 @@
     const recovery::PersistedState& persisted() const { return persisted_; }
     // Written in the background; a write that fails is logged and retried until it succeeds.
     void persist(const std::set<std::string>& bans, const std::set<std::string>& leased, bool draining);
+    // Pop caches out by lease, as others replied that know of them; for as long as the replicated log is not
+    // known here. Those that this one learned go to nobody else.
+    const std::set<std::string>& learned_leases() const { return learned_leases_; }
+    void forget_learned_leases() { learned_leases_.clear(); }
     net::LatestValueWriter& writer() { return writer_; }
     bool disk_busy() const { return writer_.writing(); }
     const recovery::RecoveryPhases& phases() const { return phases_; }
@@ -69,6 +75,7 @@
     void tick();
     void persist_members(base::Micros now);
     void on_reply(const std::string& from, const RecoveryReply& reply);
+    void learn_leases(const std::set<std::string>& leased);
     RecoveryReply reply() const;
     void on_phase_change(recovery::Phase before);
     double budget_proxies(base::Micros primed_for) const;
@@ -82,6 +89,7 @@
     std::shared_ptr<StateDirectory> directory_;  // shared with the writer's thread
     net::LatestValueWriter writer_;
     recovery::PersistedState persisted_;
+    std::set<std::string> learned_leases_;
     recovery::RecoveryPhases phases_;
     recovery::FillBudget budget_;
     MemberPoller poller_;
--- a/src/recovery_coordinator/recovery_messages.cpp
+++ b/src/recovery_coordinator/recovery_messages.cpp
@@ -5,6 +5,7 @@
 
 #include "base/msgpack.h"
 #include "cluster_transport/message_codec.h"
+#include "recovery/persisted_state.h"
 
 namespace sumackeel::recovery_coordinator {
 
@@ -21,11 +22,13 @@
 
 std::string encode(const RecoveryReply& reply) {
     base::MsgpackWriter out;
-    out.array(7).add(kReplyVersion, static_cast<int>(reply.phase), reply.serving_fleet,
+    out.array(8).add(kReplyVersion, static_cast<int>(reply.phase), reply.serving_fleet,
                      reply.purges_confirmed, reply.members_back, reply.members_before);
     out.array(reply.purges.size());
     for (const RecentPurge& purge : reply.purges)
         out.array(3).add(purge.object, purge.group, purge.age / kMicrosPerMs);
+    out.array(reply.leased.size());
+    for (const std::string& id : reply.leased) out.add(id);
     return out.bytes();
 }
 
@@ -47,6 +50,9 @@
         purge.age = std::max<Micros>(0, item.next<Micros>()) * kMicrosPerMs;
         reply.purges.push_back(std::move(purge));
     }
+    if (reader.remaining() == 0) return reply;  // of a sender that does not know of leases
+    for (base::MsgpackReader list = reader.list(recovery::kMaxNames); list.remaining() > 0;)
+        reply.leased.insert(list.text(recovery::kMaxNameLength));
     return reply;
 }
 
--- a/src/recovery_coordinator/recovery_messages.h
+++ b/src/recovery_coordinator/recovery_messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,7 @@
     bool purges_confirmed = false;  // `purges` are all there are
     std::uint64_t members_back = 0, members_before = 0;
     std::vector<RecentPurge> purges;  // ages go over the wire in milliseconds
+    std::set<std::string> leased;     // pop caches out by lease, as far as the sender knows
 };
 
 std::string encode(const RecoveryReply& reply);
--- a/tests/compatibility/encoded_forms_test.cpp
+++ b/tests/compatibility/encoded_forms_test.cpp
@@ -13,6 +13,7 @@
 
 #include "admin/handover_record.h"
 #include "admin/state.h"
+#include "base/msgpack.h"
 #include "cluster_transport/message_codec.h"
 #include "cluster_transport/start_number.h"
 #include "consensus/consensus_messages.h"
@@ -20,6 +21,7 @@
 #include "kv_store/kv_store.h"
 #include "platform_server/thrift_codec.h"
 #include "recovery/persisted_state.h"
+#include "recovery_coordinator/recovery_messages.h"
 #include "rollout/rollout.h"
 #include "simulator_adapter/simulator_protocol.h"
 #include "store/legacy_store_import.h"
@@ -332,6 +334,25 @@
     EXPECT_EQ(read, kept);
 }
 
+TEST(EncodedForms, RecoveryReply) {
+    recovery_coordinator::RecoveryReply reply;
+    reply.phase = recovery::Phase::settling, reply.members_back = 3, reply.members_before = 5;
+    reply.purges = {{"7f3a9c21e0b4d655", 17, 2'000'000}};
+    reply.leased = {"s-b", "s-c"};
+    const std::string bytes = recorded("recovery_reply.bin", encode(reply));
+    const auto read = recovery_coordinator::decode_recovery_reply(bytes);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(encode(*read), bytes);
+    EXPECT_EQ(read->leased, reply.leased);
+    // Of a sender that does not tell leases: an array of seven.
+    base::MsgpackWriter earlier;
+    earlier.array(7).add(1, 2, false, false, 3, 5).array(0);
+    const auto without_leases = recovery_coordinator::decode_recovery_reply(earlier.bytes());
+    ASSERT_TRUE(without_leases);
+    EXPECT_EQ(without_leases->phase, recovery::Phase::settling);
+    EXPECT_TRUE(without_leases->leased.empty());
+}
+
 TEST(EncodedForms, AdminStateHandOver) {
     admin::State board;
     board.on_started();
