Readiness: a proxy is ready in the turn in which its phase lets it serve

What callers saw: after `recovery go serving` the phase was serving, and GET /ops/readiness right behind it said 503.

Cause: start-up looked at the phase each 20 ms, and read the hand-over only then.

Change: while start-up waits, the hand-over is read ahead each 0.2 s; entering a phase makes start-up look at once, so what was read is taken over and readiness said in the same turn. What is older than 0.4 s is read anew first.

--- a/src/daemon/admin_state_handover.cpp
+++ b/src/daemon/admin_state_handover.cpp
@@ -14,6 +14,7 @@
 
 // A call to another process is in force here within a second.
 constexpr Micros kFollowInterval = 200'000;
+constexpr Micros kMaxReadAheadAge = 2 * kFollowInterval;
 constexpr Micros kReadRetryDelay = 20'000;  // at a start, which waits for it
 constexpr Micros kRetryInterval = 100'000;
 // What another process wrote behind a reading that is older is not in it: this process stood still.
@@ -55,11 +56,16 @@
 
 // --- Taking over ---
 
+void AdminStateHandover::read_ahead() {
+    if (used() && !passes_.busy()) start_pass();
+}
+
 // Treated as missing, a file that can't be read for a moment would lose its bans.
 void AdminStateHandover::take(Micros until, bool follows) {
     follows_ = follows;
     taking_ = true;
-    if (!used() || read_once_) return finish_take();
+    const bool is_fresh = read_once_ && loop_.clock().now() - read_at_ <= kMaxReadAheadAge;
+    if (!used() || is_fresh) return finish_take();
     take_deadline_ = loop_.timers().schedule(until, [this] {
         take_deadline_.reset();
         finish_take();
@@ -150,6 +156,7 @@
         if (!pass.own_text.empty()) ended_writers_.clear();
         if (scan.legacy_written) on_legacy_written(pass.legacy_text);
         if (scan.was_read) merge(scan);
+        read_at_ = loop_.clock().now();
         if (!has_unwritten_call_ && scan.was_read && steady_now() - scan.read_at <= kMaxReadingAge)
             record_.confirm();
         if (taking_ && read_once_) finish_take();
@@ -222,7 +229,7 @@
 std::optional<Micros> AdminStateHandover::next_pass_delay() const {
     if (!last_error_.empty()) return taking_ && !taken_ ? kReadRetryDelay : kRetryInterval;
     if (dirty_ || record_.has_unconfirmed()) return 0;
-    if (follows_ || has_running_writers_) return kFollowInterval;
+    if (follows_ || has_running_writers_ || !taken_) return kFollowInterval;
     const Micros age = loop_.clock().now() - started_at_;
     if (taken_ && !record_.empty() && age < kLegacyReadDuration) return kLegacyReadDuration - age;
     if (legacy_copy_outdated()) return kFollowInterval;
--- a/src/daemon/admin_state_handover.h
+++ b/src/daemon/admin_state_handover.h
@@ -34,6 +34,8 @@
     AdminStateHandover(const AdminStateHandover&) = delete;
     AdminStateHandover& operator=(const AdminStateHandover&) = delete;
 
+    // Reads before take(), which then has nothing to wait for.
+    void read_ahead();
     // Reads what was handed over, until then at the longest. `follows`: other processes may run beside this
     // one at any time, and what they are called for is followed.
     void take(base::Micros until, bool follows);
@@ -87,6 +89,7 @@
     std::vector<std::string> ended_writers_;  // merged; their files may go once the record is written
     std::string last_error_;                  // of the last pass; empty: it succeeded
     const base::Micros started_at_;
+    base::Micros read_at_ = 0;  // the files of the others were read then, or were unchanged
     std::optional<base::TimerQueue::Key> take_deadline_;
     std::optional<base::TimerQueue::Key> pass_timer_;
     bool follows_ = false;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -32,7 +32,7 @@
                            }}),
           applier_(components_),
           leases_(components_, applier_),
-          recovery_(components_, applier_),
+          recovery_(components_, applier_, [this] { startup_.check(); }),
           startup_(components_, applier_, leases_),
           shutdown_(components_, applier_),
           admin_routes_(components_, applier_, leases_) {
--- a/src/daemon/recovery_controller.cpp
+++ b/src/daemon/recovery_controller.cpp
@@ -83,13 +83,14 @@
     components_.endpoint_manager->add_purges(purges);
 }
 
-// While settling nobody serves: an endpoint that answers now was out with all the others, and is cold. The
-// coordinator enters its first phase while it is made.
+// While settling nobody serves: an endpoint that answers now was out with all the others, and is cold.
 void RecoveryController::on_phase_entered() {
     Components& parts = components_;
     if (parts.recovery && parts.recovery->phases().phase() == recovery::Phase::settling)
         parts.endpoint_manager->mark_all_cold();
     if (parts.admin_state.phase() != admin::ProcessPhase::starting) applier_.apply();
+    // The coordinator enters its first phase while it is made.
+    if (parts.recovery) phase_entered_();
 }
 
 void RecoveryController::on_served(const core::Request& request, const std::string& source,
--- a/src/daemon/recovery_controller.h
+++ b/src/daemon/recovery_controller.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "daemon/admin_state_applier.h"
@@ -13,9 +15,10 @@
 
 class RecoveryController {
   public:
-    // Both must outlive this.
-    RecoveryController(Components& components, AdminStateApplier& applier)
-        : components_(components), applier_(applier) {}
+    // Both must outlive this. `phase_entered` is called behind each change of the phase.
+    RecoveryController(Components& components, AdminStateApplier& applier,
+                       std::function<void()> phase_entered)
+        : components_(components), applier_(applier), phase_entered_(std::move(phase_entered)) {}
 
     // Makes the coordinator. What one proxy has persisted binds from this moment on, ready or not.
     void start(const config::Recovery& settings);
@@ -34,6 +37,7 @@
 
     Components& components_;
     AdminStateApplier& applier_;
+    const std::function<void()> phase_entered_;
     bool consensus_was_known_ = false;  // at the last check
 };
 
--- a/src/daemon/startup_controller.cpp
+++ b/src/daemon/startup_controller.cpp
@@ -20,21 +20,31 @@
 }  // namespace
 
 void StartupController::start() {
-    take_over_when_known(components_.loop.clock().now() + kConsensusTimeout);
+    deadline_ = components_.loop.clock().now() + kConsensusTimeout;
+    started_ = true;
+    if (must_wait()) components_.handover.read_ahead();
+    poll();
 }
 
-void StartupController::take_over_when_known(Micros latest) {
+void StartupController::poll() {
+    check();
+    if (cancelled_ || taking_over_) return;
+    components_.loop.timers().schedule(components_.loop.clock().now() + kCheckInterval, [this] { poll(); });
+}
+
+bool StartupController::must_wait() const {
+    const Components& parts = components_;
+    if (parts.recovery) return !parts.recovery->phases().ready();
+    return parts.consensus_client && !parts.consensus_client->is_known() &&
+           components_.loop.clock().now() < deadline_;
+}
+
+void StartupController::check() {
+    if (!started_ || cancelled_ || taking_over_ || must_wait()) return;
+    taking_over_ = true;
     Components& parts = components_;
-    const Micros now = parts.loop.clock().now();
-    const bool log_unknown = parts.consensus_client && !parts.consensus_client->is_known() && now < latest;
-    const bool must_wait = parts.recovery ? !parts.recovery->phases().ready() : log_unknown;
-    if (must_wait) {
-        parts.loop.timers().schedule(now + kCheckInterval, [this, latest] {
-            if (!cancelled_) take_over_when_known(latest);
-        });
-        return;
-    }
-    parts.handover.take(std::max(latest, now + kHandoverReadTimeout), parts.has_inherited_socket());
+    const Micros latest = std::max(deadline_, parts.loop.clock().now() + kHandoverReadTimeout);
+    parts.handover.take(latest, parts.has_inherited_socket());
 }
 
 void StartupController::on_state_taken_over() {
--- a/src/daemon/startup_controller.h
+++ b/src/daemon/startup_controller.h
@@ -17,17 +17,23 @@
     // The process is ready once it listens, has read what was handed over, and knows the replicated log and
     // with it the fleet's bans. It does not wait for ever: where no voter answers it serves by what it knows.
     void start();
+    // What start-up waits for may have come: where it has, this process takes over at once.
+    void check();
     // Start-up is given up, as the process shuts down.
     void cancel() { cancelled_ = true; }
     // What was handed over is part of the administrative state now.
     void on_state_taken_over();
 
   private:
-    void take_over_when_known(base::Micros latest);
+    void poll();
+    bool must_wait() const;
 
     Components& components_;
     AdminStateApplier& applier_;
     LeaseController& leases_;
+    base::Micros deadline_ = 0;  // the replicated log is waited for no longer
+    bool started_ = false;
+    bool taking_over_ = false;
     bool cancelled_ = false;
 };
 
