Recovery: a drain by lease outlives a loss of power of all

What callers saw: a drain answered 200 by lease ended by itself when the power returned, and its lease was given back.

Cause: with the replicated log the persisted drain was left aside at each start, as a holder that died gives its lease back once it serves. After a loss of power of all nobody has said that it may serve.

Change: a start that came to settling, since no member of a serving cluster replied, keeps the persisted drain and with it the lease; a single proxy that restarts in a cluster that serves gives it back as before (agreed_leave_and_die, and the last steps of powerloss_lease_held, unchanged).

--- a/src/admin/handover_record.cpp
+++ b/src/admin/handover_record.cpp
@@ -89,6 +89,10 @@
     if (HandoverItem* item = make_room_for(id)) *item = {{1, 0}, true, false};
 }
 
+void HandoverRecord::add_drain() {
+    if (!knows_drain()) drain_ = {{1, 0}, true, false};
+}
+
 // --- Merging ---
 
 void HandoverRecord::merge_item(HandoverItem& item, const HandoverItem& other, MergeResult& result) const {
--- a/src/admin/handover_record.h
+++ b/src/admin/handover_record.h
@@ -50,6 +50,7 @@
     void set_draining(bool draining);
     // What this process knows from elsewhere and no record has: any version is later.
     void add_ban(const std::string& id);
+    void add_drain();
 
     struct MergeResult {
         bool changed = false;  // a ban or the drain is another one now
--- a/src/daemon/admin_state_handover.h
+++ b/src/daemon/admin_state_handover.h
@@ -48,8 +48,9 @@
     // Nobody has called for it since, as far as the other processes know.
     bool has_word_on_ban(const std::string& id) const { return record_.knows_ban(id); }
     bool has_word_on_drain() const { return record_.knows_drain(); }
-    // A ban that this process knows from elsewhere.
+    // What this process knows from elsewhere.
     void add_ban(const std::string& id) { record_.add_ban(id); }
+    void add_drain() { record_.add_drain(); }
 
     // Called after each pass over the disk, failed or not.
     void on_pass_finished(std::function<void()> callback) { pass_finished_ = std::move(callback); }
--- a/src/daemon/startup_controller.cpp
+++ b/src/daemon/startup_controller.cpp
@@ -59,8 +59,13 @@
             parts.admin_state.ban(id, true);
             parts.handover.add_ban(id);
         }
-        if (persisted.draining && !parts.consensus_client && !parts.handover.has_word_on_drain())
+        // With leases a single proxy that restarts gives its own back; after a loss of power nobody has said
+        // that it may serve again.
+        const bool drain_holds = !parts.consensus_client || parts.recovery->phases().whole_cluster_was_down();
+        if (persisted.draining && drain_holds && !parts.handover.has_word_on_drain()) {
             parts.admin_state.start_drain();
+            parts.handover.add_drain();
+        }
     }
     leases_.adopt_drain_request();
     applier_.on_state_changed();
--- a/src/recovery/recovery_phases.cpp
+++ b/src/recovery/recovery_phases.cpp
@@ -88,6 +88,7 @@
         recovering_members_.clear();
         found_serving_fleet_ = false;
     }
+    if (phase == Phase::settling) whole_cluster_was_down_ = true;
     if (phase == Phase::priming) last_rejected_at_ = now;
     if (phase >= Phase::priming) was_paused_ = false;
 }
--- a/src/recovery/recovery_phases.h
+++ b/src/recovery/recovery_phases.h
@@ -75,6 +75,8 @@
     bool purges_confirmed() const { return purges_confirmed_; }
     // A member of a serving cluster has replied since the last `querying` began.
     bool found_serving_fleet() const { return found_serving_fleet_; }
+    // No member of a serving cluster replied when this process asked: the power was lost everywhere.
+    bool whole_cluster_was_down() const { return whole_cluster_was_down_; }
     // What this member reports: it serves, and `members_back` is most of those before.
     bool serving_fleet(std::size_t members_back) const;
     std::size_t members_before() const { return members_before_; }
@@ -105,6 +107,7 @@
     bool leader_known_ = false;
     bool found_serving_fleet_ = false;
     bool was_paused_ = false;
+    bool whole_cluster_was_down_ = false;
     std::string reason_ = "started";
     std::string by_;
     std::uint64_t pauses_ = 0;
--- a/tests/recovery/recovery_phases_test.cpp
+++ b/tests/recovery/recovery_phases_test.cpp
@@ -53,6 +53,20 @@
     EXPECT_TRUE(phases.ready());
 }
 
+// Guards: a drain ended by itself after a loss of power, as if this process alone had restarted.
+TEST(RecoveryPhasesTest, TellsALossOfPowerFromARestartInAServingCluster) {
+    RecoveryPhases restarted = with_state_read(3);
+    restarted.on_report(100'000, report("n1", Phase::serving, true, true));
+    EXPECT_TRUE(restarted.ready());
+    EXPECT_FALSE(restarted.whole_cluster_was_down());
+    RecoveryPhases lost_power = with_state_read(3);
+    lost_power.on_report(100'000, report("n1", Phase::querying));
+    lost_power.on_report(100'000, report("n2", Phase::querying));
+    lost_power.on_report(200'000, report("n1", Phase::serving, true, true));
+    EXPECT_EQ(lost_power.phase(), Phase::serving);
+    EXPECT_TRUE(lost_power.whole_cluster_was_down());
+}
+
 TEST(RecoveryPhasesTest, APausedProcessQueriesAgainAndStaysReady) {
     RecoveryPhases phases = with_state_read(2);
     phases.on_report(1, report("n1", Phase::serving, true, true));
