--- a/src/admin/api.h
+++ b/src/admin/api.h
@@ -1,5 +1,6 @@
-// The operators' calls as the ops address takes them: a method and a path in, a status and a body out, the
-// board changed as the call says. Pure: which ids were ever listed, and the figures shown, are handed in.
+// The operators' calls as the admin server takes them: a method and a path in, a status and a body out, the
+// administrative state changed as the call says. Pure: which ids were ever listed, and the stats, are passed
+// in.
 #pragma once
 
 #include <cstdint>
@@ -17,9 +18,9 @@
 };
 
 struct ApiReply {
-    int status = 200;            // 2xx yes, 4xx or 5xx no
+    int status = 200;
     std::string body;            // one line or a few, text
-    bool state_changed = false;  // the board is to be handed over anew
+    bool state_changed = false;  // it is to be applied and handed over
 };
 
 // One counter or gauge.
@@ -28,15 +29,15 @@
     std::uint64_t value = 0;
 };
 
-// What GET /ops/stats shows besides the board, as `gw_NAME VALUE` lines.
+// What GET /ops/stats shows besides the administrative state, as `gw_NAME VALUE` lines.
 struct Stats {
     std::size_t requests_open = 0, connections = 0, pop_caches_listed = 0;
-    std::size_t timer_count = 0;  // deadlines set
+    std::size_t timer_count = 0;  // timers that are set
     std::int64_t list_seq = 0;    // the number of the newest change the list has taken
     std::vector<Counter> counters = {};
 };
 
-// What a path of the operators' calls asks for.
+// What a path requests.
 struct ParsedPath {
     enum class Action { other, down, up, drain_start, drain_stop } action = Action::other;
     std::string id;  // down, up: the pop cache
@@ -45,6 +46,7 @@
 
 using IsKnownEndpoint = std::function<bool(const std::string& id)>;
 
-ApiReply handle_call(State& board, const ApiCall& call, const IsKnownEndpoint& listed, const Stats& figures);
+// `is_known`: the endpoint list or the configuration ever named that id.
+ApiReply handle_call(State& state, const ApiCall& call, const IsKnownEndpoint& is_known, const Stats& stats);
 
 }  // namespace sumackeel::admin
--- a/src/admin/drain_schedule.h
+++ b/src/admin/drain_schedule.h
@@ -1,4 +1,4 @@
-// What a drain asks of clients' connections as it goes on: a pure value, time as an argument.
+// What a drain requires of clients' connections as it goes on: a pure value, time as an argument.
 //
 // A connection may be ended without loss only while no request is open on it. One with overlapping requests
 // never has such a moment by itself, so from a moment on the drain makes it: new requests are turned away,
--- a/src/admin/state.cpp
+++ b/src/admin/state.cpp
@@ -97,24 +97,24 @@
 }
 
 DecodedState decode_state(std::string_view text) {
-    const auto fault = [](std::string why) { return DecodedState{std::nullopt, std::move(why)}; };
+    const auto rejected = [](std::string error) { return DecodedState{std::nullopt, std::move(error)}; };
     const UnsealedText unsealed = unseal_text(text, kStateVersion, kLongestText);
-    if (!unsealed.error.empty()) return fault(unsealed.error);
-    State board;
+    if (!unsealed.error.empty()) return rejected(unsealed.error);
+    State state;
     for (std::size_t i = 0; i < unsealed.lines.size(); ++i) {
         const std::string_view line = unsealed.lines[i];
         if (line == "drain on") {
-            board.drain_requested_ = true;
+            state.drain_requested_ = true;
         } else if (line == "drain off") {
-            board.drain_requested_ = false;
+            state.drain_requested_ = false;
         } else if (line.starts_with("down ") && is_valid_id(line.substr(5))) {
-            if (board.bans_.size() >= kMaxBans) return fault("more bans than there is room for");
-            board.bans_.emplace(line.substr(5));
+            if (state.bans_.size() >= kMaxBans) return rejected("more bans than there is room for");
+            state.bans_.emplace(line.substr(5));
         } else {
-            return fault(fmt::format("line {} can't be read", i + 2));
+            return rejected(fmt::format("line {} can't be read", i + 2));
         }
     }
-    return {std::move(board), {}};
+    return {std::move(state), {}};
 }
 
 }  // namespace sumackeel::admin
--- a/src/admin/state.h
+++ b/src/admin/state.h
@@ -1,6 +1,6 @@
-// The operators' board: which pop caches they took out, whether this proxy drains, and whether it is ready.
-// A value: events in, verdicts out. No clock, no file, no socket: the daemon feeds it, carries out what it
-// says and keeps its hand-over form (below) in a file across an upgrade.
+// The administrative state: which pop caches the operators banned, whether this proxy drains, and whether it
+// is ready. A value: events in, results out. No clock, no file, no socket: the daemon feeds it and carries
+// out what it says.
 #pragma once
 
 #include <cstddef>
@@ -13,52 +13,53 @@
 
 // More than any site lists (a fleet has 200 pop caches at most); beyond it a ban is refused, never dropped.
 constexpr std::size_t kMaxBans = 4096;
-// A pop cache's id is a host name: letters, digits and `-._`, as the change log writes them.
+// A pop cache's id is a host name: letters, digits and `-._`, as service discovery writes them.
 constexpr std::size_t kMaxIdLength = 253;
 
-// The life of this process as the front that asks for readiness sees it.
+// The phase of this process, as readiness checks see it.
 enum class ProcessPhase {
-    starting,       // not able to serve yet: the fronts do not listen, or the hand-over file was not read
-    serving,        // ready: new connections are welcome
-    draining,       // told to drain: no, and clients are sent away until the drain ends
-    shutting_down,  // told to end (SIGTERM): no, for good
+    starting,       // not able to serve yet: the servers do not listen, or the hand-over was not read
+    serving,        // ready: new connections are accepted
+    draining,       // not ready: clients' connections are closed until the drain ends
+    shutting_down,  // not ready, for good
 };
 const char* name_of(ProcessPhase phase);
 
 enum class ChangeResult {
     accepted,
     unknown,   // an id never listed, or one that is no id at all
-    rejected,  // it does not fit the phase, or the table of bans is full
+    rejected,  // not in this phase, or the table of bans is full
 };
 
 struct DecodedState;
 
 class State {
   public:
-    // Events. Each one is told once it happened; none throws.
-    void on_started();  // starting to serving
+    // Events; none throws.
+    void on_started();  // from starting to serving
     ChangeResult start_drain();
     ChangeResult stop_drain();
     void on_shutdown();
-    // `listed`: the change log or the configuration ever named this id. A ban holds whatever they say later.
+    // `listed`: service discovery or the configuration ever named this id. A ban holds whatever they say
+    // later.
     ChangeResult ban(std::string_view id, bool listed);
     ChangeResult unban(std::string_view id, bool listed);
 
     ProcessPhase phase() const { return phase_; }
     bool is_ready() const { return phase_ == ProcessPhase::serving; }
-    // Clients are to be sent away: kept connections close after their last answer, idle ones at once.
+    // Clients' connections are to be closed: busy ones after their last response, idle ones at once.
     bool is_draining_clients() const {
         return phase_ == ProcessPhase::draining || phase_ == ProcessPhase::shutting_down;
     }
     bool is_banned(const std::string& id) const { return bans_.contains(id); }
     const std::set<std::string>& bans() const { return bans_; }
 
-    // What crosses an upgrade: the bans and whether a drain was on. Text, one item a line, with a version
-    // first and a checksum last (docs/design/service-days.md has it byte by byte).
+    // The hand-over form of processes of earlier versions: bans and the drain (docs/design/service-days.md
+    // has it byte by byte).
     std::string encode() const;
-    // Bans and a drain from a hand-over text, on a board that is able. Nothing else changes.
+    // Takes over the bans and the drain of another state.
     void adopt(const State& old);
-    // What the process before this one was told after that: the difference between two of its forms.
+    // Takes over what differs between two states of other processes.
     void apply_difference(const State& before, const State& after);
     bool drain_requested() const { return drain_requested_; }
 
@@ -68,12 +69,12 @@
     friend DecodedState decode_state(std::string_view text);
 
     ProcessPhase phase_ = ProcessPhase::starting;
-    bool drain_requested_ = false;  // as said by the last drain call, for the hand-over
+    bool drain_requested_ = false;  // by the last drain call
     std::set<std::string> bans_;
 };
 
 struct DecodedState {
-    std::optional<State> state;  // none: `fault` says why
+    std::optional<State> state;  // none: `error` says why
     std::string error;
 };
 constexpr int kStateVersion = 1;
--- a/src/daemon/lease_controller.cpp
+++ b/src/daemon/lease_controller.cpp
@@ -187,10 +187,10 @@
 
 void LeaseController::reply_when_durable(admin::ApiReply reply, const admin_server::DeferredReply& later,
                                          Micros called_at) {
-    if (reply.status != 200) return later(std::move(reply));
+    if (reply.status != 200) return later(reply);
     const Micros wait = called_at + kReplyTimeout - components_.loop.clock().now();
     if (auto at_once = components_.durable_replies.reply_when_durable(std::move(reply), later, wait))
-        later(std::move(*at_once));
+        later(*at_once);
 }
 
 std::optional<admin::ApiReply> LeaseController::handle_release_call(
