--- a/src/daemon/lease_controller.cpp
+++ b/src/daemon/lease_controller.cpp
@@ -51,8 +51,15 @@
         [&parts] { return parts.admin_state.is_ready(); });
 }
 
+// A drain that another process of this proxy has stopped is not begun anew for the same lease, which this one
+// may still show for a moment.
 void LeaseController::adopt_drain_request() {
-    drain_wanted_ = components_.admin_state.drain_requested();
+    const bool was_wanted = std::exchange(drain_wanted_, components_.admin_state.drain_requested());
+    if (!was_wanted || drain_wanted_ || !components_.consensus_client) return;
+    const std::string& self = components_.cluster_transport->membership().self().name;
+    const rollout::Lease* lease =
+        components_.consensus_client->state().find(rollout::MemberKind::proxy, self);
+    if (lease) stopped_lease_ = lease->number;
 }
 
 // An upgrade lease is finished once this process replaced the one that it was granted to, runs the release's
--- a/src/daemon/lease_controller.h
+++ b/src/daemon/lease_controller.h
@@ -21,7 +21,7 @@
     // Makes the consensus client and the release coordinator.
     void start(const config::Consensus& settings);
 
-    // The administrative state was read from the process before: its drain is this process's own request.
+    // The administrative state was taken over from another process: its drain is this process's own request.
     void adopt_drain_request();
     // Follows the lease of this proxy: an upgrade lease drains it, a finished one ends the drain, and a lease
     // that is no longer needed is returned.
@@ -61,7 +61,8 @@
     AdminStateApplier& applier_;
     bool drain_wanted_ = false;        // a drain of this proxy was requested, and is granted or may yet be
     bool return_in_progress_ = false;  // of this proxy's own lease
-    // The number of the upgrade lease whose drain an operator stopped; it drains this proxy no more.
+    // The number of the upgrade lease whose drain was stopped by an operator, or by the process that replaces
+    // this one; it drains this proxy no more.
     std::uint64_t stopped_lease_ = 0;
 };
 
