--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -20,6 +20,9 @@
         const auto reason = static_cast<net::CloseReason>(i);
         counters.push_back({prefix + "ended_" + net::name_of(reason), manager.closed_count(reason)});
     }
+    const auto& discarded = manager.discard_metrics();
+    counters.push_back({prefix + "discarded_at_half_close", discarded.at_half_close});
+    counters.push_back({prefix + "discarded_after_half_close", discarded.after_half_close});
 }
 
 void add_responses(Counters& counters, const core::Metrics& metrics) {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -18,6 +18,7 @@
     // Null once it is closed or half-closed: nothing more may be written.
     Stream* stream() const { return state_ == ConnectionState::half_closed ? nullptr : stream_; }
     void on_close(Stream& stream, DisconnectCause cause) final;
+    void on_discarded(Stream& stream, const DiscardedBytes& discarded) final;
 
   protected:
     // Called once, when the connection is closed or half-closed.
--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -31,6 +31,10 @@
     manager.accept_waiting();
 }
 
+void ClientConnection::on_discarded(Stream&, const DiscardedBytes& discarded) {
+    manager_->record_discarded(*this, discarded);
+}
+
 // With one reading of the clock: the process may be stopped between two, and what arrived before the stop
 // would seem to have arrived after it.
 Micros ClientConnection::received_at() {
@@ -253,6 +257,16 @@
                name_of(connection.state_));
 }
 
+void ConnectionManager::record_discarded(const ClientConnection& connection,
+                                         const DiscardedBytes& discarded) {
+    const bool lost = discarded.at_half_close > 0;
+    ++(lost ? discard_metrics_.at_half_close : discard_metrics_.after_half_close);
+    thread_local log::RateLimitedLogger logger;
+    logger.warn("listener: bytes discarded connection={} at_half_close={} after_half_close={} since_us={}",
+                connection.id_, discarded.at_half_close, discarded.after_half_close,
+                discarded.since_half_close);
+}
+
 void ConnectionManager::close_all_idle() {
     close_in_state(ConnectionState::awaiting_request);
     close_in_state(ConnectionState::idle);
--- a/src/net/connection_manager.h
+++ b/src/net/connection_manager.h
@@ -69,6 +69,12 @@
     std::uint64_t closed_count(CloseReason reason) const {
         return closed_counts_[static_cast<std::size_t>(reason)];
     }
+    // Reads of bytes that arrived on connections ended by this side.
+    struct DiscardMetrics {
+        std::uint64_t at_half_close = 0;     // some had arrived by the half-close: a request may be lost
+        std::uint64_t after_half_close = 0;  // all arrived behind it: they crossed the end
+    };
+    const DiscardMetrics& discard_metrics() const { return discard_metrics_; }
     int port() const { return listener_.port(); }
 
   private:
@@ -88,6 +94,7 @@
     std::vector<ClientConnection*> overdue(ConnectionState state, Micros timeout) const;
     void close_overdue(ConnectionState state);
     void record_close(const ClientConnection& connection, CloseReason reason);
+    void record_discarded(const ClientConnection& connection, const DiscardedBytes& discarded);
     bool can_close(const ClientConnection& connection) const;
     CloseReason drain_close_reason() const {
         return drain_.is_active() ? CloseReason::drain : CloseReason::shutdown;
@@ -109,6 +116,7 @@
     bool draining_ = false;
     admin::DrainSchedule drain_;
     std::array<std::uint64_t, kCloseReasonCount> closed_counts_{};
+    DiscardMetrics discard_metrics_;
     EvictionAge eviction_age_;
     bool accept_retry_scheduled_ = false;
     bool accept_queue_waiting_ = false;  // connections may wait in the accept queue
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <exception>
 
 #include "base/log.h"
@@ -20,6 +21,10 @@
     std::string bytes;
 };
 
+Loop& loop_of(const uv_tcp_t& handle) {
+    return *static_cast<Loop*>(handle.loop->data);
+}
+
 }  // namespace
 
 Stream::Stream(Loop& loop, SocketBudget& budget, Handler& handler) : budget_(budget), handler_(&handler) {
@@ -81,7 +86,7 @@
     uv_read_start(
         as_stream(),
         [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
-            auto& bytes = static_cast<Loop*>(handle->loop->data)->read_buffer();
+            auto& bytes = loop_of(reinterpret_cast<uv_tcp_t&>(*handle)).read_buffer();
             *buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
         },
         [](uv_stream_t* handle, ssize_t count, const uv_buf_t* buffer) {
@@ -90,7 +95,7 @@
             if (count < 0)
                 return self->disconnect(count == UV_EOF ? DisconnectCause::closed_by_peer
                                                         : DisconnectCause::error);
-            if (self->state_ == State::shutting_down) return;
+            if (self->state_ == State::shutting_down) return self->discard(static_cast<std::size_t>(count));
             try {
                 self->handler_->on_data(*self, {buffer->base, static_cast<std::size_t>(count)});
             } catch (const std::exception& error) {
@@ -151,11 +156,12 @@
     budget_.release();  // libuv closes the descriptor within uv_close
 }
 
-bool Stream::has_unread_data() const {
+std::size_t Stream::unread_bytes() const {
     uv_os_fd_t fd = -1;
     int count = 0;
-    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
-           ioctl(fd, FIONREAD, &count) == 0 && count > 0;
+    const bool known = uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
+                       ioctl(fd, FIONREAD, &count) == 0 && count > 0;
+    return known ? static_cast<std::size_t>(count) : 0;
 }
 
 bool Stream::congested() const {
@@ -186,16 +192,38 @@
     return uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 && ::shutdown(fd, SHUT_WR) == 0;
 }
 
+void Stream::on_half_closed() {
+    half_closed_at_ = loop_of(tcp_).clock().now();
+    unread_at_half_close_ = unread_bytes();
+}
+
+// Before the half-close all that arrives is discarded as well: its sender can't know of the end yet.
+void Stream::discard(std::size_t count) {
+    DiscardedBytes discarded;
+    discarded.at_half_close = half_closed_at_ ? std::min(count, unread_at_half_close_) : count;
+    discarded.after_half_close = count - discarded.at_half_close;
+    if (half_closed_at_) {
+        unread_at_half_close_ -= discarded.at_half_close;
+        discarded.since_half_close = loop_of(tcp_).clock().now() - *half_closed_at_;
+    }
+    handler_->on_discarded(*this, discarded);
+}
+
 void Stream::shutdown() {
     if (state_ == State::closed || state_ == State::shutting_down) return;
     if (state_ == State::connecting) return disconnect(DisconnectCause::closed_by_peer);
     state_ = State::shutting_down;
     // libuv half-closes in a later iteration. What arrives until then would be discarded, though its sender
     // could not know of the close yet.
-    if (unsent_bytes() == 0 && half_close()) return pause(false);
+    if (unsent_bytes() == 0 && half_close()) {
+        on_half_closed();
+        return pause(false);
+    }
     const int failed = uv_shutdown(&shutdown_request_, as_stream(), [](uv_shutdown_t* request, int status) {
         auto* self = static_cast<Stream*>(request->data);
-        if (self->state_ != State::closed && status != 0) self->disconnect(DisconnectCause::error);
+        if (self->state_ == State::closed) return;
+        if (status != 0) return self->disconnect(DisconnectCause::error);
+        self->on_half_closed();
     });
     if (failed != 0) return disconnect(DisconnectCause::error);
     pause(false);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,13 @@
     error  // reset, or failed
 };
 
+// Bytes that arrived on a stream that this side ended, and that nobody handles.
+struct DiscardedBytes {
+    std::size_t at_half_close = 0;     // had arrived by the half-close: their sender could not know of it
+    std::size_t after_half_close = 0;  // arrived behind it
+    Micros since_half_close = 0;       // until they were read
+};
+
 // Owns itself: it is deleted once its socket is closed. After close(), or once on_close() was called, its
 // handler hears nothing more and must not use the pointer again.
 //
@@ -32,6 +40,7 @@
         virtual void on_open(Stream&) {}
         virtual void on_data(Stream& stream, std::string_view bytes) = 0;
         virtual void on_write_drained(Stream&) {}
+        virtual void on_discarded(Stream&, const DiscardedBytes&) {}
         virtual void on_close(Stream& stream, DisconnectCause cause) = 0;
     };
 
@@ -49,15 +58,16 @@
     void write_immediately(std::string_view bytes);
     std::size_t unsent_bytes() const { return uv_stream_get_write_queue_size(as_stream()); }
     void pause(bool on);
-    bool has_unread_data() const;  // in the system's receive buffer
+    bool has_unread_data() const { return unread_bytes() > 0; }
+    std::size_t unread_bytes() const;  // in the system's receive buffer; 0 where it can't tell
     // The system holds bytes back for want of room at the other side, which reads slowly. False where the
     // system can't tell.
     bool congested() const;
     Micros time_since_last_byte() const;  // in the system's ticks; 0 where it can't tell
     bool peer_has_closed() const;         // all was read, and the other side has closed
     void close();                         // at once; what is unsent is dropped
-    // Half-closes once all that was written is sent. What the other side still sends is discarded; on_close()
-    // is called when it has closed too. The handler bounds the wait for that.
+    // Half-closes once all that was written is sent. What the other side still sends is discarded, with
+    // on_discarded(); on_close() is called when it has closed too. The handler bounds the wait for that.
     void shutdown();
     bool is_open() const { return state_ == State::open; }
 
@@ -73,6 +83,8 @@
     };
     void start();
     bool half_close();
+    void on_half_closed();
+    void discard(std::size_t count);
     void disconnect(DisconnectCause cause);
 
     uv_tcp_t tcp_;
@@ -82,6 +94,8 @@
     Handler* handler_;
     State state_ = State::connecting;
     bool reading_ = false;
+    std::optional<Micros> half_closed_at_;
+    std::size_t unread_at_half_close_ = 0;  // bytes, of which none has been read since
 };
 
 }  // namespace sumackeel::net
--- a/tests/faults/calls.cpp
+++ b/tests/faults/calls.cpp
@@ -7,13 +7,14 @@
 //     clock_read=STOP/N                  behind one read in N from a socket it stops ahead of the first
 //     reading
 //                                        of CLOCK_MONOTONIC, the next time of the second, and so on in turn
+//     shutdown=WAITSECONDS/N             a half-close takes effect so many seconds behind its call
 //     read=SHORT/N, write=SHORT/N        one call in N moves a single byte (sockets alone)
 //     read=ERRNO/N, write=ERRNO/N        fails on sockets to the port in FAULTS_PEER alone (write: files too)
 //     clock=SECONDS@AT                   CLOCK_REALTIME is read as SECONDS off from AT on
 //
 // FROM, TO and AT are seconds of the monotonic clock since the program started. CALL is socket, connect,
-// accept, poll, open, write, fsync or rename; open, write, fsync and rename fail for files alone, and only
-// below the folder in FAULTS_UNDER. FAULTS_SEED makes the choices repeat.
+// accept, shutdown, poll, open, write, fsync or rename; open, write, fsync and rename fail for files alone,
+// and only below the folder in FAULTS_UNDER. FAULTS_SEED makes the choices repeat.
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -248,6 +249,12 @@
     return result;
 }
 
+int shutdown(int fd, int how) {
+    fault_of("shutdown");
+    static const auto call = real<int (*)(int, int)>("shutdown");
+    return call(fd, how);
+}
+
 int accept4(int fd, sockaddr* from, socklen_t* length, int flags) {
     if (fails("accept")) return -1;
     static const auto call = real<int (*)(int, sockaddr*, socklen_t*, int)>("accept4");
