A drain or SIGTERM ends no connection over a request that had come meanwhile

Cause: all resting connections were looked at first and ended one by one afterwards, each behind a log line and a callback; behind an answer, too, the callback came between the look and the half-close. What arrived in between was acknowledged and thrown away.

Why this works: the look comes right before each half-close, and a socket filter that lets nothing in holds from ahead of the look until behind the half-close. What arrives then is never acknowledged: the client's system sends it again and meets the end. In the last part of a drain what has arrived is read and refused before the look. Idle time-outs and evictions for room go the same way.

--- a/src/daemon/shutdown_controller.cpp
+++ b/src/daemon/shutdown_controller.cpp
@@ -55,8 +55,12 @@
     if (accepting_ended && finished && !has_pending_input() && elapsed >= accept_for + kFirstRequestTimeout)
         close_idle_connections();
     if ((accepting_ended && finished && !has_connections()) || elapsed > deadlines_.exit) {
-        log::info("shutdown: finished after_ms={} open_requests={} connections={}", elapsed / kMicrosPerMilli,
-                  parts.core.open_requests(), parts.platform_server.connection_count());
+        const auto& discarded = parts.platform_server.connection_manager().discard_metrics();
+        log::info(
+            "shutdown: finished after_ms={} open_requests={} connections={} discarded_at_half_close={} "
+            "discarded_after_half_close={}",
+            elapsed / kMicrosPerMilli, parts.core.open_requests(), parts.platform_server.connection_count(),
+            discarded.at_half_close, discarded.after_half_close);
         parts.loop.stop();
         return;
     }
--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -148,9 +148,7 @@
          {ConnectionState::awaiting_request, ConnectionState::receiving, ConnectionState::idle})
         for (ClientConnection* connection : in_state(state)) {
             if (connection->since_ > before) break;
-            if (connection->stream_->has_unread_data()) continue;
-            evict(*connection, CloseReason::evicted);
-            return true;
+            if (evict_if_quiet(*connection)) return true;
         }
     thread_local log::RateLimitedLogger logger;
     logger.warn("listener: no room, a client waits connections={}", connections_.size());
@@ -192,16 +190,8 @@
     connection.state_ = state;
     connection.since_ = loop_.clock().now();
     // Between two requests is the one moment at which closing loses nothing.
-    if (draining_ && state == ConnectionState::idle && can_close(connection))
-        close(connection, drain_close_reason());
-}
-
-// What the client sends before it sees the close is lost. So nothing may wait to be read here, and nothing
-// that it reads slowly may lie before the close.
-bool ConnectionManager::can_close(const ClientConnection& connection) const {
-    if (connection.stream_->congested()) return false;
-    return !connection.stream_->has_unread_data() ||
-           drain_.stage(loop_.clock().now()) == admin::DrainStage::forcing;
+    if (draining_ && state == ConnectionState::idle && !connection.stream_->congested())
+        close_if_quiet(connection, drain_close_reason());
 }
 
 void ConnectionManager::set_draining(bool on) {
@@ -211,20 +201,49 @@
 
 void ConnectionManager::close(ClientConnection& connection, CloseReason reason) {
     if (!connection.stream()) return;
+    on_half_closed(connection, reason);
+    connection.stream_->shutdown();
+}
+
+// What the client sends before it sees the close is lost once it is acknowledged. So the look for unread
+// bytes and the close are one step, in which nothing is acknowledged.
+bool ConnectionManager::close_if_quiet(ClientConnection& connection, CloseReason reason) {
+    if (!connection.stream_->shutdown_if_quiet()) return false;
+    on_half_closed(connection, reason);
+    return true;
+}
+
+void ConnectionManager::on_half_closed(ClientConnection& connection, CloseReason reason) {
     record_close(connection, reason);
     ConnectionList& half_closed = in_state(ConnectionState::half_closed);
     half_closed.splice(half_closed.end(), in_state(connection.state_), connection.position_);
     connection.state_ = ConnectionState::half_closed;
     connection.since_ = loop_.clock().now();
     connection.on_closed();
-    connection.stream_->shutdown();
 }
 
+// Nothing that the client reads slowly may lie before the close: it goes on sending meanwhile.
 void ConnectionManager::close_in_state(ConnectionState state) {
-    std::vector<ClientConnection*> closable;
-    for (ClientConnection* connection : in_state(state))
-        if (can_close(*connection)) closable.push_back(connection);
-    for (ClientConnection* connection : closable) close(*connection, drain_close_reason());
+    const std::vector<ClientConnection*> connections(in_state(state).begin(), in_state(state).end());
+    for (ClientConnection* connection : connections) {
+        const bool unchanged = connection->stream() && connection->state_ == state;
+        if (unchanged && !connection->stream_->congested()) close_if_quiet(*connection, drain_close_reason());
+    }
+}
+
+// For the end of a drain, when a client that never stops sending may not hold its connection any longer: what
+// has arrived is read, and refused by the server, before the look.
+void ConnectionManager::close_idle_after_reading() {
+    const ConnectionList& idle = in_state(ConnectionState::idle);
+    const std::vector<ClientConnection*> connections(idle.begin(), idle.end());
+    for (ClientConnection* connection : connections) {
+        if (!connection->stream()) continue;
+        const Stream::ReceiveBlock block(*connection->stream_);
+        connection->stream_->read_available();
+        const bool still_idle = connection->stream() && connection->state_ == ConnectionState::idle;
+        if (still_idle && !connection->stream_->congested())
+            close_if_quiet(*connection, drain_close_reason());
+    }
 }
 
 // Those that have been in a state for longer than `timeout`. Closing one may evict another of them, so
@@ -259,12 +278,12 @@
 
 void ConnectionManager::record_discarded(const ClientConnection& connection,
                                          const DiscardedBytes& discarded) {
-    const bool lost = discarded.at_half_close > 0;
-    ++(lost ? discard_metrics_.at_half_close : discard_metrics_.after_half_close);
-    thread_local log::RateLimitedLogger logger;
-    logger.warn("listener: bytes discarded connection={} at_half_close={} after_half_close={} since_us={}",
-                connection.id_, discarded.at_half_close, discarded.after_half_close,
-                discarded.since_half_close);
+    const bool was_there = discarded.at_half_close > 0;
+    ++(was_there ? discard_metrics_.at_half_close : discard_metrics_.after_half_close);
+    thread_local log::RateLimitedLogger loggers[2];  // a crowd of the one kind does not hide the other
+    loggers[was_there].warn(
+        "listener: bytes discarded connection={} at_half_close={} after_half_close={} since_us={}",
+        connection.id_, discarded.at_half_close, discarded.after_half_close, discarded.since_half_close);
 }
 
 void ConnectionManager::close_all_idle() {
@@ -286,8 +305,7 @@
     close_overdue(ConnectionState::awaiting_request);
     close_overdue(ConnectionState::receiving);
     for (ClientConnection* connection : overdue(ConnectionState::idle, timeouts_.idle))
-        if (connection->stream() && !connection->stream_->has_unread_data())
-            close(*connection, CloseReason::idle_timeout);
+        if (connection->stream()) close_if_quiet(*connection, CloseReason::idle_timeout);
     for (ClientConnection* connection : overdue(ConnectionState::flushing, timeouts_.write))
         evict(*connection, CloseReason::write_timeout);
     // Its last response may take as long to be read as any other.
@@ -295,6 +313,7 @@
         if (connection->stream_->unsent_bytes() == 0 || connection->since_ <= now - timeouts_.write)
             evict(*connection, CloseReason::write_timeout);
     if (draining_) close_in_state(ConnectionState::idle);  // those that had unread bytes the last time
+    if (drain_.stage(now) == admin::DrainStage::forcing) close_idle_after_reading();
     accept_waiting();
     loop_.timers().schedule(now + kEnforceInterval, [this, alive = std::weak_ptr<bool>(alive_)] {
         if (!alive.expired()) enforce_timeouts();
@@ -308,6 +327,14 @@
     on_disconnect(connection);
 }
 
+bool ConnectionManager::evict_if_quiet(ClientConnection& connection) {
+    if (connection.stream_->has_unread_data()) return false;
+    const Stream::ReceiveBlock block(*connection.stream_);
+    if (connection.stream_->has_unread_data()) return false;
+    evict(connection, CloseReason::evicted);
+    return true;
+}
+
 void ConnectionManager::on_disconnect(ClientConnection& connection) {
     const bool notified = connection.state_ == ConnectionState::half_closed;
     in_state(connection.state_).erase(connection.position_);
--- a/src/net/connection_manager.h
+++ b/src/net/connection_manager.h
@@ -90,12 +90,15 @@
     void adopt(int fd);
     void enforce_timeouts();
     void evict(ClientConnection& connection, CloseReason reason);
+    bool evict_if_quiet(ClientConnection& connection);
+    bool close_if_quiet(ClientConnection& connection, CloseReason reason);
     void close_in_state(ConnectionState state);
+    void close_idle_after_reading();
+    void on_half_closed(ClientConnection& connection, CloseReason reason);
     std::vector<ClientConnection*> overdue(ConnectionState state, Micros timeout) const;
     void close_overdue(ConnectionState state);
     void record_close(const ClientConnection& connection, CloseReason reason);
     void record_discarded(const ClientConnection& connection, const DiscardedBytes& discarded);
-    bool can_close(const ClientConnection& connection) const;
     CloseReason drain_close_reason() const {
         return drain_.is_active() ? CloseReason::drain : CloseReason::shutdown;
     }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,5 +1,6 @@
 #include "net/stream.h"
 
+#include <linux/filter.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -96,16 +97,31 @@
                 return self->disconnect(count == UV_EOF ? DisconnectCause::closed_by_peer
                                                         : DisconnectCause::error);
             if (self->state_ == State::shutting_down) return self->discard(static_cast<std::size_t>(count));
-            try {
-                self->handler_->on_data(*self, {buffer->base, static_cast<std::size_t>(count)});
-            } catch (const std::exception& error) {
-                thread_local log::RateLimitedLogger logger;
-                logger.warn("stream: connection dropped error={}", error.what());
-                if (self->state_ != State::closed) self->disconnect(DisconnectCause::error);
-            }
+            self->deliver({buffer->base, static_cast<std::size_t>(count)});
         });
 }
 
+void Stream::deliver(std::string_view bytes) {
+    try {
+        handler_->on_data(*this, bytes);
+    } catch (const std::exception& error) {
+        thread_local log::RateLimitedLogger logger;
+        logger.warn("stream: connection dropped error={}", error.what());
+        if (state_ != State::closed) disconnect(DisconnectCause::error);
+    }
+}
+
+void Stream::read_available() {
+    auto& buffer = loop_of(tcp_).read_buffer();
+    for (std::size_t unread = unread_bytes(); unread > 0 && is_open();) {
+        const ssize_t count =
+            recv(descriptor(), buffer.data(), std::min(unread, buffer.size()), MSG_DONTWAIT);
+        if (count <= 0) return;  // an end or an error is reported from the loop
+        unread -= static_cast<std::size_t>(count);
+        deliver({buffer.data(), static_cast<std::size_t>(count)});
+    }
+}
+
 void Stream::write(std::string bytes) {
     if (state_ != State::open) return;
     auto* write = new Write{{}, std::move(bytes)};
@@ -156,40 +172,60 @@
     budget_.release();  // libuv closes the descriptor within uv_close
 }
 
-std::size_t Stream::unread_bytes() const {
+int Stream::descriptor() const {
     uv_os_fd_t fd = -1;
+    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 ? fd : -1;
+}
+
+std::size_t Stream::unread_bytes() const {
     int count = 0;
-    const bool known = uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
-                       ioctl(fd, FIONREAD, &count) == 0 && count > 0;
+    const bool known = ioctl(descriptor(), FIONREAD, &count) == 0 && count > 0;
     return known ? static_cast<std::size_t>(count) : 0;
 }
 
 bool Stream::congested() const {
-    uv_os_fd_t fd = -1;
     int count = 0;
-    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
-           ioctl(fd, SIOCOUTQNSD, &count) == 0 && count > 0;
+    return ioctl(descriptor(), SIOCOUTQNSD, &count) == 0 && count > 0;
 }
 
 Micros Stream::time_since_last_byte() const {
-    uv_os_fd_t fd = -1;
     tcp_info info{};
     socklen_t length = sizeof info;
-    const bool known = uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
-                       getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+    const bool known = getsockopt(descriptor(), IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
     return known ? Micros{info.tcpi_last_data_recv} * base::kMillisecond : 0;
 }
 
 bool Stream::peer_has_closed() const {
-    uv_os_fd_t fd = -1;
     char byte = 0;
-    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 &&
-           recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    return recv(descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+// A filter that lets nothing through. Segments that it drops are not acknowledged.
+void Stream::block_receive() {
+    if (receive_blocks_++ > 0) return;
+    sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program{.len = 1, .filter = &drop_all};
+    setsockopt(descriptor(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
+void Stream::unblock_receive() {
+    if (--receive_blocks_ > 0) return;
+    const int unused = 0;
+    setsockopt(descriptor(), SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
 }
 
 bool Stream::half_close() {
-    uv_os_fd_t fd = -1;
-    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) == 0 && ::shutdown(fd, SHUT_WR) == 0;
+    return ::shutdown(descriptor(), SHUT_WR) == 0;
+}
+
+bool Stream::shutdown_if_quiet() {
+    if (state_ != State::open || unsent_bytes() > 0 || has_unread_data()) return false;
+    const ReceiveBlock block(*this);
+    if (has_unread_data() || !half_close()) return false;
+    state_ = State::shutting_down;
+    on_half_closed();
+    pause(false);
+    return true;
 }
 
 void Stream::on_half_closed() {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -69,8 +69,27 @@
     // Half-closes once all that was written is sent. What the other side still sends is discarded, with
     // on_discarded(); on_close() is called when it has closed too. The handler bounds the wait for that.
     void shutdown();
+    // Half-closes in this call, unless bytes wait to be read or to be sent: false, and nothing has changed.
+    bool shutdown_if_quiet();
+    // Hands what has arrived by now to the handler, in this call. Not from within on_data() of any stream:
+    // the loop has one read buffer.
+    void read_available();
     bool is_open() const { return state_ == State::open; }
 
+    // While one lives nothing that arrives on the stream is taken in: the system neither queues nor
+    // acknowledges it, and its sender sends it again later. For decisions that hold only while nothing is
+    // unread. They may be nested. No effect where the system refuses.
+    class ReceiveBlock {
+      public:
+        explicit ReceiveBlock(Stream& stream) : stream_(stream) { stream_.block_receive(); }
+        ~ReceiveBlock() { stream_.unblock_receive(); }
+        ReceiveBlock(const ReceiveBlock&) = delete;
+        ReceiveBlock& operator=(const ReceiveBlock&) = delete;
+
+      private:
+        Stream& stream_;
+    };
+
   private:
     Stream(Loop& loop, SocketBudget& budget, Handler& handler);
     const uv_stream_t* as_stream() const { return reinterpret_cast<const uv_stream_t*>(&tcp_); }
@@ -84,7 +103,11 @@
     void start();
     bool half_close();
     void on_half_closed();
+    void deliver(std::string_view bytes);
     void discard(std::size_t count);
+    void block_receive();
+    void unblock_receive();
+    int descriptor() const;  // -1: closed
     void disconnect(DisconnectCause cause);
 
     uv_tcp_t tcp_;
@@ -94,6 +117,7 @@
     Handler* handler_;
     State state_ = State::connecting;
     bool reading_ = false;
+    int receive_blocks_ = 0;
     std::optional<Micros> half_closed_at_;
     std::size_t unread_at_half_close_ = 0;  // bytes, of which none has been read since
 };
--- a/tests/daemon/crossings_test.cpp
+++ b/tests/daemon/crossings_test.cpp
@@ -61,16 +61,23 @@
             house.door.set_state(
                 *this, bytes.ends_with('.') ? net::ConnectionState::idle : net::ConnectionState::receiving);
         }
-        void on_closed() override { ++house.gone; }
+        void on_closed() override {
+            ++house.gone;
+            if (house.on_first_closed) std::exchange(house.on_first_closed, nullptr)();
+        }
     };
+    explicit House(net::Micros request_timeout = 60'000'000) : request_timeout(request_timeout) {}
+    net::Micros request_timeout;
+    std::function<void()> on_first_closed;
     net::Loop loop;
     std::string heard;
     int gone = 0;
     std::vector<Guest*> guests;
-    net::ConnectionManager door{
-        loop, "127.0.0.1:0", 8, {.request = 60'000'000, .idle = 60'000'000, .write = 60'000'000}, [this] {
-            return std::make_unique<Guest>(*this);
-        }};
+    net::ConnectionManager door{loop,
+                                "127.0.0.1:0",
+                                8,
+                                {.request = request_timeout, .idle = 60'000'000, .write = 60'000'000},
+                                [this] { return std::make_unique<Guest>(*this); }};
 
     void until(const std::function<bool()>& done) {
         const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(kBoundMs);
@@ -339,6 +346,20 @@
     CHECK_FALSE(house.door.has_pending_input());
 }
 
+// Guards: all resting connections were looked at first and ended afterwards, over what came in between.
+TEST_CASE("a request that comes while other connections are ended is answered first") {
+    House house;
+    Wire first = Wire::to(house.door.port()), second = Wire::to(house.door.port());
+    first.send("a."), second.send("b.");
+    house.until([&] { return house.heard.size() == 4; });
+    house.on_first_closed = [&] { second.send("c."); };
+    house.door.set_draining(true);
+    CHECK(house.gone == 1);
+    house.until([&] { return house.heard.ends_with("c."); });
+    CHECK(house.gone == 2);
+    CHECK(house.door.discard_metrics().at_half_close == 0);
+}
+
 // Guards: one that was sent away holds a descriptor until it has ended too; a client that comes needs it now.
 TEST_CASE("who was sent away makes room at once for who comes") {
     House house;
--- /dev/null
+++ b/tests/faults/connection_ends_test.py
@@ -0,0 +1,353 @@
+#!/usr/bin/env python3
+"""Requests that cross the end of a connection on which nothing is open, judged from their clients.
+
+Guards: a request that had come to the proxy ahead of its connection's end loses it without an answer. A request is lost
+where its connection ends without an answer, no end was there right behind the write, and the proxy's system had
+acknowledged its bytes (SIOCOUTQ is 0). What was never acknowledged crossed the end, and its client sends it again.
+Usage: connection_ends_test.py SUMACKEEL LIBRARY STORY [ROUNDS [CONNECTIONS [LOG_LEVEL]]]
+"""
+import fcntl
+import random
+import select
+import signal
+import socket
+import struct
+import sys
+import termios
+import threading
+import time
+
+from http_clients import SignedSetup
+from rig import BOUND_S, Boxes, Failure, Proxy, want
+from wire import dispatch, exactly, listening, ops_call, reply
+
+SOCKETS = 8192          # of the proxy; a third are for clients
+SIGNED_CONNECTIONS = 1200
+RESTING = 300           # connections, each with one answer behind it
+SILENT = 200            # connections that have sent nothing
+PATIENCE_S = 2.0        # of the proxy, with connections on which no request came
+STEP_S = 0.0004         # between the first requests of two silent connections
+SIGTERM_TO_EXIT_S = 3.7
+HELD_APART_S = 0.2      # the look for unread bytes and the half-close
+IN_BETWEEN_S = 0.1
+HELD_BEHIND_ANSWER_S = 0.1  # the system holds the last bytes of an answer back for 0.2 s at most
+ANSWERED_AFTER_S = 0.5
+
+
+class PlatformFront:
+    """Requests to the platform's front, which listens on the inherited socket."""
+    operator = folder = None
+    pause_s = 0  # behind each request, so that an operators' call comes between them
+
+    def __init__(self, port):
+        self.port, self.numbers = port, iter(range(0x5b0000000000, 1 << 48))
+
+    def ask(self, conn, sequence):
+        number = next(self.numbers)
+        conn.sendall(dispatch(sequence, b"%016x" % number, b"%016x" % (number % 50)))
+
+    def answer(self, conn):
+        """Raises where the connection ends ahead of the answer."""
+        reply(conn)
+
+
+class SignedFront:
+    """Requests to the front with signed URLs."""
+    pause_s = 5e-5
+
+    def __init__(self, program):
+        self.setup = SignedSetup()
+        self.folder = self.setup.folder
+        self.operator = self.setup.operator + f"connections = {SIGNED_CONNECTIONS}\n"
+        self.program, self.request, self.port = program, None, self.setup.port
+
+    def ask(self, conn, _sequence):
+        if not self.request:
+            _, target, token = self.setup.links(self.program)
+            self.request = (f"GET {target} HTTP/1.1\r\nHost: 127.0.0.1:{self.port}\r\n"
+                            f"Authorization: Bearer {token}\r\n\r\n").encode()
+        conn.sendall(self.request)
+
+    def answer(self, conn):
+        head = b""
+        while not head.endswith(b"\r\n\r\n"):
+            head += exactly(conn, 1)
+        exactly(conn, int(head.lower().split(b"content-length: ", 1)[1].split(b"\r\n", 1)[0]))
+
+
+class Request:
+    """A request written to a connection of its own, and whether that connection's end was there right behind it."""
+
+    def __init__(self, front, conn, sequence):
+        self.front, self.conn, self.acknowledged = front, conn, None
+        try:
+            front.ask(conn, sequence)
+            self.end_was_here = end_is_here(conn)
+        except OSError:
+            self.end_was_here = True
+
+    def is_answered(self):
+        return bool(select.select([self.conn], [], [], 0)[0]) and not end_is_here(self.conn)
+
+    def finish(self):
+        """Waits for the answer or the end: "answered", "crossed" (nothing was acknowledged, or the end was here) or "lost"."""
+        if self.end_was_here:
+            return "end was here"
+        try:
+            self.conn.settimeout(BOUND_S)
+            self.front.answer(self.conn)
+            return "answered"
+        except (OSError, ConnectionError):
+            self.note_end()
+            return "lost" if self.acknowledged else "crossed"
+
+    def note_end(self):
+        """Once the end is here: what was in the proxy's buffer before has been acknowledged with it."""
+        if self.acknowledged is None:
+            self.acknowledged = unacknowledged(self.conn) == 0
+
+
+class EndWatch(threading.Thread):
+    """Notes of each request, as soon as its connection's end is here, whether its bytes had been acknowledged."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.poll, self.requests, self.going, self.seen_end = select.epoll(), {}, True, False
+        self.start()
+
+    def add(self, request):
+        fd = request.conn.fileno()
+        known = fd in self.requests
+        self.requests[fd] = request
+        if not known:
+            self.poll.register(request.conn, select.EPOLLRDHUP)
+
+    def run(self):
+        while self.going:
+            for fd, _ in self.poll.poll(0.02):
+                self.requests[fd].note_end()
+                self.poll.unregister(fd)
+                self.seen_end = True
+
+    def stop(self):
+        self.going = False
+        self.join()
+        self.poll.close()
+
+
+def end_is_here(conn):
+    poll = select.poll()
+    poll.register(conn, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+def unacknowledged(conn):
+    """Bytes written that the other side's system has not acknowledged."""
+    return struct.unpack("i", fcntl.ioctl(conn, termios.TIOCOUTQ, bytes(4)))[0]
+
+
+def connect(port):
+    return socket.create_connection(("127.0.0.1", port), timeout=BOUND_S)
+
+
+def resting(front, count):
+    """Connections with one answer each behind them."""
+    found = []
+    for _ in range(count):
+        found.append(connect(front.port))
+        front.ask(found[-1], 1)
+    for conn in found:
+        front.answer(conn)
+    return found
+
+
+class Scene:
+    """One process of the program on an inherited socket, and what ends its connections: SIGTERM or a drain."""
+
+    def __init__(self, program, library, event, signed=False, faults="", log_level="info", delay=0):
+        self.program, self.library, self.event, self.faults, self.log_level = program, library, event, faults, log_level
+        self.boxes, self.socket, self.proxy = Boxes(delay), listening(), None
+        self.front = SignedFront(program) if signed else PlatformFront(self.socket.getsockname()[1])
+        self.draw = random.Random(event)
+
+    def begin(self):
+        """A process that serves, with no drain on."""
+        if self.proxy and self.event == "drain":
+            want(self.proxy.call("/ops/drain/stop")[0] == 200, "the drain was not stopped")
+        elif self.proxy:
+            self.leave()
+        if not self.proxy:
+            self.proxy = Proxy(self.program, self.library, self.boxes.at, self.faults, inherited=self.socket,
+                               log_level=self.log_level, change=with_room, operator=self.front.operator,
+                               folder=self.front.folder)
+        end = time.monotonic() + BOUND_S
+        while ops_call(self.proxy.ops, "GET", "/ops/readiness") != 200:
+            want(time.monotonic() < end, f"not ready: {self.proxy.said()[-300:]}")
+            time.sleep(0.02)
+
+    def fire(self):
+        if self.event == "sigterm":
+            self.proxy.process.send_signal(signal.SIGTERM)
+        else:
+            want(self.proxy.call("/ops/drain/start")[0] == 200, "the drain got no yes")
+
+    def fire_meanwhile(self):
+        thread = threading.Thread(target=self.fire)
+        thread.start()
+        return thread
+
+    def leave(self):
+        proxy, self.proxy = self.proxy, None
+        if not proxy:
+            return
+        end = time.monotonic() + (SIGTERM_TO_EXIT_S if self.event == "sigterm" else 0)
+        while proxy.process.poll() is None and time.monotonic() < end:
+            time.sleep(0.01)
+        proxy.end(keep_folder=bool(self.front.folder))
+
+    def close(self):
+        self.leave()
+        if self.front.folder:
+            self.front.folder.cleanup()
+        self.socket.close()
+        self.boxes.listener.close()
+
+
+def with_room(settings):
+    settings["limits"]["sockets"] = SOCKETS
+
+
+def play(scene, rounds, one_round):
+    """The rounds' requests, counted by what came of them; none may be lost."""
+    counts = {}
+    try:
+        for _ in range(rounds):
+            scene.begin()
+            found = one_round(scene)
+            for what in found:
+                counts[what] = counts.get(what, 0) + 1
+            if "lost" in found:
+                print(f"a round lost {found.count('lost')}", flush=True)
+    finally:
+        scene.close()
+    print(f"{rounds} rounds, {scene.event}: {dict(sorted(counts.items()))}")
+    want("lost" not in counts, f"{counts.get('lost')} lost")
+
+
+def write_to_resting(count):
+    """One request on each of `count` resting connections, one after the other, and the event at one that chance draws."""
+    def one_round(scene):
+        conns, watch = resting(scene.front, count), EndWatch()
+        fired_at, firing, requests = scene.draw.randrange(count // 4), None, []
+        for number, conn in enumerate(conns):
+            if number == fired_at:
+                firing = scene.fire_meanwhile()
+            requests.append(Request(scene.front, conn, 2))
+            watch.add(requests[-1])
+            if scene.front.pause_s:
+                time.sleep(scene.front.pause_s)
+        found = ask_again_until_end(scene.front, watch, requests)
+        return found + finish(firing, watch, requests)
+    return one_round
+
+
+def ask_again_until_end(front, watch, requests):
+    """Where the event takes effect late, connections that have their answer are asked again meanwhile."""
+    found, sequence, last_pass, end = [], 2, False, time.monotonic() + BOUND_S
+    while not last_pass:
+        want(time.monotonic() < end, "no connection ended while requests were written")
+        last_pass = watch.seen_end
+        sequence += 1
+        for place, request in enumerate(requests):
+            if request.is_answered():
+                found.append(request.finish())
+                requests[place] = Request(front, request.conn, sequence)
+                watch.add(requests[place])
+    return found
+
+
+def write_first_requests(count):
+    """The first request on each of `count` silent connections, around the end of the proxy's patience with them."""
+    def one_round(scene):
+        conns, watch = [connect(scene.front.port) for _ in range(count)], EndWatch()
+        connected = time.monotonic()
+        scene.fire()
+        start = connected + PATIENCE_S - 0.09 + scene.draw.uniform(0, 0.06)
+        time.sleep(max(0.0, start - time.monotonic()))
+        requests = []
+        for conn in reversed(conns):  # the proxy ends the oldest first
+            requests.append(Request(scene.front, conn, 1))
+            watch.add(requests[-1])
+            time.sleep(STEP_S)
+        return finish(None, watch, requests)
+    return one_round
+
+
+def finish(firing, watch, requests):
+    if firing:
+        firing.join()
+    found = [request.finish() for request in requests]
+    watch.stop()
+    for request in requests:
+        request.conn.close()
+    return found
+
+
+def held_apart(scene):
+    """The half-close comes HELD_APART_S behind its call: a request written in between is not acknowledged."""
+    conn, watch = resting(scene.front, 1)[0], EndWatch()
+    firing = scene.fire_meanwhile()
+    time.sleep(IN_BETWEEN_S)
+    request = Request(scene.front, conn, 2)
+    watch.add(request)
+    return finish(firing, watch, [request])
+
+
+def behind_answer(scene):
+    """A request is open when the event comes; as soon as its answer is here the next one is written."""
+    conn, watch = connect(scene.front.port), EndWatch()
+    scene.front.ask(conn, 1)
+    time.sleep(IN_BETWEEN_S)
+    firing = scene.fire_meanwhile()
+    scene.front.answer(conn)
+    request = Request(scene.front, conn, 2)
+    watch.add(request)
+    return finish(firing, watch, [request])
+
+
+def forced(scene, one_round, expected):
+    try:
+        scene.begin()
+        found = one_round(scene)
+    finally:
+        scene.close()
+    want(found == [expected], f"the request that crosses the end: {found}")
+
+
+def run_story(program, library, name, rounds, count, log_level):
+    kind, event = name.rsplit("_", 1)
+    if kind == "forced":
+        scene = Scene(program, library, event, faults=f"shutdown=WAIT{HELD_APART_S}/1")
+        return forced(scene, held_apart, "crossed")
+    if kind == "answered":
+        scene = Scene(program, library, event, faults=f"shutdown=WAIT{HELD_BEHIND_ANSWER_S}/1", delay=ANSWERED_AFTER_S)
+        return forced(scene, behind_answer, "end was here")
+    one_round = write_first_requests(count or SILENT) if kind == "silent" else write_to_resting(count or RESTING)
+    return play(Scene(program, library, event, kind == "signed", log_level=log_level), rounds, one_round)
+
+
+def main():
+    program, library, name = sys.argv[1:4]
+    rounds = int(sys.argv[4]) if len(sys.argv) > 4 else 4
+    count = int(sys.argv[5]) if len(sys.argv) > 5 else 0
+    log_level = sys.argv[6] if len(sys.argv) > 6 else "info"
+    try:
+        run_story(program, library, name, rounds, count, log_level)
+    except Failure as why:
+        print(f"FAIL: {why}\n0 passed, 1 failed")
+        sys.exit(1)
+    print("1 passed, 0 failed")
+
+
+if __name__ == "__main__":
+    main()
