A first request that comes as the time for it ends is read before its connection is ended

Cause: close_overdue ended all connections that were overdue without a look, one after the other, over requests that had come whole since the loop's last poll.

The stories of crossings_test force it: a request written while another connection is ended at the same look.

Why this works: what has arrived is read in the same call, while nothing more is taken in; only then is the connection ended, if the request is still not whole. Someone who goes on sending parts of a request gains nothing by it, which a story holds as well.

--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -258,14 +258,21 @@
     return found;
 }
 
-// Unread bytes are no reason to wait longer for a request that never ends.
 void ConnectionManager::close_overdue(ConnectionState state) {
     const Micros timeout = drain_.timeout(timeouts_.request, loop_.clock().now());
-    for (ClientConnection* connection : overdue(state, timeout)) {
-        if (!connection->stream()) continue;
-        connection->on_request_timeout();
-        close(*connection, CloseReason::request_timeout);
-    }
+    for (ClientConnection* connection : overdue(state, timeout))
+        if (connection->stream()) close_unless_complete(*connection);
+}
+
+// What has arrived is read first, and may complete the request. What arrives meanwhile is not acknowledged,
+// so a client that goes on sending parts of a request gains no time by it.
+void ConnectionManager::close_unless_complete(ClientConnection& connection) {
+    const ConnectionState state = connection.state_;
+    const Stream::ReceiveBlock block(*connection.stream_);
+    connection.stream_->read_available();
+    if (!connection.stream() || connection.state_ != state) return;
+    connection.on_request_timeout();
+    close(connection, CloseReason::request_timeout);
 }
 
 // Counts each connection once, at the first of the closes of its two sides.
--- a/src/net/connection_manager.h
+++ b/src/net/connection_manager.h
@@ -94,6 +94,7 @@
     bool close_if_quiet(ClientConnection& connection, CloseReason reason);
     void close_in_state(ConnectionState state);
     void close_idle_after_reading();
+    void close_unless_complete(ClientConnection& connection);
     void on_half_closed(ClientConnection& connection, CloseReason reason);
     std::vector<ClientConnection*> overdue(ConnectionState state, Micros timeout) const;
     void close_overdue(ConnectionState state);
--- a/tests/daemon/crossings_test.cpp
+++ b/tests/daemon/crossings_test.cpp
@@ -360,6 +360,38 @@
     CHECK(house.door.discard_metrics().at_half_close == 0);
 }
 
+// Guards: a connection whose time for a request was over was ended over a request that had come whole.
+TEST_CASE("a request that comes whole as its time ends is read, half a one does not stay") {
+    constexpr net::Micros kRequestTimeout = 50'000;
+    for (const std::string text : {"b.", "b"}) {
+        CAPTURE(text);
+        House house(kRequestTimeout);
+        Wire first = Wire::to(house.door.port()), second = Wire::to(house.door.port());
+        house.until([&] { return house.guests.size() == 2; });
+        house.on_first_closed = [&] { second.send(text); };
+        house.until([&] { return house.heard == text; });
+        const bool whole = text.ends_with('.');
+        CHECK(house.door.count(net::ConnectionState::idle) == (whole ? 1 : 0));
+        if (!whole) house.until([&] { return house.gone == 2; });
+        CHECK(house.door.discard_metrics().at_half_close == 0);
+    }
+}
+
+// Guards: a client that never stops sending holds its connection by what is unread at each look.
+TEST_CASE("a client that goes on sending parts of a request is ended in time") {
+    constexpr net::Micros kRequestTimeout = 50'000;
+    House house(kRequestTimeout);
+    Wire first = Wire::to(house.door.port()), dribbling = Wire::to(house.door.port());
+    house.until([&] { return house.guests.size() == 2; });
+    dribbling.send("b");
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(500);
+    house.until([&] {
+        if (house.gone < 2) dribbling.send("b");
+        return house.gone == 2;
+    });
+    CHECK(std::chrono::steady_clock::now() < end);
+}
+
 // Guards: one that was sent away holds a descriptor until it has ended too; a client that comes needs it now.
 TEST_CASE("who was sent away makes room at once for who comes") {
     House house;
