The end of a drained connection goes out with the last answer of a client that waits for it

Callers with one request at a time write the next one some 50 us behind their answer, while the proxy that drains or leaves is about to end the connection: a request came between answer and end, and was lost.

Cause: answer and half-close were two steps, with the client's reaction in between.

Why this works: the answer's last segment waits for the half-close (MSG_MORE), and both go out together, if the client has room for all of it and nothing is unread. The client meets the end with its answer.

--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -199,6 +199,14 @@
     if (on) close_in_state(ConnectionState::idle);
 }
 
+// A client that waits for this response meets the end before it can send its next request.
+void ConnectionManager::write_last_response(ClientConnection& connection, std::string bytes) {
+    Stream& stream = *connection.stream();
+    if (!draining_) return stream.write(std::move(bytes));
+    if (stream.write_and_shutdown_if_quiet(std::move(bytes)))
+        on_half_closed(connection, drain_close_reason());
+}
+
 void ConnectionManager::close(ClientConnection& connection, CloseReason reason) {
     if (!connection.stream()) return;
     on_half_closed(connection, reason);
--- a/src/net/connection_manager.h
+++ b/src/net/connection_manager.h
@@ -58,6 +58,9 @@
     // The drain in progress, or none: how long states may last while connections are drained.
     void set_drain(const admin::DrainSchedule& drain) { drain_ = drain; }
     const admin::DrainSchedule& drain() const { return drain_; }
+    // Writes a response behind which nothing is open, to a client that sends nothing before it has it. While
+    // connections are drained the connection's end goes out with it, unless bytes wait to be read.
+    void write_last_response(ClientConnection& connection, std::string bytes);
     // Half-closes one connection behind what was written to it. Requests that cross this are not read.
     void close(ClientConnection& connection, CloseReason reason = CloseReason::protocol);
     // Closes all with nothing open, half received or unread, those too that never sent a request.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -12,6 +12,7 @@
 #include <exception>
 
 #include "base/log.h"
+#include "net/tcp_window.h"
 
 namespace sumackeel::net {
 
@@ -228,6 +229,32 @@
     return true;
 }
 
+bool Stream::write_and_shutdown_if_quiet(std::string bytes) {
+    std::size_t sent = 0;
+    if (state_ == State::open && unsent_bytes() == 0 && !congested() && bytes.size() <= peer_room()) {
+        const ReceiveBlock block(*this);
+        // MSG_MORE: the last segment waits for the half-close.
+        const ssize_t taken = has_unread_data() ? 0
+                                                : send(descriptor(), bytes.data(), bytes.size(),
+                                                       MSG_MORE | MSG_DONTWAIT | MSG_NOSIGNAL);
+        sent = taken > 0 ? static_cast<std::size_t>(taken) : 0;
+        if (sent == bytes.size() && shutdown_if_quiet()) return true;
+    }
+    if (sent == bytes.size()) uv_tcp_nodelay(&tcp_, 1);  // sends what MSG_MORE holds back
+    bytes.erase(0, sent);
+    if (!bytes.empty()) write(std::move(bytes));
+    return false;
+}
+
+// Bytes that the other side's receive window takes now.
+std::size_t Stream::peer_room() const {
+    int unacknowledged = 0;
+    if (ioctl(descriptor(), SIOCOUTQ, &unacknowledged) != 0) return 0;
+    const std::size_t window = peer_receive_window(descriptor());
+    const auto in_flight = static_cast<std::size_t>(unacknowledged);
+    return window > in_flight ? window - in_flight : 0;
+}
+
 void Stream::on_half_closed() {
     half_closed_at_ = loop_of(tcp_).clock().now();
     unread_at_half_close_ = unread_bytes();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -71,6 +71,10 @@
     void shutdown();
     // Half-closes in this call, unless bytes wait to be read or to be sent: false, and nothing has changed.
     bool shutdown_if_quiet();
+    // Writes `bytes` and half-closes, both in this call and so that the other side meets the end no later
+    // than the last byte. False: they are written alone, since bytes wait to be read or to be sent, or the
+    // other side has no room for them now.
+    bool write_and_shutdown_if_quiet(std::string bytes);
     // Hands what has arrived by now to the handler, in this call. Not from within on_data() of any stream:
     // the loop has one read buffer.
     void read_available();
@@ -103,6 +107,7 @@
     void start();
     bool half_close();
     void on_half_closed();
+    std::size_t peer_room() const;
     void deliver(std::string_view bytes);
     void discard(std::size_t count);
     void block_receive();
--- a/src/platform_server/platform_server.cpp
+++ b/src/platform_server/platform_server.cpp
@@ -65,6 +65,8 @@
     std::map<std::int32_t, OpenCall> open;  // by seqid
     std::int32_t last_seqid = 0;
     bool heard = false;     // a whole frame has come
+    bool reading = false;   // within on_data(): further frames may follow
+    bool overlaps = false;  // a request has come while another was open
     base::Micros came = 0;  // when the last byte of what is being read came
 
     explicit Client(PlatformServer& owner) : front(owner) {}
@@ -72,11 +74,13 @@
     void on_data(net::Stream&, std::string_view bytes) override {
         came = received_at();
         if (peer_has_left()) return front.connection_manager_.close(*this);
+        reading = true;
         reader.read(bytes, [this](std::string_view frame) {
             heard = true;
             front.call(*this, decode_call(frame));
             return stream() != nullptr;
         });
+        reading = false;
         front.refuse_held(*this);
         tell_door();
     }
@@ -101,6 +105,11 @@
         }
         open.clear();
     }
+    // Its client waits for each response before it sends, and nothing is open behind this one. A client whose
+    // requests overlap may be sending already, for it had an earlier response just now.
+    bool waits_for_last_response() const {
+        return open.empty() && !overlaps && !reading && !reader.partial();
+    }
     bool waits_for_core() const {
         return std::ranges::any_of(open, [](const auto& entry) { return !entry.second.held; });
     }
@@ -164,6 +173,7 @@
     }
     if (call.seqid <= client.last_seqid) throw FrameError("sequence numbers don't rise");
     client.last_seqid = call.seqid;
+    if (!client.open.empty()) client.overlaps = true;
     const base::Micros now = loop_.clock().now();
     const bool refuses = connection_manager_.drain().rejects_new_requests(now);
     if (refuses) hurry(client, now);
@@ -252,7 +262,10 @@
     if (!found) return;
     Client& client = *found;
     client.open.erase(seqid);
-    client.stream()->write(encode_response(seqid, reply));
+    if (client.waits_for_last_response())
+        connection_manager_.write_last_response(client, encode_response(seqid, reply));
+    else
+        client.stream()->write(encode_response(seqid, reply));
     refuse_held(client);
     client.tell_door();
 }
