--- a/src/platform_server/platform_server.cpp
+++ b/src/platform_server/platform_server.cpp
@@ -82,10 +82,10 @@
         });
         reading = false;
         front.refuse_held(*this);
-        tell_door();
+        update_state();
     }
-    void on_write_drained(net::Stream&) override { tell_door(true); }
-    void tell_door(bool has_read = false) {
+    void on_write_drained(net::Stream&) override { update_state(true); }
+    void update_state(bool has_read = false) {
         if (!stream()) return;
         // Danger: what is not read is not heard, a cancellation and an end of the connection among it. So as
         // long as requests are open reading goes on, up to a further bound: refusals and answers to `alive`
@@ -267,7 +267,7 @@
     else
         client.stream()->write(encode_response(seqid, reply));
     refuse_held(client);
-    client.tell_door();
+    client.update_state();
 }
 
 }  // namespace sumackeel::platform_server
--- a/src/signed_url_server/signed_url_server.cpp
+++ b/src/signed_url_server/signed_url_server.cpp
@@ -153,14 +153,14 @@
         work();
         if (front.connection_manager_.drain().rejects_new_requests(front.loop_.clock().now()))
             front.hurry(*this);
-        tell_door();
+        update_state();
     }
     void on_request_timeout() override {
         if (!busy && parser.nread > 0)
             front.write(*this, front.problem_of(408, "the request did not come whole in time"), true);
     }
     bool too_far_ahead() const { return ahead.size() > kMostAhead; }
-    void on_write_drained(net::Stream&) override { tell_door(true); }
+    void on_write_drained(net::Stream&) override { update_state(true); }
 
     // Parses up to the end of one request; the rest waits until that is answered.
     void work() {
@@ -180,7 +180,7 @@
         }
     }
 
-    void tell_door(bool has_read = false) {
+    void update_state(bool has_read = false) {
         if (!stream()) return;
         stream()->pause(too_far_ahead());
         const net::ConnectionState doing = busy                           ? net::ConnectionState::processing
@@ -408,14 +408,14 @@
         return connection_manager_.close(client, connection_manager_.drain().is_active()
                                                      ? net::CloseReason::drain
                                                      : net::CloseReason::protocol);
-    client.tell_door();
+    client.update_state();
     // What was sent ahead is taken up from the loop: answers may come in the middle of the core's work.
     if (!client.ahead.empty())
         loop_.timers().schedule(loop_.clock().now(), [this, number = client.id()] {
             auto* found = static_cast<Client*>(connection_manager_.find(number));
             if (!found) return;
             found->work();
-            found->tell_door();
+            found->update_state();
             core_.process_events();
         });
 }
