--- a/tests/faults/connection_ends_test.py
+++ b/tests/faults/connection_ends_test.py
@@ -47,8 +47,9 @@
         conn.sendall(dispatch(sequence, b"%016x" % number, b"%016x" % (number % 50)))
 
     def answer(self, conn):
-        """Raises where the connection ends ahead of the answer."""
+        """Whether further requests may follow; raises where the connection ends ahead of the answer."""
         reply(conn)
+        return True
 
 
 class SignedFront:
@@ -72,14 +73,16 @@
         head = b""
         while not head.endswith(b"\r\n\r\n"):
             head += exactly(conn, 1)
-        exactly(conn, int(head.lower().split(b"content-length: ", 1)[1].split(b"\r\n", 1)[0]))
+        head = head.lower()
+        exactly(conn, int(head.split(b"content-length: ", 1)[1].split(b"\r\n", 1)[0]))
+        return b"connection: close" not in head  # what is sent behind such an answer is not processed (RFC 9112, 9.6)
 
 
 class Request:
     """A request written to a connection of its own, and whether that connection's end was there right behind it."""
 
     def __init__(self, front, conn, sequence):
-        self.front, self.conn, self.acknowledged = front, conn, None
+        self.front, self.conn, self.acknowledged, self.was_last = front, conn, None, False
         try:
             front.ask(conn, sequence)
             self.end_was_here = end_is_here(conn)
@@ -87,7 +90,7 @@
             self.end_was_here = True
 
     def is_answered(self):
-        return bool(select.select([self.conn], [], [], 0)[0]) and not end_is_here(self.conn)
+        return not self.was_last and has_come(self.conn, select.POLLIN) and not end_is_here(self.conn)
 
     def finish(self):
         """Waits for the answer or the end: "answered", "crossed" (nothing was acknowledged, or the end was here) or "lost"."""
@@ -95,7 +98,7 @@
             return "end was here"
         try:
             self.conn.settimeout(BOUND_S)
-            self.front.answer(self.conn)
+            self.was_last = not self.front.answer(self.conn)
             return "answered"
         except (OSError, ConnectionError):
             self.note_end()
@@ -135,12 +138,16 @@
         self.poll.close()
 
 
-def end_is_here(conn):
+def has_come(conn, event):
     poll = select.poll()
-    poll.register(conn, select.POLLRDHUP)
+    poll.register(conn, event)
     return bool(poll.poll(0))
 
 
+def end_is_here(conn):
+    return has_come(conn, select.POLLRDHUP)
+
+
 def unacknowledged(conn):
     """Bytes written that the other side's system has not acknowledged."""
     return struct.unpack("i", fcntl.ioctl(conn, termios.TIOCOUTQ, bytes(4)))[0]
@@ -261,6 +268,8 @@
         for place, request in enumerate(requests):
             if request.is_answered():
                 found.append(request.finish())
+                if request.was_last:
+                    continue
                 requests[place] = Request(front, request.conn, sequence)
                 watch.add(requests[place])
     return found
@@ -286,7 +295,7 @@
 def finish(firing, watch, requests):
     if firing:
         firing.join()
-    found = [request.finish() for request in requests]
+    found = [request.finish() for request in requests if not request.was_last]
     watch.stop()
     for request in requests:
         request.conn.close()
