The end of a drain no longer stalls a client with many requests open

Cause: from 3.7 s on what has arrived is read, refused and the connection ended while a socket filter keeps anything more from being acknowledged. It drops acknowledgements too. Each refusal was a segment of its own; the system sends ten before it hears of the other side, so the rest waited, the connection counted as congested and its end was put off, over requests that the filter had dropped and that came again 0.2 s later.

Mend: what is written in that look is gathered (TCP_CORK) and goes out with the end; congestion is looked at before the block.

--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -190,8 +190,7 @@
     connection.state_ = state;
     connection.since_ = loop_.clock().now();
     // Between two requests is the one moment at which closing loses nothing.
-    if (draining_ && state == ConnectionState::idle && !connection.stream_->congested())
-        close_if_quiet(connection, drain_close_reason());
+    if (draining_ && state == ConnectionState::idle) close_drained(connection);
 }
 
 void ConnectionManager::set_draining(bool on) {
@@ -203,7 +202,7 @@
 void ConnectionManager::write_last_response(ClientConnection& connection, std::string bytes) {
     Stream& stream = *connection.stream();
     if (!draining_) return stream.write(std::move(bytes));
-    if (stream.write_and_shutdown_if_quiet(std::move(bytes)))
+    if (is_done(connection, stream.write_and_shutdown_if_quiet(std::move(bytes))))
         on_half_closed(connection, drain_close_reason());
 }
 
@@ -216,11 +215,28 @@
 // What the client sends before it sees the close is lost once it is acknowledged. So the look for unread
 // bytes and the close are one step, in which nothing is acknowledged.
 bool ConnectionManager::close_if_quiet(ClientConnection& connection, CloseReason reason) {
-    if (!connection.stream_->shutdown_if_quiet()) return false;
+    if (!is_done(connection, connection.stream_->shutdown_if_quiet())) return false;
     on_half_closed(connection, reason);
     return true;
 }
 
+bool ConnectionManager::is_done(const ClientConnection& connection, QuietResult result) {
+    if (result == QuietResult::interrupted) {
+        ++interrupted_closes_;
+        log::debug("listener: end interrupted connection={}", connection.id_);
+    }
+    return result == QuietResult::done;
+}
+
+// Nothing that the client reads slowly may lie before the close: it goes on sending meanwhile.
+void ConnectionManager::close_drained(ClientConnection& connection) {
+    if (!connection.stream_->congested()) close_if_quiet(connection, drain_close_reason());
+}
+
+std::vector<ClientConnection*> ConnectionManager::snapshot(ConnectionState state) const {
+    return {in_state(state).begin(), in_state(state).end()};
+}
+
 void ConnectionManager::on_half_closed(ClientConnection& connection, CloseReason reason) {
     record_close(connection, reason);
     ConnectionList& half_closed = in_state(ConnectionState::half_closed);
@@ -230,27 +246,22 @@
     connection.on_closed();
 }
 
-// Nothing that the client reads slowly may lie before the close: it goes on sending meanwhile.
 void ConnectionManager::close_in_state(ConnectionState state) {
-    const std::vector<ClientConnection*> connections(in_state(state).begin(), in_state(state).end());
-    for (ClientConnection* connection : connections) {
-        const bool unchanged = connection->stream() && connection->state_ == state;
-        if (unchanged && !connection->stream_->congested()) close_if_quiet(*connection, drain_close_reason());
-    }
+    for (ClientConnection* connection : snapshot(state))
+        if (connection->stream() && connection->state_ == state) close_drained(*connection);
 }
 
 // For the end of a drain, when a client that never stops sending may not hold its connection any longer: what
-// has arrived is read, and refused by the server, before the look.
+// has arrived is read, and refused by the server, before the look. The refusals go out with the end, for
+// written one by one they wait for acknowledgements, which are blocked as well.
 void ConnectionManager::close_idle_after_reading() {
-    const ConnectionList& idle = in_state(ConnectionState::idle);
-    const std::vector<ClientConnection*> connections(idle.begin(), idle.end());
-    for (ClientConnection* connection : connections) {
-        if (!connection->stream()) continue;
+    for (ClientConnection* connection : snapshot(ConnectionState::idle)) {
+        if (!connection->stream() || connection->stream_->congested()) continue;
         const Stream::ReceiveBlock block(*connection->stream_);
+        const Stream::WriteBatch refusals(*connection->stream_);
         connection->stream_->read_available();
         const bool still_idle = connection->stream() && connection->state_ == ConnectionState::idle;
-        if (still_idle && !connection->stream_->congested())
-            close_if_quiet(*connection, drain_close_reason());
+        if (still_idle) close_if_quiet(*connection, drain_close_reason());
     }
 }
 
@@ -293,12 +304,14 @@
 
 void ConnectionManager::record_discarded(const ClientConnection& connection,
                                          const DiscardedBytes& discarded) {
+    // One for each kind: a crowd of the one does not hide the other.
+    thread_local log::RateLimitedLogger logger_at_half_close, logger_after_half_close;
     const bool was_there = discarded.at_half_close > 0;
     ++(was_there ? discard_metrics_.at_half_close : discard_metrics_.after_half_close);
-    thread_local log::RateLimitedLogger loggers[2];  // a crowd of the one kind does not hide the other
-    loggers[was_there].warn(
-        "listener: bytes discarded connection={} at_half_close={} after_half_close={} since_us={}",
-        connection.id_, discarded.at_half_close, discarded.after_half_close, discarded.since_half_close);
+    log::RateLimitedLogger& logger = was_there ? logger_at_half_close : logger_after_half_close;
+    logger.warn("listener: bytes discarded connection={} at_half_close={} after_half_close={} since_us={}",
+                connection.id_, discarded.at_half_close, discarded.after_half_close,
+                discarded.since_half_close);
 }
 
 void ConnectionManager::close_all_idle() {
@@ -343,9 +356,7 @@
 }
 
 bool ConnectionManager::evict_if_quiet(ClientConnection& connection) {
-    if (connection.stream_->has_unread_data()) return false;
-    const Stream::ReceiveBlock block(*connection.stream_);
-    if (connection.stream_->has_unread_data()) return false;
+    if (!is_done(connection, connection.stream_->close_if_quiet())) return false;
     evict(connection, CloseReason::evicted);
     return true;
 }
--- a/src/net/connection_manager.h
+++ b/src/net/connection_manager.h
@@ -78,6 +78,9 @@
         std::uint64_t after_half_close = 0;  // all arrived behind it: they crossed the end
     };
     const DiscardMetrics& discard_metrics() const { return discard_metrics_; }
+    // Ends that were given up since bytes arrived meanwhile; what came right behind these is delayed by a
+    // retransmission.
+    std::uint64_t interrupted_closes() const { return interrupted_closes_; }
     int port() const { return listener_.port(); }
 
   private:
@@ -95,6 +98,9 @@
     void evict(ClientConnection& connection, CloseReason reason);
     bool evict_if_quiet(ClientConnection& connection);
     bool close_if_quiet(ClientConnection& connection, CloseReason reason);
+    void close_drained(ClientConnection& connection);
+    bool is_done(const ClientConnection& connection, QuietResult result);
+    std::vector<ClientConnection*> snapshot(ConnectionState state) const;
     void close_in_state(ConnectionState state);
     void close_idle_after_reading();
     void close_unless_complete(ClientConnection& connection);
@@ -124,6 +130,7 @@
     admin::DrainSchedule drain_;
     std::array<std::uint64_t, kCloseReasonCount> closed_counts_{};
     DiscardMetrics discard_metrics_;
+    std::uint64_t interrupted_closes_ = 0;
     EvictionAge eviction_age_;
     bool accept_retry_scheduled_ = false;
     bool accept_queue_waiting_ = false;  // connections may wait in the accept queue
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -219,31 +219,58 @@
     return ::shutdown(descriptor(), SHUT_WR) == 0;
 }
 
-bool Stream::shutdown_if_quiet() {
-    if (state_ != State::open || unsent_bytes() > 0 || has_unread_data()) return false;
+void Stream::set_gathering(bool on) {
+    const int value = on ? 1 : 0;
+    setsockopt(descriptor(), IPPROTO_TCP, TCP_CORK, &value, sizeof value);
+}
+
+// `act` says whether it was done. The first look spares the other side a retransmission in the usual case.
+QuietResult Stream::if_quiet(const std::function<bool()>& act) {
+    if (has_unread_data()) return QuietResult::not_quiet;
     const ReceiveBlock block(*this);
-    if (has_unread_data() || !half_close()) return false;
+    if (has_unread_data()) return QuietResult::interrupted;
+    return act() ? QuietResult::done : QuietResult::not_quiet;
+}
+
+QuietResult Stream::close_if_quiet() {
+    return if_quiet([this] {
+        close();
+        return true;
+    });
+}
+
+QuietResult Stream::shutdown_if_quiet() {
+    if (state_ != State::open || unsent_bytes() > 0) return QuietResult::not_quiet;
+    const QuietResult result = if_quiet([this] {
+        if (!half_close()) return false;
+        on_half_closed();
+        return true;
+    });
+    if (result != QuietResult::done) return result;
     state_ = State::shutting_down;
-    on_half_closed();
     pause(false);
-    return true;
+    return result;
 }
 
-bool Stream::write_and_shutdown_if_quiet(std::string bytes) {
+QuietResult Stream::write_and_shutdown_if_quiet(std::string bytes) {
+    const bool has_room =
+        state_ == State::open && unsent_bytes() == 0 && !congested() && bytes.size() <= peer_room();
+    QuietResult result = QuietResult::not_quiet;
     std::size_t sent = 0;
-    if (state_ == State::open && unsent_bytes() == 0 && !congested() && bytes.size() <= peer_room()) {
-        const ReceiveBlock block(*this);
-        // MSG_MORE: the last segment waits for the half-close.
-        const ssize_t taken = has_unread_data() ? 0
-                                                : send(descriptor(), bytes.data(), bytes.size(),
-                                                       MSG_MORE | MSG_DONTWAIT | MSG_NOSIGNAL);
-        sent = taken > 0 ? static_cast<std::size_t>(taken) : 0;
-        if (sent == bytes.size() && shutdown_if_quiet()) return true;
+    if (has_room) {
+        result = if_quiet([&] {
+            // MSG_MORE: the last segment waits for the half-close.
+            constexpr int kFlags = MSG_MORE | MSG_DONTWAIT | MSG_NOSIGNAL;
+            const ssize_t taken = send(descriptor(), bytes.data(), bytes.size(), kFlags);
+            sent = taken > 0 ? static_cast<std::size_t>(taken) : 0;
+            return sent == bytes.size() && shutdown_if_quiet() == QuietResult::done;
+        });
     }
+    if (result == QuietResult::done) return result;
     if (sent == bytes.size()) uv_tcp_nodelay(&tcp_, 1);  // sends what MSG_MORE holds back
     bytes.erase(0, sent);
     if (!bytes.empty()) write(std::move(bytes));
-    return false;
+    return result;
 }
 
 // Bytes that the other side's receive window takes now.
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -26,6 +26,14 @@
     Micros since_half_close = 0;       // until they were read
 };
 
+// What became of an act that loses nothing only while no bytes wait to be read.
+enum class QuietResult {
+    done,
+    not_quiet,    // bytes wait to be read or to be sent; nothing has changed
+    interrupted,  // bytes arrived as it was tried; what came right behind them is sent again by the other
+                  // side
+};
+
 // Owns itself: it is deleted once its socket is closed. After close(), or once on_close() was called, its
 // handler hears nothing more and must not use the pointer again.
 //
@@ -66,15 +74,16 @@
     Micros time_since_last_byte() const;  // in the system's ticks; 0 where it can't tell
     bool peer_has_closed() const;         // all was read, and the other side has closed
     void close();                         // at once; what is unsent is dropped
+    QuietResult close_if_quiet();         // the same, unless bytes wait to be read
     // Half-closes once all that was written is sent. What the other side still sends is discarded, with
     // on_discarded(); on_close() is called when it has closed too. The handler bounds the wait for that.
     void shutdown();
-    // Half-closes in this call, unless bytes wait to be read or to be sent: false, and nothing has changed.
-    bool shutdown_if_quiet();
+    // Half-closes in this call, unless bytes wait to be read or to be sent.
+    QuietResult shutdown_if_quiet();
     // Writes `bytes` and half-closes, both in this call and so that the other side meets the end no later
-    // than the last byte. False: they are written alone, since bytes wait to be read or to be sent, or the
+    // than the last byte. Not done: they are written alone, since bytes wait to be read or to be sent, or the
     // other side has no room for them now.
-    bool write_and_shutdown_if_quiet(std::string bytes);
+    QuietResult write_and_shutdown_if_quiet(std::string bytes);
     // Hands what has arrived by now to the handler, in this call. Not from within on_data() of any stream:
     // the loop has one read buffer.
     void read_available();
@@ -94,6 +103,19 @@
         Stream& stream_;
     };
 
+    // While one lives what is written is gathered in the system, full segments excepted: it goes out behind
+    // it, or with a half-close, and the other side then meets the end with the last of it.
+    class WriteBatch {
+      public:
+        explicit WriteBatch(Stream& stream) : stream_(stream) { stream_.set_gathering(true); }
+        ~WriteBatch() { stream_.set_gathering(false); }
+        WriteBatch(const WriteBatch&) = delete;
+        WriteBatch& operator=(const WriteBatch&) = delete;
+
+      private:
+        Stream& stream_;
+    };
+
   private:
     Stream(Loop& loop, SocketBudget& budget, Handler& handler);
     const uv_stream_t* as_stream() const { return reinterpret_cast<const uv_stream_t*>(&tcp_); }
@@ -105,6 +127,7 @@
         closed          // the socket is closed in this iteration of the loop
     };
     void start();
+    QuietResult if_quiet(const std::function<bool()>& act);
     bool half_close();
     void on_half_closed();
     std::size_t peer_room() const;
@@ -112,6 +135,7 @@
     void discard(std::size_t count);
     void block_receive();
     void unblock_receive();
+    void set_gathering(bool on);
     int descriptor() const;  // -1: closed
     void disconnect(DisconnectCause cause);
 
--- a/tests/daemon/crossings_test.cpp
+++ b/tests/daemon/crossings_test.cpp
@@ -58,6 +58,9 @@
         explicit RecordingConnection(ManagedConnections& h) : managed(h) { managed.accepted.push_back(this); }
         void on_data(net::Stream&, std::string_view bytes) override {
             managed.received += bytes;
+            if (managed.answers)
+                for (const char byte : bytes)
+                    if (byte == '.') stream()->write("answer ");
             managed.manager.set_state(
                 *this, bytes.ends_with('.') ? net::ConnectionState::idle : net::ConnectionState::receiving);
         }
@@ -70,6 +73,7 @@
         : request_timeout(request_timeout) {}
     net::Micros request_timeout;
     std::function<void()> on_first_closed;
+    bool answers = false;  // each '.' read with a write of its own
     net::Loop loop;
     std::string received;
     int closed = 0;
@@ -394,6 +398,30 @@
     CHECK(std::chrono::steady_clock::now() < end);
 }
 
+// Guards: the system sends no more answers than the client has acknowledged room for, so the answers to what
+// was read last kept their connection from its end, at one look after another.
+TEST_CASE("a client that has many requests open is ended at the first look that the end of a drain takes") {
+    using sumackeel::admin::DrainSchedule;
+    constexpr net::Micros kRequestTimeout = 50'000;
+    constexpr int kRequests = 40;  // the system sends ten answers before it hears of the client
+    ManagedConnections managed(kRequestTimeout);
+    managed.answers = true;
+    Wire asking = Wire::to(managed.manager.port()), silent = Wire::to(managed.manager.port());
+    asking.send("a.");
+    std::string requests;
+    for (int i = 0; i < kRequests; ++i) requests += "b.";
+    // In the same look at the timeouts, ahead of the idle ones.
+    managed.on_first_closed = [&] {
+        asking.send(requests);
+        managed.manager.set_drain(DrainSchedule(managed.loop.clock().now() - 2 * DrainSchedule::kForced));
+        managed.manager.set_draining(true);
+        CHECK(managed.closed == 1);
+    };
+    managed.until([&] { return managed.closed >= 1; });
+    CHECK(managed.closed == 2);
+    CHECK(asking.rest().size() == (1 + kRequests) * std::string("answer ").size());
+}
+
 // Guards: one that was sent away holds a descriptor until it has ended too; a client that comes needs it now.
 TEST_CASE("who was sent away makes room at once for who comes") {
     ManagedConnections managed;
