A drain ends a connection with overlapping requests only once it has settled

The failing clients keep several requests open.

Cause: such a connection ended in the moment of its last answer, in which the client was sending because of an answer before it; the request was never acknowledged, but the client could not see an end yet either.

Mend: while a drain or SIGTERM leaves time, a connection on which requests have overlapped ends once it has been idle for 5 ms. When requests are turned away, or the last responses of the process are due, it ends at once as before. Clients that wait for each answer are not affected: the end goes out with it.

--- a/src/daemon/shutdown_controller.cpp
+++ b/src/daemon/shutdown_controller.cpp
@@ -27,6 +27,7 @@
     applier_.apply();
     deadlines_ = shutdown_deadlines(parts.core.settings());
     parts.core.set_shutdown_deadline(started_at_ + deadlines_.final_responses);
+    parts.platform_server.set_shutdown_deadline(started_at_ + deadlines_.final_responses);
     if (parts.has_inherited_socket()) parts.platform_server.stop_listening(true);
     log::info("shutdown: started open_requests={}", parts.core.open_requests());
     if (parts.signed_url_server) parts.signed_url_server->shut_down();
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -20,6 +20,10 @@
     void on_close(Stream& stream, DisconnectCause cause) final;
     void on_discarded(Stream& stream, const DiscardedBytes& discarded) final;
 
+    // The client sends requests while others are open. It may be sending one though nothing is open now, for
+    // it had an earlier response than the last one just before.
+    virtual bool overlaps_requests() const { return false; }
+
   protected:
     // Called once, when the connection is closed or half-closed.
     virtual void on_closed() = 0;
--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -230,7 +230,27 @@
 
 // Nothing that the client reads slowly may lie before the close: it goes on sending meanwhile.
 void ConnectionManager::close_drained(ClientConnection& connection) {
-    if (!connection.stream_->congested()) close_if_quiet(connection, drain_close_reason());
+    if (connection.stream_->congested()) return;
+    if (!is_settled(connection)) return close_once_settled(connection);
+    close_if_quiet(connection, drain_close_reason());
+}
+
+// Late in a drain, or at the end of the process, there is no time left to settle.
+bool ConnectionManager::is_settled(const ClientConnection& connection) const {
+    const Micros now = loop_.clock().now();
+    const bool ends_now =
+        drain_.rejects_new_requests(now) || (shutdown_deadline_ && now >= *shutdown_deadline_);
+    return ends_now || !connection.overlaps_requests() || connection.since_ + timeouts_.settle <= now;
+}
+
+void ConnectionManager::close_once_settled(const ClientConnection& connection) {
+    loop_.timers().schedule(
+        connection.since_ + timeouts_.settle,
+        [this, id = connection.id_, since = connection.since_, alive = std::weak_ptr<bool>(alive_)] {
+            ClientConnection* found = alive.expired() ? nullptr : find(id);
+            const bool rests = found && found->state_ == ConnectionState::idle && found->since_ == since;
+            if (rests && draining_) close_drained(*found);
+        });
 }
 
 std::vector<ClientConnection*> ConnectionManager::snapshot(ConnectionState state) const {
--- a/src/net/connection_manager.h
+++ b/src/net/connection_manager.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "admin/drain_schedule.h"
@@ -28,6 +29,9 @@
         // Within this all connections in the accept queue are accepted, however many: the more, the sooner a
         // silent connection makes room. 0: no bound, and none younger than 100 ms makes room.
         Micros accept_queue = 0;
+        // A drain ends a connection with overlapping requests once it has been idle for so long: its client
+        // sends meanwhile what an earlier response lets it send.
+        Micros settle = 0;
     };
 
     // `make`: makes the server's connection object for an accepted socket. Throws where the address can't be
@@ -58,6 +62,8 @@
     // The drain in progress, or none: how long states may last while connections are drained.
     void set_drain(const admin::DrainSchedule& drain) { drain_ = drain; }
     const admin::DrainSchedule& drain() const { return drain_; }
+    // At the end of the process all that is open is answered at this time; no connection settles any longer.
+    void set_shutdown_deadline(Micros at) { shutdown_deadline_ = at; }
     // Writes a response behind which nothing is open, to a client that sends nothing before it has it. While
     // connections are drained the connection's end goes out with it, unless bytes wait to be read.
     void write_last_response(ClientConnection& connection, std::string bytes);
@@ -99,6 +105,8 @@
     bool evict_if_quiet(ClientConnection& connection);
     bool close_if_quiet(ClientConnection& connection, CloseReason reason);
     void close_drained(ClientConnection& connection);
+    bool is_settled(const ClientConnection& connection) const;
+    void close_once_settled(const ClientConnection& connection);
     bool is_done(const ClientConnection& connection, QuietResult result);
     std::vector<ClientConnection*> snapshot(ConnectionState state) const;
     void close_in_state(ConnectionState state);
@@ -128,6 +136,7 @@
     std::uint64_t next_id_ = 1;
     bool draining_ = false;
     admin::DrainSchedule drain_;
+    std::optional<Micros> shutdown_deadline_;
     std::array<std::uint64_t, kCloseReasonCount> closed_counts_{};
     DiscardMetrics discard_metrics_;
     std::uint64_t interrupted_closes_ = 0;
--- a/src/platform_server/platform_server.cpp
+++ b/src/platform_server/platform_server.cpp
@@ -21,6 +21,7 @@
 constexpr base::Micros kRequestIn = 2'000'000;
 constexpr base::Micros kIdle = 5'000'000;     // clients close after 4 s themselves
 constexpr base::Micros kReading = 5'000'000;  // an answer of 240 KB takes 0.8 s at the usual pace
+constexpr base::Micros kSettle = 5'000;       // us; a client reacts to a response within it
 constexpr int kMostParts = 1'000'000;
 constexpr double kMostNeed = 1e6;                  // KB; an object has a small part of this
 constexpr base::Micros kLongestWait = 60'000'000;  // a time-out beyond this is no sound figure
@@ -98,6 +99,7 @@
                                                               : net::ConnectionState::idle;
         front.connection_manager_.set_state(*this, doing, has_read);
     }
+    bool overlaps_requests() const override { return overlaps; }
     void on_closed() override {
         for (const auto& [seqid, one] : open) {
             front.open_.remove(one.ours);
@@ -122,7 +124,7 @@
       limits_(limits),
       loop_(loop),
       connection_manager_(loop, listen, limits.connections,
-                          {.request = kRequestIn, .idle = kIdle, .write = kReading},
+                          {.request = kRequestIn, .idle = kIdle, .write = kReading, .settle = kSettle},
                           [this] { return std::make_unique<Client>(*this); }) {}
 
 // What no cache could use is turned away here: sent on, it would count against the caches that can't use it.
--- a/src/platform_server/platform_server.h
+++ b/src/platform_server/platform_server.h
@@ -27,6 +27,8 @@
     void stop_listening(bool others_listen) { connection_manager_.stop_listening(others_listen); }
     // On a drain or at the end; `drain`: the one that is on, or none.
     void set_draining(bool on, const admin::DrainSchedule& drain);
+    // When the process, being shut down, has all that is open answered.
+    void set_shutdown_deadline(base::Micros at) { connection_manager_.set_shutdown_deadline(at); }
     void close_all_idle() { connection_manager_.close_all_idle(); }
     bool has_pending_input() const { return connection_manager_.has_pending_input(); }
     std::size_t connection_count() const { return connection_manager_.connection_count(); }
--- a/tests/daemon/crossings_test.cpp
+++ b/tests/daemon/crossings_test.cpp
@@ -64,25 +64,28 @@
             managed.manager.set_state(
                 *this, bytes.ends_with('.') ? net::ConnectionState::idle : net::ConnectionState::receiving);
         }
+        bool overlaps_requests() const override { return managed.overlaps; }
         void on_closed() override {
             ++managed.closed;
             if (managed.on_first_closed) std::exchange(managed.on_first_closed, nullptr)();
         }
     };
-    explicit ManagedConnections(net::Micros request_timeout = 60'000'000)
-        : request_timeout(request_timeout) {}
-    net::Micros request_timeout;
+    explicit ManagedConnections(net::Micros request_timeout = 60'000'000, net::Micros settle = 0)
+        : request_timeout(request_timeout), settle(settle) {}
+    net::Micros request_timeout, settle;
     std::function<void()> on_first_closed;
-    bool answers = false;  // each '.' read with a write of its own
+    bool answers = false;   // each '.' read with a write of its own
+    bool overlaps = false;  // clients send requests while others are open
     net::Loop loop;
     std::string received;
     int closed = 0;
     std::vector<RecordingConnection*> accepted;
-    net::ConnectionManager manager{loop,
-                                   "127.0.0.1:0",
-                                   8,
-                                   {.request = request_timeout, .idle = 60'000'000, .write = 60'000'000},
-                                   [this] { return std::make_unique<RecordingConnection>(*this); }};
+    net::ConnectionManager manager{
+        loop,
+        "127.0.0.1:0",
+        8,
+        {.request = request_timeout, .idle = 60'000'000, .write = 60'000'000, .settle = settle},
+        [this] { return std::make_unique<RecordingConnection>(*this); }};
 
     void until(const std::function<bool()>& done) {
         const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(kBoundMs);
@@ -422,6 +425,43 @@
     CHECK(asking.rest().size() == (1 + kRequests) * std::string("answer ").size());
 }
 
+// Guards: a client with overlapping requests had an earlier answer just now, and its next request crossed the
+// end that came behind the last one.
+TEST_CASE("a connection with overlapping requests is ended once it has settled, or there is no time left") {
+    using sumackeel::admin::DrainSchedule;
+    constexpr net::Micros kRequestTimeout = 60'000'000, kLong = 60'000'000, kShort = 50'000;
+    const auto draining = [](ManagedConnections& managed, Wire& client) {
+        managed.overlaps = true;
+        client.send("a.");
+        managed.until([&] { return managed.received == "a."; });
+        managed.manager.set_draining(true);
+    };
+    SUBCASE("it is read while it settles") {
+        ManagedConnections managed(kRequestTimeout, kLong);
+        Wire client = Wire::to(managed.manager.port());
+        draining(managed, client);
+        client.send("b.");
+        managed.until([&] { return managed.received == "a.b."; });
+        CHECK(managed.closed == 0);
+        SUBCASE("the process ends") {
+            managed.manager.set_shutdown_deadline(managed.loop.clock().now());
+        }
+        SUBCASE("the drain turns requests away") {
+            managed.manager.set_drain(DrainSchedule(managed.loop.clock().now() - DrainSchedule::kServing));
+        }
+        managed.manager.set_draining(true);
+        CHECK(managed.closed == 1);
+    }
+    SUBCASE("it is ended when it has settled") {
+        ManagedConnections managed(kRequestTimeout, kShort);
+        Wire client = Wire::to(managed.manager.port());
+        const net::Micros began = managed.loop.clock().now();
+        draining(managed, client);
+        managed.until([&] { return managed.closed == 1; });
+        CHECK(managed.loop.clock().now() - began >= kShort);
+    }
+}
+
 // Guards: one that was sent away holds a descriptor until it has ended too; a client that comes needs it now.
 TEST_CASE("who was sent away makes room at once for who comes") {
     ManagedConnections managed;
