A connection does not end over a request that was dropped as its end was tried

Cause: an end that is tried and given up, as bytes came between the first look and the receive filter, leaves what came right behind these to be sent again after 0.2 s. Until then nothing is unread, and the next look ended the connection.

Mend: behind a receive block that left the stream open the stream counts as not quiet for 0.25 s, for half-closes, evictions and the end of a drain.

--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -277,6 +277,7 @@
 void ConnectionManager::close_idle_after_reading() {
     for (ClientConnection* connection : snapshot(ConnectionState::idle)) {
         if (!connection->stream() || connection->stream_->congested()) continue;
+        if (connection->stream_->awaits_retransmission()) continue;
         const Stream::ReceiveBlock block(*connection->stream_);
         const Stream::WriteBatch refusals(*connection->stream_);
         connection->stream_->read_available();
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -18,6 +18,9 @@
 
 namespace {
 
+// Linux sends again what is not acknowledged after 0.2 s and the round trip.
+constexpr Micros kRetransmission = 250'000;  // us
+
 struct Write {
     uv_write_t request;
     std::string bytes;
@@ -213,6 +216,11 @@
     if (--receive_blocks_ > 0) return;
     const int unused = 0;
     setsockopt(descriptor(), SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
+    if (is_open()) unblocked_at_ = loop_of(tcp_).clock().now();
+}
+
+bool Stream::awaits_retransmission() const {
+    return unblocked_at_ && loop_of(tcp_).clock().now() < *unblocked_at_ + kRetransmission;
 }
 
 bool Stream::half_close() {
@@ -226,7 +234,7 @@
 
 // `act` says whether it was done. The first look spares the other side a retransmission in the usual case.
 QuietResult Stream::if_quiet(const std::function<bool()>& act) {
-    if (has_unread_data()) return QuietResult::not_quiet;
+    if (has_unread_data() || awaits_retransmission()) return QuietResult::not_quiet;
     const ReceiveBlock block(*this);
     if (has_unread_data()) return QuietResult::interrupted;
     return act() ? QuietResult::done : QuietResult::not_quiet;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -75,6 +75,9 @@
     bool peer_has_closed() const;         // all was read, and the other side has closed
     void close();                         // at once; what is unsent is dropped
     QuietResult close_if_quiet();         // the same, unless bytes wait to be read
+    // Bytes may have arrived during a ReceiveBlock that is over, and are still to be sent again. Until they
+    // had the time for that the stream counts as not quiet.
+    bool awaits_retransmission() const;
     // Half-closes once all that was written is sent. What the other side still sends is discarded, with
     // on_discarded(); on_close() is called when it has closed too. The handler bounds the wait for that.
     void shutdown();
@@ -147,6 +150,7 @@
     State state_ = State::connecting;
     bool reading_ = false;
     int receive_blocks_ = 0;
+    std::optional<Micros> unblocked_at_;  // the last block that ended with the stream open
     std::optional<Micros> half_closed_at_;
     std::size_t unread_at_half_close_ = 0;  // bytes, of which none has been read since
 };
--- a/tests/daemon/crossings_test.cpp
+++ b/tests/daemon/crossings_test.cpp
@@ -462,6 +462,23 @@
     }
 }
 
+// Guards: what came while a connection's end was tried and given up was dropped, and the connection then
+// ended before its client had sent it again.
+TEST_CASE("a connection is not ended over a request that its client has still to send again") {
+    ManagedConnections managed;
+    Wire client = Wire::to(managed.manager.port());
+    client.send("a.");
+    managed.until([&] { return managed.received == "a."; });
+    {
+        const net::Stream::ReceiveBlock block(*managed.accepted[0]->stream());
+        client.send("b.");
+    }
+    managed.manager.set_draining(true);
+    CHECK(managed.closed == 0);
+    managed.until([&] { return managed.received == "a.b."; });
+    managed.until([&] { return managed.closed == 1; });
+}
+
 // Guards: one that was sent away holds a descriptor until it has ended too; a client that comes needs it now.
 TEST_CASE("who was sent away makes room at once for who comes") {
     ManagedConnections managed;
