--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	cmake -B build-test -DSUMACKEEL_TESTS=ON -DCMAKE_BUILD_TYPE=Debug
 	cmake --build build-test -j$(JOBS)
 	red=$$(tests/known_red.sh .) && \
-	ctest --test-dir build-test --output-on-failure -LE '^(fleet|waits)$$' -E "$$red" && \
+	ctest --test-dir build-test --output-on-failure -LE '^(fleet|waits)$$' -E "$$red" -j 3 && \
 	ctest --test-dir build-test --output-on-failure -L '^waits$$' -E "$$red" -j 3 && \
 	ctest --test-dir build-test --output-on-failure -L '^fleet$$' -E "$$red" -j 6
 
