--- a/src/admin_server/admin_server.cpp
+++ b/src/admin_server/admin_server.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Each answer is due within 1 s; a caller that has not sent its call whole by then never will.
-constexpr base::Micros kPatience = 1'000'000;
+constexpr base::Micros kRequestTimeout = 1'000'000;
 // Silent callers in front of one do not hold it up for longer than this, which leaves time for its answer.
 constexpr base::Micros kQueue = 400'000;
 constexpr int kBacklog = 4096;
@@ -114,9 +114,11 @@
                          std::size_t longest_call)
     : taker_(std::move(taker)),
       longest_call_(longest_call),
-      connection_manager_(
-          loop, place_of(listen), kMaxConnections,
-          {.request = kPatience, .idle = kPatience, .write = kPatience, .accept_queue = kQueue},
-          [this] { return std::make_unique<Caller>(*this); }) {}
+      connection_manager_(loop, place_of(listen), kMaxConnections,
+                          {.request = kRequestTimeout,
+                           .idle = kRequestTimeout,
+                           .write = kRequestTimeout,
+                           .accept_queue = kQueue},
+                          [this] { return std::make_unique<Caller>(*this); }) {}
 
 }  // namespace sumackeel::admin_server
--- a/src/cli/admin_client.cpp
+++ b/src/cli/admin_client.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr base::Micros kPatience = 5'000'000;
+constexpr base::Micros kTimeout = 5'000'000;
 constexpr std::size_t kLongest = 16 << 20;
 
 struct Caller : net::Stream::Handler {
@@ -62,7 +62,7 @@
                                     path, body.size(), body));
     if (!net::Stream::connect(loop, budget, to, caller))
         throw config::ConfigError("no connection to " + address);
-    loop.timers().schedule(loop.clock().now() + kPatience, [&loop] { loop.stop(); });
+    loop.timers().schedule(loop.clock().now() + kTimeout, [&loop] { loop.stop(); });
     loop.run();
     if (!caller.whole) throw config::ConfigError(address + " does not answer");
     return std::move(caller.answer);
--- a/src/cli/expect_command.cpp
+++ b/src/cli/expect_command.cpp
@@ -201,16 +201,16 @@
         fmt::print("{:10.3f} ms  {}\n", static_cast<double>(at) / 1e3, words);
     }
     void on_decision(const expectations::SimulatedRequest& ask, const expectations::Decision& made,
-                     const std::vector<expectations::NotifiedStateSince>& told) override {
+                     const std::vector<expectations::NotifiedStateSince>& notified) override {
         const auto before = tallies()[0].broken;
-        Evaluator::on_decision(ask, made, told);
+        Evaluator::on_decision(ask, made, notified);
         mark(before);
     }
     void on_request_finished(const expectations::SimulatedRequest& ask,
                              const expectations::RequestResult& end,
-                             const std::vector<expectations::NotifiedStateSince>& told) override {
+                             const std::vector<expectations::NotifiedStateSince>& notified) override {
         const auto before = tallies()[0].broken;
-        Evaluator::on_request_finished(ask, end, told);
+        Evaluator::on_request_finished(ask, end, notified);
         fmt::print("{:10.3f} ms       request {}: {} after {} attempts\n",
                    static_cast<double>(ask.at + end.elapsed) / 1e3, end.request, name_of(end.outcome),
                    end.attempts);
@@ -329,8 +329,8 @@
     for (const expectations::Expectation& one : suite.expectations)
         fmt::print("{}\n    {}\n    because: {}\n", one.name, one.text(), one.reason);
     const auto worlds = expectations::enumerate(fleet, suite);
-    fmt::print("\n{} members, {} schools, {} worlds\n", fleet.members.size(), fleet.schools().size(),
-               worlds.size());
+    fmt::print("\n{} members, {} schools, {} worlds\n", fleet.members.size(),
+               fleet.zones_with_caches().size(), worlds.size());
     return 0;
 }
 
@@ -340,20 +340,20 @@
     for (const expectations::Expectation& one : suite.expectations) {
         if (one.name != flags.name) continue;
         fmt::print("{}\n    {}\n    because: {}\n", one.name, one.text(), one.reason);
-        std::vector<std::string> members, classes, schools;
+        std::vector<std::string> members, classes, zones;
         for (std::size_t i = 0; i < fleet.members.size(); ++i)
             if (one.group.matches(fleet, i)) members.push_back(fleet.name(i));
         for (const int service : one.classes) classes.push_back(fleet.site.classes[service]);
-        for (const int school : one.schools) schools.push_back(fleet.site.zones[school]);
+        for (const int zone : one.zones) zones.push_back(fleet.site.zones[zone]);
         fmt::print("    speaks of: {}\n", fmt::join(members, ", "));
         fmt::print("    requests of class: {}\n",
                    classes.empty() ? "any" : fmt::format("{}", fmt::join(classes, ", ")));
         fmt::print("    from school: {}\n",
-                   schools.empty() ? "any" : fmt::format("{}", fmt::join(schools, ", ")));
+                   zones.empty() ? "any" : fmt::format("{}", fmt::join(zones, ", ")));
         std::size_t count = 0;
         for (const expectations::Scenario& world : expectations::enumerate(fleet, suite))
-            count += one.schools.empty() ||
-                     std::find(one.schools.begin(), one.schools.end(), world.zone) != one.schools.end();
+            count += one.zones.empty() ||
+                     std::find(one.zones.begin(), one.zones.end(), world.zone) != one.zones.end();
         fmt::print("    worlds of these schools: {}\n", count);
         return 0;
     }
@@ -389,12 +389,13 @@
         Json::Value root;
         root["moved"] = Json::arrayValue;
         for (const expectations::RoutingShift& moved : difference.moved) {
-            any = any || moved.to_other_box || moved.from_other_source;
+            any = any || moved.to_other_endpoint || moved.from_other_source;
             Json::Value one;
-            one["school"] = moved.school, one["class"] = moved.service;
+            one["school"] = moved.zone, one["class"] = moved.service;
             one["requests"] = Json::UInt64{moved.requests};
-            for (const auto& [name, bounds] : {std::pair("box", moved.box), std::pair("source", moved.source),
-                                               std::pair("copies_lost", moved.copies)}) {
+            for (const auto& [name, bounds] :
+                 {std::pair("box", moved.endpoint), std::pair("source", moved.source),
+                  std::pair("copies_lost", moved.copies)}) {
                 one[name]["share"] = bounds.share, one[name]["lower"] = bounds.lower,
                 one[name]["upper"] = bounds.upper;
             }
@@ -412,9 +413,9 @@
     fmt::print("{:12}  {:10}  {:>8}  {:24}  {:24}  copies lost\n", "school", "class", "requests",
                "to another box", "filled from elsewhere");
     for (const expectations::RoutingShift& moved : difference.moved) {
-        any = any || moved.to_other_box || moved.from_other_source;
-        fmt::print("{:12}  {:10}  {:>8}  {:24}  {:24}  {}\n", moved.school, moved.service, moved.requests,
-                   shown(moved.box), shown(moved.source),
+        any = any || moved.to_other_endpoint || moved.from_other_source;
+        fmt::print("{:12}  {:10}  {:>8}  {:24}  {:24}  {}\n", moved.zone, moved.service, moved.requests,
+                   shown(moved.endpoint), shown(moved.source),
                    moved.objects
                        ? fmt::format("{} of {}, {}", moved.homes_moved, moved.objects, shown(moved.copies))
                        : "-");
--- a/src/cli/list_command.cpp
+++ b/src/cli/list_command.cpp
@@ -131,7 +131,7 @@
     return all;
 }
 
-int complain(const Opened& opened) {
+int report_read_error(const Opened& opened) {
     fmt::print(stderr, "sumackeel: {}: {}: {}\n", opened.file, endpoints::name_of(opened.read.error->code),
                opened.read.error->text);
     return 1;
@@ -140,7 +140,7 @@
 // NOLINTNEXTLINE(readability-function-size): not split yet
 int show(const ListFlags& flags, const std::string& path) {
     const Opened opened = open(path);
-    if (opened.read.error) return complain(opened);
+    if (opened.read.error) return report_read_error(opened);
     const Snapshot& list = opened.read.snapshot;
     const Judge judge(flags, opened);
     const Micros age = endpoints::age_of(list, base::Clock().unix_now());
@@ -207,7 +207,7 @@
     if (!opened.read.error && flags.settings)
         opened.read.error =
             endpoints::validate(opened.read.snapshot, flags.settings->site, base::Clock().unix_now());
-    if (opened.read.error) return complain(opened);
+    if (opened.read.error) return report_read_error(opened);
     fmt::print("{}: sound, {} members, last sure {} ago\n", opened.file,
                opened.read.snapshot.endpoints.size(),
                span(endpoints::age_of(opened.read.snapshot, base::Clock().unix_now())));
@@ -216,8 +216,8 @@
 
 int diff(const std::string& before, const std::string& after) {
     const Opened old = open(before), fresh = open(after);
-    if (old.read.error) return complain(old);
-    if (fresh.read.error) return complain(fresh);
+    if (old.read.error) return report_read_error(old);
+    if (fresh.read.error) return report_read_error(fresh);
     const auto described = [](const Opened& opened) {
         std::map<std::string, std::string> all;
         for (const endpoints::KnownEndpoint& member : opened.read.snapshot.endpoints) {
--- a/src/cli/release_command.cpp
+++ b/src/cli/release_command.cpp
@@ -55,19 +55,19 @@
 int wait(const ReleaseFlags& flags) {
     if (flags.member.empty()) throw config::ConfigError("release wait needs --member NAME");
     const auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(flags.timeout_s);
-    std::string said, before;
+    std::string response, before;
     for (;; std::this_thread::sleep_for(kAskAgain)) {
         try {
             const OpsAnswer answer = ops_call(
                 flags.at, "POST", "/ops/release/turn/" + flags.member + (flags.force ? "?force=1" : ""));
-            said = answer.body;
-            if (answer.status == 200) return fmt::print("{}", said), 0;
-            if (answer.status == 404) return fmt::print("{}", said), kNothingToDo;
+            response = answer.body;
+            if (answer.status == 200) return fmt::print("{}", response), 0;
+            if (answer.status == 404) return fmt::print("{}", response), kNothingToDo;
         } catch (const config::ConfigError& fault) {
-            said = std::string(fault.what()) + "\n";
+            response = std::string(fault.what()) + "\n";
         }
-        if (said != before) fmt::print(stderr, "{}", before = said);
-        if (std::chrono::steady_clock::now() >= end) return fmt::print("{}", said), 1;
+        if (response != before) fmt::print(stderr, "{}", before = response);
+        if (std::chrono::steady_clock::now() >= end) return fmt::print("{}", response), 1;
     }
 }
 
--- a/src/cli/rollout_command.cpp
+++ b/src/cli/rollout_command.cpp
@@ -68,7 +68,7 @@
                end.reason, end.changed, given.plan.members.size());
     fmt::print(
         "worst moment: {:.0f}% of {} by weight out, {:.0f} s after the start; {} proxies out at most\n",
-        100 * end.worst_share, end.worst_school, seconds(end.worst_at), end.most_out);
+        100 * end.worst_share, end.worst_zone, seconds(end.worst_at), end.most_out);
     if (!end.waited.empty())
         fmt::print("longest wait for a turn: {:.0f} s, {}\n", seconds(end.longest_wait), end.waited);
     return end.stage == rollout::ReleaseStage::done;
--- a/src/cli/store_command.cpp
+++ b/src/cli/store_command.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr base::Micros kPatience = 5'000'000;
+constexpr base::Micros kTimeout = 5'000'000;
 
 struct StoreClient : net::Stream::Handler {
     net::Loop& loop;
@@ -62,7 +62,7 @@
     if (!net::parse_address(address, to)) throw config::ConfigError("no address of a member: " + address);
     if (!net::Stream::connect(loop, budget, to, client))
         throw config::ConfigError("no connection to " + address);
-    loop.timers().schedule(loop.clock().now() + kPatience, [&loop] { loop.stop(); });
+    loop.timers().schedule(loop.clock().now() + kTimeout, [&loop] { loop.stop(); });
     loop.run();
     const auto end = client.answer.find('\n');
     if (end == std::string::npos) throw config::ConfigError(address + " does not answer");
--- a/src/cluster/failure_detector.cpp
+++ b/src/cluster/failure_detector.cpp
@@ -176,7 +176,7 @@
     if (!suspected && relays_silent) local_.degrade_health();
     // A member that receives everything and is received by nobody would suspect all others. A datagram that
     // came since the ping was sent is proof of life.
-    if (local_.options.lifeguard && member->last_heard >= ping.sent_at) return;
+    if (local_.options.lifeguard && member->last_received_at >= ping.sent_at) return;
     // Where datagrams are lost one failure says little: pinged again in the next turn before it is suspected.
     if (local_.options.lifeguard && !member->ping_failed_once && !suspected) {
         member->ping_failed_once = true;
--- a/src/cluster/member_table.h
+++ b/src/cluster/member_table.h
@@ -29,7 +29,7 @@
     std::map<std::string, SuspicionEntry> suspicions;  // by suspector
     MemberState state = MemberState::joining;
     Micros state_since = 0;
-    Micros last_heard = -1;        // -1: never
+    Micros last_received_at = -1;  // -1: never
     Micros last_ping_result = -1;  // when a ping of our own last ended, one way or the other
     Micros countdown_since = 0;    // since when suspicions of the newest record are active; 0: none
     Micros gone_since = 0;         // dead, or left
--- a/src/cluster/member_view.h
+++ b/src/cluster/member_view.h
@@ -17,7 +17,7 @@
     MemberRecord record;
     MemberState state = MemberState::joining;
     Micros since = 0;                     // in this state
-    Micros last_heard = -1;               // when a datagram of its own came last; -1: never
+    Micros last_received_at = -1;         // when a datagram of its own came last; -1: never
     std::vector<std::string> suspectors;  // whose suspicions of it are active
     bool directly_reachable = true;       // answers our own pings; false: only through others, or not at all
 };
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -95,7 +95,7 @@
     if (is_displaced() || !sender) return;
     // A datagram of an earlier process says nothing of the present one.
     if (datagram.records.front().incarnation.start < sender->record.incarnation.start) return;
-    sender->last_heard = local_.now;
+    sender->last_received_at = local_.now;
     if (local_.options.lifeguard && !sender->dead) {
         sender->ping_failed_once = false;
         suspicions_.withdraw_own_suspicion(*sender);
@@ -151,7 +151,7 @@
     ++local_.metrics.merged_states;
     for (const MemberRecord& record : state.records) on_record(record, state.from);
     for (const Suspicion& suspicion : state.suspicions) on_suspicion(suspicion, state.from);
-    if (Member* sender = members_.find(state.from)) sender->last_heard = local_.now;
+    if (Member* sender = members_.find(state.from)) sender->last_received_at = local_.now;
     self_record_.on_state_merged();
 }
 
@@ -189,7 +189,7 @@
         views.push_back({.record = member.record,
                          .state = member.state,
                          .since = member.state_since,
-                         .last_heard = member.last_heard,
+                         .last_received_at = member.last_received_at,
                          .suspectors = suspicions_.suspectors_of(member, SuspicionTracker::Scope::any_record),
                          .directly_reachable = member.directly_reachable});
     }
@@ -212,9 +212,10 @@
     for (const auto& [name, member] : members_.all()) {
         if (!member.is_pinged()) continue;
         // A member that anybody suspects is reachable only where this one has heard from it since, itself.
-        const bool heard_since = member.last_heard >= member.state_since ||
-                                 (member.directly_reachable && member.last_ping_result >= member.state_since);
-        const bool reached = heard_since && !suspicions_.is_suspected_by_self(member);
+        const bool received_since =
+            member.last_received_at >= member.state_since ||
+            (member.directly_reachable && member.last_ping_result >= member.state_since);
+        const bool reached = received_since && !suspicions_.is_suspected_by_self(member);
         if (member.state != MemberState::suspect || reached) ++count;
     }
     return count;
--- a/src/cluster_transport/status_json.cpp
+++ b/src/cluster_transport/status_json.cpp
@@ -21,7 +21,7 @@
     one["incarnation"] = Json::UInt64{seen.record.incarnation.refutations};
     one["state"] = name_of(seen.state);
     one["since_s"] = to_seconds(now - seen.since);
-    if (seen.last_heard >= 0) one["heard_s"] = to_seconds(now - seen.last_heard);
+    if (seen.last_received_at >= 0) one["heard_s"] = to_seconds(now - seen.last_received_at);
     one["direct"] = seen.directly_reachable;
     one["doubted_by"] = Json::Value(Json::arrayValue);
     for (const std::string& by : seen.suspectors) one["doubted_by"].append(by);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -38,11 +38,11 @@
     const std::string family_at = "params.family_info";
     const Value& family = section(params, "family_info");
     std::vector<Micros> fresh, grace;
-    std::vector<double> stale_worth;
+    std::vector<double> stale_values;
     std::vector<bool> pieces, uncached;
     take(family, "good_for", fresh, family_at);
     take(family, "grace_for", grace, family_at);
-    take(family, "class_stale_worth", stale_worth, family_at);
+    take(family, "class_stale_worth", stale_values, family_at);
     take(family, "in_pieces", pieces, family_at);
     take(family, "uncached", uncached, family_at);
     if (!params["classes"].isArray()) bad("params.classes", "missing or not a list");
@@ -69,7 +69,7 @@
                                                                  {"cell", IdempotencyScope::cell}});
         service.freshness_lifetime = nth_or<Micros>(fresh, i, 0);
         service.stale_grace = nth_or<Micros>(grace, i, 0);
-        service.stale_value = nth_or(stale_worth, i, 1.0);
+        service.stale_value = nth_or(stale_values, i, 1.0);
         service.chunked = i < pieces.size() && pieces[i];
         service.uncacheable = i < uncached.size() && uncached[i];
         site.classes.push_back(name);
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -135,7 +135,7 @@
   public:
     explicit Checker(std::string file) : found_(std::move(file)) {}
 
-    void complain(SourceLocation at, const std::string& name, const std::string& what) {
+    void report(SourceLocation at, const std::string& name, const std::string& what) {
         found_.add(at, name + ": " + what);
     }
     void finish() { found_.throw_if_any(); }
@@ -148,17 +148,17 @@
                 if (const auto inner = std::get_if<Node::Table>(&node.value))
                     this->table(*inner, name, node.key_place);
                 else
-                    complain(node.place, name,
-                             fmt::format("a table is wanted, this is {}", name_of_type(node)));
+                    report(node.place, name,
+                           fmt::format("a table is wanted, this is {}", name_of_type(node)));
             } else if (!key) {
-                complain(node.key_place, full_name(section, name), "no such key" + nearest(section, name));
+                report(node.key_place, full_name(section, name), "no such key" + nearest(section, name));
             } else if (const std::string fault = fault_of(*key, node); !fault.empty()) {
-                complain(node.place, full_name(section, name), fault);
+                report(node.place, full_name(section, name), fault);
             }
         }
         for (const Key& key : keys())
             if (section == key.section && key.required && !table.contains(key.name))
-                complain(at, full_name(section, key.name), "is missing");
+                report(at, full_name(section, key.name), "is missing");
     }
 
   private:
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -81,7 +81,7 @@
     discovery.first_wait = file.whole(at, "first_wait_ms") * 1000;
     discovery.longest_wait = file.whole(at, "longest_wait_ms") * 1000;
     discovery.jitter = file.number(at, "jitter");
-    discovery.doubt_empty = seconds(file, at, "doubt_empty_s");
+    discovery.empty_list_delay = seconds(file, at, "doubt_empty_s");
     if (discovery.longest_wait < discovery.first_wait)
         bad(file.where(at, "longest_wait_ms"), "shorter than first_wait_ms");
     return discovery;
@@ -167,7 +167,7 @@
     all.prime = seconds(file, at, "prime_s");
     all.pause = seconds(file, at, "pause_s");
     all.fills_per_s = file.number(at, "fills_per_s");
-    all.hub_fills_per_s = file.number(at, "hub_fills_per_s");
+    all.region_fills_per_s = file.number(at, "hub_fills_per_s");
     return all;
 }
 
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -45,7 +45,7 @@
     int follow = 1;
     routing::Micros first_wait = 100'000, longest_wait = 5'000'000;
     double jitter = 0.5;
-    routing::Micros doubt_empty = 30'000'000;  // 0: an empty list is believed at once
+    routing::Micros empty_list_delay = 30'000'000;  // 0: an empty list is believed at once
 };
 
 // A list of cache boxes kept on disk.
@@ -90,7 +90,7 @@
 struct Recovery {
     std::string folder;
     routing::Micros ask = 2'000'000, settle = 5'000'000, prime = 60'000'000, pause = 5'000'000;
-    double fills_per_s = 200, hub_fills_per_s = 1'000;  // of all proxies together
+    double fills_per_s = 200, region_fills_per_s = 1'000;  // of all proxies together
 };
 
 // What must hold of where requests go, checked before a configuration is taken up.
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -52,7 +52,7 @@
     return generation.ec == std::errc{} && generation.ptr == end ? handle : Handle{};
 }
 
-Handle Core::submit(Request ask, ResponseSink& asker, std::uint64_t cookie) {
+Handle Core::submit(Request ask, ResponseSink& sink, std::uint64_t cookie) {
     // Danger: counted from now, the time would grow by as much as the process stood still since it was read.
     const Micros now = clock_.now(), deadline = (ask.received_at > 0 ? ask.received_at : now) + ask.time_left;
     routing::RequestReceived arrival;
@@ -69,7 +69,7 @@
     OpenRequest request;
     request.deadline = deadline;
     request.request = std::move(ask);
-    request.sink = &asker;
+    request.sink = &sink;
     request.cookie = cookie;
     ids_.insert(request.request.id);
     const Handle handle = requests_.add(std::move(request));
@@ -243,7 +243,7 @@
     try {
         const Micros now = clock_.now();
         if (const Micros span =
-                clock_.total_stall_time() - std::exchange(told_stalled_, clock_.total_stall_time());
+                clock_.total_stall_time() - std::exchange(reported_stall_, clock_.total_stall_time());
             span > 0)
             router_.handle(now, routing::ProcessStalled{span}, actions_);
         router_.handle(now, event, actions_);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -133,7 +133,7 @@
     }
 
     // Takes a request; its one answer goes to `asker`. The front calls run() when its turn is over.
-    Handle submit(Request ask, ResponseSink& asker, std::uint64_t cookie);
+    Handle submit(Request ask, ResponseSink& sink, std::uint64_t cookie);
     void cancel(Handle request);  // the client no longer waits: no answer is owed
     void on_attempt_finished(Handle attempt, AttemptResult ending);
     void notify(routing::Event event);  // news of the fleet and purges
@@ -218,7 +218,7 @@
     bool running_ = false;
     Metrics metrics_;
     Micros shutdown_deadline_ = 0;  // 0: no end is near
-    Micros told_stalled_ = 0;       // of the clock's stalled(), what the module knows
+    Micros reported_stall_ = 0;     // of the clock's stalled(), what the module knows
 };
 
 }  // namespace sumackeel::core
--- a/src/daemon/disruption_budget.cpp
+++ b/src/daemon/disruption_budget.cpp
@@ -6,7 +6,7 @@
 
 // The hubs are the zones without proxies, in the order of the settings; each zone's place in their ring is
 // told.
-std::string DisruptionBudgetView::hub_of(int zone) const {
+std::string DisruptionBudgetView::parent_region_of(int zone) const {
     const auto& settings = site_.settings;
     const auto in = [](const std::vector<int>& all, std::size_t place) {
         return place < all.size() ? all[place] : 0;
@@ -38,7 +38,7 @@
                                                                                         : "";
         all.push_back({.name = id,
                        .zone = site_.zones[static_cast<std::size_t>(entry.zone)],
-                       .parent_region = hub_of(entry.zone),
+                       .parent_region = parent_region_of(entry.zone),
                        .weight = entry.weight,
                        .unavailable = *why != 0,
                        .unavailable_reason = why});
--- a/src/daemon/disruption_budget.h
+++ b/src/daemon/disruption_budget.h
@@ -25,7 +25,7 @@
     std::vector<rollout::FleetMember> proxies(const cluster::Membership& group, bool draining) const;
 
   private:
-    std::string hub_of(int zone) const;
+    std::string parent_region_of(int zone) const;
 
     const config::Site& site_;
     base::Micros gone_counts_;
--- a/src/daemon/drain_report.cpp
+++ b/src/daemon/drain_report.cpp
@@ -13,13 +13,13 @@
 constexpr base::Micros kNoneHeld = 4'000'000;  // the operators' page: from then on no connection is held
 
 // Connections by what they do, and why those that are gone have ended.
-std::string described(const net::ConnectionManager& door) {
+std::string described(const net::ConnectionManager& connections) {
     using net::ConnectionState;
-    std::string text = fmt::format("{} connections", door.connection_count());
+    std::string text = fmt::format("{} connections", connections.connection_count());
     for (const ConnectionState doing :
          {ConnectionState::awaiting_request, ConnectionState::receiving, ConnectionState::idle,
           ConnectionState::flushing, ConnectionState::processing, ConnectionState::half_closed})
-        if (const std::size_t count = door.count(doing); count > 0)
+        if (const std::size_t count = connections.count(doing); count > 0)
             text += fmt::format(", {} {}", count, net::name_of(doing));
     return text;
 }
@@ -45,11 +45,11 @@
 }
 
 void DrainReport::line() const {
-    const auto& figures = front_.drain_metrics();
+    const auto& metrics = front_.drain_metrics();
     std::string text =
         fmt::format("drain at {} ms: {}; {} refused, {} held, {} hurried since the start",
                     drain_.age(loop_.clock().now()) / 1000, described(front_.connection_manager()),
-                    figures.rejected, figures.held, figures.hurried);
+                    metrics.rejected, metrics.held, metrics.hurried);
     if (signed_front_) text += fmt::format("; signed: {}", described(signed_front_->connection_manager()));
     log::info("{}", text);
 }
--- a/src/daemon/endpoint_manager.cpp
+++ b/src/daemon/endpoint_manager.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::milliseconds kWaitForList{500};
 constexpr Micros kLookForList = 100'000;
 // From a purge to its event, with room for a log that was sure for what had not arrived yet.
-constexpr Micros kToldWithin = 1'000'000;
+constexpr Micros kNotifiedWithin = 1'000'000;
 constexpr std::size_t kMostStarts = 200'000;  // of members ever told; beyond it they are read anew
 
 endpoints::ViewOptions view_options(const config::Config& config, const config::Operator& setup) {
@@ -25,7 +25,7 @@
     options.origin_kind = config.site.settings.origin_kind;
     options.parent_kind = config.site.settings.parent_kind;
     options.purge_retention = 2 * config.site.settings.purge_completes_within;
-    if (setup.discovery) options.empty_list_delay = setup.discovery->doubt_empty;
+    if (setup.discovery) options.empty_list_delay = setup.discovery->empty_list_delay;
     if (setup.endpoint_snapshot)
         options.staleness = {.full_until = setup.endpoint_snapshot->full_until,
                              .unverified_until = setup.endpoint_snapshot->unverified_until,
@@ -156,9 +156,9 @@
     for (config::LocatedEndpoint& placed : change.endpoints) {
         routing::Endpoint& entry = placed.endpoint;
         if (entry.started_at <= 0) continue;
-        const base::UnixTime told{entry.started_at};
+        const base::UnixTime reported{entry.started_at};
         Start& start = starts_[entry.name];
-        if (start.told != told) start = {told, loop_.clock().from_unix(told)};
+        if (start.reported_at != reported) start = {reported, loop_.clock().from_unix(reported)};
         entry.started_at = start.moment;
     }
 }
@@ -168,27 +168,27 @@
     view_.seed(list, loop_.clock().now());
 }
 
-void EndpointManager::hear(const config::WatchEvent& told, int log) {
+void EndpointManager::hear(const config::WatchEvent& reported, int log) {
     const Micros now = loop_.clock().now();
-    config::WatchEvent change = told;
+    config::WatchEvent change = reported;
     // Danger: the time of a purge is the origin's clock, and ours may have come back an hour ahead of it: the
     // purge would seem long over. What a log tells that was sure a moment ago is no older than that moment.
     date_starts(change);
     if (change.has_purge) change.purged_at = loop_.clock().from_unix(change.purge_time);
     if (change.has_purge && on_sure_ && view_.is_live())
-        change.purged_at = std::max(change.purged_at, now - view_.age(now) - kToldWithin);
-    const endpoints::ApplyResult heard = view_.apply(change, now, log);
-    if (heard == endpoints::ApplyResult::deferred)
+        change.purged_at = std::max(change.purged_at, now - view_.age(now) - kNotifiedWithin);
+    const endpoints::ApplyResult result = view_.apply(change, now, log);
+    if (result == endpoints::ApplyResult::deferred)
         log::warn("list {} names no cache box, not believed yet: the {} members known stay in use",
                   change.sequence, view_.size());
-    if (heard == endpoints::ApplyResult::full)
+    if (result == endpoints::ApplyResult::full)
         log::error("list {} names more members than there is room for, the new ones are left out",
                    change.sequence);
     log::debug("heard seq={} log={} fleet={} entries={} purge={} object={} group={} ago_us={}",
                change.sequence, log, change.has_endpoints, change.endpoints.size(), change.has_purge,
                change.object, change.purge_group, change.has_purge ? now - change.purged_at : 0);
     if (change.has_purge) tell_purge({change.object, change.purge_group, change.purged_at});
-    if (snapshot_writer_ && heard != endpoints::ApplyResult::outdated) snapshot_writer_->on_changed();
+    if (snapshot_writer_ && result != endpoints::ApplyResult::outdated) snapshot_writer_->on_changed();
 }
 
 void EndpointManager::is_confirmed() {
@@ -279,9 +279,9 @@
 
 void EndpointManager::write_last_snapshot() {
     if (!snapshot_writer_) return;
-    const endpoint_snapshot::WriterMetrics& figures = snapshot_writer_->metrics();
-    log::info("saved list: ended, written={} failed={} bytes={} longest_us={}", figures.written,
-              figures.failed, figures.bytes, figures.longest_snapshot);
+    const endpoint_snapshot::WriterMetrics& metrics = snapshot_writer_->metrics();
+    log::info("saved list: ended, written={} failed={} bytes={} longest_us={}", metrics.written,
+              metrics.failed, metrics.bytes, metrics.longest_snapshot);
     snapshot_writer_->flush();
 }
 
--- a/src/daemon/endpoint_manager.h
+++ b/src/daemon/endpoint_manager.h
@@ -56,7 +56,7 @@
     void seed(config::WatchEvent list);
 
     struct Start {
-        base::UnixTime told;
+        base::UnixTime reported_at;
         base::Micros moment = 0;
     };
 
--- a/src/daemon/kv_store_service.cpp
+++ b/src/daemon/kv_store_service.cpp
@@ -62,11 +62,11 @@
       setup_(setup),
       purged_(std::move(purged)),
       started_(loop.clock().now()),
-      desk_(loop, sockets, setup.listen,
-            [this](const Json::Value& question, const store::StoreApi::Answer& answer) {
-                word(question, answer);
-            }) {
-    consensus_.on_kv_store_change([this] { heard(); });
+      api_(loop, sockets, setup.listen,
+           [this](const Json::Value& question, const store::StoreApi::Answer& answer) {
+               word(question, answer);
+           }) {
+    consensus_.on_kv_store_change([this] { on_log_changed(); });
     transport_.on_call(kRevisionCall, [this](const std::string&, const std::string&, const std::string&,
                                              const cluster_transport::ClusterTransport::Respond& say) {
         say(std::to_string(consensus_.kv_store().last_purge()));
@@ -78,7 +78,7 @@
                            consensus_.poll_now(from);
                        });
     if (!setup_.folder.empty() && store::has_legacy_store(setup_.folder)) import();
-    heard();
+    on_log_changed();
 }
 
 KvStoreService::~KvStoreService() {
@@ -100,15 +100,15 @@
 }
 
 // Danger: when it was told is by another's clock, which may be far from ours. Heard now is never too early.
-void KvStoreService::heard() {
+void KvStoreService::on_log_changed() {
     const kv_store::State& state = consensus_.kv_store();
-    if (state.last_purge() < told_) told_ = 0;  // another history: all of it is news
-    const auto newer =
-        std::upper_bound(state.purges().begin(), state.purges().end(), told_,
-                         [](std::uint64_t told, const kv_store::Purge& one) { return told < one.number; });
+    if (state.last_purge() < notified_purge_) notified_purge_ = 0;  // another history: all of it is news
+    const auto newer = std::upper_bound(
+        state.purges().begin(), state.purges().end(), notified_purge_,
+        [](std::uint64_t number, const kv_store::Purge& one) { return number < one.number; });
     std::for_each(newer, state.purges().end(), purged_);
-    const bool news = state.last_purge() > told_;
-    told_ = std::max(told_, state.last_purge());
+    const bool news = state.last_purge() > notified_purge_;
+    notified_purge_ = std::max(notified_purge_, state.last_purge());
     if (!news || !consensus_.is_leader()) return;
     consensus_.replicate_now();
     auto names = std::make_shared<std::vector<std::string>>();
--- a/src/daemon/kv_store_service.h
+++ b/src/daemon/kv_store_service.h
@@ -38,11 +38,11 @@
     // Calls under /ops/purge. None: the answer comes later.
     std::optional<admin::ApiReply> handle_call(const admin::ApiCall& call,
                                                const admin_server::DeferredReply& later);
-    int port() const { return desk_.port(); }
+    int port() const { return api_.port(); }
 
   private:
     void word(const Json::Value& question, const store::StoreApi::Answer& answer);
-    void heard();
+    void on_log_changed();
     void import();
     void import_next();
     void tell_news(const std::shared_ptr<std::vector<std::string>>& names);
@@ -54,11 +54,11 @@
     const config::Store setup_;
     Purged purged_;
     base::Micros started_;
-    std::uint64_t told_ = 0;  // the newest purge told to the module
+    std::uint64_t notified_purge_ = 0;  // the newest purge told to the module
     std::optional<store::LegacyStore> old_;
     std::optional<base::TimerQueue::Key> next_import_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-    store::StoreApi desk_;
+    store::StoreApi api_;
 };
 
 }  // namespace sumackeel::daemon
--- a/src/daemon/recovery_controller.cpp
+++ b/src/daemon/recovery_controller.cpp
@@ -101,7 +101,7 @@
         endpoint && endpoint->record->located.endpoint.kind == parts.config.site.settings.origin_kind;
     const bool filled = status == CacheStatus::filled || status == CacheStatus::filled_by_origin;
     recovery::FillSource fill_source = recovery::FillSource::none;
-    if (filled) fill_source = recovery::FillSource::hub;
+    if (filled) fill_source = recovery::FillSource::region;
     if (status == CacheStatus::filled_by_origin || (is_origin && filled))
         fill_source = recovery::FillSource::origin;
     parts.recovery->on_request_finished(budget_key(request), fill_source);
--- a/src/endpoint_snapshot/snapshot_writer.cpp
+++ b/src/endpoint_snapshot/snapshot_writer.cpp
@@ -53,7 +53,7 @@
 void SnapshotWriter::start_after(std::uint64_t generation, std::uint64_t good) {
     next_ = generation + 1;
     good_ = good;
-    figures_.generation = generation;
+    metrics_.generation = generation;
     ready_ = true;
     look();
 }
@@ -110,7 +110,7 @@
     const auto held =
         std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - before)
             .count();
-    figures_.longest_snapshot = std::max<Micros>(figures_.longest_snapshot, held);
+    metrics_.longest_snapshot = std::max<Micros>(metrics_.longest_snapshot, held);
     job->work.data = job.get();
     const int queued = uv_queue_work(
         loop_.raw(), &job->work, [](uv_work_t* work) { static_cast<Job*>(work->data)->run(); },
@@ -130,15 +130,15 @@
         failures_ = 0;
         good_ = generation;
         next_ = generation + 1;
-        ++figures_.written;
-        figures_.bytes += bytes;
-        figures_.generation = generation;
+        ++metrics_.written;
+        metrics_.bytes += bytes;
+        metrics_.generation = generation;
     } else {
         if (failures_++ == 0) log::warn("saved list: not written, goes on without: {}", fault);
-        ++figures_.failed;
+        ++metrics_.failed;
         changed_ = true;  // what it held is still not on disk
     }
-    figures_.last_fault = fault;
+    metrics_.last_fault = fault;
     look();
 }
 
--- a/src/endpoint_snapshot/snapshot_writer.h
+++ b/src/endpoint_snapshot/snapshot_writer.h
@@ -51,7 +51,7 @@
     void on_confirmed();
     void flush();  // as soon as the disk allows
     bool writing() const { return job_ != nullptr; }
-    const WriterMetrics& metrics() const { return figures_; }
+    const WriterMetrics& metrics() const { return metrics_; }
 
   private:
     struct Job;
@@ -64,7 +64,7 @@
     endpoints::NameTables names_;
     WriteSchedule pace_;
     TakeSnapshot take_;
-    WriterMetrics figures_;
+    WriterMetrics metrics_;
     Job* job_ = nullptr;  // its own until the pool has done with it
     bool ready_ = false, changed_ = false, confirmed_ = false;
     std::uint64_t next_ = 1, good_ = 0;
--- a/src/endpoints/endpoint_view.cpp
+++ b/src/endpoints/endpoint_view.cpp
@@ -148,16 +148,19 @@
         put_purge({change.object, change.object.empty() ? change.purge_group : 0, change.purged_at}, now,
                   news);
     if (change.has_endpoints) {
-        if (doubt_ && change.is_full_list && change.sequence >= doubt_->change.sequence && !empties(change))
-            doubt_.reset();
-        const bool second = doubt_ && doubt_->log != log && change.sequence >= doubt_->change.sequence;
+        if (deferred_update_ && change.is_full_list && change.sequence >= deferred_update_->change.sequence &&
+            !empties(change))
+            deferred_update_.reset();
+        const bool second = deferred_update_ && deferred_update_->log != log &&
+                            change.sequence >= deferred_update_->change.sequence;
         if (set_.empty_list_delay > 0 && empties(change) && !second) {
-            if (!doubt_ || change.sequence > doubt_->change.sequence)
-                doubt_ = DeferredUpdate{change, log, doubt_ ? doubt_->since : now};
+            if (!deferred_update_ || change.sequence > deferred_update_->change.sequence)
+                deferred_update_ =
+                    DeferredUpdate{change, log, deferred_update_ ? deferred_update_->since : now};
             doubted = true;
         } else {
             merge_fleet(change, now, source, news, no_room);
-            if (second && change.is_full_list) doubt_.reset();
+            if (second && change.is_full_list) deferred_update_.reset();
         }
     }
     last_seq_ = std::max(last_seq_, change.sequence);
@@ -268,8 +271,8 @@
 void EndpointView::advance(Micros now) {
     while (!purges_by_age_.empty() && purges_by_age_.begin()->first < now - set_.purge_retention)
         drop_oldest_purge();
-    if (doubt_ && now >= doubt_->since + set_.empty_list_delay) {
-        const DeferredUpdate believed = *std::exchange(doubt_, std::nullopt);
+    if (deferred_update_ && now >= deferred_update_->since + set_.empty_list_delay) {
+        const DeferredUpdate believed = *std::exchange(deferred_update_, std::nullopt);
         bool news = false, no_room = false;
         merge_fleet(believed.change, now, RecordSource::watch, news, no_room);
     }
@@ -316,7 +319,7 @@
     looked_ = now;
     if (std::exchange(all_touched_, false))
         for (const auto& [id, member] : endpoints_) touched_.insert(id);
-    std::vector<config::LocatedEndpoint> told;
+    std::vector<config::LocatedEndpoint> changed;
     for (const std::string& id : std::exchange(touched_, {})) {
         const auto found = endpoints_.find(id);
         const auto before = offered_.find(id);
@@ -325,7 +328,7 @@
             if (before == offered_.end()) continue;
             config::LocatedEndpoint gone = before->second.word->located;
             gone.endpoint.state = EndpointState::removed;
-            told.push_back(std::move(gone));
+            changed.push_back(std::move(gone));
             offered_.erase(before);
             continue;
         }
@@ -344,9 +347,9 @@
         if (may == Trust::none && placed.endpoint.state == EndpointState::ready)
             placed.endpoint.state = EndpointState::removed;
         if (before == offered_.end() && placed.endpoint.state == EndpointState::removed) continue;
-        told.push_back(std::move(placed));
+        changed.push_back(std::move(placed));
     }
-    return told;
+    return changed;
 }
 
 std::optional<Micros> EndpointView::next_deadline(Micros now) const {
@@ -354,7 +357,7 @@
     const auto at = [&](Micros when) {
         if (when > now && (!next || when < *next)) next = when;
     };
-    if (doubt_) at(std::max(doubt_->since + set_.empty_list_delay, now + 1));
+    if (deferred_update_) at(std::max(deferred_update_->since + set_.empty_list_delay, now + 1));
     if (!live_ && sure_at_ > 0) at(sure_at_ + set_.staleness.full_until);
     if (!live_ && sure_at_ > 0) at(sure_at_ + set_.staleness.unverified_until);
     return next;
--- a/src/endpoints/endpoint_view.h
+++ b/src/endpoints/endpoint_view.h
@@ -127,13 +127,15 @@
     Micros age(Micros now) const { return sure_at_ > 0 ? now - sure_at_ : -1; }
     bool is_live() const { return live_; }  // a live source confirmed it since the start
     // The number to take the change log up behind after a restart: what is doubted is asked for again.
-    std::int64_t resume_after() const { return doubt_ ? doubt_->change.sequence - 1 : last_seq_; }
+    std::int64_t resume_after() const {
+        return deferred_update_ ? deferred_update_->change.sequence - 1 : last_seq_;
+    }
     std::int64_t last_sequence() const { return last_seq_; }
     // The newest list that any member is known from, a seed list too: for people, not to resume behind.
     std::int64_t newest_list() const { return std::max(last_seq_, seed_seq_); }
     std::size_t size() const { return endpoints_.size(); }
     std::size_t count(Trust use, Micros now) const;
-    bool has_deferred_update() const { return doubt_.has_value(); }
+    bool has_deferred_update() const { return deferred_update_.has_value(); }
     const std::map<std::string, KnownEndpoint>& endpoints() const { return endpoints_; }
     std::vector<Purge> purges() const;
 
@@ -182,7 +184,7 @@
     std::set<std::string> seeds_;
     std::map<std::string, KeptPurge> purges_;
     PurgesByAge purges_by_age_;
-    std::optional<DeferredUpdate> doubt_;
+    std::optional<DeferredUpdate> deferred_update_;
     std::int64_t last_seq_ = 0, whole_at_ = 0, seed_seq_ = 0;
     std::int64_t forgotten_to_ = 0;  // words up to here on members not known are of forgotten gone ones
     std::size_t gone_ = 0;
--- a/src/endpoints/watch_sources.cpp
+++ b/src/endpoints/watch_sources.cpp
@@ -83,7 +83,7 @@
         const bool waiting = health.state == State::calling || health.state == State::asked;
         if (waiting && now > health.since + set_.connect_in)
             steps.push_back({Step::Kind::drop, i}), fail(health, now, "no answer in time");
-        else if (health.state == State::following && now > health.heard + set_.silence)
+        else if (health.state == State::following && now > health.last_byte_at + set_.silence)
             steps.push_back({Step::Kind::drop, i}), fail(health, now, "fell silent");
     }
     int good_ones = 0;
@@ -109,7 +109,7 @@
             health.state = State::calling;
             health.since = now;
             health.on_this = 0;
-            health.went_back = false;
+            health.regressed = false;
             health.proven = false;
             steps.push_back({Step::Kind::call, i, behind});
         }
@@ -122,7 +122,7 @@
     std::optional<Micros> first;
     for (const Health& health : health_) {
         const Micros at = health.state == State::resting     ? health.rest_until
-                          : health.state == State::following ? health.heard + set_.silence + 1
+                          : health.state == State::following ? health.last_byte_at + set_.silence + 1
                                                              : health.since + set_.connect_in + 1;
         if (!first || at < *first) first = at;
     }
@@ -141,7 +141,7 @@
     if (health.state == State::resting) return false;
     if (health.state != State::following) health.since = now;
     health.state = State::following;
-    health.heard = now;
+    health.last_byte_at = now;
     weigh(health, now);
     if (health.proven && now - health.since >= set_.steady_after) health.failures = 0;
     return health.proven;
@@ -156,7 +156,7 @@
     known(std::max(seq, newest), now);
     on_data(source, now);
     if (seq > newest) return EventResult::apply;
-    return back && !std::exchange(health.went_back, true) ? EventResult::went_back : EventResult::duplicate;
+    return back && !std::exchange(health.regressed, true) ? EventResult::regressed : EventResult::duplicate;
 }
 
 void WatchSources::on_disconnected(std::size_t source, Micros now, std::string why) {
--- a/src/endpoints/watch_sources.h
+++ b/src/endpoints/watch_sources.h
@@ -39,12 +39,12 @@
     struct Health {
         State state = State::resting;
         bool proven = false;
-        bool went_back = false;    // told a number lower than one it had told on the same connection
+        bool regressed = false;    // told a number lower than one it had told on the same connection
         int failures = 0;          // in a row
         std::int64_t highest = 0;  // number told by it, ever
         std::int64_t on_this = 0;  // the highest on the present connection
         Micros since = 0;          // of the present state
-        Micros heard = 0;          // the last byte
+        Micros last_byte_at = 0;   // the last byte
         Micros rest_until = 0;
         std::string last_fault;  // why its last connection ended
     };
@@ -57,7 +57,7 @@
     enum class EventResult {
         apply,
         duplicate,  // not newer than the newest known
-        went_back   // the same, and the source told a higher number on this connection before: once each
+        regressed   // the same, and the source told a higher number on this connection before: once each
     };
 
     WatchSources(std::size_t count, WatchOptions options, std::uint64_t seed);
--- a/src/expectations/counterexample_file.cpp
+++ b/src/expectations/counterexample_file.cpp
@@ -114,9 +114,9 @@
     one.suite = read_suite(config::read_json(text_of(suite, true), file), file, one.fleet);
     const Value& world = root["world"];
     config::take(world, "title", one.world.title, file);
-    const auto school = config::need<std::string>(world, "school", file + ".world");
-    const auto zone = std::find(site.zones.begin(), site.zones.end(), school);
-    if (zone == site.zones.end()) bad(file + ".world.school", "no school '" + school + "'");
+    const auto zone_name = config::need<std::string>(world, "school", file + ".world");
+    const auto zone = std::find(site.zones.begin(), site.zones.end(), zone_name);
+    if (zone == site.zones.end()) bad(file + ".world.school", "no school '" + zone_name + "'");
     one.world.zone = static_cast<int>(zone - site.zones.begin());
     const auto seed = config::need<std::string>(world, "seed", file + ".world");
     if (seed.empty() || seed.size() > 20 || seed.find_first_not_of("0123456789") != std::string::npos)
--- a/src/expectations/evaluator.cpp
+++ b/src/expectations/evaluator.cpp
@@ -75,14 +75,14 @@
     return member < 0 ? "nobody" : fleet_.name(static_cast<std::size_t>(member));
 }
 
-bool Evaluator::conditions_hold(std::size_t place, const std::vector<NotifiedStateSince>& told) const {
+bool Evaluator::conditions_hold(std::size_t place, const std::vector<NotifiedStateSince>& notified) const {
     const auto& conditions = expectations_[place].conditions;
     for (std::size_t c = 0; c < conditions.size(); ++c) {
         const std::vector<bool>& members = conditions_[place][c];
         bool any = false, every = true;
-        for (std::size_t i = 0; i < told.size(); ++i) {
+        for (std::size_t i = 0; i < notified.size(); ++i) {
             if (!members[i]) continue;
-            const bool is = told[i].told == conditions[c].is;
+            const bool is = notified[i].notified == conditions[c].is;
             any = any || is;
             every = every && is;
         }
@@ -103,7 +103,7 @@
 
 // NOLINTNEXTLINE(readability-function-size): one case a rule
 void Evaluator::on_decision(const SimulatedRequest& ask, const Decision& made,
-                            const std::vector<NotifiedStateSince>& told) {
+                            const std::vector<NotifiedStateSince>& notified) {
     ++decisions_;
     const std::string object = has_patterns_ ? object_name(ask.object) : "";
     const int group = group_of(ask.object);
@@ -118,7 +118,7 @@
     for (std::size_t i = 0; i < expectations_.size(); ++i) {
         const Expectation& one = expectations_[i];
         if (!one.concerns(ask.class_index, world_.zone, object, group)) continue;
-        if (!one.conditions.empty() && !conditions_hold(i, told)) continue;
+        if (!one.conditions.empty() && !conditions_hold(i, notified)) continue;
         const auto judge = [&](bool allowed, const auto& words) {
             allow(i, allowed, made.at, made.request, words);
         };
@@ -161,15 +161,17 @@
                 std::string who;
                 for (const int member : {made.target, made.source}) {
                     if (member < 0) continue;
-                    const NotifiedStateSince& state = told[member];
-                    if (state.told != NotifiedState::draining && state.told != NotifiedState::gone) continue;
+                    const NotifiedStateSince& state = notified[member];
+                    if (state.notified != NotifiedState::draining && state.notified != NotifiedState::gone)
+                        continue;
                     out = true;
                     if (made.at - state.since > bound) late = true, who = name(member);
                 }
                 // It is about each decision taken while somebody is out: there it could have been broken.
                 const bool somebody =
-                    std::any_of(told.begin(), told.end(), [&](const NotifiedStateSince& state) {
-                        return (state.told == NotifiedState::draining || state.told == NotifiedState::gone) &&
+                    std::any_of(notified.begin(), notified.end(), [&](const NotifiedStateSince& state) {
+                        return (state.notified == NotifiedState::draining ||
+                                state.notified == NotifiedState::gone) &&
                                made.at - state.since > bound;
                     });
                 if (somebody || out)
@@ -185,13 +187,13 @@
 }
 
 void Evaluator::on_request_finished(const SimulatedRequest& ask, const RequestResult& end,
-                                    const std::vector<NotifiedStateSince>& told) {
+                                    const std::vector<NotifiedStateSince>& notified) {
     const std::string object = has_patterns_ ? object_name(ask.object) : "";
     for (std::size_t i = 0; i < expectations_.size(); ++i) {
         const Expectation& one = expectations_[i];
         if (one.rule != Rule::refused_at_most && one.rule != Rule::attempts_at_most) continue;
         if (!one.concerns(ask.class_index, world_.zone, object, group_of(ask.object))) continue;
-        if (!one.conditions.empty() && !conditions_hold(i, told)) continue;
+        if (!one.conditions.empty() && !conditions_hold(i, notified)) continue;
         if (one.rule == Rule::attempts_at_most) {
             allow(i, end.attempts <= one.limit, ask.at + end.elapsed, end.request,
                   [&] { return fmt::format("request {} took {} attempts", end.request, end.attempts); });
--- a/src/expectations/evaluator.h
+++ b/src/expectations/evaluator.h
@@ -64,14 +64,14 @@
         }
     }
     void on_decision(const SimulatedRequest& ask, const Decision& decision,
-                     const std::vector<NotifiedStateSince>& told) override;
+                     const std::vector<NotifiedStateSince>& notified) override;
     void on_request_finished(const SimulatedRequest& ask, const RequestResult& end,
-                             const std::vector<NotifiedStateSince>& told) override;
+                             const std::vector<NotifiedStateSince>& notified) override;
     const std::vector<Counts>& tallies() const { return tallies_; }
     std::uint64_t decisions() const { return decisions_; }
 
   private:
-    bool conditions_hold(std::size_t place, const std::vector<NotifiedStateSince>& told) const;
+    bool conditions_hold(std::size_t place, const std::vector<NotifiedStateSince>& notified) const;
     template <typename Words>
     void allow(std::size_t place, bool allowed, Micros at, int request, const Words& words);
     std::string name(int member) const;
--- a/src/expectations/fault_scenario.cpp
+++ b/src/expectations/fault_scenario.cpp
@@ -96,31 +96,31 @@
         faults.push_back(fault_of(what, members, FaultKind::drain, 0));
         faults.push_back(back_of(what, members, length / 3));
     };
-    for (const int school : fleet.schools()) {
+    for (const int zone : fleet.zones_with_caches()) {
         std::vector<int> members;
         for (std::size_t i = 0; i < fleet.members.size(); ++i)
-            if (fleet.kind_of(i) == Kind::cache && fleet.members[i].endpoint.zone == school)
+            if (fleet.kind_of(i) == Kind::cache && fleet.members[i].endpoint.zone == zone)
                 members.push_back(static_cast<int>(i));
-        whole("school " + fleet.site.zones[school], members);
+        whole("school " + fleet.site.zones[zone], members);
     }
-    for (const std::string& hub : fleet.hubs()) {
+    for (const std::string& region : fleet.parent_regions()) {
         std::vector<int> members;
         for (const int parent : parents)
-            if (fleet.zone_of(static_cast<std::size_t>(parent)) == hub) members.push_back(parent);
-        whole("hub " + hub, members);
+            if (fleet.zone_of(static_cast<std::size_t>(parent)) == region) members.push_back(parent);
+        whole("hub " + region, members);
     }
-    const auto matters = [&](const NamedFault& fault, int school) {
+    const auto matters = [&](const NamedFault& fault, int zone) {
         return std::any_of(fault.members.begin(), fault.members.end(), [&](int m) {
             const auto member = static_cast<std::size_t>(m);
-            return fleet.kind_of(member) != Kind::cache || fleet.members[member].endpoint.zone == school;
+            return fleet.kind_of(member) != Kind::cache || fleet.members[member].endpoint.zone == zone;
         });
     };
     std::vector<Scenario> worlds;
-    const auto add = [&](int school, std::string title, std::vector<FaultEvent> happenings) {
+    const auto add = [&](int zone, std::string title, std::vector<FaultEvent> happenings) {
         Scenario world;
         world.number = static_cast<int>(worlds.size());
-        world.title = fmt::format("{}: {}", fleet.site.zones[school], title);
-        world.zone = school;
+        world.title = fmt::format("{}: {}", fleet.site.zones[zone], title);
+        world.zone = zone;
         world.seed =
             mixed(suite.worlds.seed + static_cast<std::uint64_t>(world.number) * 0x9e3779b97f4a7c15ULL);
         std::stable_sort(happenings.begin(), happenings.end(),
@@ -128,36 +128,36 @@
         world.faults = std::move(happenings);
         worlds.push_back(std::move(world));
     };
-    for (const int school : fleet.schools()) {
-        add(school, "all up", {});
+    for (const int zone : fleet.zones_with_caches()) {
+        add(zone, "all up", {});
         for (const NamedFault& fault : faults)
-            if (matters(fault, school)) add(school, fault.title, fault.happenings);
+            if (matters(fault, zone)) add(zone, fault.title, fault.happenings);
     }
     // Pairs that have no member in common.
     struct Pair {
-        int school;
+        int zone;
         std::size_t a, b;
     };
     std::vector<Pair> pairs;
     std::mt19937_64 rng(suite.worlds.seed);
-    const auto schools = fleet.schools();
-    std::vector<std::vector<std::size_t>> of_school(schools.size());  // the faults that matter to each
-    for (std::size_t s = 0; s < schools.size(); ++s)
+    const auto zones = fleet.zones_with_caches();
+    std::vector<std::vector<std::size_t>> faults_of_zone(zones.size());  // the faults that matter to each
+    for (std::size_t s = 0; s < zones.size(); ++s)
         for (std::size_t i = 0; i < faults.size(); ++i)
-            if (matters(faults[i], schools[s])) of_school[s].push_back(i);
+            if (matters(faults[i], zones[s])) faults_of_zone[s].push_back(i);
     const int wanted = suite.worlds.most_pairs;
     for (int tries = 0; static_cast<int>(pairs.size()) < wanted && tries < 20 * wanted; ++tries) {
-        const std::size_t s = rng() % schools.size();
-        const auto& mine = of_school[s];
+        const std::size_t s = rng() % zones.size();
+        const auto& mine = faults_of_zone[s];
         const std::size_t a = mine[rng() % mine.size()], b = mine[rng() % mine.size()];
         const bool common = std::any_of(faults[a].members.begin(), faults[a].members.end(),
                                         [&](int member) { return faults[b].members.contains(member); });
-        if (!common) pairs.push_back({schools[s], a, b});
+        if (!common) pairs.push_back({zones[s], a, b});
     }
     for (const Pair& pair : pairs) {
         std::vector<FaultEvent> both = faults[pair.a].happenings;
         both.insert(both.end(), faults[pair.b].happenings.begin(), faults[pair.b].happenings.end());
-        add(pair.school, faults[pair.a].title + " and " + faults[pair.b].title, std::move(both));
+        add(pair.zone, faults[pair.a].title + " and " + faults[pair.b].title, std::move(both));
     }
     if (worlds.size() > static_cast<std::size_t>(suite.worlds.most)) worlds.resize(suite.worlds.most);
     return worlds;
--- a/src/expectations/fleet_diff.cpp
+++ b/src/expectations/fleet_diff.cpp
@@ -10,7 +10,7 @@
 
 constexpr double kConfidence = 0.95;
 
-struct Went {
+struct Choice {
     std::string target, source;
 };
 
@@ -21,20 +21,20 @@
     void on_decision(const SimulatedRequest& ask, const Decision& made,
                      const std::vector<NotifiedStateSince>&) override {
         if (made.attempt > 0) return;
-        went[ask.number] = {made.target < 0 ? "" : fleet_.name(made.target),
-                            made.source < 0 ? "" : fleet_.name(made.source)};
+        by_request[ask.number] = {made.target < 0 ? "" : fleet_.name(made.target),
+                                  made.source < 0 ? "" : fleet_.name(made.source)};
     }
     void on_request_finished(const SimulatedRequest&, const RequestResult&,
                              const std::vector<NotifiedStateSince>&) override {}
-    std::map<int, Went> went;
+    std::map<int, Choice> by_request;
 
   private:
     const FleetModel& fleet_;
 };
 
-std::set<std::string> school_names(const FleetModel& fleet) {
+std::set<std::string> zone_names(const FleetModel& fleet) {
     std::set<std::string> names;
-    for (const int zone : fleet.schools()) names.insert(fleet.site.zones[zone]);
+    for (const int zone : fleet.zones_with_caches()) names.insert(fleet.site.zones[zone]);
     return names;
 }
 
@@ -53,42 +53,43 @@
 FleetDiff compare(const FleetModel& before, const FleetModel& after, const Traffic& traffic,
                   std::uint64_t seed) {
     FleetDiff difference;
-    const auto old_schools = school_names(before), new_schools = school_names(after);
-    only_in(old_schools, new_schools, difference.only_old);
-    only_in(new_schools, old_schools, difference.only_new);
+    const auto old_zones = zone_names(before), new_zones = zone_names(after);
+    only_in(old_zones, new_zones, difference.only_old);
+    only_in(new_zones, old_zones, difference.only_new);
     std::set<std::string> old_members, new_members;
     for (std::size_t i = 0; i < before.members.size(); ++i) old_members.insert(before.name(i));
     for (std::size_t i = 0; i < after.members.size(); ++i) new_members.insert(after.name(i));
     only_in(old_members, new_members, difference.only_old);
     only_in(new_members, old_members, difference.only_new);
-    for (const std::string& school : old_schools) {
-        if (!new_schools.contains(school)) continue;
+    for (const std::string& zone : old_zones) {
+        if (!new_zones.contains(zone)) continue;
         Scenario world;
-        world.zone = zone_named(before, school);
+        world.zone = zone_named(before, zone);
         world.seed = seed;
         const std::vector<SimulatedRequest> asks = traffic_of(world, before, traffic);
         FirstChoices old_choices(before), new_choices(after);
         simulate(world, before, asks, old_choices);
-        world.zone = zone_named(after, school);
+        world.zone = zone_named(after, zone);
         simulate(world, after, asks, new_choices);
         std::map<int, RoutingShift> by_service;
         std::map<std::pair<int, int>, bool> homes;  // the first request for each part tells its home
         for (const SimulatedRequest& ask : asks) {
-            const auto was = old_choices.went.find(ask.number), is = new_choices.went.find(ask.number);
-            if (was == old_choices.went.end() || is == new_choices.went.end()) continue;
+            const auto was = old_choices.by_request.find(ask.number),
+                       is = new_choices.by_request.find(ask.number);
+            if (was == old_choices.by_request.end() || is == new_choices.by_request.end()) continue;
             RoutingShift& moved = by_service[ask.class_index];
             ++moved.requests;
             const bool other = was->second.target != is->second.target;
-            moved.to_other_box += other;
+            moved.to_other_endpoint += other;
             moved.from_other_source += was->second.source != is->second.source;
             if (!before.site.settings.classes[ask.class_index].uncacheable &&
                 homes.emplace(std::pair(ask.class_index, ask.object), other).second)
                 ++moved.objects, moved.homes_moved += other;
         }
         for (auto& [service, moved] : by_service) {
-            moved.school = school;
+            moved.zone = zone;
             moved.service = before.site.classes[service];
-            moved.box = bounds_of(moved.to_other_box, moved.requests, kConfidence);
+            moved.endpoint = bounds_of(moved.to_other_endpoint, moved.requests, kConfidence);
             moved.source = bounds_of(moved.from_other_source, moved.requests, kConfidence);
             moved.copies = bounds_of(moved.homes_moved, moved.objects, kConfidence);
             difference.moved.push_back(std::move(moved));
--- a/src/expectations/fleet_diff.h
+++ b/src/expectations/fleet_diff.h
@@ -10,10 +10,10 @@
 namespace sumackeel::expectations {
 
 struct RoutingShift {
-    std::string school, service;
-    std::uint64_t requests = 0, to_other_box = 0, from_other_source = 0;
+    std::string zone, service;
+    std::uint64_t requests = 0, to_other_endpoint = 0, from_other_source = 0;
     std::uint64_t objects = 0, homes_moved = 0;  // parts asked for, and those whose first box is another one
-    Bounds box, source, copies;                  // at 95% confidence
+    Bounds endpoint, source, copies;             // at 95% confidence
 };
 
 // Both with all members up and the same requests. Schools that only one of them has are left out and named.
--- a/src/expectations/fleet_model.cpp
+++ b/src/expectations/fleet_model.cpp
@@ -31,7 +31,7 @@
     return zone >= 0 && zone < static_cast<int>(site.zones.size()) ? site.zones[zone] : "";
 }
 
-std::vector<int> FleetModel::schools() const {
+std::vector<int> FleetModel::zones_with_caches() const {
     std::set<int> zones;
     for (std::size_t i = 0; i < members.size(); ++i)
         if (kind_of(i) == Kind::cache && members[i].endpoint.zone >= 0)
@@ -39,7 +39,7 @@
     return {zones.begin(), zones.end()};
 }
 
-std::vector<std::string> FleetModel::hubs() const {
+std::vector<std::string> FleetModel::parent_regions() const {
     std::set<std::string> names;
     for (std::size_t i = 0; i < members.size(); ++i)
         if (kind_of(i) != Kind::cache) names.insert(zone_of(i));
@@ -59,7 +59,7 @@
     for (auto& [name, placed] : known)
         if (placed.endpoint.state != EndpointState::removed) fleet.members.push_back(std::move(placed));
     if (fleet.members.empty()) throw config::ConfigError("the fleet has no member");
-    if (fleet.schools().empty()) throw config::ConfigError("the fleet has no cache in any school");
+    if (fleet.zones_with_caches().empty()) throw config::ConfigError("the fleet has no cache in any school");
     return fleet;
 }
 
@@ -72,10 +72,10 @@
 }  // namespace
 
 bool MemberSelector::matches(const FleetModel& fleet, std::size_t member) const {
-    const bool at_school = fleet.kind_of(member) == Kind::cache;
+    const bool is_pop_cache = fleet.kind_of(member) == Kind::cache;
     return among(names, fleet.name(member)) && among(kinds, name_of(fleet.kind_of(member))) &&
-           (zones.empty() || (at_school && among(zones, fleet.zone_of(member)))) &&
-           (regions.empty() || (!at_school && among(regions, fleet.zone_of(member))));
+           (zones.empty() || (is_pop_cache && among(zones, fleet.zone_of(member)))) &&
+           (regions.empty() || (!is_pop_cache && among(regions, fleet.zone_of(member))));
 }
 
 std::vector<bool> MemberSelector::members(const FleetModel& fleet) const {
--- a/src/expectations/fleet_model.h
+++ b/src/expectations/fleet_model.h
@@ -26,9 +26,9 @@
     int find(const std::string& name) const;
     std::string zone_of(std::size_t member) const;
     // Zones in which caches stand: what proxies are checked for.
-    std::vector<int> schools() const;
+    std::vector<int> zones_with_caches() const;
     // Zones in which parents or the origin stand, by name.
-    std::vector<std::string> hubs() const;
+    std::vector<std::string> parent_regions() const;
 };
 
 // Takes the list as the change log would leave it: later events over earlier ones, those gone left out.
--- a/src/expectations/parser.cpp
+++ b/src/expectations/parser.cpp
@@ -42,7 +42,7 @@
     return *std::find_if(kRules.begin(), kRules.end(), [&](const RuleForm& f) { return f.rule == rule; });
 }
 
-constexpr std::array<const char*, 4> kTold{"up", "cold", "draining", "gone"};
+constexpr std::array<const char*, 4> kNotifiedStateNames{"up", "cold", "draining", "gone"};
 
 class Reader : public config::ValidationErrorCollector {
   public:
@@ -95,8 +95,8 @@
     // Keys of a group; what else the table holds is left to the caller.
     bool group_key(const std::string& key, const Node& node, MemberSelector& group) {
         if (key == "box") return group.names = known(node, "box", member_names()), true;
-        if (key == "school") return group.zones = known(node, "school", school_names()), true;
-        if (key == "hub") return group.regions = known(node, "hub", fleet_.hubs()), true;
+        if (key == "school") return group.zones = known(node, "school", zone_names()), true;
+        if (key == "hub") return group.regions = known(node, "hub", fleet_.parent_regions()), true;
         if (key == "kind") return group.kinds = known(node, "kind", {"cache", "parent", "origin"}), true;
         return false;
     }
@@ -110,24 +110,24 @@
         const Node::Table* items = table(node, "while");
         if (!items) return std::nullopt;
         Condition condition;
-        bool said = false;
+        bool has_state = false;
         for (const auto& [key, value] : *items) {
             if (group_key(key, value, condition.group)) continue;
             if (key != "all" && key != "some") {
                 add(value.key_place, fmt::format("while: no such key '{}'", key));
                 continue;
             }
-            if (std::exchange(said, true)) add(value.key_place, "while: either all or some, not both");
+            if (std::exchange(has_state, true)) add(value.key_place, "while: either all or some, not both");
             condition.all = key == "all";
             const std::string word = text(value, "while." + key);
-            const auto found = std::find(kTold.begin(), kTold.end(), word);
-            if (found == kTold.end())
+            const auto found = std::find(kNotifiedStateNames.begin(), kNotifiedStateNames.end(), word);
+            if (found == kNotifiedStateNames.end())
                 add(value.place,
                     fmt::format("while.{}: '{}' is none of up, cold, draining, gone", key, word));
             else
-                condition.is = static_cast<NotifiedState>(found - kTold.begin());
+                condition.is = static_cast<NotifiedState>(found - kNotifiedStateNames.begin());
         }
-        if (!said) add(node.place, "while: says nothing; all = \"up\" or some = \"gone\" is wanted");
+        if (!has_state) add(node.place, "while: says nothing; all = \"up\" or some = \"gone\" is wanted");
         need_members(condition.group, node.place);
         return condition;
     }
@@ -196,8 +196,8 @@
                 for (const std::string& name : known(value, "class", fleet_.site.classes))
                     one.classes.push_back(place_in(fleet_.site.classes, name));
             } else if (key == "school") {
-                for (const std::string& name : known(value, "school", school_names()))
-                    one.schools.push_back(place_in(fleet_.site.zones, name));
+                for (const std::string& name : known(value, "school", zone_names()))
+                    one.zones.push_back(place_in(fleet_.site.zones, name));
             } else if (key == "object") {
                 one.object = text(value, key);
             } else if (key == "group") {
@@ -262,9 +262,9 @@
         for (std::size_t i = 0; i < fleet_.members.size(); ++i) names.push_back(fleet_.name(i));
         return names;
     }
-    std::vector<std::string> school_names() const {
+    std::vector<std::string> zone_names() const {
         std::vector<std::string> names;
-        for (const int zone : fleet_.schools()) names.push_back(fleet_.site.zones[zone]);
+        for (const int zone : fleet_.zones_with_caches()) names.push_back(fleet_.site.zones[zone]);
         return names;
     }
     static bool overlap(const std::vector<int>& a, const std::vector<int>& b) {
@@ -283,7 +283,7 @@
         };
         const bool objects = a.object.empty() || b.object.empty() || a.object == b.object;
         const bool groups = a.group_number < 0 || b.group_number < 0 || a.group_number == b.group_number;
-        return overlap(a.classes, b.classes) && overlap(a.schools, b.schools) && objects && groups &&
+        return overlap(a.classes, b.classes) && overlap(a.zones, b.zones) && objects && groups &&
                (within(a, b) || within(b, a));
     }
     bool contradict(const Expectation& a, const Expectation& b) const {
@@ -322,8 +322,8 @@
     return form_of(rule).name;
 }
 
-const char* name_of(NotifiedState told) {
-    return kTold[static_cast<std::size_t>(told)];
+const char* name_of(NotifiedState state) {
+    return kNotifiedStateNames[static_cast<std::size_t>(state)];
 }
 
 bool matches_pattern(std::string_view pattern, std::string_view text) {
@@ -343,11 +343,11 @@
     return p == pattern.size();
 }
 
-bool Expectation::concerns(int service, int school, const std::string& asked, int asked_group) const {
+bool Expectation::concerns(int service, int zone, const std::string& asked, int asked_group) const {
     const auto among = [](const std::vector<int>& list, int one) {
         return list.empty() || std::find(list.begin(), list.end(), one) != list.end();
     };
-    return among(classes, service) && among(schools, school) &&
+    return among(classes, service) && among(zones, zone) &&
            (group_number < 0 || group_number == asked_group) &&
            (object.empty() || matches_pattern(object, asked));
 }
--- a/src/expectations/parser.h
+++ b/src/expectations/parser.h
@@ -39,7 +39,7 @@
 
 // The state of a member as the proxy was told it.
 enum class NotifiedState { up, cold, draining, gone };
-const char* name_of(NotifiedState told);
+const char* name_of(NotifiedState state);
 
 struct Condition {
     MemberSelector group;
@@ -55,7 +55,7 @@
     config::Node source;  // as it was read
     Rule rule = Rule::never_twice;
     std::vector<int> classes;  // places in Site::classes; empty: all
-    std::vector<int> schools;  // zones; empty: all
+    std::vector<int> zones;    // zones; empty: all
     std::string object;        // pattern; empty: any
     int group_number = -1;     // of the object; -1: any
     MemberSelector group;      // what the rule speaks of
@@ -63,7 +63,7 @@
     double confidence = 0.99;  // of shares
     std::vector<Condition> conditions;
 
-    bool concerns(int service, int school, const std::string& asked, int asked_group) const;
+    bool concerns(int service, int zone, const std::string& asked, int asked_group) const;
     std::string text() const;  // the rule in words
 };
 
--- a/src/expectations/simulation.cpp
+++ b/src/expectations/simulation.cpp
@@ -18,13 +18,13 @@
 
 constexpr Micros kMs = 1'000;
 constexpr Micros kBegin =
-    1'700'000'000LL * base::kSecond;       // any moment will do; the router has no other clock
-constexpr Micros kRefusal = 1 * kMs;       // a connection refused, or a box that is full, says so at once
-constexpr Micros kNear = 2 * kMs;          // to a box of the school and back
-constexpr Micros kFillWay = 40 * kMs;      // to a source's first byte
-constexpr Micros kOriginWay = 60 * kMs;    // the same through a parent from the origin
-constexpr Micros kToldLate = 2'000 * kMs;  // the list knows of a death this long after it
-constexpr double kColdPace = 3;            // a box at its coldest takes this many times as long
+    1'700'000'000LL * base::kSecond;     // any moment will do; the router has no other clock
+constexpr Micros kRefusal = 1 * kMs;     // a connection refused, or a box that is full, says so at once
+constexpr Micros kNear = 2 * kMs;        // to a box of the school and back
+constexpr Micros kFillWay = 40 * kMs;    // to a source's first byte
+constexpr Micros kOriginWay = 60 * kMs;  // the same through a parent from the origin
+constexpr Micros kNotificationDelay = 2'000 * kMs;  // the list knows of a death this long after it
+constexpr double kColdPace = 3;                     // a box at its coldest takes this many times as long
 
 struct MemberState {
     bool refuses = false, silent = false, fails_fills = false, full = false, stale = false;
@@ -53,7 +53,7 @@
           settings_(settings_of(fleet, world)),
           router_(settings_, world.seed),
           members_(fleet.members.size()),
-          told_(fleet.members.size()) {
+          notified_(fleet.members.size()) {
         for (std::size_t i = 0; i < fleet.members.size(); ++i) places_[fleet.name(i)] = static_cast<int>(i);
     }
 
@@ -62,7 +62,8 @@
         for (std::size_t i = 0; i < fleet_.members.size(); ++i) {
             routing::Endpoint entry = fleet_.members[i].endpoint;
             entry.started_at = 0;
-            told_[i].told = entry.state == EndpointState::ready ? NotifiedState::up : NotifiedState::draining;
+            notified_[i].notified =
+                entry.state == EndpointState::ready ? NotifiedState::up : NotifiedState::draining;
             entries.push_back(entry);
         }
         for (const FaultEvent& one : world_.faults) at(one.at, [this, &one] { happen(one); });
@@ -115,15 +116,15 @@
     }
 
     // ---- what goes wrong ----
-    void tell(int member, NotifiedState told, Micros since_start = 0) {
+    void tell(int member, NotifiedState notified, Micros since_start = 0) {
         routing::Endpoint entry = fleet_.members[member].endpoint;
-        entry.state = told == NotifiedState::gone       ? EndpointState::removed
-                      : told == NotifiedState::draining ? EndpointState::draining
-                                                        : EndpointState::ready;
+        entry.state = notified == NotifiedState::gone       ? EndpointState::removed
+                      : notified == NotifiedState::draining ? EndpointState::draining
+                                                            : EndpointState::ready;
         entry.started_at = since_start;
-        told_[member] = {told, now_};
+        notified_[member] = {notified, now_};
         feed(routing::EndpointUpdate{2, routing::EndpointUpdateKind::incremental, {entry}},
-             [&] { return fmt::format("list: {} is {}", entry.name, name_of(told)); });
+             [&] { return fmt::format("list: {} is {}", entry.name, name_of(notified)); });
     }
 
     void happen(const FaultEvent& one) {
@@ -141,7 +142,7 @@
                 member.holds.clear();
                 if (member.refuses) break_off(one.member);
                 ++deaths_[one.member];
-                return at(now_ + kToldLate, [this, who = one.member, death = deaths_[one.member]] {
+                return at(now_ + kNotificationDelay, [this, who = one.member, death = deaths_[one.member]] {
                     if (deaths_[who] == death) tell(who, NotifiedState::gone);
                 });
             case FaultKind::back_cold:
@@ -149,8 +150,8 @@
                 member.cold_since = now_;
                 ++deaths_[one.member];
                 at(now_ + warm_time(one.member), [this, who = one.member, life = deaths_[one.member]] {
-                    if (deaths_[who] == life && told_[who].told == NotifiedState::cold)
-                        told_[who] = {NotifiedState::up, now_};
+                    if (deaths_[who] == life && notified_[who].notified == NotifiedState::cold)
+                        notified_[who] = {NotifiedState::up, now_};
                 });
                 return tell(one.member, NotifiedState::cold, kBegin + now_);
             case FaultKind::fails_fills:
@@ -211,7 +212,7 @@
         const Open open = std::move(found->second);
         open_.erase(found);
         watcher_.on_request_finished(*open.ask, {open.ask->number, how, open.attempts, now_ - open.ask->at},
-                                     told_);
+                                     notified_);
     }
 
     void give_up(const std::string& id) {
@@ -310,7 +311,7 @@
             return fmt::format("out  request {}: attempt {} to {}{}", serve.id, open.attempts, serve.endpoint,
                                decision.source < 0 ? "" : ", filled from " + serve.source);
         });
-        watcher_.on_decision(*open.ask, decision, told_);
+        watcher_.on_decision(*open.ask, decision, notified_);
         const int attempt = open.attempts++;
         if (target < 0) return;
         open.out[attempt] = {target, source};
@@ -399,7 +400,7 @@
     routing::Router router_;
     std::unordered_map<std::string, int> places_;
     std::vector<MemberState> members_;
-    std::vector<NotifiedStateSince> told_;
+    std::vector<NotifiedStateSince> notified_;
     std::map<int, int> deaths_;  // a later life makes what was to be told of an earlier one void
     std::map<std::string, Open> open_;
     std::map<std::pair<std::string, int>, std::pair<Micros, int>> sent_;
--- a/src/expectations/simulation.h
+++ b/src/expectations/simulation.h
@@ -29,7 +29,7 @@
 
 // What the proxy was told of each member, and since when.
 struct NotifiedStateSince {
-    NotifiedState told = NotifiedState::up;
+    NotifiedState notified = NotifiedState::up;
     Micros since = 0;  // of `told`
 };
 
@@ -44,9 +44,9 @@
   public:
     virtual ~SimulationObserver() = default;
     virtual void on_decision(const SimulatedRequest& ask, const Decision& decision,
-                             const std::vector<NotifiedStateSince>& told) = 0;
+                             const std::vector<NotifiedStateSince>& notified) = 0;
     virtual void on_request_finished(const SimulatedRequest& ask, const RequestResult& end,
-                                     const std::vector<NotifiedStateSince>& told) = 0;
+                                     const std::vector<NotifiedStateSince>& notified) = 0;
     // For replays: each event that goes in and each action that comes out, in words.
     virtual void step(Micros at, const std::string& words) {
         static_cast<void>(at), static_cast<void>(words);
--- a/src/platform_server/platform_server.cpp
+++ b/src/platform_server/platform_server.cpp
@@ -65,10 +65,10 @@
     };
     std::map<std::int32_t, OpenCall> open;  // by seqid
     std::int32_t last_seqid = 0;
-    bool heard = false;     // a whole frame has come
-    bool reading = false;   // within on_data(): further frames may follow
-    bool overlaps = false;  // a request has come while another was open
-    base::Micros came = 0;  // when the last byte of what is being read came
+    bool has_received_frame = false;  // a whole frame has come
+    bool reading = false;             // within on_data(): further frames may follow
+    bool overlaps = false;            // a request has come while another was open
+    base::Micros came = 0;            // when the last byte of what is being read came
 
     explicit Client(PlatformServer& owner) : front(owner) {}
 
@@ -77,7 +77,7 @@
         if (peer_has_left()) return front.connection_manager_.close(*this);
         reading = true;
         reader.read(bytes, [this](std::string_view frame) {
-            heard = true;
+            has_received_frame = true;
             front.call(*this, decode_call(frame));
             return stream() != nullptr;
         });
@@ -94,9 +94,9 @@
         stream()->pause(stream()->unsent_bytes() > (open.empty() ? kMostUnsent : 2 * kMostUnsent));
         const net::ConnectionState doing = !open.empty()                  ? net::ConnectionState::processing
                                            : stream()->unsent_bytes() > 0 ? net::ConnectionState::flushing
-                                           : !heard           ? net::ConnectionState::awaiting_request
-                                           : reader.partial() ? net::ConnectionState::receiving
-                                                              : net::ConnectionState::idle;
+                                           : !has_received_frame ? net::ConnectionState::awaiting_request
+                                           : reader.partial()    ? net::ConnectionState::receiving
+                                                                 : net::ConnectionState::idle;
         front.connection_manager_.set_state(*this, doing, has_read);
     }
     bool overlaps_requests() const override { return overlaps; }
--- a/src/recovery/fill_budget.cpp
+++ b/src/recovery/fill_budget.cpp
@@ -30,12 +30,12 @@
 
 // The buckets begin with a random part: a thousand proxies that begin together would admit a thousand
 // requests in the first moment otherwise.
-FillBudget::FillBudget(double origin_per_s, double hubs_per_s, std::vector<double> priority_weights,
+FillBudget::FillBudget(double origin_per_s, double regions_per_s, std::vector<double> priority_weights,
                        std::uint64_t seed)
     : meters_{Meter{.per_s = origin_per_s,
                     .initial_fraction = kInitialOriginFraction,
                     .ramp_duration = kOriginRampDuration},
-              Meter{.per_s = hubs_per_s,
+              Meter{.per_s = regions_per_s,
                     .initial_fraction = kInitialRegionFraction,
                     .ramp_duration = kRegionRampDuration}},
       priority_weights_(std::move(priority_weights)),
--- a/src/recovery/fill_budget.h
+++ b/src/recovery/fill_budget.h
@@ -35,14 +35,14 @@
 // Where the copy of a served request came from.
 enum class FillSource : std::uint8_t {
     none,    // a cache had it
-    hub,     // a region's cache
+    region,  // a region's cache
     origin,  // the origin, directly or through a region's cache
 };
 
 class FillBudget {
   public:
     // Fills a second of all proxies. `priority_weights`: of each class; the lowest is rejected first.
-    FillBudget(double origin_per_s, double hubs_per_s, std::vector<double> priority_weights,
+    FillBudget(double origin_per_s, double regions_per_s, std::vector<double> priority_weights,
                std::uint64_t seed);
 
     // `proxies`: how many the budget is divided by. `primed_for`: since priming began; below 0: nothing that
--- a/src/recovery_coordinator/recovery_coordinator.cpp
+++ b/src/recovery_coordinator/recovery_coordinator.cpp
@@ -47,7 +47,8 @@
                .pause = setup.pause,
                .elects = elects},
               steady_now()),
-      budget_(setup.fills_per_s, setup.hub_fills_per_s, std::move(priority_weights), seed ^ kBudgetSeedMask),
+      budget_(setup.fills_per_s, setup.region_fills_per_s, std::move(priority_weights),
+              seed ^ kBudgetSeedMask),
       poller_(transport,
               [this](const std::string& from, const RecoveryReply& reply) { on_reply(from, reply); }),
       unconfirmed_since_(steady_now()) {
--- a/src/rollout/release_simulation.cpp
+++ b/src/rollout/release_simulation.cpp
@@ -223,7 +223,7 @@
             const double share = weight.total > 0 ? weight.out / weight.total : 0;
             if (share <= result_.worst_share) continue;
             result_.worst_share = share;
-            result_.worst_school = zone;
+            result_.worst_zone = zone;
             result_.worst_at = now_;
         }
     }
--- a/src/rollout/release_simulation.h
+++ b/src/rollout/release_simulation.h
@@ -33,7 +33,7 @@
     std::string waited;        // that member
     std::size_t most_out = 0;  // members out at one instant, by lease or by themselves
     double worst_share = 0;    // the largest share of a zone's weight that was out
-    std::string worst_school;  // that zone
+    std::string worst_zone;    // that zone
     Micros worst_at = 0;       // and when
     double met = 0;            // share of all requests that the new version served
     std::size_t changed = 0;   // members that run the new version at the end
--- a/src/signed_url_server/signed_url_server.cpp
+++ b/src/signed_url_server/signed_url_server.cpp
@@ -18,8 +18,8 @@
 
 constexpr std::size_t kLongestHead = 24 * 1024;
 constexpr std::size_t kLongestBody = 48'000;
-constexpr std::size_t kMostAhead = 64 * 1024;  // of requests sent before the last was answered
-constexpr Micros kPatience = 15'000'000;       // for a whole request to come
+constexpr std::size_t kMostAhead = 64 * 1024;   // of requests sent before the last was answered
+constexpr Micros kRequestTimeout = 15'000'000;  // for a whole request to come
 
 std::string lower(std::string text) {
     std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
@@ -88,7 +88,7 @@
     std::size_t head = 0;
     base::Micros came = 0;  // when the last bytes arrived
     int too_much = 0;       // the status for a request that is over a limit
-    bool busy = false, whole = false, keep = true, heard = false;
+    bool busy = false, whole = false, keep = true, has_received_request = false;
     Handle ours, cores;
 
     explicit Client(SignedUrlServer& owner) : front(owner) {
@@ -175,7 +175,7 @@
             if (!whole) return;
             whole = false;
             http_parser_pause(&parser, 0);
-            busy = heard = true;
+            busy = has_received_request = true;
             front.asked(*this);
         }
     }
@@ -185,7 +185,7 @@
         stream()->pause(too_far_ahead());
         const net::ConnectionState doing = busy                           ? net::ConnectionState::processing
                                            : stream()->unsent_bytes() > 0 ? net::ConnectionState::flushing
-                                           : !heard ? net::ConnectionState::awaiting_request
+                                           : !has_received_request ? net::ConnectionState::awaiting_request
                                            : parser.nread > 0 || !ahead.empty()
                                                ? net::ConnectionState::receiving
                                                : net::ConnectionState::idle;
@@ -209,7 +209,7 @@
       one_time_(one_time),
       ids_(seed ^ 0x5eed5eed5eed5eedULL),
       connection_manager_(loop, setup.listen, setup.connections,
-                          {.request = kPatience, .idle = kPatience, .write = kPatience},
+                          {.request = kRequestTimeout, .idle = kRequestTimeout, .write = kRequestTimeout},
                           [this] { return std::make_unique<Client>(*this); }) {}
 
 void SignedUrlServer::update_config(const config::SignedUrlServer& setup) {
--- a/src/store/redis_one_time_tokens.cpp
+++ b/src/store/redis_one_time_tokens.cpp
@@ -32,8 +32,8 @@
     }
 };
 
-RedisOneTimeTokens::RedisOneTimeTokens(net::Loop& loop, const std::string& address, base::Micros patience)
-    : loop_(loop), patience_(patience) {
+RedisOneTimeTokens::RedisOneTimeTokens(net::Loop& loop, const std::string& address, base::Micros timeout)
+    : loop_(loop), timeout_(timeout) {
     sockaddr_in at{};
     if (!net::parse_address(address, at)) throw config::ConfigError("redis: no address: " + address);
     host_ = address.substr(0, address.rfind(':'));
@@ -85,20 +85,20 @@
     auto asked = std::make_shared<Asked>();
     asked->done = std::move(done);
     asked->self = asked;
-    asked->by = loop_.timers().schedule(loop_.clock().now() + patience_,
+    asked->by = loop_.timers().schedule(loop_.clock().now() + timeout_,
                                         [asked] { asked->settle(TokenUse::unknown); });
     const int sent = redisAsyncCommand(
         context_,
         [](redisAsyncContext* context, void* answer, void* data) {
-            const std::shared_ptr<Asked> told = std::move(static_cast<Asked*>(data)->self);
+            const std::shared_ptr<Asked> request = std::move(static_cast<Asked*>(data)->self);
             auto* self = static_cast<RedisOneTimeTokens*>(context->data);
             if (!self->alive_) return;
-            self->loop_.timers().cancel(told->by);
+            self->loop_.timers().cancel(request->by);
             const auto* reply = static_cast<redisReply*>(answer);
             const bool first =
                 reply && reply->type == REDIS_REPLY_STATUS && std::string_view(reply->str) == "OK";
             const bool again = reply && reply->type == REDIS_REPLY_NIL;
-            told->settle(first ? TokenUse::first : again ? TokenUse::reused : TokenUse::unknown);
+            request->settle(first ? TokenUse::first : again ? TokenUse::reused : TokenUse::unknown);
         },
         asked.get(), "SET %b 1 NX PX %lld", key.data(), key.size(), ms);
     if (sent == REDIS_OK) return;
--- a/src/store/redis_one_time_tokens.h
+++ b/src/store/redis_one_time_tokens.h
@@ -15,7 +15,7 @@
 
 class RedisOneTimeTokens : public core::OneTimeTokens {
   public:
-    RedisOneTimeTokens(net::Loop& loop, const std::string& address, base::Micros patience = 250'000);
+    RedisOneTimeTokens(net::Loop& loop, const std::string& address, base::Micros timeout = 250'000);
     ~RedisOneTimeTokens() override;
     RedisOneTimeTokens(const RedisOneTimeTokens&) = delete;
     RedisOneTimeTokens& operator=(const RedisOneTimeTokens&) = delete;
@@ -32,7 +32,7 @@
     net::Loop& loop_;
     std::string host_;
     int port_ = 0;
-    base::Micros patience_;
+    base::Micros timeout_;
     redisAsyncContext* context_ = nullptr;
     bool up_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/store/store_api.cpp
+++ b/src/store/store_api.cpp
@@ -17,15 +17,15 @@
 }  // namespace
 
 struct StoreApi::Caller : net::Stream::Handler, std::enable_shared_from_this<Caller> {
-    StoreApi& desk;
+    StoreApi& api;
     net::Stream* stream = nullptr;
     std::string buffer;
     base::Micros asked = 0;
 
-    explicit Caller(StoreApi& d) : desk(d), asked(d.loop_.clock().now()) {}
+    explicit Caller(StoreApi& d) : api(d), asked(d.loop_.clock().now()) {}
     void on_data(net::Stream&, std::string_view bytes) override {
         buffer += bytes;
-        asked = desk.loop_.clock().now();
+        asked = api.loop_.clock().now();
         const auto self = shared_from_this();
         std::size_t at = 0;
         for (std::size_t end = 0; stream && (end = buffer.find('\n', at)) != std::string::npos; at = end + 1)
@@ -41,7 +41,7 @@
         try {
             const Json::Value value = config::parse(line, "store");
             if (!value.isObject()) throw config::ConfigError("no object");
-            desk.take_(value, answer);
+            api.take_(value, answer);
         } catch (const std::exception& wrong) {
             Json::Value no;
             no["refused"] = wrong.what();
@@ -50,11 +50,11 @@
     }
     void on_close(net::Stream&, net::DisconnectCause) override {
         stream = nullptr;
-        desk.took(*this);
+        api.took(*this);
     }
     void shut() {
         if (auto* open = std::exchange(stream, nullptr)) open->close();
-        desk.took(*this);
+        api.took(*this);
     }
 };
 
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -65,7 +65,7 @@
     std::unordered_map<std::string, Open> open;
     std::unordered_set<std::string> given_up;  // written here, stopped, and not answered since
     ResponseReader reader;
-    Micros heard = 0;  // last byte that came, or the first sent after a pause
+    Micros last_byte_at = 0;  // last byte that came, or the first sent after a pause
     Micros used = 0;
     base::TimerQueue::Key connect_by;
 
@@ -81,7 +81,7 @@
 
     void begin() {
         up = true;
-        heard = pool.loop_.clock().now();
+        last_byte_at = pool.loop_.clock().now();
         write_waiting();
     }
 
@@ -139,7 +139,7 @@
     }
 
     void on_data(net::Stream&, std::string_view bytes) override {
-        heard = pool.loop_.clock().now();
+        last_byte_at = pool.loop_.clock().now();
         suspect = false;
         reader.append(bytes);
         CacheResponse answer;
@@ -151,7 +151,7 @@
             }
             const Handle attempt = found->second.attempt;
             open.erase(found);
-            used = heard;
+            used = last_byte_at;
             pool.carried_.erase(attempt.number());
             pool.core_.on_attempt_finished(attempt, std::move(answer.result));
         }
@@ -220,7 +220,7 @@
     // What is written to it does not even leave here: a request would begin who knows when.
     if (channel.up && channel.stream->unsent_bytes() > 0) return true;
     if (!channel.up || channel.open.empty()) return false;
-    return loop_.clock().now() - channel.heard > kSilence;
+    return loop_.clock().now() - channel.last_byte_at > kSilence;
 }
 
 // The least loaded channel that works and that the request has not used before: the name of a request stands
@@ -229,7 +229,7 @@
     Channel* best = nullptr;
     // Of those alike the one heard last: what has long been idle is the likelier to be gone.
     const auto rank = [this](const Channel& c) {
-        return std::tuple(silent(c), c.open.size(), !c.up, -c.heard);
+        return std::tuple(silent(c), c.open.size(), !c.up, -c.last_byte_at);
     };
     for (const auto& channel : target.channels) {
         if (channel->open.size() >= static_cast<std::size_t>(limits_.streams_per_conn)) continue;
@@ -318,7 +318,7 @@
     }
     const Micros now = loop_.clock().now();
     const std::string& id = sending.request->id;
-    if (channel->open.empty()) channel->heard = now;
+    if (channel->open.empty()) channel->last_byte_at = now;
     channel->open[id] = {attempt, now};
     channel->used = now;
     carried_[attempt.number()] = {channel->number, id};
@@ -362,7 +362,8 @@
         std::erase_if(channel.waiting, [&](const auto& other) { return other.id == where.id; });
         return false;
     }
-    if (loop_.clock().now() - std::max(channel.heard, one.sent) > kSuspectAfter) channel.suspect = true;
+    if (loop_.clock().now() - std::max(channel.last_byte_at, one.sent) > kSuspectAfter)
+        channel.suspect = true;
     channel.stream->write(encode_cancel(where.id));
     if (channel.given_up.size() < kMostGivenUp) channel.given_up.insert(where.id);
     return true;
@@ -430,7 +431,7 @@
             (channel->suspect || channel->given_up.size() >= kMostGivenUp ||
              targets_[channel->target].retired || now - channel->used > limits_.idle_close - kIdleMargin))
             idle.push_back(channel);
-        else if (channel->reader.partial() && now - channel->heard > kStalled)
+        else if (channel->reader.partial() && now - channel->last_byte_at > kStalled)
             stalled.push_back(channel);
     for (Channel* channel : idle) drop(*channel, true);
     for (Channel* channel : stalled) {
--- a/tests/daemon/list_test.cpp
+++ b/tests/daemon/list_test.cpp
@@ -319,7 +319,7 @@
     Box box, library;
     Saved saved;
     saved.setup.discovery.emplace();
-    saved.setup.discovery->doubt_empty = 600'000;
+    saved.setup.discovery->empty_list_delay = 600'000;
     ChangeLog log;
     log.tell(1, fleet(1, true,
                       {host_at("s-box", box.address()), host_at("s-origin", library.address(), "origin")}));
--- a/tests/endpoints/watch_sources_test.cpp
+++ b/tests/endpoints/watch_sources_test.cpp
@@ -106,9 +106,9 @@
     follow(sources, 0, 10, 50);
     EXPECT_EQ(sources.on_event(0, 51, 50, 20), WatchSources::EventResult::apply);
     EXPECT_EQ(sources.on_event(0, 51, 51, 30), WatchSources::EventResult::duplicate);  // written twice
-    EXPECT_EQ(sources.on_event(0, 12, 51, 40), WatchSources::EventResult::went_back);
+    EXPECT_EQ(sources.on_event(0, 12, 51, 40), WatchSources::EventResult::regressed);
     EXPECT_EQ(sources.on_event(0, 13, 51, 50), WatchSources::EventResult::duplicate);  // said once
-    EXPECT_TRUE(sources.health()[0].went_back);
+    EXPECT_TRUE(sources.health()[0].regressed);
 }
 
 // Guards: discovery that flaps each second must not be called ten times a second by every proxy at once.
--- a/tests/expectations/expect_test.cpp
+++ b/tests/expectations/expect_test.cpp
@@ -389,7 +389,7 @@
         EXPECT_LE(moved.copies.lower, moved.copies.share);
     }
     for (const RoutingShift& moved : compare(before, before, traffic, 1).moved)
-        EXPECT_EQ(moved.to_other_box, 0u);
+        EXPECT_EQ(moved.to_other_endpoint, 0u);
 }
 
 }  // namespace sumackeel::expectations
