connection_ends: the process has accepted what the silent stories count on

Cause, in the test: it sent SIGTERM as soon as its own connects had returned. What still waits in the queue of an inherited socket then is left to the next process, which the test does not start. A turn of the loop accepts 64.

The story now waits until gw_connections counts them all; what it judges is as before. New is connection_ends_queued_sigterm: 100 connections with a request each wait in the queue at SIGTERM and all are answered, by the old process or the next.

--- a/tests/faults/connection_ends_test.py
+++ b/tests/faults/connection_ends_test.py
@@ -28,6 +28,7 @@
 PATIENCE_S = 2.0        # of the proxy, with connections on which no request came
 STEP_S = 0.0004         # between the first requests of two silent connections
 SIGTERM_TO_EXIT_S = 3.7
+QUEUED = 100            # connections in the queue of the listening socket
 HELD_APART_S = 0.2      # the look for unread bytes and the half-close
 IN_BETWEEN_S = 0.1
 HELD_BEHIND_ANSWER_S = 0.1  # the system holds the last bytes of an answer back for 0.2 s at most
@@ -192,6 +193,13 @@
             want(time.monotonic() < end, f"not ready: {self.proxy.said()[-300:]}")
             time.sleep(0.02)
 
+    def wait_until_accepted(self, count):
+        """What waits in the queue of an inherited socket at SIGTERM is left to the next process."""
+        end = time.monotonic() + BOUND_S
+        while f"gw_connections {count}\n" not in (said := self.proxy.call("/ops/stats", "GET")[1]):
+            want(time.monotonic() < end, f"{count} connections are not accepted: {said!r}")
+            time.sleep(0.005)
+
     def fire(self):
         if self.event == "sigterm":
             self.proxy.process.send_signal(signal.SIGTERM)
@@ -280,6 +288,7 @@
     def one_round(scene):
         conns, watch = [connect(scene.front.port) for _ in range(count)], EndWatch()
         connected = time.monotonic()
+        scene.wait_until_accepted(count)
         scene.fire()
         start = connected + PATIENCE_S - 0.09 + scene.draw.uniform(0, 0.06)
         time.sleep(max(0.0, start - time.monotonic()))
@@ -324,23 +333,36 @@
     return finish(firing, watch, [request])
 
 
+def left_in_queue(scene):
+    """At SIGTERM more connections with a request wait in the socket's queue than one turn of the loop accepts."""
+    process, watch = scene.proxy.process, EndWatch()
+    process.send_signal(signal.SIGSTOP)
+    requests = [Request(scene.front, connect(scene.front.port), 1) for _ in range(QUEUED)]
+    process.send_signal(signal.SIGTERM)
+    process.send_signal(signal.SIGCONT)
+    scene.begin()
+    return finish(None, watch, requests)
+
+
 def forced(scene, one_round, expected):
     try:
         scene.begin()
         found = one_round(scene)
     finally:
         scene.close()
-    want(found == [expected], f"the request that crosses the end: {found}")
+    want(found == expected, f"the requests that cross the end: {found}")
 
 
 def run_story(program, library, name, rounds, count, log_level):
     kind, event = name.rsplit("_", 1)
     if kind == "forced":
         scene = Scene(program, library, event, faults=f"shutdown=WAIT{HELD_APART_S}/1")
-        return forced(scene, held_apart, "crossed")
+        return forced(scene, held_apart, ["crossed"])
     if kind == "answered":
         scene = Scene(program, library, event, faults=f"shutdown=WAIT{HELD_BEHIND_ANSWER_S}/1", delay=ANSWERED_AFTER_S)
-        return forced(scene, behind_answer, "end was here")
+        return forced(scene, behind_answer, ["end was here"])
+    if kind == "queued":
+        return forced(Scene(program, library, event), left_in_queue, ["answered"] * QUEUED)
     one_round = write_first_requests(count or SILENT) if kind == "silent" else write_to_resting(count or RESTING)
     return play(Scene(program, library, event, kind == "signed", log_level=log_level), rounds, one_round)
 
