Tests: ports that a process comes back to are reserved for as long as the test runs

The tests took a free port, closed it and gave its number to a process, so that any socket bound to port 0 in between, of one of the tests run beside it, could get it.

They now keep a socket on the port that has SO_REUSEADDR and does not listen: a process listens there as before, and the system gives the port to nobody else. Checks are as they were.

--- a/tests/daemon/wire.py
+++ b/tests/daemon/wire.py
@@ -104,6 +104,15 @@
     return listener
 
 
+def reserved_port():
+    """A socket on a free port of loopback that does not listen. While it is open a process of the program may listen on the
+    port, end and come back, and the system gives it to no outgoing connection in between."""
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(("127.0.0.1", 0))
+    return reserved
+
+
 def alive_good(port):
     """Whether the proxy at `port` answers `alive` with `good` true."""
     body = be(0x80010001, 4) + tstr(b"alive") + be(1, 4) + be(2, 1) + be(1, 2) + be(1, 1) + be(0, 1)
--- a/tests/faults/duties_test.py
+++ b/tests/faults/duties_test.py
@@ -11,7 +11,7 @@
 import subprocess
 import time
 
-from rig import SERVED, Boxes, Crowd, Proxy, Talking, bans_of, keep_ban, listening, run_story, want
+from rig import SERVED, Boxes, Crowd, Proxy, Talking, bans_of, keep_ban, reserved_port, run_story, want
 
 KILLED_AFTER_S = 3.7    # behind SIGTERM, at the earliest
 ANSWER_WITHIN_S = 1.0   # each operators' call, under any load
@@ -197,11 +197,9 @@
 
     def __init__(self, program, library, boxes, faults):
         names = ["n0", "n1", "n2"]
-        held = {name: (listening(), listening()) for name in names}
-        peers, votes = ({name: "127.0.0.1:%d" % held[name][place].getsockname()[1] for name in names} for place in (0, 1))
-        for pair in held.values():
-            for one in pair:
-                one.close()
+        self.reserved = {name: (reserved_port(), reserved_port()) for name in names}
+        peers, votes = ({name: "127.0.0.1:%d" % self.reserved[name][place].getsockname()[1] for name in names}
+                        for place in (0, 1))
         self.all = []
         for name in names:
             talking = Talking()
--- a/tests/faults/http_clients.py
+++ b/tests/faults/http_clients.py
@@ -8,7 +8,7 @@
 import time
 
 from habits import CROSSING_S
-from rig import listening
+from rig import reserved_port
 
 
 class SignedSetup:
@@ -21,9 +21,8 @@
                 (("link-1", "HS256", "link"), ("student-1", "HS256", "student"), ("subject-1", "dir", "subject"))]
         with open(os.path.join(self.folder.name, "keys.json"), "w", encoding="utf-8") as out:
             json.dump({"keys": keys}, out)
-        hold = listening()
-        self.port = hold.getsockname()[1]
-        hold.close()
+        self.reserved = reserved_port()
+        self.port = self.reserved.getsockname()[1]
         self.operator = (f'[signed_front]\nlisten = "127.0.0.1:{self.port}"\nhost = "127.0.0.1:{self.port}"\n'
                          'scheme = "http"\naudience = "example"\nlink_issuers = ["course"]\n'
                          'token_issuers = ["login"]\none_time = "local"\nkeys = "keys.json"\n')
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -11,7 +11,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "daemon"))
-from wire import BOUND_S, alive_good, cache_box, dispatch, listening, ops_call, reply, settings_for  # noqa: E402
+from wire import BOUND_S, alive_good, cache_box, dispatch, listening, ops_call, reply, reserved_port, settings_for  # noqa: E402
 
 SERVED, REFUSED, FAILED = 0, 1, 2  # places of an answer on the wire
 PAUSE_AFTER_REFUSAL_S = 0.1
@@ -56,9 +56,9 @@
         """`under`: the folder, below the process's own, whose files the faults are for. `folder`: of a process before. `log_to`: a
         descriptor that its log goes to in place of a file. `inherited`: the listening socket that it gets from the platform."""
         self.folder = folder or tempfile.TemporaryDirectory(prefix="sumackeel-faults-")
-        hold, ops = listening(), listening()
-        self.ops = ops.getsockname()[1]
-        self.port = (inherited or hold).getsockname()[1]
+        self.reserved = [reserved_port(), reserved_port()]
+        self.ops = self.reserved[0].getsockname()[1]
+        self.port = (inherited or self.reserved[1]).getsockname()[1]
         settings = settings_for("n0", f"127.0.0.1:{self.port}", lambda _: boxes_at)
         if change:
             change(settings)
@@ -78,8 +78,6 @@
             with open(os.path.join(self.folder.name, "operator.toml"), "w", encoding="utf-8") as out:
                 out.write(operator)
             command += ["--operator", os.path.join(self.folder.name, "operator.toml")]
-        hold.close()
-        ops.close()
         self.began = time.monotonic()
         with open(self.log, "w", encoding="utf-8") as err:
             self.process = subprocess.Popen(command, stderr=log_to or err, stdout=err, env=environment,
@@ -153,14 +151,13 @@
     """A folder and an operator's file for a process with [peers] and [recovery]."""
 
     def __init__(self):
-        peer = listening()
+        self.reserved = reserved_port()
         self.folder = tempfile.TemporaryDirectory(prefix="sumackeel-faults-")
         with open(os.path.join(self.folder.name, "key"), "w", encoding="utf-8") as out:
             out.write("a key of this test alone\n")
-        self.operator = (f'[peers]\ngroup = "school"\nname = "n0"\nlisten = "127.0.0.1:{peer.getsockname()[1]}"\n'
+        self.operator = (f'[peers]\ngroup = "school"\nname = "n0"\nlisten = "127.0.0.1:{self.reserved.getsockname()[1]}"\n'
                          'key = "key"\nfolder = "state"\n'
                          '[recovery]\nfolder = "kept"\nask_s = 1\nsettle_s = 1\nprime_s = 1\n')
-        peer.close()
 
     def begin(self, program, library, boxes, faults="", under=""):
         return Proxy(program, library, boxes.at, faults, under=under, folder=self.folder, operator=self.operator)
