--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -190,14 +190,7 @@
     connection.state_ = state;
     connection.since_ = loop_.clock().now();
     // Between two requests is the one moment at which closing loses nothing.
-    if (draining_ && state == ConnectionState::idle && !closes_after_reading(connection))
-        close_drained(connection);
-}
-
-// An end that is interrupted can be tried again only once the client has sent again what was dropped, for
-// which the last part of a drain is too short. close_idle_after_reading is never interrupted.
-bool ConnectionManager::closes_after_reading(const ClientConnection& connection) const {
-    return drain_.stage(loop_.clock().now()) == admin::DrainStage::forcing && connection.overlaps_requests();
+    if (draining_ && state == ConnectionState::idle) close_drained(connection);
 }
 
 void ConnectionManager::set_draining(bool on) {
@@ -368,10 +361,8 @@
     for (ClientConnection* connection : overdue(ConnectionState::half_closed, kHalfClosedTimeout))
         if (connection->stream_->unsent_bytes() == 0 || connection->since_ <= now - timeouts_.write)
             evict(*connection, CloseReason::write_timeout);
-    if (drain_.stage(now) == admin::DrainStage::forcing)
-        close_idle_after_reading();
-    else if (draining_)
-        close_in_state(ConnectionState::idle);  // those that had unread bytes the last time
+    if (draining_) close_in_state(ConnectionState::idle);  // those that had unread bytes the last time
+    if (drain_.stage(now) == admin::DrainStage::forcing) close_idle_after_reading();
     accept_waiting();
     loop_.timers().schedule(now + kEnforceInterval, [this, alive = std::weak_ptr<bool>(alive_)] {
         if (!alive.expired()) enforce_timeouts();
--- a/src/net/connection_manager.h
+++ b/src/net/connection_manager.h
@@ -105,7 +105,6 @@
     bool evict_if_quiet(ClientConnection& connection);
     bool close_if_quiet(ClientConnection& connection, CloseReason reason);
     void close_drained(ClientConnection& connection);
-    bool closes_after_reading(const ClientConnection& connection) const;
     bool is_settled(const ClientConnection& connection) const;
     void close_once_settled(const ClientConnection& connection);
     bool is_done(const ClientConnection& connection, QuietResult result);
