Drains are judged by the ends that have arrived, also where the test runs late

drain_pop_caches_hang failed once with "held 4.46 s after the yes: cancelling (busy)" at its first look, due at 4.0 s.

So the connection was not held by the proxy.

`held` now asks the socket too; a connection whose end has not arrived at the moment of the look is held as before.

--- a/tests/daemon/wire.py
+++ b/tests/daemon/wire.py
@@ -4,6 +4,7 @@
 """
 import json
 import os
+import select
 import socket
 import struct
 import threading
@@ -104,6 +105,17 @@
     return listener
 
 
+def has_come(conn, event):
+    poll = select.poll()
+    poll.register(conn, event)
+    return bool(poll.poll(0))
+
+
+def end_is_here(conn):
+    """Whether the connection's end has arrived, also where nobody has read it."""
+    return has_come(conn, select.POLLRDHUP)
+
+
 def reserved_port():
     """A socket on a free port of loopback that does not listen. While it is open a process of the program may listen on the
     port, end and come back, and the system gives it to no outgoing connection in between."""
--- a/tests/faults/connection_ends_test.py
+++ b/tests/faults/connection_ends_test.py
@@ -19,7 +19,7 @@
 
 from http_clients import SignedSetup
 from rig import BOUND_S, Boxes, Failure, Proxy, want
-from wire import dispatch, exactly, listening, ops_call, reply
+from wire import dispatch, end_is_here, exactly, has_come, listening, ops_call, reply
 
 SOCKETS = 8192          # of the proxy; a third are for clients
 SIGNED_CONNECTIONS = 1200
@@ -139,16 +139,6 @@
         self.poll.close()
 
 
-def has_come(conn, event):
-    poll = select.poll()
-    poll.register(conn, event)
-    return bool(poll.poll(0))
-
-
-def end_is_here(conn):
-    return has_come(conn, select.POLLRDHUP)
-
-
 def unacknowledged(conn):
     """Bytes written that the other side's system has not acknowledged."""
     return struct.unpack("i", fcntl.ioctl(conn, termios.TIOCOUTQ, bytes(4)))[0]
--- a/tests/faults/habits.py
+++ b/tests/faults/habits.py
@@ -9,7 +9,7 @@
 import time
 
 from rig import REFUSED, SERVED
-from wire import cancel, dispatch, listening, reply_of
+from wire import cancel, dispatch, end_is_here, listening, reply_of
 
 CROSSING_S = 0.05  # a request written so shortly before its connection's end was seen is sent again, and not lost
 COME_AFTER_NO_S = 0.2  # the front sends new connections for so long after the first no
@@ -72,6 +72,11 @@
     def ended_at(self):
         return self.reader.end_at
 
+    def has_ended(self):
+        """Whether its end has arrived, also where this program, which may run late, has not read it."""
+        sock = self.writer.get_extra_info("socket")
+        return self.ended_at is not None or (sock.fileno() >= 0 and end_is_here(sock))
+
 
 class World:
     """What all clients share: the port, when connections may be made, and what all of them noted."""
@@ -316,6 +321,9 @@
     def write(self, data):
         self.sock.send(data)
 
+    def get_extra_info(self, _name):
+        return self.sock
+
     def is_closing(self):
         return False
 
@@ -344,7 +352,7 @@
     found = []
     for client in world.clients:
         for conn in client.connections:
-            if conn.ended_at is not None:
+            if conn.has_ended():
                 continue
             recent = conn.last_written is not None and conn.last_written > min(now, told_at + 4) - 2
             if recent or not conn.open:
