--- a/tests/daemon/descriptors_test.py
+++ b/tests/daemon/descriptors_test.py
@@ -17,7 +17,7 @@
 import threading
 import time
 
-from wire import BOUND_S, alive_good, cache_box, dispatch, listening, reply_place, settings_for
+from wire import BOUND_S, alive_good, cache_box, dispatch, listening, reply_place, reserved_port, settings_for
 
 SOCKETS, CROWD, GRACE_S = 128, 400, 2.0
 
@@ -61,10 +61,10 @@
         boxes[name] = f"127.0.0.1:{box.getsockname()[1]}"
         threading.Thread(target=cache_box, args=(box, [0], lambda *_, to=asked[name]: to.append(time.monotonic())),
                          daemon=True).start()
-    hold, discovery = listening(), socket.socket()
+    reserved, discovery = reserved_port(), socket.socket()
     discovery.bind(("127.0.0.1", 0))  # bound and not listened on: refused
     log_at = discovery.getsockname()
-    port = hold.getsockname()[1]
+    port = reserved.getsockname()[1]
     settings = settings_for("n0", f"127.0.0.1:{port}", lambda name: boxes.get(name, boxes["s-b"]))
     settings["limits"] = {"cores": 1.0, "memory_mb": 64, "sockets": SOCKETS}
     settings["changelog"] = f"127.0.0.1:{log_at[1]}"
@@ -75,7 +75,6 @@
         config = os.path.join(folder, "config.json")
         with open(config, "w", encoding="utf-8") as out:
             json.dump(settings, out)
-        hold.close()
         proc = subprocess.Popen([program, "serve", "--config", config], stderr=subprocess.DEVNULL,
                                 preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)))
         try:
--- a/tests/daemon/handover_test.py
+++ b/tests/daemon/handover_test.py
@@ -18,13 +18,7 @@
 import threading
 import time
 
-from wire import BOUND_S, cache_box, dispatch, ops_call, reply_place, settings_for
-
-
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+from wire import BOUND_S, cache_box, dispatch, ops_call, reply_place, reserved_port, settings_for
 
 
 def main():
@@ -58,7 +52,8 @@
             time.sleep(0.02)
         return proc
 
-    old_ops, new_ops = free_port(), free_port()
+    reserved = [reserved_port(), reserved_port()]
+    old_ops, new_ops = (one.getsockname()[1] for one in reserved)
     old = start(old_ops)
     if ops_call(old_ops, "POST", "/ops/pop-caches/down/s-a") != 200:
         sys.exit("FAIL: the ban was refused")
--- a/tests/daemon/large_test.py
+++ b/tests/daemon/large_test.py
@@ -16,7 +16,7 @@
 import tempfile
 import time
 
-from wire import BOUND_S, alive_good, dispatch, listening, reply_of, settings_for
+from wire import BOUND_S, alive_good, dispatch, listening, reply_of, reserved_port, settings_for
 
 SEED = 20261202
 PACE_KB_S, WIDTH = 9100, 4  # of one transfer; a link sends so many at full pace
@@ -128,15 +128,14 @@
         addresses[name] = f"127.0.0.1:{sock.getsockname()[1]}"
         await asyncio.start_server(link.serve, sock=sock)
         asyncio.create_task(link.run())
-    hold = listening()
-    port = hold.getsockname()[1]
+    reserved = reserved_port()
+    port = reserved.getsockname()[1]
     settings = settings_for("n0", f"127.0.0.1:{port}", addresses.get)
     for host in settings["known"]["results"][0]["fleet"]["hosts"]:
         host["share"] = WIDTH
     config = os.path.join(folder, "config.json")
     with open(config, "w", encoding="utf-8") as out:
         json.dump(settings, out)
-    hold.close()
     proc = subprocess.Popen([program, "serve", "--config", config], stderr=subprocess.DEVNULL)
     try:
         end = time.monotonic() + BOUND_S
--- a/tests/daemon/slow_start_test.py
+++ b/tests/daemon/slow_start_test.py
@@ -17,7 +17,7 @@
 import threading
 import time
 
-from wire import BOUND_S, alive_good, cache_box, dispatch, listening, reply, settings_for
+from wire import BOUND_S, alive_good, cache_box, dispatch, listening, reply, reserved_port, settings_for
 
 
 PROCESSES, EVERY_S, LASTS_S, NEED_KB = 30, 0.1, 4.0, 2000
@@ -53,8 +53,8 @@
     started = time.time()
     procs = []
     for n in range(PROCESSES):
-        hold = listening()
-        port = hold.getsockname()[1]
+        reserved = reserved_port()
+        port = reserved.getsockname()[1]
         settings = settings_for(f"n{n}", f"127.0.0.1:{port}", boxes.get)
         settings["seed"] = f"{SEED + n:x}"
         for host in settings["known"]["results"][0]["fleet"]["hosts"]:
@@ -65,8 +65,7 @@
         config = os.path.join(folder, f"{told}-{n}.json")
         with open(config, "w", encoding="utf-8") as out:
             json.dump(settings, out)
-        hold.close()
-        procs.append((subprocess.Popen([program, "serve", "--config", config], stderr=subprocess.DEVNULL), port))
+        procs.append((subprocess.Popen([program, "serve", "--config", config], stderr=subprocess.DEVNULL), port, reserved))
     answers, unanswered, lock = {0: 0, 1: 0, 2: 0}, [0], threading.Lock()
 
     def client(n, port):
@@ -89,12 +88,12 @@
                 with lock:
                     answers[place] += 1
 
-    clients = [threading.Thread(target=client, args=(n, port)) for n, (_, port) in enumerate(procs)]
+    clients = [threading.Thread(target=client, args=(n, port)) for n, (_, port, _) in enumerate(procs)]
     for one in clients:
         one.start()
     for one in clients:
         one.join()
-    for proc, _ in procs:
+    for proc, *_ in procs:
         proc.kill()
         proc.wait()
     worst = max((most_in_a_window(times, settings, started) for times in asked.values()),
--- a/tests/daemon/start_test.py
+++ b/tests/daemon/start_test.py
@@ -17,7 +17,7 @@
 import threading
 import time
 
-from wire import BOUND_S, alive_good, listening, settings_for
+from wire import BOUND_S, alive_good, listening, reserved_port, settings_for
 
 PROCESSES, READY_OF_THEM, READY_WITHIN_S = 10, 9, 10
 
@@ -74,17 +74,16 @@
     dead.close()
     procs, ready = [], []
     for n in range(PROCESSES):
-        hold = listening()
-        port = hold.getsockname()[1]
+        reserved = reserved_port()
+        port = reserved.getsockname()[1]
         config = os.path.join(folder, f"many-{n}.json")
         with open(config, "w", encoding="utf-8") as out:
             settings = settings_for(f"n{n}", f"127.0.0.1:{port}", lambda _: box_at)
             json.dump(dict(settings, changelog=f"127.0.0.1:{silent.getsockname()[1]}"), out)
-        procs.append((hold, port, config))
+        procs.append((reserved, port, config))
     begun = time.monotonic()
     running = []
-    for hold, port, config in procs:
-        hold.close()
+    for _, port, config in procs:
         running.append((subprocess.Popen([program, "serve", "--config", config], stderr=subprocess.DEVNULL), port))
     while len(ready) < PROCESSES and time.monotonic() < begun + READY_WITHIN_S:
         for proc, port in running:
--- a/tests/faults/upgrade_soak.py
+++ b/tests/faults/upgrade_soak.py
@@ -17,7 +17,7 @@
 import time
 
 from rig import BOUND_S, SERVED, Boxes, Failure, Proxy, want
-from wire import dispatch, listening, ops_call, reply
+from wire import dispatch, end_is_here, listening, ops_call, reply
 
 KILLED_AFTER_S = 3.7  # behind the first SIGTERM, at the earliest
 PAUSE_S = 0.02        # after a refusal
@@ -65,9 +65,7 @@
     def end_is_here(self):
         """The other side has ended the connection, though answers may still be unread. On loopback an end is here in the
         moment in which it is sent: where it is not, all that was sent before had come to the other side ahead of it."""
-        poll = select.poll()
-        poll.register(self.conn, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return end_is_here(self.conn)
 
     def close(self):
         if self.conn:
