A request dropped in the step that ends its connection puts the end off

Cause: a connection ends in one step, in which a socket filter drops what arrives between the look for unread bytes and the half-close. Where the process is preempted or stopped in it, the step lasts for milliseconds, and a request that comes in that time is dropped and never shows among the unread bytes.

Mend: SO_MEMINFO counts what the filter drops. It is read ahead of the filter and right before the half-close, which is given up where the count has grown and there is time to try again. The filter drops segments with data alone, so that acknowledgements put nothing off; and an end given up waits 0.25 s for a retransmission only where data was dropped.

One that took over 20 us is repeated.

connections_test: without the look, with a filter for all segments, and with a wait always, one of its three new stories fails each.

--- a/src/admin/drain_schedule.h
+++ b/src/admin/drain_schedule.h
@@ -29,6 +29,7 @@
     static constexpr Micros kServing = 2'000'000;
     static constexpr Micros kAnswered = 3'400'000;
     static constexpr Micros kForced = 3'700'000;
+    static constexpr Micros kEnded = 4'000'000;
     // A client that neither sends a whole request nor has one open is borne with for so long, and from the
     // last stages on only for as long as a request on its way needs.
     static constexpr Micros kSilence = 2'000'000, kLateSilence = 150'000;
@@ -49,6 +50,8 @@
         if (since < kAnswered) return DrainStage::rejecting;
         return since < kForced ? DrainStage::closing : DrainStage::forcing;
     }
+    // By when the connections that it ends are over; none: no drain.
+    std::optional<Micros> ends_at() const { return began_ ? std::optional(*began_ + kEnded) : std::nullopt; }
     bool rejects_new_requests(Micros now) const { return stage(now) >= DrainStage::rejecting; }
 
     // When a request that shares its connection with a refused one is to have its answer.
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -23,6 +23,7 @@
     const auto& discarded = manager.discard_metrics();
     counters.push_back({prefix + "discarded_at_half_close", discarded.at_half_close});
     counters.push_back({prefix + "discarded_after_half_close", discarded.after_half_close});
+    counters.push_back({prefix + "dropped_at_half_close", discarded.dropped_at_half_close});
     counters.push_back({prefix + "interrupted_closes", manager.interrupted_closes()});
 }
 
--- a/src/daemon/shutdown_controller.cpp
+++ b/src/daemon/shutdown_controller.cpp
@@ -28,9 +28,11 @@
     deadlines_ = shutdown_deadlines(parts.core.settings());
     parts.core.set_shutdown_deadline(started_at_ + deadlines_.final_responses);
     parts.platform_server.set_shutdown_deadline(started_at_ + deadlines_.final_responses);
+    const Micros exit_at = started_at_ + deadlines_.exit;
+    parts.platform_server.set_exit_deadline(exit_at);
     if (parts.has_inherited_socket()) parts.platform_server.stop_listening(true);
     log::info("shutdown: started open_requests={}", parts.core.open_requests());
-    if (parts.signed_url_server) parts.signed_url_server->shut_down();
+    if (parts.signed_url_server) parts.signed_url_server->shut_down(exit_at);
     if (parts.consensus_client) parts.consensus_client->close();
     // Where the socket was inherited another process goes on under this member's name: it does not leave.
     if (parts.cluster_transport) {
@@ -59,9 +61,9 @@
         const auto& discarded = parts.platform_server.connection_manager().discard_metrics();
         log::info(
             "shutdown: finished after_ms={} open_requests={} connections={} discarded_at_half_close={} "
-            "discarded_after_half_close={}",
+            "discarded_after_half_close={} dropped_at_half_close={}",
             elapsed / kMicrosPerMilli, parts.core.open_requests(), parts.platform_server.connection_count(),
-            discarded.at_half_close, discarded.after_half_close);
+            discarded.at_half_close, discarded.after_half_close, discarded.dropped_at_half_close);
         parts.loop.stop();
         return;
     }
--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -202,7 +202,7 @@
 void ConnectionManager::write_last_response(ClientConnection& connection, std::string bytes) {
     Stream& stream = *connection.stream();
     if (!draining_) return stream.write(std::move(bytes));
-    if (is_done(connection, stream.write_and_shutdown_if_quiet(std::move(bytes))))
+    if (is_done(connection, stream.write_and_shutdown_if_quiet(std::move(bytes), dropped_data_at_close())))
         on_half_closed(connection, drain_close_reason());
 }
 
@@ -215,15 +215,26 @@
 // What the client sends before it sees the close is lost once it is acknowledged. So the look for unread
 // bytes and the close are one step, in which nothing is acknowledged.
 bool ConnectionManager::close_if_quiet(ClientConnection& connection, CloseReason reason) {
-    if (!is_done(connection, connection.stream_->shutdown_if_quiet())) return false;
+    if (!is_done(connection, connection.stream_->shutdown_if_quiet(dropped_data_at_close()))) return false;
     on_half_closed(connection, reason);
     return true;
 }
 
+// An end is given up over dropped data while there is time for that to come again, and for the next try.
+DroppedData ConnectionManager::dropped_data_at_close() const {
+    const Micros tried_again = loop_.clock().now() + Stream::kRetransmission + 2 * kEnforceInterval;
+    const auto is_too_late = [&](std::optional<Micros> end) { return end && tried_again > *end; };
+    const bool no_time = is_too_late(drain_.ends_at()) || is_too_late(exit_deadline_);
+    return no_time ? DroppedData::is_left : DroppedData::interrupts;
+}
+
 bool ConnectionManager::is_done(const ClientConnection& connection, QuietResult result) {
+    const Stream& stream = *connection.stream_;
+    if (result == QuietResult::done && stream.left_dropped_data()) ++discard_metrics_.dropped_at_half_close;
     if (result == QuietResult::interrupted) {
         ++interrupted_closes_;
-        log::debug("listener: end interrupted connection={}", connection.id_);
+        log::debug("listener: end interrupted connection={} dropped_data={}", connection.id_,
+                   stream.has_dropped_data());
     }
     return result == QuietResult::done;
 }
@@ -272,8 +283,8 @@
 }
 
 // For the end of a drain, when a client that never stops sending may not hold its connection any longer: what
-// has arrived is read, and refused by the server, before the look. The refusals go out with the end, for
-// written one by one they wait for acknowledgements, which are blocked as well.
+// has arrived is read, and refused by the server, before the look. The refusals go out with the end: a client
+// that has one ahead of it sends its next request.
 void ConnectionManager::close_idle_after_reading() {
     for (ClientConnection* connection : snapshot(ConnectionState::idle)) {
         if (!connection->stream() || connection->stream_->congested()) continue;
--- a/src/net/connection_manager.h
+++ b/src/net/connection_manager.h
@@ -64,6 +64,8 @@
     const admin::DrainSchedule& drain() const { return drain_; }
     // At the end of the process all that is open is answered at this time; no connection settles any longer.
     void set_shutdown_deadline(Micros at) { shutdown_deadline_ = at; }
+    // When the process ends, and with it all connections.
+    void set_exit_deadline(Micros at) { exit_deadline_ = at; }
     // Writes a response behind which nothing is open, to a client that sends nothing before it has it. While
     // connections are drained the connection's end goes out with it, unless bytes wait to be read.
     void write_last_response(ClientConnection& connection, std::string bytes);
@@ -82,10 +84,13 @@
     struct DiscardMetrics {
         std::uint64_t at_half_close = 0;     // some had arrived by the half-close: a request may be lost
         std::uint64_t after_half_close = 0;  // all arrived behind it: they crossed the end
+        // Half-closes over data that was dropped as they were tried, for want of time: its sender has to send
+        // it elsewhere.
+        std::uint64_t dropped_at_half_close = 0;
     };
     const DiscardMetrics& discard_metrics() const { return discard_metrics_; }
-    // Ends that were given up since bytes arrived meanwhile; what came right behind these is delayed by a
-    // retransmission.
+    // Ends that were given up since bytes arrived meanwhile; these, or what came right behind them, are
+    // delayed by a retransmission.
     std::uint64_t interrupted_closes() const { return interrupted_closes_; }
     int port() const { return listener_.port(); }
 
@@ -107,6 +112,7 @@
     void close_drained(ClientConnection& connection);
     bool is_settled(const ClientConnection& connection) const;
     void close_once_settled(const ClientConnection& connection);
+    DroppedData dropped_data_at_close() const;
     bool is_done(const ClientConnection& connection, QuietResult result);
     std::vector<ClientConnection*> snapshot(ConnectionState state) const;
     void close_in_state(ConnectionState state);
@@ -137,6 +143,7 @@
     bool draining_ = false;
     admin::DrainSchedule drain_;
     std::optional<Micros> shutdown_deadline_;
+    std::optional<Micros> exit_deadline_;
     std::array<std::uint64_t, kCloseReasonCount> closed_counts_{};
     DiscardMetrics discard_metrics_;
     std::uint64_t interrupted_closes_ = 0;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,6 +1,5 @@
 #include "net/stream.h"
 
-#include <linux/filter.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -12,14 +11,16 @@
 #include <exception>
 
 #include "base/log.h"
+#include "net/receive_filter.h"
 #include "net/tcp_window.h"
 
 namespace sumackeel::net {
 
 namespace {
 
-// Linux sends again what is not acknowledged after 0.2 s and the round trip.
-constexpr Micros kRetransmission = 250'000;  // us
+// A look for dropped data that takes longer was followed by others' time on the processor: it is out of date.
+constexpr std::uint64_t kMaxLookTime = 20'000;  // ns
+constexpr int kMaxLooks = 4;
 
 struct Write {
     uv_write_t request;
@@ -204,23 +205,27 @@
     return recv(descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
-// A filter that lets nothing through. Segments that it drops are not acknowledged.
+// Data that an earlier block dropped stays counted until it has come again.
 void Stream::block_receive() {
     if (receive_blocks_++ > 0) return;
-    sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
-    const sock_fprog program{.len = 1, .filter = &drop_all};
-    setsockopt(descriptor(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+    if (!awaits_retransmission()) dropped_before_block_ = dropped_segments(descriptor());
+    drop_arriving_data(descriptor());
 }
 
 void Stream::unblock_receive() {
     if (--receive_blocks_ > 0) return;
-    const int unused = 0;
-    setsockopt(descriptor(), SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
+    accept_arriving_data(descriptor());
     if (is_open()) unblocked_at_ = loop_of(tcp_).clock().now();
 }
 
+bool Stream::has_dropped_data() const {
+    const std::optional<std::uint32_t> dropped = dropped_segments(descriptor());
+    return dropped && dropped_before_block_ && *dropped != *dropped_before_block_;
+}
+
 bool Stream::awaits_retransmission() const {
-    return unblocked_at_ && loop_of(tcp_).clock().now() < *unblocked_at_ + kRetransmission;
+    const bool has_time = unblocked_at_ && loop_of(tcp_).clock().now() < *unblocked_at_ + kRetransmission;
+    return has_time && (!dropped_before_block_ || has_dropped_data());
 }
 
 bool Stream::half_close() {
@@ -234,24 +239,39 @@
     setsockopt(descriptor(), IPPROTO_TCP, TCP_CORK, &value, sizeof value);
 }
 
+// The process may be preempted as it returns from the system. Then it looks again.
+bool Stream::has_dropped_data_by_now() const {
+    for (int look = 0; look < kMaxLooks; ++look) {
+        const std::uint64_t began = uv_hrtime();
+        if (has_dropped_data()) return true;
+        if (uv_hrtime() - began <= kMaxLookTime) return false;
+    }
+    return false;
+}
+
 // `act` says whether it was done. The first look spares the other side a retransmission in the usual case.
-QuietResult Stream::if_quiet(const std::function<bool()>& act) {
+// The process may be preempted at any point between the block and the act, so the look for dropped data comes
+// last.
+QuietResult Stream::if_quiet(DroppedData dropped_data, const std::function<bool()>& act) {
     if (has_unread_data() || awaits_retransmission()) return QuietResult::not_quiet;
     const ReceiveBlock block(*this);
     if (has_unread_data()) return QuietResult::interrupted;
+    const bool has_dropped = has_dropped_data_by_now();
+    if (has_dropped && dropped_data == DroppedData::interrupts) return QuietResult::interrupted;
+    left_dropped_data_ = has_dropped;
     return act() ? QuietResult::done : QuietResult::not_quiet;
 }
 
 QuietResult Stream::close_if_quiet() {
-    return if_quiet([this] {
+    return if_quiet(DroppedData::interrupts, [this] {
         close();
         return true;
     });
 }
 
-QuietResult Stream::shutdown_if_quiet() {
+QuietResult Stream::shutdown_if_quiet(DroppedData dropped_data) {
     if (state_ != State::open || unsent_bytes() > 0) return QuietResult::not_quiet;
-    const QuietResult result = if_quiet([this] { return half_close(); });
+    const QuietResult result = if_quiet(dropped_data, [this] { return half_close(); });
     if (result != QuietResult::done) return result;
     state_ = State::shutting_down;
     pause(false);
@@ -265,7 +285,7 @@
     setsockopt(descriptor(), IPPROTO_TCP, TCP_QUICKACK, &on, sizeof on);
 }
 
-QuietResult Stream::write_and_shutdown_if_quiet(std::string bytes) {
+QuietResult Stream::write_and_shutdown_if_quiet(std::string bytes, DroppedData dropped_data) {
     const bool has_room =
         state_ == State::open && unsent_bytes() == 0 && !congested() && bytes.size() <= peer_room();
     if (!has_room) {
@@ -275,7 +295,7 @@
     acknowledge_now();
     const WriteBatch together(*this);
     write(std::move(bytes));
-    return shutdown_if_quiet();
+    return shutdown_if_quiet(dropped_data);
 }
 
 // Bytes that the other side's receive window takes now.
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -3,6 +3,7 @@
 
 #include <uv.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -30,8 +31,14 @@
 enum class QuietResult {
     done,
     not_quiet,    // bytes wait to be read or to be sent; nothing has changed
-    interrupted,  // bytes arrived as it was tried; what came right behind them is sent again by the other
-                  // side
+    interrupted,  // bytes arrived as it was tried, and are unread or were dropped; nothing else has changed
+};
+
+// What becomes of such an act where data has been dropped by its ReceiveBlock. The other side sends dropped
+// data again.
+enum class DroppedData {
+    interrupts,  // the act is not done, and the data is read when it comes again
+    is_left      // the act is done; the other side meets the end, and has to send elsewhere
 };
 
 // Owns itself: it is deleted once its socket is closed. After close(), or once on_close() was called, its
@@ -42,6 +49,9 @@
 // descriptor is needed now.
 class Stream {
   public:
+    // Linux sends again what is not acknowledged after 0.2 s and the round trip.
+    static constexpr Micros kRetransmission = 250'000;  // us
+
     class Handler {
       public:
         virtual ~Handler() = default;
@@ -74,27 +84,32 @@
     Micros time_since_last_byte() const;  // in the system's ticks; 0 where it can't tell
     bool peer_has_closed() const;         // all was read, and the other side has closed
     void close();                         // at once; what is unsent is dropped
-    QuietResult close_if_quiet();         // the same, unless bytes wait to be read
-    // Bytes may have arrived during a ReceiveBlock that is over, and are still to be sent again. Until they
-    // had the time for that the stream counts as not quiet.
+    QuietResult close_if_quiet();         // the same, unless bytes wait to be read or were dropped
+    // Data was dropped by the current ReceiveBlock, or the last one. False where the system can't tell.
+    bool has_dropped_data() const;
+    // This side half-closed by one of the calls below over data that had been dropped (DroppedData::is_left).
+    bool left_dropped_data() const { return left_dropped_data_; }
+    // Data was dropped by a ReceiveBlock that is over, or the system can't tell, and is still to be sent
+    // again. Until there was the time for that the stream counts as not quiet.
     bool awaits_retransmission() const;
     // Half-closes once all that was written is sent. What the other side still sends is discarded, with
     // on_discarded(); on_close() is called when it has closed too. The handler bounds the wait for that.
     void shutdown();
     // Half-closes in this call, unless bytes wait to be read or to be sent.
-    QuietResult shutdown_if_quiet();
+    QuietResult shutdown_if_quiet(DroppedData dropped_data);
     // Writes `bytes` and half-closes, both in this call and so that the other side meets the end no later
     // than the last byte. Not done: they are written alone, since bytes wait to be read or to be sent, or the
     // other side has no room for them now.
-    QuietResult write_and_shutdown_if_quiet(std::string bytes);
+    QuietResult write_and_shutdown_if_quiet(std::string bytes, DroppedData dropped_data);
     // Hands what has arrived by now to the handler, in this call. Not from within on_data() of any stream:
     // the loop has one read buffer.
     void read_available();
     bool is_open() const { return state_ == State::open; }
 
-    // While one lives nothing that arrives on the stream is taken in: the system neither queues nor
+    // While one lives no data that arrives on the stream is taken in: the system neither queues nor
     // acknowledges it, and its sender sends it again later. For decisions that hold only while nothing is
-    // unread. They may be nested. No effect where the system refuses.
+    // unread; has_dropped_data() tells whether some arrived. They may be nested. No effect where the system
+    // refuses.
     class ReceiveBlock {
       public:
         explicit ReceiveBlock(Stream& stream) : stream_(stream) { stream_.block_receive(); }
@@ -130,7 +145,8 @@
         closed          // the socket is closed in this iteration of the loop
     };
     void start();
-    QuietResult if_quiet(const std::function<bool()>& act);
+    QuietResult if_quiet(DroppedData dropped_data, const std::function<bool()>& act);
+    bool has_dropped_data_by_now() const;
     void acknowledge_now();
     bool half_close();
     void on_half_closed();
@@ -151,8 +167,10 @@
     State state_ = State::connecting;
     bool reading_ = false;
     int receive_blocks_ = 0;
-    std::optional<Micros> unblocked_at_;  // the last block that ended with the stream open
+    std::optional<std::uint32_t> dropped_before_block_;  // segments; none: the system can't tell
+    std::optional<Micros> unblocked_at_;                 // the last block that ended with the stream open
     std::optional<Micros> half_closed_at_;
+    bool left_dropped_data_ = false;
     std::size_t unread_at_half_close_ = 0;  // bytes, of which none has been read since
 };
 
--- a/src/platform_server/platform_server.h
+++ b/src/platform_server/platform_server.h
@@ -29,6 +29,8 @@
     void set_draining(bool on, const admin::DrainSchedule& drain);
     // When the process, being shut down, has all that is open answered.
     void set_shutdown_deadline(base::Micros at) { connection_manager_.set_shutdown_deadline(at); }
+    // When the process ends.
+    void set_exit_deadline(base::Micros at) { connection_manager_.set_exit_deadline(at); }
     void close_all_idle() { connection_manager_.close_all_idle(); }
     bool has_pending_input() const { return connection_manager_.has_pending_input(); }
     std::size_t connection_count() const { return connection_manager_.connection_count(); }
--- a/src/signed_url_server/signed_url_server.h
+++ b/src/signed_url_server/signed_url_server.h
@@ -29,7 +29,11 @@
     void close_all_idle() { connection_manager_.close_all_idle(); }
     bool has_pending_input() const { return connection_manager_.has_pending_input(); }
     std::size_t connection_count() const { return connection_manager_.connection_count(); }
-    void shut_down() { leaving_ = true; }
+    // The process is being shut down, and ends at `exit_at`.
+    void shut_down(base::Micros exit_at) {
+        leaving_ = true;
+        connection_manager_.set_exit_deadline(exit_at);
+    }
     // Keys, issuers, names and limits from now on; what was let in before goes on.
     void update_config(const config::SignedUrlServer& setup);
     bool has_unsent_responses() const { return connection_manager_.unsent_bytes() > 0; }
--- a/tests/admin/drain_schedule_test.cpp
+++ b/tests/admin/drain_schedule_test.cpp
@@ -31,6 +31,8 @@
 TEST(DrainSchedule, WhatCameInTheFirstTwoSecondsIsServedAndNothingIsHeldAtFour) {
     EXPECT_GE(DrainSchedule::kServing, 2 * kSecond);
     EXPECT_LT(DrainSchedule::kForced + DrainSchedule::kLateSilence, kNoneHeld);
+    EXPECT_EQ(DrainSchedule(kBegan).ends_at(), kBegan + kNoneHeld);
+    EXPECT_FALSE(DrainSchedule().ends_at());
 }
 
 TEST(DrainSchedule, OpenBesideARefusedOneIsAnsweredInTimeAndAtOnceWhereThatHasPassed) {
--- a/tests/daemon/connections_test.cpp
+++ b/tests/daemon/connections_test.cpp
@@ -2,6 +2,7 @@
 // runs.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <netinet/tcp.h>
 
 #include <functional>
 
@@ -266,6 +267,71 @@
     managed.until([&] { return managed.closed == 1; });
 }
 
+// Guards: the process stands still between the start of a connection's end and the end; a request that came
+// in between was dropped, and the connection ended over it.
+TEST_CASE("an end is given up over a request that was dropped as it was tried, while there is time") {
+    using sumackeel::admin::DrainSchedule;
+    ManagedConnections managed;
+    Wire client = Wire::to(managed.manager.port());
+    client.send("a.");
+    managed.until([&] { return managed.received == "a."; });
+    const auto drain_over_dropped_request = [&] {
+        const net::Stream::ReceiveBlock block(*managed.accepted[0]->stream());
+        client.send("b.");
+        managed.manager.set_draining(true);
+    };
+    SUBCASE("there is time") {
+        drain_over_dropped_request();
+        CHECK(managed.closed == 0);
+        CHECK(managed.manager.interrupted_closes() == 1);
+        managed.until([&] { return managed.received == "a.b."; });
+        managed.until([&] { return managed.closed == 1; });
+        CHECK(managed.manager.discard_metrics().dropped_at_half_close == 0);
+    }
+    SUBCASE("the drain is over before the next try") {
+        managed.manager.set_drain(DrainSchedule(managed.loop.clock().now() - DrainSchedule::kEnded));
+        drain_over_dropped_request();
+        CHECK(managed.closed == 1);
+        CHECK(managed.manager.discard_metrics().dropped_at_half_close == 1);
+    }
+    SUBCASE("the process ends before the next try") {
+        managed.manager.set_exit_deadline(managed.loop.clock().now() + net::Stream::kRetransmission);
+        drain_over_dropped_request();
+        CHECK(managed.closed == 1);
+        CHECK(managed.manager.discard_metrics().dropped_at_half_close == 1);
+    }
+}
+
+// Guards: what counts as dropped puts a connection's end off, and acknowledgements would count.
+TEST_CASE("a client that only acknowledges does not put the end of its connection off") {
+    ManagedConnections managed;
+    Wire client = Wire::to(managed.manager.port());
+    client.send("a.");
+    managed.until([&] { return managed.received == "a."; });
+    const int on = 1;
+    REQUIRE(setsockopt(client.fd(), IPPROTO_TCP, TCP_QUICKACK, &on, sizeof on) == 0);
+    {
+        const net::Stream::ReceiveBlock block(*managed.accepted[0]->stream());
+        managed.accepted[0]->stream()->write("answer");
+        CHECK(client.bytes(6) == "answer");
+        CHECK_FALSE(managed.accepted[0]->stream()->has_dropped_data());
+        managed.manager.set_draining(true);
+        CHECK(managed.closed == 1);
+    }
+    CHECK(client.ends_in_order());
+}
+
+// Guards: an end that was given up with nothing dropped stayed untried for the time of a retransmission.
+TEST_CASE("behind a receive block that dropped nothing the next end is not put off") {
+    ManagedConnections managed;
+    Wire client = Wire::to(managed.manager.port());
+    client.send("a.");
+    managed.until([&] { return managed.received == "a."; });
+    { const net::Stream::ReceiveBlock block(*managed.accepted[0]->stream()); }
+    managed.manager.set_draining(true);
+    CHECK(managed.closed == 1);
+}
+
 // Guards: a client's system held a second request back until the first was acknowledged, and heard of that
 // with the end behind the first one's answer.
 TEST_CASE("a request that Nagle's algorithm holds back is read before the connection ends with an answer") {
--- a/tests/faults/calls.cpp
+++ b/tests/faults/calls.cpp
@@ -8,6 +8,9 @@
 //     reading
 //                                        of CLOCK_MONOTONIC, the next time of the second, and so on in turn
 //     shutdown=WAITSECONDS/N             a half-close takes effect so many seconds behind its call
+//     receive_block=WAITSECONDS/N        the process stands still so many seconds behind the start of a
+//                                        receive block (SO_ATTACH_FILTER)
+//     dropped_look=WAITSECONDS/N         and behind a look for what the block has dropped (SO_MEMINFO)
 //     read=SHORT/N, write=SHORT/N        one call in N moves a single byte (sockets alone)
 //     read=ERRNO/N, write=ERRNO/N        fails on sockets to the port in FAULTS_PEER alone (write: files too)
 //     clock=SECONDS@AT                   CLOCK_REALTIME is read as SECONDS off from AT on
@@ -86,6 +89,7 @@
 int peer_port = 0;
 thread_local int readings_to_stop = 0;  // of the clock, until the process stops ahead of one; 0: it does not
 thread_local int stops_at_readings = 0;
+thread_local bool receive_blocked = false;  // between SO_ATTACH_FILTER and SO_DETACH_FILTER
 
 template <typename F>
 F real(const char* name) {
@@ -255,6 +259,28 @@
     return call(fd, how);
 }
 
+int getsockopt(int fd, int level, int option, void* value, socklen_t* length) {
+    static const auto call = real<int (*)(int, int, int, void*, socklen_t*)>("getsockopt");
+    const int result = call(fd, level, option, value, length);
+    const int error = errno;
+    if (receive_blocked && level == SOL_SOCKET && option == SO_MEMINFO) fault_of("dropped_look");
+    errno = error;
+    return result;
+}
+
+int setsockopt(int fd, int level, int option, const void* value, socklen_t length) {
+    static const auto call = real<int (*)(int, int, int, const void*, socklen_t)>("setsockopt");
+    const int result = call(fd, level, option, value, length);
+    const int error = errno;
+    if (level == SOL_SOCKET && option == SO_ATTACH_FILTER) {
+        receive_blocked = true;
+        fault_of("receive_block");
+    }
+    if (level == SOL_SOCKET && option == SO_DETACH_FILTER) receive_blocked = false;
+    errno = error;
+    return result;
+}
+
 int accept4(int fd, sockaddr* from, socklen_t* length, int flags) {
     if (fails("accept")) return -1;
     static const auto call = real<int (*)(int, sockaddr*, socklen_t*, int)>("accept4");
--- a/tests/faults/connection_ends_test.py
+++ b/tests/faults/connection_ends_test.py
@@ -31,6 +31,10 @@
 QUEUED = 100            # connections in the queue of the listening socket
 HELD_APART_S = 0.2      # the look for unread bytes and the half-close
 IN_BETWEEN_S = 0.1
+# Where the process stands still in the step of look and half-close, and for how long: the client's system sends again
+# after 0.2 s.
+PREEMPTED_AT = {"preempted": "receive_block", "preempted_behind_look": "dropped_look"}
+PREEMPTED_S = 0.08
 HELD_BEHIND_ANSWER_S = 0.1  # the system holds the last bytes of an answer back for 0.2 s at most
 ANSWERED_AFTER_S = 0.5
 
@@ -301,11 +305,12 @@
     return found
 
 
-def held_apart(scene):
-    """The half-close comes HELD_APART_S behind its call: a request written in between is not acknowledged."""
+def held_apart(scene, in_between_s=IN_BETWEEN_S):
+    """The half-close comes some time behind its call, or behind the start of the step that it ends: a request written in
+    between is not acknowledged."""
     conn, watch = resting(scene.front, 1)[0], EndWatch()
     firing = scene.fire_meanwhile()
-    time.sleep(IN_BETWEEN_S)
+    time.sleep(in_between_s)
     request = Request(scene.front, conn, 2)
     watch.add(request)
     return finish(firing, watch, [request])
@@ -348,6 +353,9 @@
     if kind == "forced":
         scene = Scene(program, library, event, faults=f"shutdown=WAIT{HELD_APART_S}/1")
         return forced(scene, held_apart, ["crossed"])
+    if kind in PREEMPTED_AT:
+        scene = Scene(program, library, event, faults=f"{PREEMPTED_AT[kind]}=WAIT{PREEMPTED_S}/1")
+        return forced(scene, lambda started: held_apart(started, PREEMPTED_S / 2), ["answered"])
     if kind == "answered":
         scene = Scene(program, library, event, faults=f"shutdown=WAIT{HELD_BEHIND_ANSWER_S}/1", delay=ANSWERED_AFTER_S)
         return forced(scene, behind_answer, ["end was here"])
