--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -33,13 +33,14 @@
 
 Core::Core(const routing::Settings& settings, std::uint64_t seed, Clock& clock, TimerQueue& deadlines)
     : settings_(settings), router_(settings, seed), clock_(clock), deadlines_(deadlines) {
-    log::debug("settings zone={} hubs={} proxies={} pace={:.0f} parents={} origin={}", settings_.own_zone,
-               fmt::join(settings_.region_by_zone, ","), fmt::join(settings_.instances_by_zone, ","),
-               settings_.transfer_rate_kb_per_s, settings_.parent_kind, settings_.origin_kind);
+    log::debug("core: settings zone={} regions={} proxies={} pace={:.0f} parents={} origin={}",
+               settings_.own_zone, fmt::join(settings_.region_by_zone, ","),
+               fmt::join(settings_.instances_by_zone, ","), settings_.transfer_rate_kb_per_s,
+               settings_.parent_kind, settings_.origin_kind);
     for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
         const routing::ClassSettings& c = settings_.classes[i];
-        log::debug("class place={} aim_us={} stretch={:.2f} give_up_us={}", i, c.latency_objective,
-                   c.latency_objective_stretch, c.deadline);
+        log::debug("core: class place={} latency_objective_us={} stretch={:.2f} deadline_us={}", i,
+                   c.latency_objective, c.latency_objective_stretch, c.deadline);
     }
 }
 
--- a/src/daemon/endpoint_manager.cpp
+++ b/src/daemon/endpoint_manager.cpp
@@ -179,14 +179,15 @@
         change.purged_at = std::max(change.purged_at, now - view_.age(now) - kNotifiedWithin);
     const endpoints::ApplyResult result = view_.apply(change, now, log);
     if (result == endpoints::ApplyResult::deferred)
-        log::warn("list {} names no cache box, not believed yet: the {} members known stay in use",
-                  change.sequence, view_.size());
+        log::warn("endpoints: list without cache servers deferred sequence={} known={}", change.sequence,
+                  view_.size());
     if (result == endpoints::ApplyResult::full)
         log::error("list {} names more members than there is room for, the new ones are left out",
                    change.sequence);
-    log::debug("heard seq={} log={} fleet={} entries={} purge={} object={} group={} ago_us={}",
-               change.sequence, log, change.has_endpoints, change.endpoints.size(), change.has_purge,
-               change.object, change.purge_group, change.has_purge ? now - change.purged_at : 0);
+    log::debug(
+        "endpoints: received sequence={} log={} fleet={} entries={} purge={} object={} group={} ago_us={}",
+        change.sequence, log, change.has_endpoints, change.endpoints.size(), change.has_purge, change.object,
+        change.purge_group, change.has_purge ? now - change.purged_at : 0);
     if (change.has_purge) tell_purge({change.object, change.purge_group, change.purged_at});
     if (snapshot_writer_ && result != endpoints::ApplyResult::outdated) snapshot_writer_->on_changed();
 }
@@ -208,7 +209,7 @@
     const Micros now = loop_.clock().now();
     const bool doubted = view_.has_deferred_update();
     view_.advance(now);
-    if (doubted && !view_.has_deferred_update()) log::warn("the list without a cache box is believed now");
+    if (doubted && !view_.has_deferred_update()) log::warn("endpoints: list without cache servers applied");
     routing::EndpointUpdate news;
     news.version = view_.last_sequence();
     news.kind = routing::EndpointUpdateKind::incremental;
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -201,8 +201,8 @@
     using Took = endpoints::WatchSources::EventResult;
     const Took took = sources_.on_event(source, change.sequence, last_seq_, loop_.clock().now());
     if (took == Took::regressed)
-        log::warn("change log {} went back to {} from {}, not believed", addresses_[source], change.sequence,
-                  sources_.health()[source].on_this);
+        log::warn("discovery: sequence regressed log={} sequence={} newest={}", addresses_[source],
+                  change.sequence, sources_.health()[source].on_this);
     if (took == Took::apply) apply(change, static_cast<int>(source));
 }
 
