A connection is not closed while its last response is on its way to a slow client

Cause: the connection's socket was closed, by close() right behind the last answer or by the exit of the process, while its client had not read that answer yet. What the client sent next met a closed socket, which resets the connection; the answer's rest, and at a client whose write fails the whole of it, is lost. Left on today's code was the close of a half-closed connection, 0.5 s later or for room: it looked at what libuv holds, while the last answer may be in the system's buffer for longer.

Change: a half-closed connection is closed once its client's system has acknowledged all, 5 s later at the latest as before.

Two stories in connections_test.cpp force the rest: both failed before this change ("closed in the middle"), and pass with it.

--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -135,11 +135,11 @@
 }
 
 // In the order of what is lost by it: connections that sent nothing, those half-way through a request, the
-// idle. One whose next bytes have arrived unread is never evicted. The descriptor is needed now, so this does
-// not wait for the other side.
+// idle. One whose next bytes have arrived unread is never evicted, nor a half-closed one whose last response
+// is still on its way. The descriptor is needed now, so this does not wait for the other side.
 bool ConnectionManager::make_room() {
     for (ClientConnection* connection : in_state(ConnectionState::half_closed))
-        if (connection->stream_->unsent_bytes() == 0) {
+        if (!connection->stream_->has_undelivered_data()) {
             evict(*connection, CloseReason::evicted);
             return true;
         }
@@ -370,7 +370,7 @@
         evict(*connection, CloseReason::write_timeout);
     // Its last response may take as long to be read as any other.
     for (ClientConnection* connection : overdue(ConnectionState::half_closed, kHalfClosedTimeout))
-        if (connection->stream_->unsent_bytes() == 0 || connection->since_ <= now - timeouts_.write)
+        if (!connection->stream_->has_undelivered_data() || connection->since_ <= now - timeouts_.write)
             evict(*connection, CloseReason::write_timeout);
     if (draining_) close_in_state(ConnectionState::idle);  // those that had unread bytes the last time
     if (drain_.stage(now) == admin::DrainStage::forcing) close_idle_after_reading();
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -193,6 +193,12 @@
     return ioctl(descriptor(), SIOCOUTQNSD, &count) == 0 && count > 0;
 }
 
+bool Stream::has_undelivered_data() const {
+    int unacknowledged = 0;
+    const bool known = ioctl(descriptor(), SIOCOUTQ, &unacknowledged) == 0;
+    return unsent_bytes() > 0 || (known && unacknowledged > 0);
+}
+
 Micros Stream::time_since_last_byte() const {
     tcp_info info{};
     socklen_t length = sizeof info;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -81,6 +81,9 @@
     // The system holds bytes back for want of room at the other side, which reads slowly. False where the
     // system can't tell.
     bool congested() const;
+    // Written bytes that the other side's system has not acknowledged. What arrives on a closed socket resets
+    // the connection, and these are lost with it. False where the system can't tell.
+    bool has_undelivered_data() const;
     Micros time_since_last_byte() const;  // in the system's ticks; 0 where it can't tell
     bool peer_has_closed() const;         // all was read, and the other side has closed
     void close();                         // at once; what is unsent is dropped
--- a/tests/daemon/connections_test.cpp
+++ b/tests/daemon/connections_test.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+// An answer that waits at the proxy for the most part where its client's receive buffer is small.
+constexpr std::size_t kLargeAnswer = 200'000;
+constexpr int kSmallWindow = 4'096;  // bytes
+
 // A connection manager with real connections. The test alone runs its loop, so that what crosses does so
 // exactly when it is said.
 struct ManagedConnections {
@@ -353,6 +357,47 @@
     managed.until([&] { return managed.received.ends_with("ab"); });
 }
 
+// Guards: a connection that had ended was closed 0.5 s later, also where its last answer was still on its
+// way. What its client sent next reset it, and the answer's rest was lost.
+TEST_CASE("the last answer of a connection that has ended reaches a client that reads slowly") {
+    constexpr auto kBeyondHalfClosed = std::chrono::milliseconds(700);
+    const std::string answer(kLargeAnswer, 'x');
+    ManagedConnections managed;
+    Wire client = Wire::to(managed.manager.port(), kSmallWindow);
+    client.send("a.");
+    managed.until([&] { return managed.received == "a."; });
+    managed.accepted[0]->stream()->write(answer);
+    managed.manager.close(*managed.accepted[0], net::CloseReason::request_timeout);
+    const auto end = std::chrono::steady_clock::now() + kBeyondHalfClosed;
+    managed.until([&] { return std::chrono::steady_clock::now() >= end; });
+    client.send("b.");
+    CHECK(client.ends_in_order());
+    CHECK(client.bytes(answer.size()) == answer);
+}
+
+// Guards: the same where it was closed to make room.
+TEST_CASE("who was sent away makes no room while its last answer is on its way") {
+    const std::string answer(kLargeAnswer, 'x');
+    ManagedConnections managed;
+    Wire slow = Wire::to(managed.manager.port(), kSmallWindow);
+    slow.send("a.");
+    managed.until([&] { return managed.received == "a."; });
+    managed.accepted[0]->stream()->write(answer);
+    managed.manager.close(*managed.accepted[0], net::CloseReason::request_timeout);
+    std::vector<Wire> resting;
+    for (int i = 1; i < 8; ++i) {
+        resting.push_back(Wire::to(managed.manager.port()));
+        resting.back().send(".");
+        managed.until([&] { return managed.received.size() == 2 + static_cast<std::size_t>(i); });
+    }
+    Wire fresh = Wire::to(managed.manager.port());
+    fresh.send("new.");
+    managed.until([&] { return managed.received.ends_with("new."); });
+    slow.send("b.");
+    CHECK(slow.ends_in_order());
+    CHECK(slow.bytes(answer.size()) == answer);
+}
+
 // Guards: one that was sent away holds a descriptor until it has ended too; a client that comes needs it now.
 TEST_CASE("who was sent away makes room at once for who comes") {
     ManagedConnections managed;
--- a/tests/daemon/wire.py
+++ b/tests/daemon/wire.py
@@ -14,9 +14,9 @@
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..")
 
 
-def cache_box(listener, served, seen=None, delay=0, once=False):
+def cache_box(listener, served, seen=None, delay=0, once=False, content=b"ok"):
     """A pop cache that answers each request at once, or `delay` seconds late, a thread a connection. `seen` hears
-    of each request. `once`: it ends each connection behind one answer."""
+    of each request. `once`: it ends each connection behind one answer. `content`: of each answer."""
     def serve(conn):
         try:
             answer(conn)
@@ -33,7 +33,8 @@
                     if seen:
                         seen(words[1], dict(item.split("=", 1) for item in words[2].split(",") if "=" in item))
                     time.sleep(delay)
-                    conn.sendall(f"{words[1]} DONE digest=e1,dated=1764576000123,tell=pulled 2\r\nok\r\n".encode())
+                    head = f"{words[1]} DONE digest=e1,dated=1764576000123,tell=pulled {len(content)}\r\n"
+                    conn.sendall(head.encode() + content + b"\r\n")
                     if once:
                         return
     while True:
--- a/tests/faults/connection_ends_test.py
+++ b/tests/faults/connection_ends_test.py
@@ -37,6 +37,9 @@
 PREEMPTED_S = 0.08
 HELD_BEHIND_ANSWER_S = 0.1  # the system holds the last bytes of an answer back for 0.2 s at most
 ANSWERED_AFTER_S = 0.5
+LARGE_ANSWER = b"x" * 200_000  # most of it waits at the proxy where the client has a small window
+SMALL_WINDOW = 4096            # bytes
+LARGE_ANSWERED_AFTER_S = 0.25
 
 
 class PlatformFront:
@@ -148,8 +151,14 @@
     return struct.unpack("i", fcntl.ioctl(conn, termios.TIOCOUTQ, bytes(4)))[0]
 
 
-def connect(port):
-    return socket.create_connection(("127.0.0.1", port), timeout=BOUND_S)
+def connect(port, window=None):
+    """`window`: bytes of the client's receive buffer, where the system does not choose."""
+    conn = socket.socket()
+    if window:
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+    conn.settimeout(BOUND_S)
+    conn.connect(("127.0.0.1", port))
+    return conn
 
 
 def resting(front, count):
@@ -166,9 +175,9 @@
 class Scene:
     """One process of the program on an inherited socket, and what ends its connections: SIGTERM or a drain."""
 
-    def __init__(self, program, library, event, signed=False, faults="", log_level="info", delay=0):
+    def __init__(self, program, library, event, signed=False, faults="", log_level="info", delay=0, content=b"ok"):
         self.program, self.library, self.event, self.faults, self.log_level = program, library, event, faults, log_level
-        self.boxes, self.socket, self.proxy = Boxes(delay), listening(), None
+        self.boxes, self.socket, self.proxy = Boxes(delay, content=content), listening(), None
         self.front = SignedFront(program) if signed else PlatformFront(self.socket.getsockname()[1])
         self.draw = random.Random(event)
 
@@ -328,6 +337,27 @@
     return finish(firing, watch, [request])
 
 
+def behind_unread_answer(scene):
+    """Two requests are open when the event comes. The client has read one answer, and of the other, which is the last on its
+    connection, only as much as its window takes; then it writes its next request, and reads on."""
+    conn, watch = connect(scene.front.port, SMALL_WINDOW), EndWatch()
+    for sequence in (1, 2):
+        scene.front.ask(conn, sequence)
+    time.sleep(IN_BETWEEN_S)
+    firing = scene.fire_meanwhile()
+    scene.front.answer(conn)
+    want(select.select([conn], [], [], BOUND_S)[0], "nothing of the second answer came")
+    time.sleep(IN_BETWEEN_S)  # its connection's end has been decided by now
+    request = Request(scene.front, conn, 3)
+    watch.add(request)
+    try:
+        scene.front.answer(conn)
+        found = ["answered"]
+    except (OSError, ConnectionError):
+        found = ["lost"]
+    return found + finish(firing, watch, [request])
+
+
 def left_in_queue(scene):
     """At SIGTERM more connections with a request wait in the socket's queue than one turn of the loop accepts."""
     process, watch = scene.proxy.process, EndWatch()
@@ -359,6 +389,9 @@
     if kind == "answered":
         scene = Scene(program, library, event, faults=f"shutdown=WAIT{HELD_BEHIND_ANSWER_S}/1", delay=ANSWERED_AFTER_S)
         return forced(scene, behind_answer, ["end was here"])
+    if kind == "unread":
+        scene = Scene(program, library, event, delay=LARGE_ANSWERED_AFTER_S, content=LARGE_ANSWER)
+        return forced(scene, behind_unread_answer, ["answered", "answered"])
     if kind == "queued":
         return forced(Scene(program, library, event), left_in_queue, ["answered"] * QUEUED)
     one_round = write_first_requests(count or SILENT) if kind == "silent" else write_to_resting(count or RESTING)
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -39,10 +39,11 @@
 class Boxes:
     """Stand-in pop caches, parent and origin behind one address; `seen` has (when, request, fields) of each attempt."""
 
-    def __init__(self, delay=0, once=False):
+    def __init__(self, delay=0, once=False, content=b"ok"):
         self.listener, self.served, self.seen = listening(), [0], []
         self.at = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        threading.Thread(target=cache_box, args=(self.listener, self.served, self.see, delay, once), daemon=True).start()
+        what = (self.listener, self.served, self.see, delay, once, content)
+        threading.Thread(target=cache_box, args=what, daemon=True).start()
 
     def see(self, request, fields):
         self.seen.append((time.monotonic(), request, fields))
