A voter whose log can't be read archives its entries, and the proxy starts and serves

Cause: the raft library refuses to load a log with a file that is shorter than what it holds, or a closed segment that does not add up, and that refusal ended the start as a wrong setting does. Whether the scenario met it hung on which file was the newest: an empty segment, cut, harms nothing.

The voter opens without entries. As it has no configuration then, the library neither stands nor votes, until a leader of the others has sent the log. So the voter is not counted with what is whole of a damaged log: agreed_cut_entries_forget_nothing has a lease on the disks of two voters, one of them away and the other's log cut, and nobody leads until the first is back. A file that can't be read for want of descriptors, memory or rights is not damage; the start ends as before, and so where the folder, the address or the term can't be used.

--- a/src/consensus/local_voter.cpp
+++ b/src/consensus/local_voter.cpp
@@ -23,6 +23,13 @@
 constexpr Micros kReopenInterval = 200'000;       // while another process holds the directory
 constexpr std::chrono::seconds kDirectoryCheckTimeout{2};
 
+void log_unreadable(const std::string& folder, const std::string& reason) {
+    log::error(
+        "consensus: log unreadable folder={} reason={}; its entries are archived, a leader of the others "
+        "sends them",
+        folder, reason);
+}
+
 }  // namespace
 
 LocalVoter::LocalVoter(net::Loop& loop, ClusterTransport& transport, const config::Consensus& setup,
@@ -56,7 +63,7 @@
         log::error("consensus: folder not answering folder={}; this proxy votes once it does", setup_.folder);
     if (!checked || wait_for_folder || lost_log) {
         open_later();
-    } else if (const std::string error = node_->open(log_start_); !error.empty()) {
+    } else if (const std::string error = open_at_start(); !error.empty()) {
         node_->close_now();
         throw ConsensusError(ConsensusErrorCode::log_not_opened, error);
     }
@@ -64,6 +71,23 @@
     tick();
 }
 
+std::string LocalVoter::open_at_start() {
+    const std::string error = node_->open(log_start_);
+    return node_->is_log_unreadable() ? reopen_without_entries(error) : error;
+}
+
+// A leader of the others sends the entries again, and the proxy serves meanwhile.
+std::string LocalVoter::reopen_without_entries(const std::string& reason) {
+    log_unreadable(setup_.folder, reason);
+    entries_archived_ = true;
+    node_->close_now();
+    if (const std::string error = move_log_entries(setup_.folder, archive_name()); !error.empty())
+        return fmt::format("{}; archiving failed: {}", reason, error);
+    log::warn("consensus: log archived folder={}", setup_.folder);
+    node_ = make_node();
+    return node_->open(log_start_);
+}
+
 std::unique_ptr<RaftNode> LocalVoter::make_node() {
     RaftNode::Hooks hooks{setup_, known_voters_, transport_.setup().folder, {}, {}, {}, {}, {}, {}};
     hooks.reachable_address = [this](const std::string& address) {
@@ -157,27 +181,37 @@
         node_->stop();
         follower_.reset(history);
         follower_.start_polling();
-        archive_log(history);
+        archive_log([history](const std::string& folder, const std::string& archive) {
+            const std::string error = move_log_files(folder, archive);
+            return error.empty() ? RaftDirectory::write_history(folder, history) : error;
+        });
     });
 }
 
+std::string LocalVoter::archive_name() const {
+    return fmt::format("{}/aside-{}", setup_.folder, loop_.clock().now());
+}
+
+void LocalVoter::archive_unreadable_entries(const std::string& reason) {
+    log_unreadable(setup_.folder, reason);
+    entries_archived_ = archiving_ = true;
+    node_->stop();
+    archive_log(move_log_entries);
+}
+
 // Once the log is closed, its files go to a folder of their own, for whoever wants to look.
-void LocalVoter::archive_log(std::uint64_t history) {
+void LocalVoter::archive_log(MoveFiles move) {
     if (node_->closing() || directory_task_.busy()) {
         const std::weak_ptr<bool> alive = alive_;
-        loop_.timers().schedule(loop_.clock().now() + kReopenInterval, [this, alive, history] {
-            if (!alive.expired()) archive_log(history);
+        loop_.timers().schedule(loop_.clock().now() + kReopenInterval, [this, alive, move = std::move(move)] {
+            if (!alive.expired()) archive_log(move);
         });
         return;
     }
-    const std::string archive = fmt::format("{}/aside-{}", setup_.folder, loop_.clock().now());
     const auto error = std::make_shared<std::string>();
-    directory_task_.run(
-        [folder = setup_.folder, archive, history, error] {
-            *error = move_log_files(folder, archive);
-            if (error->empty()) *error = RaftDirectory::write_history(folder, history);
-        },
-        [this, error] { on_log_archived(*error); });
+    directory_task_.run([folder = setup_.folder, archive = archive_name(), move = std::move(move),
+                         error] { *error = move(folder, archive); },
+                        [this, error] { on_log_archived(*error); });
 }
 
 void LocalVoter::on_log_archived(const std::string& error) {
@@ -220,6 +254,7 @@
     const bool needs_leader = node_->has_lost_log() || log_start_ == LogStart::join;
     if (needs_leader && (!follower_.is_known() || follower_.leader().empty())) return open_later();
     if (const std::string error = node_->open(log_start_); !error.empty()) {
+        if (node_->is_log_unreadable() && !entries_archived_) return archive_unreadable_entries(error);
         log::error("consensus: log not opened folder={} reason={}; this proxy does not vote", setup_.folder,
                    error);
         return node_->stop();
--- a/src/consensus/local_voter.h
+++ b/src/consensus/local_voter.h
@@ -46,12 +46,18 @@
 
   private:
     std::unique_ptr<RaftNode> make_node();
+    std::string open_at_start();
+    std::string reopen_without_entries(const std::string& reason);
+    std::string archive_name() const;
     void tick();
     void expire_keys();
     void check_leader();
     void confirm_state();
     void on_newer_history(std::uint64_t history);
-    void archive_log(std::uint64_t history);
+    void archive_unreadable_entries(const std::string& reason);
+    // Moves files of the log into the folder `archive`; empty, or the error. Runs on another thread.
+    using MoveFiles = std::function<std::string(const std::string& folder, const std::string& archive)>;
+    void archive_log(MoveFiles move);
     void on_log_archived(const std::string& error);
     void on_log_failed();
     void open_later();
@@ -68,7 +74,8 @@
     net::BackgroundTask directory_task_;               // only while no log is open there
     std::unique_ptr<RaftNode> node_;                   // null: this one has not been named as a voter
     LogStart log_start_ = LogStart::bootstrap;         // join: it was named as a voter while it ran
-    bool archiving_ = false;                           // its log is of an older history
+    bool archiving_ = false;                           // its log is of an older history, or unreadable
+    bool entries_archived_ = false;                    // once: they could not be read
     base::Micros leader_known_at_ = 0;                 // 0: not yet
     std::optional<base::TimerQueue::Key> tick_timer_;
     std::optional<base::TimerQueue::Key> confirm_timer_;  // while the state is not known
--- a/src/consensus/raft_directory.cpp
+++ b/src/consensus/raft_directory.cpp
@@ -2,8 +2,10 @@
 
 #include <fmt/format.h>
 
+#include <cerrno>
 #include <charconv>
 #include <filesystem>
+#include <functional>
 #include <string_view>
 #include <system_error>
 #include <vector>
@@ -28,6 +30,38 @@
     return std::filesystem::exists(path, ignored);
 }
 
+// The library's names: open-N, FIRST-LAST by numbers alone, and snapshot-TERM-INDEX-TIME with .meta or none.
+bool holds_entries(std::string_view name) {
+    return name.starts_with("open-") || name.starts_with("snapshot-") ||
+           name.find_first_not_of("0123456789-") == std::string_view::npos;
+}
+
+// Why a file that may be whole can't be read now; empty: none is so. A disk's own error is damage.
+std::string find_temporary_fault(const std::string& path) {
+    std::error_code error;
+    for (std::filesystem::directory_iterator it(path, error), end; !error && it != end; it.increment(error)) {
+        std::string bytes;
+        const bool is_file = it->is_regular_file(error);
+        const int fault = is_file ? base::read_entire_file(it->path().string(), kMaxFileBytes, bytes) : 0;
+        if (fault != 0 && fault != EIO && fault != EFBIG)
+            return it->path().string() + ": " + std::generic_category().message(fault);
+    }
+    return error ? error.message() : std::string{};
+}
+
+std::string move_files(const std::string& path, const std::string& archive,
+                       const std::function<bool(std::string_view name)>& is_chosen) {
+    const std::filesystem::path to(archive);
+    std::error_code error;
+    std::filesystem::create_directories(to, error);
+    std::vector<std::filesystem::path> files;
+    for (std::filesystem::directory_iterator it(path, error), end; !error && it != end; it.increment(error))
+        if (it->is_regular_file() && is_chosen(it->path().filename().string())) files.push_back(it->path());
+    for (const auto& file : files)
+        if (!error) std::filesystem::rename(file, to / file.filename(), error);
+    return error ? error.message() : std::string{};
+}
+
 }  // namespace
 
 bool RaftDirectory::has_log() const {
@@ -86,15 +120,12 @@
 }
 
 std::string move_log_files(const std::string& path, const std::string& archive) {
-    const std::filesystem::path to(archive);
-    std::error_code error;
-    std::filesystem::create_directories(to, error);
-    std::vector<std::filesystem::path> files;
-    for (std::filesystem::directory_iterator it(path, error), end; !error && it != end; it.increment(error))
-        if (it->is_regular_file() && it->path().filename() != kLockFile) files.push_back(it->path());
-    for (const auto& file : files)
-        if (!error) std::filesystem::rename(file, to / file.filename(), error);
-    return error ? error.message() : std::string{};
+    return move_files(path, archive, [](std::string_view name) { return name != kLockFile; });
+}
+
+std::string move_log_entries(const std::string& path, const std::string& archive) {
+    const std::string fault = find_temporary_fault(path);
+    return fault.empty() ? move_files(path, archive, holds_entries) : fault;
 }
 
 }  // namespace sumackeel::consensus
--- a/src/consensus/raft_directory.h
+++ b/src/consensus/raft_directory.h
@@ -43,5 +43,9 @@
 std::string check_log_directory(const std::string& path);
 // Moves all files but the lock into `archive`. Empty on success, else the error.
 std::string move_log_files(const std::string& path, const std::string& archive);
+// Moves the entries and the snapshots alone: term, vote and history stay. Moves nothing where a file can't be
+// read for want of memory, descriptors or rights, as the log may then be whole. Empty on success, else the
+// error.
+std::string move_log_entries(const std::string& path, const std::string& archive);
 
 }  // namespace sumackeel::consensus
--- a/src/consensus/raft_disk.cpp
+++ b/src/consensus/raft_disk.cpp
@@ -44,6 +44,13 @@
 void RaftDisk::replace_calls() {
     raft_io& io = state_->io;
     library_calls_ = io;
+    io.load = [](raft_io* on, raft_term* term, raft_id* vote, raft_snapshot** snapshot, raft_index* first,
+                 raft_entry* entries[], std::size_t* count) {
+        RaftDisk& disk = of(on);
+        const Status status = disk.library_calls_.load(on, term, vote, snapshot, first, entries, count);
+        disk.load_failed_ = status != 0 && status != RAFT_NOMEM;
+        return status;
+    };
     io.set_term = [](raft_io* on, raft_term term) {
         of(on).unwritten_ballot_ = {.term = term, .vote = {}};
         of(on).write_ballot();
--- a/src/consensus/raft_disk.h
+++ b/src/consensus/raft_disk.h
@@ -29,6 +29,8 @@
     int open(const std::string& folder, raft_uv_transport* transport,
              std::unique_ptr<base::DirectoryLock> lock);
     raft_io* io() { return &state_->io; }
+    // Its files could not be read; to be asked once the library has failed to start.
+    bool load_failed() const { return load_failed_; }
     // A write has been under way for longer than a disk that works takes.
     bool is_stuck() const;
     // After raft_close(): cancels the deferred operations.
@@ -84,6 +86,7 @@
     net::BackgroundTask ballot_writer_;
     Ballot unwritten_ballot_;
     std::deque<DeferredOperation> deferred_;
+    bool load_failed_ = false;
     int appends_in_flight_ = 0;
     net::Micros last_progress_at_ = 0;  // the first of those began, or an earlier one ended
     bool failed_ = false;
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -292,6 +292,9 @@
 bool RaftNode::has_lost_log() const {
     return impl_->directory.has_lost_log();
 }
+bool RaftNode::is_log_unreadable() const {
+    return impl_->disk.load_failed();
+}
 void RaftNode::stop() {
     impl_->failed = true;
     impl_->close();
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -55,6 +55,8 @@
     std::string open(LogStart start);
     // It had a log before, and the votes recorded in it are lost with it.
     bool has_lost_log() const;
+    // open() failed since the entries or snapshots on disk can't be read.
+    bool is_log_unreadable() const;
     // Votes no more, and closes.
     void stop();
     bool stopped() const;
--- a/tests/fleet/harness/steps/consensus.py
+++ b/tests/fleet/harness/steps/consensus.py
@@ -9,21 +9,41 @@
 from ..network import LOOK_EVERY_S
 
 
+WORD = 8  # bytes: what is written ends at a multiple of it
+TORN_WRITE = bytes(range(1, 25))
+
+
+def written_bytes(path):
+    """Of a file that the log may have preallocated."""
+    with open(path, "rb") as file:
+        return len(file.read().rstrip(b"\0"))
+
+
 class ConsensusSteps(StepsBase):
     """The voters of the replicated log: leaders, followers, their folders."""
 
-    def damage_log(self, who, how):
-        """The newest file of a voter's log loses its second half, or has a byte changed in what is written of it."""
+    def damage_log(self, who, how, with_entries=False):
+        """The newest file of a voter's log, or the newest in which something is written, loses its second half, has zeros
+        in its place, or has a byte changed in what is written of it; `torn`: a write behind that was begun."""
         for member in self.fleet.pick(who):
             folder = os.path.join(member.folder, "agreed")
             names = [name for name in os.listdir(folder) if not name.startswith("metadata")]
-            path = max((os.path.join(folder, name) for name in names), key=lambda at: (os.path.getmtime(at), at))
+            paths = [os.path.join(folder, name) for name in names]
+            if with_entries:
+                paths = [path for path in paths if written_bytes(path) > 0]
+            path = max(paths, key=lambda at: (os.path.getmtime(at), at))
             with open(path, "r+b") as file:
                 data = file.read()
                 written = len(data.rstrip(b"\0"))
                 print(f"{how} {os.path.basename(path)}: {written} bytes written of {len(data)}")
                 if how == "cut":
                     file.truncate(max(8, written // 2))
+                elif how == "torn":
+                    file.seek((written // WORD + 2) * WORD)
+                    file.write(TORN_WRITE)
+                elif how == "zeros":
+                    file.seek(written // 2)
+                    file.write(bytes(written - written // 2))
                 else:
                     file.seek(written // 2)
                     file.write(bytes([data[written // 2] ^ 0x20]))
@@ -36,6 +56,17 @@
             shutil.rmtree(os.path.join(member.folder, "agreed"), ignore_errors=True)
         self.start(who)
 
+    def no_leader(self, who, seconds):
+        """For so long none of `who` leads or knows of a leader."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            for member in self.fleet.pick(who):
+                said = self.rollout(member)
+                if said and (said["leads"] or said["leader"]):
+                    have = sorted(one["member"] for one in said["leases"])
+                    raise Failed(f"{member.name} has the leader '{said['leader']}' and knows the leases {have}")
+            time.sleep(LOOK_EVERY_S)
+
     def fault_leader(self, do_what):
         """kill or stop whoever leads."""
         def led():
