A voter whose log ends before what it acknowledged does not vote until it is filled

Cause: the raft library takes a batch that does not add up for one that a crash cut off, and drops it with all behind it, without a word. That is right for a write that nobody was told of, and wrong for one that this voter had acknowledged; nothing told the two apart.

A log that ends before that when it is loaded is behind: said in the log, no vote granted, none asked for, until a leader has sent as much. Compared as Raft compares logs. Why it holds: whoever is elected without this voter shares a member that still has the entry with the majority that committed it.

--- a/src/consensus/raft_disk.cpp
+++ b/src/consensus/raft_disk.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "base/log.h"
+
 namespace sumackeel::consensus {
 
 namespace {
@@ -9,6 +11,12 @@
 // With a disk that hangs the library goes on trying to be elected; its messages would be out of date by then.
 constexpr std::size_t kMaxDeferredOperations = 1'024;
 
+LogPosition last_of(const raft_snapshot* snapshot, raft_index first, const raft_entry* entries,
+                    std::size_t count) {
+    if (count > 0) return {entries[count - 1].term, first + count - 1};
+    return snapshot ? LogPosition{snapshot->term, snapshot->index} : LogPosition{};
+}
+
 }  // namespace
 
 // The library (0.15) dereferences a null pointer when an append of its own as leader fails on disk. So it is
@@ -18,14 +26,30 @@
     RaftDisk* disk = nullptr;
     raft_io_append* library_request = nullptr;
     raft_io_append_cb done = nullptr;
+    LogPosition end;  // of the log behind it
+};
+
+// Of a snapshot that replaces the whole log.
+struct RaftDisk::SnapshotPut {
+    raft_io_snapshot_put request{};
+    RaftDisk* disk = nullptr;
+    raft_io_snapshot_put* library_request = nullptr;
+    raft_io_snapshot_put_cb done = nullptr;
+    LogPosition end;
 };
 
 RaftDisk::State::~State() {
     if (io.impl) raft_uv_close(&io);
 }
 
-RaftDisk::RaftDisk(net::Loop& loop, std::function<void(int status)> on_failed)
-    : loop_(loop), on_failed_(std::move(on_failed)), state_(std::make_shared<State>()), ballot_writer_(loop) {
+RaftDisk::RaftDisk(net::Loop& loop, AcknowledgementFile acknowledgement_file,
+                   std::function<void(int status)> on_failed)
+    : loop_(loop),
+      on_failed_(std::move(on_failed)),
+      state_(std::make_shared<State>()),
+      ballot_writer_(loop),
+      acknowledgement_file_(std::move(acknowledgement_file)),
+      acknowledgement_writer_(loop) {
     state_->owner = this;
 }
 
@@ -45,12 +69,8 @@
     raft_io& io = state_->io;
     library_calls_ = io;
     io.load = [](raft_io* on, raft_term* term, raft_id* vote, raft_snapshot** snapshot, raft_index* first,
-                 raft_entry* entries[], std::size_t* count) {
-        RaftDisk& disk = of(on);
-        const Status status = disk.library_calls_.load(on, term, vote, snapshot, first, entries, count);
-        disk.load_failed_ = status != 0 && status != RAFT_NOMEM;
-        return status;
-    };
+                 raft_entry* entries[],
+                 std::size_t* count) { return of(on).load(term, vote, snapshot, first, entries, count); };
     io.set_term = [](raft_io* on, raft_term term) {
         of(on).unwritten_ballot_ = {.term = term, .vote = {}};
         of(on).write_ballot();
@@ -73,6 +93,37 @@
     };
 }
 
+int RaftDisk::load(raft_term* term, raft_id* vote, raft_snapshot** snapshot, raft_index* first,
+                   raft_entry** entries, std::size_t* count) {
+    const Status status = library_calls_.load(io(), term, vote, snapshot, first, entries, count);
+    load_failed_ = status != 0 && status != RAFT_NOMEM;
+    if (status == 0) on_loaded(last_of(*snapshot, *first, *entries, *count));
+    return status;
+}
+
+void RaftDisk::on_loaded(LogPosition last) {
+    last_index_ = last.index;
+    std::string fault;
+    acknowledged_ = acknowledgement_file_.read(fault);
+    if (!fault.empty())
+        log::error("consensus: acknowledged position unreadable reason={}; the log counts as complete",
+                   fault);
+    behind_acknowledged_ = acknowledged_.history == history_ && last < acknowledged_.position;
+    if (behind_acknowledged_) {
+        const auto& [term, index] = acknowledged_.position;
+        log::error(
+            "consensus: log behind last_term={} last_index={} acknowledged_term={} acknowledged_index={} "
+            "reason=entries were lost on disk; not voting until a leader has sent them",
+            last.term, last.index, term, index);
+        return;
+    }
+    acknowledged_ = {history_, last};
+}
+
+std::string RaftDisk::record_loaded() const {
+    return behind_acknowledged_ ? std::string{} : acknowledgement_file_.write(acknowledged_);
+}
+
 // The library's own calls run on another thread here. That is safe only because they touch nothing but the
 // two files of the ballot and the library's copy of it, which is read at the start alone.
 void RaftDisk::write_ballot() {
@@ -103,17 +154,26 @@
 }
 
 int RaftDisk::send(raft_io_send* request, const raft_message& message, raft_io_send_cb done) {
-    if (!must_defer()) return library_calls_.send(io(), request, &message, done);
+    if (!must_defer()) return send_now(request, message, done);
     if (deferred_.size() >= kMaxDeferredOperations) return RAFT_CANCELED;
     auto operation = [this, request, copy = message, done,
                       address = std::string(message.server_address)]() mutable {
         copy.server_address = address.c_str();
-        return library_calls_.send(io(), request, &copy, done);
+        return send_now(request, copy, done);
     };
     deferred_.push_back({std::move(operation), [request, done](Status status) { done(request, status); }});
     return 0;
 }
 
+// Others that lack what this voter acknowledged must not be elected by its vote, nor it by theirs.
+int RaftDisk::send_now(raft_io_send* request, const raft_message& message, raft_io_send_cb done) {
+    if (!behind_acknowledged_) return library_calls_.send(io(), request, &message, done);
+    if (message.type == RAFT_IO_REQUEST_VOTE) return RAFT_CANCELED;
+    raft_message sent = message;
+    if (sent.type == RAFT_IO_REQUEST_VOTE_RESULT) sent.request_vote_result.vote_granted = false;
+    return library_calls_.send(io(), request, &sent, done);
+}
+
 int RaftDisk::append(raft_io_append* request, const raft_entry* entries, unsigned count,
                      raft_io_append_cb done) {
     if (!must_defer()) return append_now(request, entries, count, done);
@@ -125,7 +185,8 @@
 
 int RaftDisk::append_now(raft_io_append* request, const raft_entry* entries, unsigned count,
                          raft_io_append_cb done) {
-    auto* append = new Append{{}, this, request, done};
+    last_index_ += count;
+    auto* append = new Append{{}, this, request, done, {entries[count - 1].term, last_index_}};
     append->request.data = append;
     const Status status = library_calls_.append(
         io(), &append->request, entries, count, [](raft_io_append* request_done, int result) {
@@ -143,27 +204,96 @@
 void RaftDisk::on_appended(const Append& append, Status status) {
     --appends_in_flight_;
     last_progress_at_ = loop_.clock().now();
-    if (status == 0 || closed_) return append.done(append.library_request, status);
-    fail(status);
+    if (closed_) return append.done(append.library_request, status);
+    if (status != 0) return fail(status);
+    acknowledge({append.end, [request = append.library_request, done = append.done](Status result) {
+                     done(request, result);
+                 }});
+}
+
+// While the log is behind, the position that it has to reach stays on disk.
+void RaftDisk::acknowledge(FinishedWrite write) {
+    if (behind_acknowledged_ && write.end >= acknowledged_.position) {
+        behind_acknowledged_ = false;
+        log::info("consensus: log complete again last_term={} last_index={}", write.end.term,
+                  write.end.index);
+    }
+    finished_writes_.push_back(std::move(write));
+    behind_acknowledged_ ? report_finished(finished_writes_.size()) : write_acknowledged();
+}
+
+// Writes that finish meanwhile share the next record.
+void RaftDisk::write_acknowledged() {
+    if (acknowledgement_writer_.busy() || finished_writes_.empty() || failed_ || closed_) return;
+    acknowledged_ = {history_, finished_writes_.back().end};
+    const auto error = std::make_shared<std::string>();
+    acknowledgement_writer_.run(
+        [state = state_, file = acknowledgement_file_, acknowledged = acknowledged_, error] {
+            *error = file.write(acknowledged);
+        },
+        [this, count = finished_writes_.size(), error] { on_acknowledged_written(count, *error); });
+}
+
+void RaftDisk::on_acknowledged_written(std::size_t count, const std::string& error) {
+    if (failed_ || closed_) return;
+    if (!error.empty()) {
+        log::error("consensus: acknowledged position not written reason={}", error);
+        return fail(RAFT_IOERR);
+    }
+    report_finished(count);
+    write_acknowledged();
+}
+
+void RaftDisk::report_finished(std::size_t count) {
+    for (; count > 0 && !finished_writes_.empty(); --count) {
+        const FinishedWrite write = std::move(finished_writes_.front());
+        finished_writes_.pop_front();
+        write.report(0);
+    }
 }
 
 int RaftDisk::truncate(raft_index index) {
-    if (!must_defer()) return library_calls_.truncate(io(), index);
-    deferred_.push_back({[this, index] { return library_calls_.truncate(io(), index); },
-                         [this](Status status) { fail(status); }});
+    if (!must_defer()) return truncate_now(index);
+    deferred_.push_back(
+        {[this, index] { return truncate_now(index); }, [this](Status status) { fail(status); }});
     return 0;
 }
 
+int RaftDisk::truncate_now(raft_index index) {
+    last_index_ = index - 1;
+    return library_calls_.truncate(io(), index);
+}
+
 int RaftDisk::put_snapshot(unsigned trailing, raft_io_snapshot_put* request, const raft_snapshot* snapshot,
                            raft_io_snapshot_put_cb done) {
-    if (!must_defer()) return library_calls_.snapshot_put(io(), trailing, request, snapshot, done);
+    if (!must_defer()) return put_snapshot_now(trailing, request, snapshot, done);
     deferred_.push_back({[this, trailing, request, snapshot, done] {
-                             return library_calls_.snapshot_put(io(), trailing, request, snapshot, done);
+                             return put_snapshot_now(trailing, request, snapshot, done);
                          },
                          [request, done](Status status) { done(request, status); }});
     return 0;
 }
 
+// Without trailing entries it is the leader's, and replaces the log; else one of what this log holds.
+int RaftDisk::put_snapshot_now(unsigned trailing, raft_io_snapshot_put* request,
+                               const raft_snapshot* snapshot, raft_io_snapshot_put_cb done) {
+    if (trailing > 0) return library_calls_.snapshot_put(io(), trailing, request, snapshot, done);
+    auto* put = new SnapshotPut{{}, this, request, done, {snapshot->term, snapshot->index}};
+    put->request.data = put;
+    const Status status = library_calls_.snapshot_put(
+        io(), trailing, &put->request, snapshot, [](raft_io_snapshot_put* request_done, int result) {
+            const std::unique_ptr<SnapshotPut> finished(static_cast<SnapshotPut*>(request_done->data));
+            auto report = [request = finished->library_request, call = finished->done](Status reported) {
+                call(request, reported);
+            };
+            RaftDisk& disk = *finished->disk;
+            if (result != 0 || disk.closed_) return report(result);
+            disk.acknowledge({finished->end, report});
+        });
+    status == 0 ? void(last_index_ = snapshot->index) : delete put;
+    return status;
+}
+
 void RaftDisk::fail(Status status) {
     if (closed_ || std::exchange(failed_, true)) return;
     on_failed_(status);
@@ -172,11 +302,12 @@
 bool RaftDisk::is_stuck() const {
     const bool appends =
         appends_in_flight_ > 0 && loop_.clock().now() - last_progress_at_ > net::BackgroundTask::kStuckAfter;
-    return appends || ballot_writer_.is_stuck();
+    return appends || ballot_writer_.is_stuck() || acknowledgement_writer_.is_stuck();
 }
 
 void RaftDisk::close() {
     closed_ = true;
+    for (const FinishedWrite& write : std::exchange(finished_writes_, {})) write.report(RAFT_CANCELED);
     for (const DeferredOperation& one : std::exchange(deferred_, {})) one.fail(RAFT_CANCELED);
 }
 
--- a/src/consensus/raft_disk.h
+++ b/src/consensus/raft_disk.h
@@ -1,6 +1,10 @@
 // The disk of the raft library (its raft_io), so that the loop does not wait for it. The library writes each
 // term and each vote before it goes on; here they are written on another thread, and the messages and log
 // entries that depend on them are deferred until they are on disk.
+//
+// An append or a snapshot of the leader's counts as done once the position that it brings the log to is on
+// disk too (AcknowledgementFile). A log that ends before that position when it is loaded has lost entries
+// that this voter acknowledged: until a leader has sent it as much, it grants no vote and asks for none.
 #pragma once
 
 #include <deque>
@@ -10,6 +14,7 @@
 #include <string>
 
 #include "base/files.h"
+#include "consensus/acknowledged_position.h"
 #include "consensus/raft_library.h"
 #include "net/background_task.h"
 #include "net/loop.h"
@@ -20,7 +25,8 @@
   public:
     // `on_failed` is called once, from the loop, with the library's status, when the log can't be written. It
     // is to be closed then.
-    RaftDisk(net::Loop& loop, std::function<void(int status)> on_failed);
+    RaftDisk(net::Loop& loop, AcknowledgementFile acknowledgement_file,
+             std::function<void(int status)> on_failed);
     ~RaftDisk() = default;
     RaftDisk(const RaftDisk&) = delete;
     RaftDisk& operator=(const RaftDisk&) = delete;
@@ -29,8 +35,13 @@
     int open(const std::string& folder, raft_uv_transport* transport,
              std::unique_ptr<base::DirectoryLock> lock);
     raft_io* io() { return &state_->io; }
+    // Of the log; to be called before it is loaded.
+    void set_history(std::uint64_t history) { history_ = history; }
     // Its files could not be read; to be asked once the library has failed to start.
     bool load_failed() const { return load_failed_; }
+    // Once it is loaded: puts on disk how far it goes, unless it is behind what was acknowledged. Blocks on
+    // the disk. Empty, or the error.
+    std::string record_loaded() const;
     // A write has been under way for longer than a disk that works takes.
     bool is_stuck() const;
     // After raft_close(): cancels the deferred operations.
@@ -62,9 +73,18 @@
         std::function<void(Status)> fail;
     };
     struct Append;
+    struct SnapshotPut;
+    // On disk, and not reported to the library before its end is recorded as acknowledged.
+    struct FinishedWrite {
+        LogPosition end;
+        std::function<void(Status)> report;
+    };
 
     static RaftDisk& of(raft_io* io);
     void replace_calls();
+    Status load(raft_term* term, raft_id* vote, raft_snapshot** snapshot, raft_index* first,
+                raft_entry** entries, std::size_t* count);
+    void on_loaded(LogPosition last);
     void write_ballot();
     void on_ballot_written(Status status);
     Status send(raft_io_send* request, const raft_message& message, raft_io_send_cb done);
@@ -72,9 +92,17 @@
     Status append_now(raft_io_append* request, const raft_entry* entries, unsigned count,
                       raft_io_append_cb done);
     void on_appended(const Append& append, Status status);
+    void acknowledge(FinishedWrite write);
+    void write_acknowledged();
+    void on_acknowledged_written(std::size_t count, const std::string& error);
+    void report_finished(std::size_t count);
     Status truncate(raft_index index);
+    Status truncate_now(raft_index index);
     Status put_snapshot(unsigned trailing, raft_io_snapshot_put* request, const raft_snapshot* snapshot,
                         raft_io_snapshot_put_cb done);
+    Status put_snapshot_now(unsigned trailing, raft_io_snapshot_put* request, const raft_snapshot* snapshot,
+                            raft_io_snapshot_put_cb done);
+    Status send_now(raft_io_send* request, const raft_message& message, raft_io_send_cb done);
     bool must_defer() const { return failed_ || ballot_writer_.busy() || !deferred_.empty(); }
     void run_deferred();
     void fail(Status status);
@@ -86,6 +114,13 @@
     net::BackgroundTask ballot_writer_;
     Ballot unwritten_ballot_;
     std::deque<DeferredOperation> deferred_;
+    const AcknowledgementFile acknowledgement_file_;
+    net::BackgroundTask acknowledgement_writer_;
+    AcknowledgedPosition acknowledged_;          // as it is on disk
+    std::deque<FinishedWrite> finished_writes_;  // in the order of the log
+    std::uint64_t history_ = 0;
+    raft_index last_index_ = 0;  // of the log, with all that was handed to the library
+    bool behind_acknowledged_ = false;
     bool load_failed_ = false;
     int appends_in_flight_ = 0;
     net::Micros last_progress_at_ = 0;  // the first of those began, or an earlier one ended
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -70,7 +70,8 @@
           address(hooks.setup.voters.at(self)),
           directory(hooks.setup.folder, hooks.marker_directory),
           transport(loop, codec, address, hooks.reachable_address, hooks.newer_history_found),
-          disk(loop, [this](int status) { on_disk_failed(status); }),
+          disk(loop, AcknowledgementFile(hooks.marker_directory),
+               [this](int status) { on_disk_failed(status); }),
           machine({hooks.state_changed, hooks.kv_store_changed}),
           reconciler(raft_instance, {self, hooks.setup, hooks.known_voters, hooks.is_alive}) {}
     ~Impl() { close_now(); }
@@ -110,12 +111,15 @@
     if (!lost && start == LogStart::bootstrap)
         if (std::string error = write_first_entry(); !error.empty()) return error;
     try {
-        transport.set_history(directory.read_history());
+        const std::uint64_t history = directory.read_history();
+        transport.set_history(history);
+        disk.set_history(history);
     } catch (const std::exception& error) {
         return error.what();
     }
     if (const int result = raft_start(&raft_instance); result != 0) return error_text(result, "the start");
     started = true;
+    if (std::string error = disk.record_loaded(); !error.empty()) return error;
     return directory.mark_log_started();
 }
 
--- a/tests/fleet/harness/steps/inspection.py
+++ b/tests/fleet/harness/steps/inspection.py
@@ -53,6 +53,16 @@
             if times > most:
                 raise Failed(f"{member.name} woke {times} times in {seconds} s, {most} at most wanted")
 
+    def logs(self, who, text, within=0):
+        """Each of `who` has this text in its log."""
+        def holds():
+            for member in self.fleet.pick(who):
+                with open(member.log, encoding="utf-8", errors="replace") as log:
+                    if text not in log.read():
+                        return f"{member.name} does not log '{text}'"
+            return True
+        self.eventually(within, "logs", holds)
+
     def ops(self, who, path, status, method="GET"):
         for member in self.fleet.pick(who):
             got = ops_call(member.ops_port, method, path, host=member.host)
