The acknowledged position has a module of its own; refused writes don't count towards it

AcknowledgementRecorder has what RaftDisk held of it: a write is reported once its position is on disk, and a loaded log is held against it.

The two stories of connections_test.cpp that begin with an answer still at the proxy share that beginning; their checks are the same.

--- a/src/consensus/raft_disk.cpp
+++ b/src/consensus/raft_disk.cpp
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "base/log.h"
-
 namespace sumackeel::consensus {
 
 namespace {
@@ -48,8 +46,7 @@
       on_failed_(std::move(on_failed)),
       state_(std::make_shared<State>()),
       ballot_writer_(loop),
-      acknowledgement_file_(std::move(acknowledgement_file)),
-      acknowledgement_writer_(loop) {
+      recorder_(loop, std::move(acknowledgement_file), [this] { fail(RAFT_IOERR); }) {
     state_->owner = this;
 }
 
@@ -97,31 +94,11 @@
                    raft_entry** entries, std::size_t* count) {
     const Status status = library_calls_.load(io(), term, vote, snapshot, first, entries, count);
     load_failed_ = status != 0 && status != RAFT_NOMEM;
-    if (status == 0) on_loaded(last_of(*snapshot, *first, *entries, *count));
-    return status;
-}
-
-void RaftDisk::on_loaded(LogPosition last) {
+    if (status != 0) return status;
+    const LogPosition last = last_of(*snapshot, *first, *entries, *count);
     last_index_ = last.index;
-    std::string fault;
-    acknowledged_ = acknowledgement_file_.read(fault);
-    if (!fault.empty())
-        log::error("consensus: acknowledged position unreadable reason={}; the log counts as complete",
-                   fault);
-    behind_acknowledged_ = acknowledged_.history == history_ && last < acknowledged_.position;
-    if (behind_acknowledged_) {
-        const auto& [term, index] = acknowledged_.position;
-        log::error(
-            "consensus: log behind last_term={} last_index={} acknowledged_term={} acknowledged_index={} "
-            "reason=entries were lost on disk; not voting until a leader has sent them",
-            last.term, last.index, term, index);
-        return;
-    }
-    acknowledged_ = {history_, last};
-}
-
-std::string RaftDisk::record_loaded() const {
-    return behind_acknowledged_ ? std::string{} : acknowledgement_file_.write(acknowledged_);
+    recorder_.on_loaded(history_, last, state_);
+    return status;
 }
 
 // The library's own calls run on another thread here. That is safe only because they touch nothing but the
@@ -167,7 +144,7 @@
 
 // Others that lack what this voter acknowledged must not be elected by its vote, nor it by theirs.
 int RaftDisk::send_now(raft_io_send* request, const raft_message& message, raft_io_send_cb done) {
-    if (!behind_acknowledged_) return library_calls_.send(io(), request, &message, done);
+    if (!recorder_.is_behind()) return library_calls_.send(io(), request, &message, done);
     if (message.type == RAFT_IO_REQUEST_VOTE) return RAFT_CANCELED;
     raft_message sent = message;
     if (sent.type == RAFT_IO_REQUEST_VOTE_RESULT) sent.request_vote_result.vote_granted = false;
@@ -185,8 +162,8 @@
 
 int RaftDisk::append_now(raft_io_append* request, const raft_entry* entries, unsigned count,
                          raft_io_append_cb done) {
-    last_index_ += count;
-    auto* append = new Append{{}, this, request, done, {entries[count - 1].term, last_index_}};
+    const LogPosition end{entries[count - 1].term, last_index_ + count};
+    auto* append = new Append{{}, this, request, done, end};
     append->request.data = append;
     const Status status = library_calls_.append(
         io(), &append->request, entries, count, [](raft_io_append* request_done, int result) {
@@ -195,9 +172,10 @@
         });
     if (status != 0) {
         delete append;
-    } else if (appends_in_flight_++ == 0) {
-        last_progress_at_ = loop_.clock().now();
+        return status;
     }
+    last_index_ = end.index;
+    if (appends_in_flight_++ == 0) last_progress_at_ = loop_.clock().now();
     return status;
 }
 
@@ -206,50 +184,9 @@
     last_progress_at_ = loop_.clock().now();
     if (closed_) return append.done(append.library_request, status);
     if (status != 0) return fail(status);
-    acknowledge({append.end, [request = append.library_request, done = append.done](Status result) {
-                     done(request, result);
-                 }});
-}
-
-// While the log is behind, the position that it has to reach stays on disk.
-void RaftDisk::acknowledge(FinishedWrite write) {
-    if (behind_acknowledged_ && write.end >= acknowledged_.position) {
-        behind_acknowledged_ = false;
-        log::info("consensus: log complete again last_term={} last_index={}", write.end.term,
-                  write.end.index);
-    }
-    finished_writes_.push_back(std::move(write));
-    behind_acknowledged_ ? report_finished(finished_writes_.size()) : write_acknowledged();
-}
-
-// Writes that finish meanwhile share the next record.
-void RaftDisk::write_acknowledged() {
-    if (acknowledgement_writer_.busy() || finished_writes_.empty() || failed_ || closed_) return;
-    acknowledged_ = {history_, finished_writes_.back().end};
-    const auto error = std::make_shared<std::string>();
-    acknowledgement_writer_.run(
-        [state = state_, file = acknowledgement_file_, acknowledged = acknowledged_, error] {
-            *error = file.write(acknowledged);
-        },
-        [this, count = finished_writes_.size(), error] { on_acknowledged_written(count, *error); });
-}
-
-void RaftDisk::on_acknowledged_written(std::size_t count, const std::string& error) {
-    if (failed_ || closed_) return;
-    if (!error.empty()) {
-        log::error("consensus: acknowledged position not written reason={}", error);
-        return fail(RAFT_IOERR);
-    }
-    report_finished(count);
-    write_acknowledged();
-}
-
-void RaftDisk::report_finished(std::size_t count) {
-    for (; count > 0 && !finished_writes_.empty(); --count) {
-        const FinishedWrite write = std::move(finished_writes_.front());
-        finished_writes_.pop_front();
-        write.report(0);
-    }
+    recorder_.add({append.end, [request = append.library_request, done = append.done](Status result) {
+                       done(request, result);
+                   }});
 }
 
 int RaftDisk::truncate(raft_index index) {
@@ -260,8 +197,9 @@
 }
 
 int RaftDisk::truncate_now(raft_index index) {
-    last_index_ = index - 1;
-    return library_calls_.truncate(io(), index);
+    const Status status = library_calls_.truncate(io(), index);
+    if (status == 0) last_index_ = index - 1;
+    return status;
 }
 
 int RaftDisk::put_snapshot(unsigned trailing, raft_io_snapshot_put* request, const raft_snapshot* snapshot,
@@ -288,9 +226,13 @@
             };
             RaftDisk& disk = *finished->disk;
             if (result != 0 || disk.closed_) return report(result);
-            disk.acknowledge({finished->end, report});
+            disk.recorder_.add({finished->end, report});
         });
-    status == 0 ? void(last_index_ = snapshot->index) : delete put;
+    if (status != 0) {
+        delete put;
+        return status;
+    }
+    last_index_ = snapshot->index;
     return status;
 }
 
@@ -302,12 +244,12 @@
 bool RaftDisk::is_stuck() const {
     const bool appends =
         appends_in_flight_ > 0 && loop_.clock().now() - last_progress_at_ > net::BackgroundTask::kStuckAfter;
-    return appends || ballot_writer_.is_stuck() || acknowledgement_writer_.is_stuck();
+    return appends || ballot_writer_.is_stuck() || recorder_.is_stuck();
 }
 
 void RaftDisk::close() {
     closed_ = true;
-    for (const FinishedWrite& write : std::exchange(finished_writes_, {})) write.report(RAFT_CANCELED);
+    recorder_.cancel(RAFT_CANCELED);
     for (const DeferredOperation& one : std::exchange(deferred_, {})) one.fail(RAFT_CANCELED);
 }
 
--- a/src/consensus/raft_disk.h
+++ b/src/consensus/raft_disk.h
@@ -2,9 +2,9 @@
 // term and each vote before it goes on; here they are written on another thread, and the messages and log
 // entries that depend on them are deferred until they are on disk.
 //
-// An append or a snapshot of the leader's counts as done once the position that it brings the log to is on
-// disk too (AcknowledgementFile). A log that ends before that position when it is loaded has lost entries
-// that this voter acknowledged: until a leader has sent it as much, it grants no vote and asks for none.
+// An append or a snapshot of the leader's counts as done once the position that it brings the log to is
+// recorded too. A log that ends before that position when it is loaded has lost entries that this voter
+// acknowledged: until a leader has sent it as much, it grants no vote and asks for none.
 #pragma once
 
 #include <deque>
@@ -14,7 +14,7 @@
 #include <string>
 
 #include "base/files.h"
-#include "consensus/acknowledged_position.h"
+#include "consensus/acknowledgement_recorder.h"
 #include "consensus/raft_library.h"
 #include "net/background_task.h"
 #include "net/loop.h"
@@ -41,7 +41,7 @@
     bool load_failed() const { return load_failed_; }
     // Once it is loaded: puts on disk how far it goes, unless it is behind what was acknowledged. Blocks on
     // the disk. Empty, or the error.
-    std::string record_loaded() const;
+    std::string record_loaded() const { return recorder_.record_loaded(); }
     // A write has been under way for longer than a disk that works takes.
     bool is_stuck() const;
     // After raft_close(): cancels the deferred operations.
@@ -74,17 +74,11 @@
     };
     struct Append;
     struct SnapshotPut;
-    // On disk, and not reported to the library before its end is recorded as acknowledged.
-    struct FinishedWrite {
-        LogPosition end;
-        std::function<void(Status)> report;
-    };
 
     static RaftDisk& of(raft_io* io);
     void replace_calls();
     Status load(raft_term* term, raft_id* vote, raft_snapshot** snapshot, raft_index* first,
                 raft_entry** entries, std::size_t* count);
-    void on_loaded(LogPosition last);
     void write_ballot();
     void on_ballot_written(Status status);
     Status send(raft_io_send* request, const raft_message& message, raft_io_send_cb done);
@@ -92,10 +86,6 @@
     Status append_now(raft_io_append* request, const raft_entry* entries, unsigned count,
                       raft_io_append_cb done);
     void on_appended(const Append& append, Status status);
-    void acknowledge(FinishedWrite write);
-    void write_acknowledged();
-    void on_acknowledged_written(std::size_t count, const std::string& error);
-    void report_finished(std::size_t count);
     Status truncate(raft_index index);
     Status truncate_now(raft_index index);
     Status put_snapshot(unsigned trailing, raft_io_snapshot_put* request, const raft_snapshot* snapshot,
@@ -114,13 +104,9 @@
     net::BackgroundTask ballot_writer_;
     Ballot unwritten_ballot_;
     std::deque<DeferredOperation> deferred_;
-    const AcknowledgementFile acknowledgement_file_;
-    net::BackgroundTask acknowledgement_writer_;
-    AcknowledgedPosition acknowledged_;          // as it is on disk
-    std::deque<FinishedWrite> finished_writes_;  // in the order of the log
+    AcknowledgementRecorder recorder_;
     std::uint64_t history_ = 0;
     raft_index last_index_ = 0;  // of the log, with all that was handed to the library
-    bool behind_acknowledged_ = false;
     bool load_failed_ = false;
     int appends_in_flight_ = 0;
     net::Micros last_progress_at_ = 0;  // the first of those began, or an earlier one ended
--- a/tests/daemon/connections_test.cpp
+++ b/tests/daemon/connections_test.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 // An answer that waits at the proxy for the most part where its client's receive buffer is small.
-constexpr std::size_t kLargeAnswer = 200'000;
+const std::string kLargeAnswer(200'000, 'x');
 constexpr int kSmallWindow = 4'096;  // bytes
 
 // A connection manager with real connections. The test alone runs its loop, so that what crosses does so
@@ -55,6 +55,15 @@
         {.request = request_timeout, .idle = 60'000'000, .write = 60'000'000, .settle = settle},
         [this] { return std::make_unique<RecordingConnection>(*this); }};
 
+    // The client of a connection that has ended behind an answer, of which the most is still at the proxy.
+    Wire ended_behind_large_answer() {
+        Wire client = Wire::to(manager.port(), kSmallWindow);
+        client.send("a.");
+        until([&] { return received == "a."; });
+        accepted[0]->stream()->write(kLargeAnswer);
+        manager.close(*accepted[0], net::CloseReason::request_timeout);
+        return client;
+    }
     void until(const std::function<bool()>& done) {
         const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(kBoundMs);
         while (!done()) {
@@ -361,29 +370,19 @@
 // way. What its client sent next reset it, and the answer's rest was lost.
 TEST_CASE("the last answer of a connection that has ended reaches a client that reads slowly") {
     constexpr auto kBeyondHalfClosed = std::chrono::milliseconds(700);
-    const std::string answer(kLargeAnswer, 'x');
     ManagedConnections managed;
-    Wire client = Wire::to(managed.manager.port(), kSmallWindow);
-    client.send("a.");
-    managed.until([&] { return managed.received == "a."; });
-    managed.accepted[0]->stream()->write(answer);
-    managed.manager.close(*managed.accepted[0], net::CloseReason::request_timeout);
+    Wire client = managed.ended_behind_large_answer();
     const auto end = std::chrono::steady_clock::now() + kBeyondHalfClosed;
     managed.until([&] { return std::chrono::steady_clock::now() >= end; });
     client.send("b.");
     CHECK(client.ends_in_order());
-    CHECK(client.bytes(answer.size()) == answer);
+    CHECK(client.bytes(kLargeAnswer.size()) == kLargeAnswer);
 }
 
 // Guards: the same where it was closed to make room.
 TEST_CASE("who was sent away makes no room while its last answer is on its way") {
-    const std::string answer(kLargeAnswer, 'x');
     ManagedConnections managed;
-    Wire slow = Wire::to(managed.manager.port(), kSmallWindow);
-    slow.send("a.");
-    managed.until([&] { return managed.received == "a."; });
-    managed.accepted[0]->stream()->write(answer);
-    managed.manager.close(*managed.accepted[0], net::CloseReason::request_timeout);
+    Wire slow = managed.ended_behind_large_answer();
     std::vector<Wire> resting;
     for (int i = 1; i < 8; ++i) {
         resting.push_back(Wire::to(managed.manager.port()));
@@ -395,7 +394,7 @@
     managed.until([&] { return managed.received.ends_with("new."); });
     slow.send("b.");
     CHECK(slow.ends_in_order());
-    CHECK(slow.bytes(answer.size()) == answer);
+    CHECK(slow.bytes(kLargeAnswer.size()) == kLargeAnswer);
 }
 
 // Guards: one that was sent away holds a descriptor until it has ended too; a client that comes needs it now.
