A half-closed connection makes room while its end is not acknowledged

Cause: kept a half-closed connection from making room until all was acknowledged. A client's system delays the acknowledgement of an end by up to 40 ms, so each of these callers held its place for that long.

Change: for room it goes unless the system holds bytes back for want of room at the client; by time (0.5 s) it still waits for the acknowledgement.

--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -136,10 +136,11 @@
 
 // In the order of what is lost by it: connections that sent nothing, those half-way through a request, the
 // idle. One whose next bytes have arrived unread is never evicted, nor a half-closed one whose last response
-// is still on its way. The descriptor is needed now, so this does not wait for the other side.
+// waits for room at the client. The descriptor is needed now, so this does not wait for the other side, not
+// even for the acknowledgement of what was sent.
 bool ConnectionManager::make_room() {
     for (ClientConnection* connection : in_state(ConnectionState::half_closed))
-        if (!connection->stream_->has_undelivered_data()) {
+        if (connection->stream_->unsent_bytes() == 0 && !connection->stream_->congested()) {
             evict(*connection, CloseReason::evicted);
             return true;
         }
