Review: the cases run as an ordinary user, and a fault of a script ends with status 2

The port that holds a case's network was one that only root may take, and a fault before the first process ended with status 1, as if the rule were broken.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -45,7 +45,7 @@
         net = f"127.{2 + number // 250}.{1 + number % 250}"
         guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
-            guard.bind((f"{net}.254", 9))
+            guard.bind((f"{net}.254", 9999))
             return net, guard
         except OSError:
             guard.close()
@@ -392,15 +392,18 @@
 
 def play(folder, case):
     """Runs `case(bench)`, which returns the violations. Exit status: 0 the rule held, 1 it was broken, 2 not played."""
-    bench = Bench(folder)
+    bench = None
     try:
+        bench = Bench(folder)
         violations = case(bench)
-    except (CannotRun, OSError, subprocess.SubprocessError) as fault:
-        bench.record(f"not played: {fault}")
-        print(f"not played: {fault}")
+    except Exception as fault:  # whatever it is, the rule was not judged
+        print(f"not played: {fault!r}")
+        if bench:
+            bench.record(f"not played: {fault!r}")
         sys.exit(2)
     finally:
-        bench.close()
+        if bench:
+            bench.close()
     for line in violations[:20]:
         bench.record(f"VIOLATION {line}")
     print(f"{len(violations)} violations" + "".join(f"\n  {line}" for line in violations[:5]))
