Event loop: counters of iterations, input, processing and timer delay

Why clients at full speed leave others without answers had two explanations, which no log line or metric told apart: an iteration that reads without bound, and the catch-up after a stall, in which timers wait while input does. The loop counts iterations and those of the catch-up, and keeps the longest time on input, on timers and callbacks, and by which a timer was late; GET /ops/stats has them.

--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -1,4 +1,5 @@
-// The counters of GET /ops/stats: connections by state, their close reasons, and the outcomes of requests.
+// The counters of GET /ops/stats: connections by state, their close reasons, the outcomes of requests,
+// and how the event loop spends its time.
 #pragma once
 
 #include <vector>
@@ -11,7 +12,8 @@
 namespace sumackeel::daemon {
 
 // `signed_server` may be null.
-std::vector<admin::Counter> counters_of(const core::Core& core, const platform_server::PlatformServer& server,
+std::vector<admin::Counter> counters_of(const net::Loop& loop, const core::Core& core,
+                                        const platform_server::PlatformServer& server,
                                         const signed_url_server::SignedUrlServer* signed_server);
 
 }  // namespace sumackeel::daemon
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -68,9 +68,22 @@
 }
 
 void Loop::run_iteration() {
+    ++metrics_.iterations;
+    metrics_.longest_input = std::max(metrics_.longest_input, iteration_age());
+    if (is_catching_up()) {
+        ++metrics_.catch_up_iterations;
+        return;
+    }
+    const Micros began = clock_.now();
+    if (const auto due = timers_.next_deadline())
+        metrics_.longest_timer_delay = std::max(metrics_.longest_timer_delay, began - *due);
+    run_timers_and_callbacks();
+    metrics_.longest_processing = std::max(metrics_.longest_processing, clock_.now() - began);
+}
+
+void Loop::run_timers_and_callbacks() {
     // Called from C, so no exception may leave. A timer is off the queue before it runs.
     try {
-        if (is_catching_up()) return;
         timers_.run_due(clock_.now());
         for (const auto& callback : iteration_callbacks_) callback();
     } catch (const std::exception& error) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -4,6 +4,7 @@
 #include <uv.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <stdexcept>
@@ -23,6 +24,15 @@
     using std::runtime_error::runtime_error;
 };
 
+// What the loop has done since its start. Durations are in us, the longest of any one iteration.
+struct LoopMetrics {
+    std::uint64_t iterations = 0;
+    std::uint64_t catch_up_iterations = 0;  // only read input, since the process had been stalled
+    Micros longest_input = 0;               // handling the events of one poll
+    Micros longest_processing = 0;          // timers and callbacks behind them
+    Micros longest_timer_delay = 0;         // from when a timer was due until it ran
+};
+
 class Loop {
   public:
     Loop();
@@ -47,9 +57,11 @@
     void on_each_iteration(std::function<void()> callback) {
         iteration_callbacks_.push_back(std::move(callback));
     }
+    const LoopMetrics& metrics() const { return metrics_; }
 
   private:
     void run_iteration();
+    void run_timers_and_callbacks();
     void arm_timer();
     bool is_catching_up();
 
@@ -64,6 +76,7 @@
     Micros previous_poll_at_ = 0;  // and the one before
     base::TimerQueue timers_;
     std::vector<std::function<void()>> iteration_callbacks_;
+    LoopMetrics metrics_;
     static constexpr std::size_t kReadBufferBytes = 256 * 1024;
     std::vector<char> read_buffer_ = std::vector<char>(kReadBufferBytes);
 };
