A client that never pauses between requests keeps its connection

Callers saw: a connection whose requests were each complete at once was closed 2 s after it first had a part of the next request (15 s on the signed front), and what the client sent then was lost with it.

Cause: the time in the state `receiving` began with the first partial request and went on while each later look found another partial one; the state was the same, so the time did not start anew.

Change: a server tells the connection manager that a request is complete (Progress), which starts the time anew, except in a drain, which has to end for such a client too.

--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -179,9 +179,15 @@
         }
 }
 
-void ConnectionManager::set_state(ClientConnection& connection, ConnectionState state, bool response_read) {
-    const bool unchanged = connection.state_ == state && state != ConnectionState::idle &&
-                           !(state == ConnectionState::flushing && response_read);
+// A drain has to end for a client too that never stops sending requests.
+bool ConnectionManager::restarts_time(ConnectionState state, Progress progress) const {
+    if (state == ConnectionState::flushing) return progress == Progress::response_read;
+    if (state == ConnectionState::receiving) return progress == Progress::request_complete && !draining_;
+    return state == ConnectionState::idle;
+}
+
+void ConnectionManager::set_state(ClientConnection& connection, ConnectionState state, Progress progress) {
+    const bool unchanged = connection.state_ == state && !restarts_time(state, progress);
     if (!connection.stream() || unchanged) return;
     if (connection.state_ != state)
         log::debug("listener: state changed connection={} state={} was={}", connection.id_, name_of(state),
--- a/src/net/connection_manager.h
+++ b/src/net/connection_manager.h
@@ -43,8 +43,8 @@
     ConnectionManager& operator=(const ConnectionManager&) = delete;
 
     // Called by the server after each change of state. The state's time starts anew with each change, each
-    // idle spell and, with `response_read`, each response that the client has read.
-    void set_state(ClientConnection& connection, ConnectionState state, bool response_read = false);
+    // idle spell, each response that the client has read and, unless connections are drained, each request.
+    void set_state(ClientConnection& connection, ConnectionState state, Progress progress = Progress::none);
     // When responses take too much memory: closes the connection whose client has not read for longest, but
     // not `keep`.
     void evict_slowest_reader(const ClientConnection& keep);
@@ -98,6 +98,7 @@
     using ConnectionList = std::list<ClientConnection*>;  // longest in its state first
 
     void accept_waiting();
+    bool restarts_time(ConnectionState state, Progress progress) const;
     void on_accept_queue_empty();
     void on_accept_queue_waiting();
     bool make_room();
--- a/src/net/connection_state.h
+++ b/src/net/connection_state.h
@@ -17,6 +17,13 @@
 };
 constexpr std::size_t kConnectionStateCount = 6;
 
+// What has happened on a connection that stays in its state; its time in that state starts anew then.
+enum class Progress {
+    none,
+    response_read,    // the client has read a response, and more are waiting
+    request_complete  // a request has been read in full, and a part of the next one
+};
+
 enum class CloseReason : std::size_t {
     client_closed,     // the client closed it
     connection_error,  // reset, failed, or undecodable input
--- a/src/platform_server/platform_server.cpp
+++ b/src/platform_server/platform_server.cpp
@@ -78,17 +78,19 @@
         last_byte_at = received_at();
         if (peer_has_left()) return server.connection_manager_.close(*this);
         processing_input = true;
-        reader.read(bytes, [this](std::string_view frame) {
+        auto progress = net::Progress::none;
+        reader.read(bytes, [this, &progress](std::string_view frame) {
             has_received_frame = true;
+            progress = net::Progress::request_complete;
             server.handle_call(*this, decode_call(frame));
             return stream() != nullptr;
         });
         processing_input = false;
         server.send_delayed_rejections(*this);
-        update_state();
+        update_state(progress);
     }
-    void on_write_drained(net::Stream&) override { update_state(true); }
-    void update_state(bool response_read = false) {
+    void on_write_drained(net::Stream&) override { update_state(net::Progress::response_read); }
+    void update_state(net::Progress progress = net::Progress::none) {
         if (!stream()) return;
         // Danger: while reading is paused, cancellations and disconnects go unnoticed. So the limit is twice
         // as high while requests are open; there is one, as rejections and replies to `alive` add up too.
@@ -99,7 +101,7 @@
                                            : !has_received_frame ? net::ConnectionState::awaiting_request
                                            : reader.partial()    ? net::ConnectionState::receiving
                                                                  : net::ConnectionState::idle;
-        server.connection_manager_.set_state(*this, state, response_read);
+        server.connection_manager_.set_state(*this, state, progress);
     }
     bool overlaps_requests() const override { return has_overlapped; }
     void on_closed() override {
--- a/src/signed_url_server/signed_url_server.cpp
+++ b/src/signed_url_server/signed_url_server.cpp
@@ -152,39 +152,42 @@
         last_byte_at = received_at();
         if (peer_has_left()) return server.connection_manager_.close(*this);
         unparsed += bytes;
-        process_input();
+        const net::Progress progress = process_input();
         if (server.connection_manager_.drain().rejects_new_requests(server.loop_.clock().now()))
             server.set_drain_deadline(*this);
-        update_state();
+        update_state(progress);
     }
     void on_request_timeout() override {
         if (!busy && parser.nread > 0)
             server.write(*this, server.make_problem(408, "the request did not come whole in time"), true);
     }
     bool exceeds_pipeline_limit() const { return unparsed.size() > kMaxPipelinedBytes; }
-    void on_write_drained(net::Stream&) override { update_state(true); }
+    void on_write_drained(net::Stream&) override { update_state(net::Progress::response_read); }
 
     // Parses one request; further bytes are parsed once its response is written.
-    void process_input() {
+    net::Progress process_input() {
+        auto progress = net::Progress::none;
         while (stream() && !busy && !unparsed.empty()) {
             const std::size_t read =
                 http_parser_execute(&parser, &parser_settings(), unparsed.data(), unparsed.size());
             const auto error = HTTP_PARSER_ERRNO(&parser);
             if (error != HPE_OK && error != HPE_PAUSED) {
                 keep_alive = false;
-                return server.send_problem(*this, limit_status ? limit_status : 400,
-                                           "the request can't be read");
+                server.send_problem(*this, limit_status ? limit_status : 400, "the request can't be read");
+                return progress;
             }
             unparsed.erase(0, read);
-            if (!request_complete) return;
+            if (!request_complete) return progress;
             request_complete = false;
+            progress = net::Progress::request_complete;
             http_parser_pause(&parser, 0);
             busy = has_received_request = true;
             server.handle_request(*this);
         }
+        return progress;
     }
 
-    void update_state(bool response_read = false) {
+    void update_state(net::Progress progress = net::Progress::none) {
         if (!stream()) return;
         stream()->pause(exceeds_pipeline_limit());
         const net::ConnectionState state = busy                           ? net::ConnectionState::processing
@@ -193,7 +196,7 @@
                                            : parser.nread > 0 || !unparsed.empty()
                                                ? net::ConnectionState::receiving
                                                : net::ConnectionState::idle;
-        server.connection_manager_.set_state(*this, state, response_read);
+        server.connection_manager_.set_state(*this, state, progress);
     }
     void on_closed() override {
         server.open_requests_.remove(entry);
@@ -423,8 +426,8 @@
         loop_.timers().schedule(loop_.clock().now(), [this, client_id = client.id()] {
             auto* found = static_cast<Client*>(connection_manager_.find(client_id));
             if (!found) return;
-            found->process_input();
-            found->update_state();
+            const net::Progress progress = found->process_input();
+            found->update_state(progress);
             core_.process_events();
         });
 }
