Clients at full speed no longer keep others from their answers

Cause: an iteration of the loop read without bound, up to 32 reads of 256 KB of each stream, and each request in them was decoded and rejected ahead of all timers and of the core's decisions.

Fix: net::ReadScheduler decides ahead of each read: round-robin, 0.5 ms a stream, 10 ms an iteration, reads of 16 KB; a deferred stream is read before others have a second turn. Connections that this process opened are read in each iteration, so that responses are known when the timers of their attempts run. A stream keeps since when its input was deferred, as a request's time runs from the arrival of its last byte.

Why it works: whatever arrives, timers run after 10 ms of reading and one read more, and a stream waits for one slice of each other.

--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -35,10 +35,12 @@
     counters.push_back({"attempts_retried", metrics.attempts - metrics.dispatched});
 }
 
-void add_loop(Counters& counters, const net::LoopMetrics& metrics) {
+void add_loop(Counters& counters, const net::Loop& loop) {
+    const net::LoopMetrics& metrics = loop.metrics();
     const auto microseconds = [](net::Micros duration) { return static_cast<std::uint64_t>(duration); };
     counters.push_back({"loop_iterations", metrics.iterations});
     counters.push_back({"loop_catch_up_iterations", metrics.catch_up_iterations});
+    counters.push_back({"loop_deferred_reads", loop.deferred_reads()});
     counters.push_back({"loop_longest_input_us", microseconds(metrics.longest_input)});
     counters.push_back({"loop_longest_processing_us", microseconds(metrics.longest_processing)});
     counters.push_back({"loop_longest_timer_delay_us", microseconds(metrics.longest_timer_delay)});
@@ -57,7 +59,7 @@
     counters.push_back({"drain_held", drain.held});
     counters.push_back({"drain_hurried", drain.hurried});
     add_connections(counters, "", server.connection_manager());
-    add_loop(counters, loop.metrics());
+    add_loop(counters, loop);
     if (signed_server) add_connections(counters, "signed_", signed_server->connection_manager());
     return counters;
 }
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -44,7 +44,7 @@
     Stream* stream_ = nullptr;
     ConnectionState state_ = ConnectionState::awaiting_request;
     Micros since_ = 0;                 // in this state, or since the last response was read
-    Micros unread_arrived_after_ = 0;  // unread bytes arrived after this; 0: after the loop's last poll
+    Micros unread_arrived_after_ = 0;  // unread bytes arrived after this; 0: Stream::arrived_after()
     bool read_late_ = false;
     std::list<ClientConnection*>::iterator position_;  // in its state's list
 };
--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -38,8 +38,7 @@
 // stall would seem to have arrived after it.
 Micros ClientConnection::received_at() {
     const Micros now = manager_->loop_.clock().now();
-    const Micros earliest =
-        unread_arrived_after_ > 0 ? unread_arrived_after_ : manager_->loop_.last_poll_at();
+    const Micros earliest = unread_arrived_after_ > 0 ? unread_arrived_after_ : stream_->arrived_after();
     read_late_ = now - earliest >= kReadLate;
     // Bytes that had arrived by then may be read in several iterations.
     unread_arrived_after_ = read_late_ && stream_->has_unread_data() ? earliest : 0;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -69,6 +69,7 @@
 
 void Loop::run_iteration() {
     ++metrics_.iterations;
+    read_scheduler_.end_iteration();
     metrics_.longest_input = std::max(metrics_.longest_input, iteration_age());
     if (is_catching_up()) {
         ++metrics_.catch_up_iterations;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -13,6 +13,7 @@
 
 #include "base/clock.h"
 #include "base/timer_queue.h"
+#include "net/read_scheduler.h"
 
 namespace sumackeel::net {
 
@@ -48,18 +49,22 @@
     // Bytes read from a socket; consumed before the next read. Each loop has its own: if loops shared it,
     // bytes of one connection would be taken for another's.
     std::vector<char>& read_buffer() { return read_buffer_; }
+    // Whether the stream may be read now; asked ahead of each read.
+    bool may_read(ReadScheduler::Reader& reader) { return read_scheduler_.may_read(reader, monotonic_us()); }
     // Bytes that become readable in this iteration arrived after this time, at which the previous iteration
     // had polled.
     Micros last_poll_at() const { return previous_poll_at_; }
     // How long this iteration has been running; bytes that arrived since its start are not read yet.
-    Micros iteration_age() const { return static_cast<Micros>(uv_hrtime() / 1'000 - uv_now(&loop_) * 1'000); }
+    Micros iteration_age() const { return monotonic_us() - static_cast<Micros>(uv_now(&loop_)) * 1'000; }
     // `callback` is called at the end of each iteration, after the timers.
     void on_each_iteration(std::function<void()> callback) {
         iteration_callbacks_.push_back(std::move(callback));
     }
     const LoopMetrics& metrics() const { return metrics_; }
+    std::uint64_t deferred_reads() const { return read_scheduler_.deferred_reads(); }
 
   private:
+    static Micros monotonic_us() { return static_cast<Micros>(uv_hrtime() / 1'000); }
     void run_iteration();
     void run_timers_and_callbacks();
     void arm_timer();
@@ -77,7 +82,9 @@
     base::TimerQueue timers_;
     std::vector<std::function<void()>> iteration_callbacks_;
     LoopMetrics metrics_;
-    static constexpr std::size_t kReadBufferBytes = 256 * 1024;
+    ReadScheduler read_scheduler_;
+    // One read of small requests has to take less time than ReadScheduler::kSlice.
+    static constexpr std::size_t kReadBufferBytes = 16 * 1024;
     std::vector<char> read_buffer_ = std::vector<char>(kReadBufferBytes);
 };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -33,7 +33,8 @@
 
 }  // namespace
 
-Stream::Stream(Loop& loop, SocketBudget& budget, Handler& handler) : budget_(budget), handler_(&handler) {
+Stream::Stream(Loop& loop, SocketBudget& budget, Handler& handler, ReadPriority priority)
+    : budget_(budget), handler_(&handler), reader_(priority) {
     uv_tcp_init(loop.raw(), &tcp_);
     tcp_.data = this;
     connect_request_.data = this;
@@ -44,7 +45,7 @@
                         int* error) {
     if (error) *error = 0;
     if (!budget.acquire()) return nullptr;
-    auto* stream = new Stream(loop, budget, handler);
+    auto* stream = new Stream(loop, budget, handler, ReadPriority::immediate);
     const int failed =
         uv_tcp_connect(&stream->connect_request_, &stream->tcp_, reinterpret_cast<const sockaddr*>(&to),
                        [](uv_connect_t* request, int status) {
@@ -65,7 +66,7 @@
         ::close(fd);
         return nullptr;
     }
-    auto* stream = new Stream(loop, budget, handler);
+    auto* stream = new Stream(loop, budget, handler, ReadPriority::fair);
     if (uv_tcp_open(&stream->tcp_, fd) != 0) {
         ::close(fd);
         stream->close();
@@ -93,19 +94,39 @@
         as_stream(),
         [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
             auto& bytes = loop_of(reinterpret_cast<uv_tcp_t&>(*handle)).read_buffer();
-            *buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+            const bool may_read = static_cast<Stream*>(handle->data)->may_read();
+            *buffer = uv_buf_init(bytes.data(), may_read ? static_cast<unsigned>(bytes.size()) : 0);
         },
         [](uv_stream_t* handle, ssize_t count, const uv_buf_t* buffer) {
-            auto* self = static_cast<Stream*>(handle->data);
-            if (self->state_ == State::closed || count == 0) return;
-            if (count < 0)
-                return self->disconnect(count == UV_EOF ? DisconnectCause::closed_by_peer
-                                                        : DisconnectCause::error);
-            if (self->state_ == State::shutting_down) return self->discard(static_cast<std::size_t>(count));
-            self->deliver({buffer->base, static_cast<std::size_t>(count)});
+            static_cast<Stream*>(handle->data)->on_read(count, *buffer);
         });
 }
 
+// A deferred read stays pending: the next poll reports the stream as readable again.
+bool Stream::may_read() {
+    Loop& loop = loop_of(tcp_);
+    if (loop.may_read(reader_)) return true;
+    if (!deferred_since_) deferred_since_ = loop.last_poll_at();
+    return false;
+}
+
+void Stream::on_read(ssize_t count, const uv_buf_t& buffer) {
+    const bool deferred = count == UV_ENOBUFS && buffer.len == 0;
+    if (state_ == State::closed || count == 0 || deferred) return;
+    if (count < 0)
+        return disconnect(count == UV_EOF ? DisconnectCause::closed_by_peer : DisconnectCause::error);
+    const auto size = static_cast<std::size_t>(count);
+    if (state_ == State::shutting_down)
+        discard(size);
+    else
+        deliver({buffer.base, size});
+    if (size < buffer.len) deferred_since_.reset();  // all that had arrived was read
+}
+
+Micros Stream::arrived_after() const {
+    return deferred_since_.value_or(loop_of(tcp_).last_poll_at());
+}
+
 void Stream::deliver(std::string_view bytes) {
     try {
         handler_->on_data(*this, bytes);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -83,9 +83,11 @@
     // the connection, and such bytes are lost with it. False where the system can't tell.
     bool has_undelivered_data() const;
     Micros time_since_last_byte() const;  // in the system's ticks; 0 where it can't tell
-    bool peer_has_closed() const;         // all was read, and the other side has closed
-    void close();                         // at once; unsent bytes are dropped
-    QuietResult close_if_quiet();         // the same, unless bytes wait to be read or were dropped
+    // The bytes that are read in this call of on_data() arrived after this time.
+    Micros arrived_after() const;
+    bool peer_has_closed() const;  // all was read, and the other side has closed
+    void close();                  // at once; unsent bytes are dropped
+    QuietResult close_if_quiet();  // the same, unless bytes wait to be read or were dropped
     // Data was dropped by the current ReceiveBlock, or the last one. False where the system can't tell.
     bool has_dropped_data() const;
     // This side half-closed by one of the calls below over data that had been dropped (DroppedData::is_left).
@@ -135,7 +137,7 @@
     };
 
   private:
-    Stream(Loop& loop, SocketBudget& budget, Handler& handler);
+    Stream(Loop& loop, SocketBudget& budget, Handler& handler, ReadPriority priority);
     const uv_stream_t* as_stream() const { return reinterpret_cast<const uv_stream_t*>(&tcp_); }
     uv_stream_t* as_stream() { return reinterpret_cast<uv_stream_t*>(&tcp_); }
     enum class State {
@@ -152,6 +154,8 @@
     bool half_close();
     void on_half_closed();
     std::size_t peer_room() const;
+    bool may_read();
+    void on_read(ssize_t count, const uv_buf_t& buffer);
     void deliver(std::string_view bytes);
     void discard(std::size_t count);
     void block_receive();
@@ -167,6 +171,8 @@
     Handler* handler_;
     State state_ = State::connecting;
     bool reading_ = false;
+    ReadScheduler::Reader reader_;
+    std::optional<Micros> deferred_since_;  // unread bytes arrived after this; none: no read was deferred
     int receive_blocks_ = 0;
     std::optional<std::uint32_t> dropped_before_block_;  // segments; none: the system can't tell
     std::optional<Micros> unblocked_at_;                 // the last block that ended with the stream open
