The store's API handles requests in turns, and bounds what waits for a caller

All lines of one read were handled at once, at up to milliseconds each, and their responses were queued whether read or not.

Fix: what was read is kept and handled from a timer, one request of each caller in turn, 10 ms in an iteration. A caller with 1 MB of unsent responses or 64 requests without one has to wait, and is read no more once a line of maximum size is waiting. Requests of a caller that closes behind them are handled as before.

--- a/src/store/store_api.cpp
+++ b/src/store/store_api.cpp
@@ -1,6 +1,7 @@
 #include "store/store_api.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/json_line.h"
 #include "base/log.h"
@@ -13,33 +14,50 @@
 constexpr std::size_t kMaxConnections = 16;
 constexpr std::size_t kMaxLineBytes = 256 * 1024;  // fits a key and a value of maximum size with JSON escapes
 constexpr base::Micros kIdleTimeout = 30'000'000;  // a connection without requests is closed after this
+constexpr base::Micros kHandlingBudget = 10'000;   // us in an iteration of the loop, for all connections
+constexpr std::size_t kMaxOpenRequests = 64;       // per connection, without a response
+constexpr std::size_t kMaxUnsentBytes = 1 << 20;   // per connection; one more response may exceed it
 
 }  // namespace
 
 struct StoreApi::Connection : net::Stream::Handler, std::enable_shared_from_this<Connection> {
     StoreApi& api;
     net::Stream* stream = nullptr;
-    std::string buffer;
+    std::string buffer;  // requests that were not handled yet
+    std::size_t open_requests = 0;
+    bool queued = false;
     base::Micros last_active_at = 0;
 
     explicit Connection(StoreApi& owner) : api(owner), last_active_at(owner.loop_.clock().now()) {}
     void on_data(net::Stream&, std::string_view bytes) override {
         buffer += bytes;
         last_active_at = api.loop_.clock().now();
-        const auto self = shared_from_this();
-        std::size_t position = 0;
-        for (std::size_t end = 0; stream && (end = buffer.find('\n', position)) != std::string::npos;
-             position = end + 1)
-            on_line(buffer.substr(position, end - position));
-        buffer.erase(0, position);
-        if (stream && buffer.size() > kMaxLineBytes) close();
+        if (!has_line() && buffer.size() > kMaxLineBytes) return close();
+        update();
+    }
+    void on_write_drained(net::Stream&) override { update(); }
+    // Queues the connection if it has a request that may be handled now, and pauses reading if it has many.
+    void update() {
+        if (stream) stream->pause(buffer.size() > kMaxLineBytes);
+        if (may_handle_request()) api.enqueue(*this);
+    }
+    bool has_line() const { return buffer.find('\n') != std::string::npos; }
+    // The requests of a client that has closed the connection are handled too.
+    bool may_handle_request() const {
+        const bool responses_unread = stream && stream->unsent_bytes() > kMaxUnsentBytes;
+        return !responses_unread && open_requests < kMaxOpenRequests && has_line();
+    }
+    void handle_request() {
+        const std::size_t end = buffer.find('\n');
+        const std::string line = buffer.substr(0, end);
+        buffer.erase(0, end + 1);
+        ++open_requests;
+        on_line(line);
     }
     void on_line(const std::string& line) {
         const auto respond = [connection =
                                   std::weak_ptr<Connection>(shared_from_this())](const Json::Value& value) {
-            const auto open_connection = connection.lock();
-            if (open_connection && open_connection->stream)
-                open_connection->stream->write(base::to_json_line(value));
+            if (const auto open_connection = connection.lock()) open_connection->respond(value);
         };
         try {
             const Json::Value value = config::parse(line, "store");
@@ -51,8 +69,14 @@
             respond(rejection);
         }
     }
+    void respond(const Json::Value& value) {
+        if (open_requests > 0) --open_requests;
+        if (stream) stream->write(base::to_json_line(value));
+        update();
+    }
     void on_close(net::Stream&, net::DisconnectCause) override {
         stream = nullptr;
+        update();
         api.remove(*this);
     }
     void close() {
@@ -94,6 +118,34 @@
         if (auto* open = std::exchange(connection->stream, nullptr)) open->close();
 }
 
+void StoreApi::enqueue(Connection& connection) {
+    if (std::exchange(connection.queued, true)) return;
+    queue_.push_back(connection.shared_from_this());
+    schedule_handling();
+}
+
+void StoreApi::schedule_handling() {
+    if (std::exchange(handling_scheduled_, true)) return;
+    loop_.timers().schedule(loop_.clock().now(), [this, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired()) handle_queued();
+    });
+}
+
+// A connection stays at the front of the queue during its request, so that a response in that call does not
+// queue it a second time.
+void StoreApi::handle_queued() {
+    const base::Micros end = loop_.clock().now() + kHandlingBudget;
+    while (!queue_.empty() && loop_.clock().now() < end) {
+        const std::shared_ptr<Connection> connection = queue_.front();
+        if (connection->may_handle_request()) connection->handle_request();
+        queue_.pop_front();
+        connection->queued = false;
+        connection->update();
+    }
+    handling_scheduled_ = false;
+    if (!queue_.empty()) schedule_handling();
+}
+
 // The connection is destroyed from the loop, not from its own call: the stream may still be using it.
 void StoreApi::remove(Connection& connection) {
     const auto found = std::find_if(connections_.begin(), connections_.end(),
--- a/src/store/store_api.h
+++ b/src/store/store_api.h
@@ -1,10 +1,15 @@
 // The API used by `sumackeel store`: each line is a JSON object, each request gets one response line, and a
 // connection can carry any number of requests. Independent of the store itself; the owner handles the
 // requests and responds immediately or later.
+//
+// Requests are handled by all connections in turns, within a time budget in each iteration of the loop. A
+// connection whose client reads no responses, or that has many requests without a response, has to wait, and
+// is not read any more once a line of maximum size is waiting.
 #pragma once
 
 #include <json/json.h>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,11 +36,16 @@
   private:
     struct Connection;
     void remove(Connection& connection);
+    void enqueue(Connection& connection);
+    void schedule_handling();
+    void handle_queued();
 
     net::Loop& loop_;
     net::SocketBudget& budget_;
     RequestHandler handle_request_;
     std::vector<std::shared_ptr<Connection>> connections_;
+    std::deque<std::shared_ptr<Connection>> queue_;  // with a request to handle, longest waiting first
+    bool handling_scheduled_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     net::Listener listener_;
 };
--- a/tests/daemon/store_test.cpp
+++ b/tests/daemon/store_test.cpp
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 #include <openssl/evp.h>
 #include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
@@ -13,6 +15,7 @@
 #include "net/stream.h"
 #include "store/legacy_store_import.h"
 #include "store/redis_one_time_tokens.h"
+#include "store/store_api.h"
 
 using namespace sumackeel;
 
@@ -169,3 +172,90 @@
     for (net::Stream* stream : std::exchange(redis.streams, {})) stream->close();
     CHECK(test_loop.run_until([&] { return redeem_token("j3") == TokenUse::unknown; }));
 }
+
+namespace {
+
+// A store API whose requests each take a millisecond and have a response of 100 KB, and one client.
+struct SlowStoreApi {
+    static constexpr std::size_t kResponseBytes = 100'000;
+    static constexpr std::size_t kMaxUnreadResponses = 60;  // 1 MB, and what the system holds
+
+    explicit SlowStoreApi(bool respond) : responding(respond) {
+        sockaddr_in address{};
+        net::parse_address(fmt::format("127.0.0.1:{}", api.port()), address);
+        client = socket(AF_INET, SOCK_STREAM, 0);
+        const int receive_buffer = 4'096;
+        setsockopt(client, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+        REQUIRE(connect(client, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    }
+    ~SlowStoreApi() { close(client); }
+
+    void send_requests(std::size_t count) const {
+        std::string requests;
+        for (std::size_t i = 0; i < count; ++i) requests += "{}\n";
+        REQUIRE(send(client, requests.data(), requests.size(), 0) == static_cast<ssize_t>(requests.size()));
+    }
+    // Reads all responses that have arrived; returns their bytes.
+    std::size_t read_responses() const {
+        std::vector<char> bytes(1 << 16);
+        const ssize_t count = recv(client, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        return count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+
+    TestLoop test_loop;
+    bool responding;
+    std::size_t handled = 0;
+    store::StoreApi api{test_loop.loop, test_loop.budget, "127.0.0.1:0",
+                        [this](const Json::Value&, const store::StoreApi::Answer& respond) {
+                            const std::uint64_t end = uv_hrtime() + 1'000'000;
+                            while (uv_hrtime() < end) continue;
+                            ++handled;
+                            if (responding) respond(Json::Value(std::string(kResponseBytes, 'x')));
+                        }};
+    int client = -1;
+};
+
+}  // namespace
+
+// Guards against a caller whose requests, sent all at once, keep the loop from its timers.
+TEST_CASE("timers run while the store's API handles many requests") {
+    SlowStoreApi slow(true);
+    slow.send_requests(200);
+    REQUIRE(slow.test_loop.run_until([&] { return slow.handled > 0; }));
+    CHECK(slow.handled <= 20);
+}
+
+// Guards against a caller that reads nothing and fills the memory with responses; once it reads, it gets all.
+TEST_CASE("the store's API handles no more requests while responses are not read") {
+    SlowStoreApi slow(true);
+    slow.send_requests(200);
+    std::size_t before = 0;
+    REQUIRE(slow.test_loop.run_until([&] {
+        const bool stands_still = slow.handled > 0 && slow.handled == before;
+        before = slow.handled;
+        return stands_still;
+    }));
+    CHECK(slow.handled <= SlowStoreApi::kMaxUnreadResponses);
+    std::size_t received = 0;
+    REQUIRE(slow.test_loop.run_until([&] {
+        received += slow.read_responses();
+        return received >= 200 * SlowStoreApi::kResponseBytes;
+    }));
+    CHECK(slow.handled == 200);
+}
+
+TEST_CASE("the store's API has a bound on the requests of one caller that wait for a response") {
+    SlowStoreApi slow(false);
+    slow.send_requests(200);
+    REQUIRE(slow.test_loop.run_until([&] { return slow.handled >= 64; }));
+    for (int i = 0; i < 20; ++i) uv_run(slow.test_loop.loop.raw(), UV_RUN_NOWAIT);
+    CHECK(slow.handled == 64);
+}
+
+// Guards against requests that are dropped as their caller closes behind the last one.
+TEST_CASE("the store's API handles the requests of a caller that has closed") {
+    SlowStoreApi slow(true);
+    slow.send_requests(30);
+    shutdown(slow.client, SHUT_WR);
+    REQUIRE(slow.test_loop.run_until([&] { return slow.handled == 30; }));
+}
