The end of a drain and time-outs read what has arrived within a time budget

Callers saw: in a drain beside 40 clients that send `alive` at full speed no answer for up to 0.7 s behind 3.7 s, and the end of the drain itself came late.

Connections that are to be closed are read first, all that had arrived of each, one after the other in one timer.

Fix: 96 KB of each connection, more than a request has, and 10 ms in one check; the others wait for the next one, 20 ms later. In the last 80 ms of a drain a client that has sent more is closed whatever it has sent, as the drain has to end by 4 s.

--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr Micros kEnforceInterval = 20'000;  // us between two checks of the timeouts
+// Reading what has arrived on connections that are to be closed, in one check; the others wait for the next.
+constexpr Micros kReadingBudget = 10'000;  // us
+// The last checks of a drain, each of which may overrun its interval by reading.
+constexpr Micros kLastChecksOfDrain = 4 * kEnforceInterval;  // us
 // A client that reads at all reads a response within this, and need not be evicted when memory is short.
 constexpr Micros kSlowReader = 1'000'000;  // us
 // A client closes its side within a round trip.
@@ -291,19 +295,30 @@
 
 // For the end of a drain, when a client that never stops sending can't keep its connection any longer: bytes
 // that have arrived are read, and rejected by the server, before the check. The rejections are sent together
-// with the close, since a client that gets one earlier sends its next request.
-void ConnectionManager::close_idle_after_reading() {
+// with the close, since a client that gets one earlier sends its next request. A client that sends faster
+// than it can be read is closed in the last checks, whatever it has sent.
+void ConnectionManager::close_idle_after_reading(Micros reading_end) {
+    const bool at_end = is_at_end_of_drain();
     for (ClientConnection* connection : snapshot(ConnectionState::idle)) {
+        const bool has_time = loop_.clock().now() < reading_end;
+        if (!has_time && !at_end) return;
         if (!connection->stream() || connection->stream_->congested()) continue;
-        if (connection->stream_->awaits_retransmission()) continue;
+        const bool too_fast = at_end && connection->stream_->has_unread_data();
+        if (connection->stream_->awaits_retransmission() && !too_fast) continue;
         const Stream::ReceiveBlock block(*connection->stream_);
         const Stream::WriteBatch rejections(*connection->stream_);
-        connection->stream_->read_available();
+        if (has_time) connection->stream_->read_available();
         const bool still_idle = connection->stream() && connection->state_ == ConnectionState::idle;
-        if (still_idle) close_if_quiet(*connection, drain_close_reason());
+        if (!still_idle || close_if_quiet(*connection, drain_close_reason())) continue;
+        if (at_end && connection->stream_->has_unread_data()) close(*connection, drain_close_reason());
     }
 }
 
+bool ConnectionManager::is_at_end_of_drain() const {
+    const std::optional<Micros> end = drain_.ends_at();
+    return end && loop_.clock().now() + kLastChecksOfDrain >= *end;
+}
+
 // Connections that have been in a state for longer than `timeout`. Closing one may evict another of them, so
 // callers check each connection's stream again before they close it.
 std::vector<ClientConnection*> ConnectionManager::overdue(ConnectionState state, Micros timeout) const {
@@ -316,10 +331,12 @@
     return found;
 }
 
-void ConnectionManager::close_overdue(ConnectionState state) {
+void ConnectionManager::close_overdue(ConnectionState state, Micros reading_end) {
     const Micros timeout = drain_.timeout(timeouts_.request, loop_.clock().now());
-    for (ClientConnection* connection : overdue(state, timeout))
+    for (ClientConnection* connection : overdue(state, timeout)) {
+        if (loop_.clock().now() >= reading_end) return;
         if (connection->stream()) close_unless_complete(*connection);
+    }
 }
 
 // Bytes that have arrived are read first, and may complete the request. Bytes that arrive meanwhile are not
@@ -369,8 +386,9 @@
 
 void ConnectionManager::enforce_timeouts() {
     const Micros now = loop_.clock().now();
-    close_overdue(ConnectionState::awaiting_request);
-    close_overdue(ConnectionState::receiving);
+    const Micros reading_end = now + kReadingBudget;
+    close_overdue(ConnectionState::awaiting_request, reading_end);
+    close_overdue(ConnectionState::receiving, reading_end);
     for (ClientConnection* connection : overdue(ConnectionState::idle, timeouts_.idle))
         if (connection->stream()) close_if_quiet(*connection, CloseReason::idle_timeout);
     for (ClientConnection* connection : overdue(ConnectionState::flushing, timeouts_.write))
@@ -380,7 +398,7 @@
         if (!connection->stream_->has_undelivered_data() || connection->since_ <= now - timeouts_.write)
             evict(*connection, CloseReason::write_timeout);
     if (draining_) close_in_state(ConnectionState::idle);  // those that had unread bytes the last time
-    if (drain_.stage(now) == admin::DrainStage::forcing) close_idle_after_reading();
+    if (drain_.stage(now) == admin::DrainStage::forcing) close_idle_after_reading(reading_end);
     accept_waiting();
     loop_.timers().schedule(now + kEnforceInterval, [this, alive = std::weak_ptr<bool>(alive_)] {
         if (!alive.expired()) enforce_timeouts();
--- a/src/net/connection_manager.h
+++ b/src/net/connection_manager.h
@@ -116,11 +116,12 @@
     bool is_done(const ClientConnection& connection, QuietResult result);
     std::vector<ClientConnection*> snapshot(ConnectionState state) const;
     void close_in_state(ConnectionState state);
-    void close_idle_after_reading();
+    void close_idle_after_reading(Micros reading_end);
+    bool is_at_end_of_drain() const;
     void close_unless_complete(ClientConnection& connection);
     void on_half_closed(ClientConnection& connection, CloseReason reason);
     std::vector<ClientConnection*> overdue(ConnectionState state, Micros timeout) const;
-    void close_overdue(ConnectionState state);
+    void close_overdue(ConnectionState state, Micros reading_end);
     void record_close(const ClientConnection& connection, CloseReason reason);
     void record_discarded(const ClientConnection& connection, const DiscardedBytes& discarded);
     CloseReason drain_close_reason() const {
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -139,7 +139,7 @@
 
 void Stream::read_available() {
     auto& buffer = loop_of(tcp_).read_buffer();
-    for (std::size_t unread = unread_bytes(); unread > 0 && is_open();) {
+    for (std::size_t unread = std::min(unread_bytes(), kMaxAvailable); unread > 0 && is_open();) {
         const ssize_t count =
             recv(descriptor(), buffer.data(), std::min(unread, buffer.size()), MSG_DONTWAIT);
         if (count <= 0) return;  // the end of the stream or an error is reported from the loop
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -49,7 +49,8 @@
 class Stream {
   public:
     // Linux retransmits unacknowledged data after 0.2 s and the round trip.
-    static constexpr Micros kRetransmission = 250'000;  // us
+    static constexpr Micros kRetransmission = 250'000;       // us
+    static constexpr std::size_t kMaxAvailable = 96 * 1024;  // bytes; more than any client's request
 
     class Handler {
       public:
@@ -104,8 +105,8 @@
     // the last byte. Not done: they are written without the close, since bytes wait to be read or to be sent,
     // or the other side has no room for them now.
     QuietResult write_and_shutdown_if_quiet(std::string bytes, DroppedData dropped_data);
-    // Passes the bytes that have arrived by now to the handler, in this call. Not from within on_data() of
-    // any stream, as the loop has one read buffer.
+    // Passes the bytes that have arrived by now to the handler, in this call, kMaxAvailable of them at the
+    // most. Not from within on_data() of any stream, as the loop has one read buffer.
     void read_available();
     bool is_open() const { return state_ == State::open; }
 
--- a/tests/daemon/connections_test.cpp
+++ b/tests/daemon/connections_test.cpp
@@ -25,6 +25,8 @@
         explicit RecordingConnection(ManagedConnections& h) : managed(h) { managed.accepted.push_back(this); }
         void on_data(net::Stream&, std::string_view bytes) override {
             managed.received += bytes;
+            const std::uint64_t end = uv_hrtime() + bytes.size() * managed.nanoseconds_per_byte;
+            while (uv_hrtime() < end) continue;
             if (managed.respond)
                 for (const char byte : bytes)
                     if (byte == '.') stream()->write("answer ");
@@ -40,6 +42,7 @@
     explicit ManagedConnections(net::Micros request_timeout = 60'000'000, net::Micros settle = 0)
         : request_timeout(request_timeout), settle(settle) {}
     net::Micros request_timeout, settle;
+    std::uint64_t nanoseconds_per_byte = 0;  // that it takes to handle input
     std::function<void()> on_first_closed;
     bool respond = false;   // each '.' that is read, with a write of its own
     bool overlaps = false;  // clients send requests while others are open
@@ -419,3 +422,24 @@
     managed.until([&] { return managed.received.ends_with("new."); });
     CHECK(managed.manager.connection_count() == 8);  // the others are still half-closed
 }
+
+// Guards against the end of a drain in which all that clients at full speed have sent is read at once, while
+// nothing else runs.
+TEST_CASE("the end of a drain reads what has arrived within a time budget") {
+    ManagedConnections managed;
+    managed.nanoseconds_per_byte = 200;
+    std::vector<Wire> clients;
+    for (int i = 0; i < 8; ++i) clients.push_back(Wire::to(managed.manager.port()));
+    managed.until([&] { return managed.accepted.size() == clients.size(); });
+    for (Wire& client : clients) client.send("a.");
+    managed.until([&] { return managed.manager.count(net::ConnectionState::idle) == clients.size(); });
+    const std::string requests(2'000'000, '.');
+    for (const Wire& client : clients) ::send(client.fd(), requests.data(), requests.size(), MSG_DONTWAIT);
+    const net::Micros began = managed.loop.clock().now() - sumackeel::admin::DrainSchedule::kForceAfter;
+    managed.manager.set_drain(sumackeel::admin::DrainSchedule(began));
+    managed.manager.set_draining(true);
+    managed.until([&] { return managed.closed == static_cast<int>(clients.size()); });
+    CHECK(managed.loop.clock().now() <= began + sumackeel::admin::DrainSchedule::kEndAfter);
+    constexpr net::Micros kMaxProcessing = 100'000;
+    CHECK(managed.loop.metrics().longest_processing <= kMaxProcessing);
+}
