The store's API closes a caller whose line is too long behind waiting requests too

Callers saw: nothing yet; found on reading again. A caller with requests that had to wait, and then a line over 256 KB, was neither read nor closed once they were handled, and kept one of the 16 places.

Cause: the check for a line that is too long ran only as bytes came in, and reading had been paused by then.

Change: the check runs after each request, too.

Failed before: "the store's API closes a connection whose line is too long, also behind waiting requests" (open for 10 s).

--- a/src/store/store_api.cpp
+++ b/src/store/store_api.cpp
@@ -32,13 +32,14 @@
     void on_data(net::Stream&, std::string_view bytes) override {
         buffer += bytes;
         last_active_at = api.loop_.clock().now();
-        if (!has_line() && buffer.size() > kMaxLineBytes) return close();
         update();
     }
     void on_write_drained(net::Stream&) override { update(); }
     // Queues the connection if it has a request that may be handled now, and pauses reading if it has many.
     void update() {
-        if (stream) stream->pause(buffer.size() > kMaxLineBytes);
+        const bool full = buffer.size() > kMaxLineBytes;
+        if (stream && full && !has_line()) return close();
+        if (stream) stream->pause(full);
         if (may_handle_request()) api.enqueue(*this);
     }
     bool has_line() const { return buffer.find('\n') != std::string::npos; }
--- a/tests/daemon/store_test.cpp
+++ b/tests/daemon/store_test.cpp
@@ -259,3 +259,23 @@
     shutdown(slow.client, SHUT_WR);
     REQUIRE(slow.test_loop.run_until([&] { return slow.handled == 30; }));
 }
+
+// Guards against a connection that is neither read nor closed, as its buffer is full of half a line.
+TEST_CASE("the store's API closes a connection whose line is too long, also behind waiting requests") {
+    SlowStoreApi slow(true);
+    slow.send_requests(200);
+    REQUIRE(slow.test_loop.run_until([&] { return slow.handled > 10; }));
+    const std::string line(300 * 1024, 'x');
+    std::size_t sent = 0;
+    for (int i = 0; i < 100 && sent < line.size(); ++i) {
+        const ssize_t count = send(slow.client, line.data() + sent, line.size() - sent, MSG_DONTWAIT);
+        if (count > 0) sent += static_cast<std::size_t>(count);
+        uv_run(slow.test_loop.loop.raw(), UV_RUN_NOWAIT);
+    }
+    std::vector<char> bytes(1 << 16);
+    REQUIRE(slow.test_loop.run_until([&] {
+        const ssize_t count = recv(slow.client, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        return count == 0 || (count < 0 && errno == ECONNRESET);
+    }));
+    CHECK(slow.handled == 200);
+}
