Cluster transport: queries and replies of one datagram each

Cause: a call between members opens a stream. Change: send_query() and on_query(): a call frame with its MAC as one datagram, counted apart from the datagrams about members and outside of bytes_per_s. Nothing sends one yet. Neither side remembers numbers: a repeated query is answered anew, and a reply carries the number of its query.

--- a/src/cluster_transport/cluster_transport.cpp
+++ b/src/cluster_transport/cluster_transport.cpp
@@ -181,6 +181,7 @@
 }
 
 void ClusterTransport::receive_datagram(std::string_view bytes) {
+    if (MessageCodec::is_call(bytes)) return receive_query(bytes);
     ++metrics_.datagrams_in;
     metrics_.bytes_in += bytes.size();
     DecodeError error{};
@@ -194,6 +195,66 @@
     flush();
 }
 
+// Replays need no filter: a repeated query is answered by what holds now, and a repeated reply has the number
+// of the query that it answered.
+void ClusterTransport::receive_query(std::string_view bytes) {
+    ++metrics_.queries_in;
+    metrics_.bytes_in += bytes.size();
+    DecodeError error{};
+    const auto frame = codec_.decode_call(bytes, error);
+    if (!frame) return reject_datagram(error);
+    const cluster::MemberRecord& self = membership_.self();
+    if (frame->to != self.name) return reject_datagram(DecodeError::wrong_protocol);
+    if (!frame->is_response) return answer_query(*frame);
+    const auto handler = query_reply_handlers_.find(frame->method);
+    if (handler == query_reply_handlers_.end() || frame->start != self.incarnation.start) return;
+    handler->second(frame->from, frame->sequence, frame->body);
+}
+
+void ClusterTransport::answer_query(const CallFrame& query) {
+    const auto handler = query_handlers_.find(query.method);
+    if (handler == query_handlers_.end()) return;
+    std::optional<std::string> body = handler->second(query.from, query.body);
+    if (!body) return;
+    send_query_frame({.from = membership_.self().name,
+                      .to = query.from,
+                      .start = query.start,
+                      .sequence = query.sequence,
+                      .is_response = true,
+                      .method = query.method,
+                      .body = std::move(*body)});
+}
+
+void ClusterTransport::send_query(const std::string& to, const std::string& method, std::uint64_t number,
+                                  std::string body) {
+    send_query_frame({.from = membership_.self().name,
+                      .to = to,
+                      .start = membership_.self().incarnation.start,
+                      .sequence = number,
+                      .is_response = false,
+                      .method = method,
+                      .body = std::move(body)});
+}
+
+void ClusterTransport::send_query_frame(const CallFrame& frame) {
+    const std::string advertised = membership_.address_of(frame.to);
+    if (!is_listening() || advertised.empty()) return;
+    const std::string bytes = codec_.encode_call(frame).substr(kFrameLengthBytes);
+    if (bytes.size() <= kMaxDatagramBytes && send_bytes(advertised, bytes)) ++metrics_.queries_out;
+}
+
+bool ClusterTransport::send_bytes(const std::string& advertised, const std::string& bytes) {
+    sockaddr_in address{};
+    const uv_buf_t buffer = uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
+    if (!net::parse_address(reachable_address(advertised), address) ||
+        uv_udp_try_send(udp_, &buffer, 1, reinterpret_cast<const sockaddr*>(&address)) < 0) {
+        ++metrics_.not_sent;
+        return false;
+    }
+    metrics_.bytes_out += bytes.size();
+    return true;
+}
+
 void ClusterTransport::flush() {
     if (const std::uint64_t requested = membership_.requested_start()) raise_start(requested);
     for (const cluster::OutgoingDatagram& outgoing : membership_.take_outgoing()) send(outgoing);
@@ -275,22 +336,12 @@
 
 void ClusterTransport::send(const cluster::OutgoingDatagram& outgoing) {
     if (!is_listening()) return;
-    sockaddr_in address{};
-    if (!net::parse_address(reachable_address(outgoing.address), address)) {
-        ++metrics_.not_sent;
-        return;
-    }
     SequencedDatagram sequenced{outgoing.datagram, membership_.self().incarnation.start, ++last_sequence_};
     if (is_rate_limited(outgoing, sequenced)) return;
-    std::string bytes = codec_.encode_datagram(sequenced);
-    const uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
-    if (uv_udp_try_send(udp_, &buffer, 1, reinterpret_cast<const sockaddr*>(&address)) < 0) {
-        ++metrics_.not_sent;
-        return;
-    }
+    const std::string bytes = codec_.encode_datagram(sequenced);
+    if (!send_bytes(outgoing.address, bytes)) return;
     datagram_limiter_.spend(bytes.size());
     ++metrics_.datagrams_out;
-    metrics_.bytes_out += bytes.size();
 }
 
 // Members that start together can form two clusters that do not know each other. So each seed is contacted
--- a/src/cluster_transport/cluster_transport.h
+++ b/src/cluster_transport/cluster_transport.h
@@ -46,6 +46,8 @@
     std::uint64_t exchanges = 0;  // opened by this member
     std::uint64_t exchanges_same = 0;
     std::uint64_t exchanges_failed = 0;
+    std::uint64_t queries_out = 0;  // queries and replies, not among the datagrams
+    std::uint64_t queries_in = 0;
     std::uint64_t not_sent = 0;          // datagrams that the system call rejected
     std::uint64_t rate_limited[4] = {};  // by cluster::SendPriority: dropped at the rate limit
     std::uint64_t decode_errors[kDecodeErrorCount] = {};  // by DecodeError
@@ -80,6 +82,26 @@
     void call(const std::string& to, const std::string& method, std::string body, base::Micros timeout,
               CallCallback callback);
 
+    // A query and its reply, one datagram each, which may be lost, late or repeated. For what is asked often
+    // and answered with a few numbers. The reply is sent at once; none: the query is not answered.
+    using QueryHandler =
+        std::function<std::optional<std::string>(const std::string& from, const std::string& body)>;
+    void on_query(const std::string& method, QueryHandler handler) {
+        query_handlers_[method] = std::move(handler);
+    }
+    // Called for each reply to a query that this process sent, with the number of the query.
+    using QueryReplyHandler =
+        std::function<void(const std::string& from, std::uint64_t number, const std::string& body)>;
+    void on_query_reply(const std::string& method, QueryReplyHandler handler) {
+        query_reply_handlers_[method] = std::move(handler);
+    }
+    void remove_query_handlers(const std::string& method) {
+        query_handlers_.erase(method);
+        query_reply_handlers_.erase(method);
+    }
+    // `number` is chosen by the caller and returned with the reply.
+    void send_query(const std::string& to, const std::string& method, std::uint64_t number, std::string body);
+
     const MessageCodec& codec() const { return codec_; }
     const config::Cluster& setup() const { return setup_; }
     // The address at which this proxy reaches a member that advertises `advertised`.
@@ -108,6 +130,10 @@
     void close();
     void on_datagram(std::string_view bytes);
     void receive_datagram(std::string_view bytes);
+    void receive_query(std::string_view bytes);
+    void answer_query(const CallFrame& query);
+    void send_query_frame(const CallFrame& frame);
+    bool send_bytes(const std::string& advertised, const std::string& bytes);
     void reject_datagram(DecodeError reason) { ++metrics_.decode_errors[static_cast<int>(reason)]; }
     // Processes the results of a call to the membership: datagrams, changes, an exchange, the next tick.
     void flush();
@@ -146,6 +172,8 @@
     std::vector<std::unique_ptr<ExchangeStream>> exchanges_;
     std::vector<std::unique_ptr<OutgoingCall>> outgoing_calls_;
     std::map<std::string, CallHandler> call_handlers_;  // by method
+    std::map<std::string, QueryHandler> query_handlers_;
+    std::map<std::string, QueryReplyHandler> query_reply_handlers_;
     ReplayFilter call_replay_filter_;
     std::uint64_t last_call_number_ = 0;
     std::shared_ptr<bool> lifetime_token_ =
--- a/src/cluster_transport/message_codec.h
+++ b/src/cluster_transport/message_codec.h
@@ -16,6 +16,7 @@
 
 constexpr std::uint8_t kProtocolVersion = 1;
 constexpr std::size_t kMaxDatagramBytes = 1'400;  // above the largest datagram that is sent
+constexpr std::size_t kFrameLengthBytes = 4;      // the length prefix of a frame on a stream
 constexpr std::size_t kMaxFrameBytes = 4 << 20;   // holds a full state of kMaxMembers members
 constexpr std::size_t kMaxClusterNameLength = 40;
 constexpr std::size_t kMinKeyBytes = 16;
--- a/src/cluster_transport/status_json.cpp
+++ b/src/cluster_transport/status_json.cpp
@@ -63,6 +63,8 @@
     const cluster::MembershipMetrics& membership = membership_.metrics();
     const std::pair<const char*, std::uint64_t> all[] = {{"datagrams_out", metrics_.datagrams_out},
                                                          {"datagrams_in", metrics_.datagrams_in},
+                                                         {"queries_out", metrics_.queries_out},
+                                                         {"queries_in", metrics_.queries_in},
                                                          {"bytes_out", metrics_.bytes_out},
                                                          {"bytes_in", metrics_.bytes_in},
                                                          {"not_sent", metrics_.not_sent},
