What a request accepts follows the purges known when it is written, not decided

What callers saw: an attempt that waits for a connection, or for a process that was stopped, is written with the `accept` of its decision, however old that is. Where a purge may have been missed meanwhile, a purged copy was accepted. Cause: the core computed the limit at the decision, and the encoder kept it. Change: the core is told until when the known purges are sufficient and what may be accepted afterwards; RequestEncoder decides by the time of writing. New line of GET /ops/stats: gw_attempts_purges_unconfirmed, the attempts that were limited so; with the ages in the requests it tells a limit that is not applied from one that is too wide.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -31,6 +31,13 @@
            verdict == AttemptStatus::not_sent || verdict == AttemptStatus::not_found;
 }
 
+// The maximum age of a copy under a further limit; 0: none. `max_age` 0: the class's own applies.
+Micros limited_age(Micros max_age, Micros class_max_age, Micros limit) {
+    if (limit == 0) return max_age;
+    const Micros requested = max_age > 0 ? max_age : class_max_age;
+    return requested > 0 ? std::min(requested, limit) : limit;
+}
+
 }  // namespace
 
 Core::Core(const routing::Settings& settings, std::uint64_t seed, Clock& clock, TimerQueue& deadlines)
@@ -296,7 +303,12 @@
     attempt.source = forward.source;
     attempt.sent_at = now;
     attempt.stall_time_when_sent = clock_.total_stall_time();
+    const PurgeKnowledge knowledge = purge_knowledge_ ? purge_knowledge_() : PurgeKnowledge{};
+    const bool purges_unconfirmed = now >= knowledge.valid_until;
     if (forward.max_age > 0) attempt.oldest_acceptable = now - forward.max_age;
+    if (purges_unconfirmed)
+        attempt.oldest_acceptable =
+            std::max(attempt.oldest_acceptable, now - knowledge.max_copy_age_afterwards);
     if (!request) {  // it ended while the router decided
         AttemptFinished finished;
         finished.id = forward.id;
@@ -326,6 +338,7 @@
                                                                                 : AttemptStatus::not_sent});
     request->open_attempts.push_back(handle);
     ++metrics_.attempts;
+    if (purges_unconfirmed) ++metrics_.attempts_purges_unconfirmed;
     if (request->attempts == 1) {
         metrics_.dispatch_time_us +=
             static_cast<std::uint64_t>(std::max<Micros>(0, request->request.time_left - time_left));
@@ -344,13 +357,12 @@
     attempt_request.target = forward.endpoint;
     attempt_request.source = forward.source == forward.endpoint ? std::string{} : forward.source;
     attempt_request.deadline = now + timeout;
-    attempt_request.max_age = forward.max_age;
-    if (const Micros age_limit = max_copy_age_ ? max_copy_age_() : 0; age_limit > 0) {
-        const Micros requested_age = forward.max_age > 0
-                                         ? forward.max_age
-                                         : settings_.classes[request->request.class_index].freshness_lifetime;
-        attempt_request.max_age = requested_age > 0 ? std::min(requested_age, age_limit) : age_limit;
-    }
+    const Micros class_max_age = settings_.classes[request->request.class_index].freshness_lifetime;
+    attempt_request.max_age =
+        limited_age(forward.max_age, class_max_age, max_copy_age_ ? max_copy_age_() : 0);
+    attempt_request.late_from = knowledge.valid_until;
+    attempt_request.late_max_age =
+        limited_age(attempt_request.max_age, class_max_age, knowledge.max_copy_age_afterwards);
     attempt_request.cache_priority = forward.cache_priority;
     attempt_request.coalesce = forward.coalesce;
     attempt_request.source_cached_only = forward.source_cached_only;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -53,6 +54,12 @@
     Micros retry_after = 0;  // rejected: when to try again; 0: not specified
 };
 
+// Until when the purges known to this process are sufficient, and what may be accepted after that.
+struct PurgeKnowledge {
+    Micros valid_until = std::numeric_limits<Micros>::max();
+    Micros max_copy_age_afterwards = 0;  // of a copy that can't have been purged without this process
+};
+
 // Receives the responses to requests that a server has submitted.
 class ResponseSink {
   public:
@@ -66,7 +73,11 @@
     Handle attempt;
     std::string target, source;  // source: of a fill; empty: no fill
     Micros deadline = 0;         // when the attempt times out
-    Micros max_age = 0;
+    Micros max_age = 0;          // of a copy; 0: by the class
+    // A request that is written at this time or later accepts copies of at most `late_max_age`, as the purges
+    // known when it was decided may no longer be all.
+    Micros late_from = std::numeric_limits<Micros>::max();
+    Micros late_max_age = 0;
     int cache_priority = 0;
     bool coalesce = false, source_cached_only = false, parent_bypasses_cache = false, revalidate = false;
     // An attempt that starts later could run the request a second time; 0: no limit.
@@ -91,7 +102,8 @@
     std::uint64_t responses[5] = {};  // by ResponseStatus
     // Of served requests: up to 2^i ms; the last one counts all longer ones.
     std::array<std::uint64_t, 16> latency_histogram{};
-    std::uint64_t attempts = 0;  // passed to Upstream
+    std::uint64_t attempts = 0;                     // passed to Upstream
+    std::uint64_t attempts_purges_unconfirmed = 0;  // of those: by PurgeKnowledge that was not valid any more
     // The times from submission to the first attempt: their sum, and the number of requests in it.
     std::uint64_t dispatch_time_us = 0, dispatched = 0;
 };
@@ -122,6 +134,10 @@
     }
     // The maximum age of a copy that is acceptable for any request; 0: unlimited.
     void set_max_copy_age(std::function<Micros()> age) { max_copy_age_ = std::move(age); }
+    // For requests that are sent by what is known now.
+    void set_purge_knowledge(std::function<PurgeKnowledge()> knowledge) {
+        purge_knowledge_ = std::move(knowledge);
+    }
     // `callback` is called for each served attempt, with the source that was given for a fill.
     void on_served(
         std::function<void(const Request&, const std::string& source, routing::CacheStatus)> callback) {
@@ -212,6 +228,7 @@
     std::function<std::optional<Micros>(const Request&)> admission_check_;
     std::function<void(const Request&, const std::string&, routing::CacheStatus)> on_served_;
     std::function<Micros()> max_copy_age_;
+    std::function<PurgeKnowledge()> purge_knowledge_;
     std::vector<std::pair<Handle, Micros>>
         rejected_;  // by the admission check, responded to in the next process_events()
     std::deque<routing::Event> events_;
--- a/src/daemon/components.cpp
+++ b/src/daemon/components.cpp
@@ -77,7 +77,9 @@
         [this](const kv_store::Purge& purge) {
             endpoint_manager->add_purges({{purge.object, purge.purge_group, loop.clock().now()}});
         });
-    core.set_max_copy_age([this] { return max_copy_age(); });
+    core.set_purge_knowledge([this] {
+        return kv_store_service ? kv_store_service->purge_knowledge() : core::PurgeKnowledge{};
+    });
 }
 
 void Components::update_config(const config::Config& fresh, const config::Operator& setup) {
@@ -96,17 +98,11 @@
     if (consensus_client) consensus_client->close_now();
     core.set_admission_check({});
     core.set_max_copy_age({});
+    core.set_purge_knowledge({});
     core.on_served({});
     endpoint_manager->on_confirmed({});
 }
 
-Micros Components::max_copy_age() const {
-    const Micros by_recovery = recovery ? recovery->max_copy_age() : 0;
-    const Micros by_purges = kv_store_service ? kv_store_service->max_copy_age() : 0;
-    if (by_recovery > 0 && by_purges > 0) return std::min(by_recovery, by_purges);
-    return std::max(by_recovery, by_purges);
-}
-
 bool Components::disk_busy() const {
     return endpoint_manager->disk_busy() || handover.disk_busy() || reload.busy() ||
            (recovery && recovery->disk_busy()) || (consensus_client && consensus_client->is_disk_stuck());
--- a/src/daemon/components.h
+++ b/src/daemon/components.h
@@ -63,7 +63,6 @@
     // Another process listens on the same sockets before and after this one.
     bool has_inherited_socket() const { return config.inherited_fd >= 0; }
     // The maximum age of a copy that may be served; 0: any.
-    base::Micros max_copy_age() const;
     // A disk read or write is in progress, and may hang.
     bool disk_busy() const;
 
--- a/src/daemon/kv_store_service.cpp
+++ b/src/daemon/kv_store_service.cpp
@@ -94,10 +94,11 @@
     return entry ? std::optional(entry->value) : std::nullopt;
 }
 
-Micros KvStoreService::max_copy_age() const {
+core::PurgeKnowledge KvStoreService::purge_knowledge() const {
+    const Micros now = loop_.clock().now();
     const auto age = consensus_.confirmed_age();
-    if (age && *age <= kMaxConfirmedAge) return 0;
-    return std::max<Micros>(1'000, age ? *age : loop_.clock().now() - started_at_);
+    return {.valid_until = age ? now - *age + kMaxConfirmedAge : 0,
+            .max_copy_age_afterwards = std::max<Micros>(1'000, age ? *age : now - started_at_)};
 }
 
 // The time at which a purge was submitted is by another machine's clock, which may differ widely from the
--- a/src/daemon/kv_store_service.h
+++ b/src/daemon/kv_store_service.h
@@ -14,6 +14,7 @@
 #include "cluster_transport/cluster_transport.h"
 #include "config/operator.h"
 #include "consensus/consensus_client.h"
+#include "core/core.h"
 #include "net/loop.h"
 #include "store/legacy_store_import.h"
 #include "store/store_api.h"
@@ -34,9 +35,8 @@
     KvStoreService& operator=(const KvStoreService&) = delete;
 
     std::optional<std::string> get(const std::string& key) const;
-    // The maximum age of a copy that may be served; 0: any. A proxy whose state has not been confirmed for a
-    // while may have missed a purge.
-    base::Micros max_copy_age() const;
+    // A proxy whose state has not been confirmed for a while may have missed a purge.
+    core::PurgeKnowledge purge_knowledge() const;
     // Handles calls under /ops/purge. No value: the reply comes by `respond_later`.
     std::optional<admin::ApiReply> handle_call(const admin::ApiCall& call,
                                                const admin_server::DeferredReply& respond_later);
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -32,6 +32,7 @@
     for (std::size_t i = 0; i < kNames.size(); ++i)
         counters.push_back({std::string("answers_") + kNames[i], metrics.responses[i]});
     counters.push_back({"attempts", metrics.attempts});
+    counters.push_back({"attempts_purges_unconfirmed", metrics.attempts_purges_unconfirmed});
     counters.push_back({"attempts_retried", metrics.attempts - metrics.dispatched});
 }
 
--- a/src/daemon/recovery_controller.cpp
+++ b/src/daemon/recovery_controller.cpp
@@ -33,7 +33,7 @@
         std::move(priority_weights), site_settings.purge_completes_within, parts.config.seed,
         coordinator_hooks());
     parts.endpoint_manager->on_confirmed([&parts] { parts.recovery->on_endpoints_confirmed(); });
-    parts.core.set_max_copy_age([&parts] { return parts.max_copy_age(); });
+    parts.core.set_max_copy_age([&parts] { return parts.recovery->max_copy_age(); });
     parts.core.on_served([this](const core::Request& request, const std::string& source, CacheStatus status) {
         on_served(request, source, status);
     });
--- a/src/upstream/cache_protocol.cpp
+++ b/src/upstream/cache_protocol.cpp
@@ -87,20 +87,20 @@
 }  // namespace
 
 RequestEncoder::RequestEncoder(const core::AttemptRequest& attempt_request)
-    : deadline_(attempt_request.deadline) {
+    : deadline_(attempt_request.deadline),
+      max_age_(attempt_request.max_age),
+      late_from_(attempt_request.late_from),
+      late_max_age_(attempt_request.late_max_age) {
     const core::Request& request = *attempt_request.request;
     before_limit_ = "REQ " + request.id + " cls=" + request.class_name;
     if (!request.object.empty())
         before_limit_ += ",item=" + request.object + ",chunk=" + std::to_string(request.part);
     before_limit_ += ",limit=";
-    std::string& text = after_limit_;
-    if (!request.idempotency_key.empty()) text += ",nonce=" + request.idempotency_key;
-    if (!attempt_request.source.empty()) text += ",parent=" + attempt_request.source;
+    if (!request.idempotency_key.empty()) before_max_age_ += ",nonce=" + request.idempotency_key;
+    if (!attempt_request.source.empty()) before_max_age_ += ",parent=" + attempt_request.source;
     if (attempt_request.cache_priority > 0)
-        text += ",shelf=" + std::to_string(attempt_request.cache_priority);
-    // Rounded down, so that a copy that is too old by a fraction of a millisecond is not accepted.
-    if (attempt_request.max_age > 0)
-        text += ",accept=" + std::to_string(to_milliseconds(attempt_request.max_age, 1));
+        before_max_age_ += ",shelf=" + std::to_string(attempt_request.cache_priority);
+    std::string& text = after_max_age_;
     std::string hints;
     const auto hint = [&](bool on, const char* word) {
         if (on) hints += (hints.empty() ? "" : "+") + std::string(word);
@@ -115,7 +115,11 @@
 }
 
 std::string RequestEncoder::encode_at(base::Micros now) const {
-    return before_limit_ + std::to_string(to_milliseconds(deadline_ - now, 1)) + after_limit_;
+    std::string text = before_limit_ + std::to_string(to_milliseconds(deadline_ - now, 1)) + before_max_age_;
+    // Rounded down, so that a copy that is too old by a fraction of a millisecond is not accepted.
+    if (const base::Micros max_age = max_age_at(now); max_age > 0)
+        text += ",accept=" + std::to_string(to_milliseconds(max_age, 1));
+    return text + after_max_age_;
 }
 
 std::string encode_cancel(const std::string& id) {
--- a/src/upstream/cache_protocol.h
+++ b/src/upstream/cache_protocol.h
@@ -14,7 +14,8 @@
     using std::runtime_error::runtime_error;
 };
 
-// An encoded request, except its limit, which is the time left when it is written.
+// An encoded request, except what depends on when it is written: the time left, and the age of the copies
+// that it accepts.
 class RequestEncoder {
   public:
     explicit RequestEncoder(const core::AttemptRequest& attempt_request);
@@ -22,8 +23,13 @@
     base::Micros deadline() const { return deadline_; }
 
   private:
-    std::string before_limit_, after_limit_;
+    base::Micros max_age_at(base::Micros now) const {
+        return now >= late_from_ && late_max_age_ > 0 ? late_max_age_ : max_age_;
+    }
+
+    std::string before_limit_, before_max_age_, after_max_age_;
     base::Micros deadline_;
+    base::Micros max_age_, late_from_, late_max_age_;
 };
 std::string encode_cancel(const std::string& id);
 
