A proxy that may have missed a purge accepts only copies that can't hide one

What callers saw: a member cut off from the replicated log for some seconds served copies that had been filled during the cut and purged by the others. Cause: the accepted age was the time since the last confirmation. That rules out copies from before it, not those filled between it and a missed purge. Change: the accepted age is a constant, obey_after less a sixth for sending (0.25 s of 0.3): a younger copy was filled after each purge that binds by then. Test: registry_purge_filled_while_cut_off.

--- a/src/daemon/component_options.cpp
+++ b/src/daemon/component_options.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t kUnsentMemoryDivisor = 3;
 constexpr std::size_t kBytesPerMegabyte = std::size_t{1024} * 1024;
 
+constexpr int kGraceShareForSending = 6;  // one part of so many
+
 }  // namespace
 
 int upstream_socket_limit(int sockets, const config::Operator& setup) {
@@ -53,6 +55,12 @@
     return settings;
 }
 
+// The notification grace counts until a request has been sent; a part of it is left for the time between the
+// decision on what it accepts and the end of sending.
+base::Micros max_unconfirmed_copy_age(const routing::Settings& settings) {
+    return settings.notification_grace - settings.notification_grace / kGraceShareForSending;
+}
+
 std::map<std::string, int> configured_instances_by_zone(const config::Site& site) {
     const std::vector<int>& instances = site.settings.instances_by_zone;
     std::map<std::string, int> counts;
--- a/src/daemon/components.cpp
+++ b/src/daemon/components.cpp
@@ -71,15 +71,14 @@
         });
 }
 
-void Components::make_kv_store_service(const config::Store& settings) {
+void Components::make_kv_store_service(const config::Store& settings, Micros max_unconfirmed_copy_age) {
     kv_store_service = std::make_unique<KvStoreService>(
-        loop, socket_budget, *cluster_transport, *consensus_client, settings,
+        loop, socket_budget, *cluster_transport, *consensus_client, settings, max_unconfirmed_copy_age,
         [this](const kv_store::Purge& purge) {
             endpoint_manager->add_purges({{purge.object, purge.purge_group, loop.clock().now()}});
         });
-    core.set_purge_knowledge([this] {
-        return kv_store_service ? kv_store_service->purge_knowledge() : core::PurgeKnowledge{};
-    });
+    core.set_purge_knowledge(
+        [this] { return kv_store_service ? kv_store_service->purge_knowledge() : core::PurgeKnowledge{}; });
 }
 
 void Components::update_config(const config::Config& fresh, const config::Operator& setup) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "daemon/admin_routes.h"
 #include "daemon/admin_state_applier.h"
+#include "daemon/component_options.h"
 #include "daemon/components.h"
 #include "daemon/lease_controller.h"
 #include "daemon/process_signals.h"
@@ -56,7 +57,9 @@
     void start_optional_parts(const config::Operator& setup) {
         if (setup.cluster) components_.make_cluster_transport(*setup.cluster);
         if (setup.consensus) leases_.start(*setup.consensus);
-        if (setup.store) components_.make_kv_store_service(*setup.store);
+        if (setup.store)
+            components_.make_kv_store_service(*setup.store,
+                                              max_unconfirmed_copy_age(components_.config.site.settings));
         if (setup.recovery) recovery_.start(*setup.recovery);
     }
 
--- a/src/daemon/kv_store_service.cpp
+++ b/src/daemon/kv_store_service.cpp
@@ -56,13 +56,13 @@
 KvStoreService::KvStoreService(net::Loop& loop, net::SocketBudget& sockets,
                                cluster_transport::ClusterTransport& transport,
                                consensus::ConsensusClient& client, const config::Store& setup,
-                               OnPurge on_purge)
+                               Micros max_unconfirmed_copy_age, OnPurge on_purge)
     : loop_(loop),
       transport_(transport),
       consensus_(client),
       setup_(setup),
       on_purge_(std::move(on_purge)),
-      started_at_(loop.clock().now()),
+      max_unconfirmed_copy_age_(max_unconfirmed_copy_age),
       api_(loop, sockets, setup.listen,
            [this](const Json::Value& request, const store::StoreApi::Answer& respond) {
                handle_request(request, respond);
@@ -94,11 +94,12 @@
     return entry ? std::optional(entry->value) : std::nullopt;
 }
 
+// A copy that was filled since the last confirmation may have been purged since, too. One that is younger
+// than the time within which a purge has to take effect can be accepted whatever was purged.
 core::PurgeKnowledge KvStoreService::purge_knowledge() const {
-    const Micros now = loop_.clock().now();
     const auto age = consensus_.confirmed_age();
-    return {.valid_until = age ? now - *age + kMaxConfirmedAge : 0,
-            .max_copy_age_afterwards = std::max<Micros>(1'000, age ? *age : now - started_at_)};
+    return {.valid_until = age ? loop_.clock().now() - *age + kMaxConfirmedAge : 0,
+            .max_copy_age_afterwards = max_unconfirmed_copy_age_};
 }
 
 // The time at which a purge was submitted is by another machine's clock, which may differ widely from the
--- a/tests/fleet/harness/clients.py
+++ b/tests/fleet/harness/clients.py
@@ -33,7 +33,7 @@
                     conn, sequence = socket.create_connection((self.member.host, CLIENTS), timeout=4), 0
                 sequence += 1
                 sent = time.perf_counter()
-                conn.sendall(dispatch(sequence, ident.encode(), b"%016x" % (number * 7919 % self.member.fleet.objects),
+                conn.sendall(dispatch(sequence, ident.encode(), self.member.fleet.object_of(self.member, number).encode(),
                                       b"enrol" if enrol else b"sheet"))
                 got, place = reply(conn)
                 if got != sequence:
--- a/tests/fleet/harness/fleet.py
+++ b/tests/fleet/harness/fleet.py
@@ -24,6 +24,7 @@
         self.boxes = StubCaches(f"{self.net}.250")
         self.slow_boxes = StubCaches(f"{self.net}.251", delay=0.1)
         self.objects = scenario.get("objects", 997)  # that clients ask for
+        self.own_objects = scenario.get("own_objects", False)  # each client asks for others, so that nobody renews its copies
         self.recovery = scenario.get("recovery")  # settings of [recovery]; boxes then hold copies, and lists come from
         self.logs = ChangeLogs(self.net, self.members) if self.recovery is not None else None  # a change log for each
         self.copies = Copies(self.net, [*(self.pop_caches or ("s-a", "s-b")), "s-parent", "s-origin"]) if self.logs else None
@@ -80,6 +81,11 @@
         return [link for x in self.pick(a) for y in self.pick(b) if x is not y
                 for pair, link in self.relay.links.items() if pair[:2] == (x.index, y.index)]
 
+    def object_of(self, member, number):
+        """The object of a client's request of that number."""
+        first = member.index * self.objects if self.own_objects else 0
+        return f"{first + number * 7919 % self.objects:016x}"
+
     def with_traffic(self):
         for member in self.all:
             client = Client(member)
--- a/tests/fleet/harness/power.py
+++ b/tests/fleet/harness/power.py
@@ -73,7 +73,7 @@
             dated, tell = self.copy(name, key, oldest, fields.get("parent"), now)
             if dated is None:
                 return f"{request} LACK - 0\r\n\r\n".encode()
-            self.served.append((now, key[0], dated))
+            self.served.append((now, key[0], dated, request))
         return f"{request} DONE digest=d{int(dated * 1000)},dated={int(dated * 1000)},tell={tell} 2\r\nok\r\n".encode()
 
     def copy(self, name, key, oldest, source, now):
--- a/tests/fleet/harness/steps/__init__.py
+++ b/tests/fleet/harness/steps/__init__.py
@@ -7,9 +7,11 @@
 from .links import LinksSteps
 from .membership import MembershipSteps
 from .processes import ProcessesSteps
+from .purges import PurgeSteps
 from .recovery import RecoverySteps
 from .releases import ReleasesSteps
 
 
-class Steps(ConsensusSteps, DiscoverySteps, InspectionSteps, KvStoreSteps, LeasesSteps, LinksSteps, MembershipSteps, ProcessesSteps, RecoverySteps, ReleasesSteps):
+class Steps(ConsensusSteps, DiscoverySteps, InspectionSteps, KvStoreSteps, LeasesSteps, LinksSteps, MembershipSteps, ProcessesSteps, PurgeSteps, RecoverySteps,
+            ReleasesSteps):
     """All steps of a scenario."""
--- a/tests/fleet/harness/steps/kv_store.py
+++ b/tests/fleet/harness/steps/kv_store.py
@@ -65,6 +65,7 @@
         older than the call counts as old."""
         self.purged_at = time.time()
         self.command(at, ["purge", *words], 0, "purge ")
+        self.record_purge(self.purged_at, time.time(), words[-1] if words[0] == "object" else None)
 
     def registry_storm(self, seconds, least, callers=4):
         """Callers read one key surely and set it only if it still has that version, through any member, while members
