A state is confirmed only by a majority's answers to a query of a known time

What callers saw: a voter or a leader that was cut off served copies that the others had purged for as long as it was cut off, any other proxy for 3 s. Cause: a voter's state counted as confirmed while the raft library named a leader, then as old as its last poll, at its start; a poll's reply confirmed as of its arrival; and who named a leader confirmed others, cut off or not. Change: each voter asks all others each 42 ms for the last entry on their disks, and its state is confirmed as of the query once applied up to the end of the longest log of some majority (QuorumRead). Others ask one voter for the age of its confirmation, which counts from their query. Why it works: an entry is committed only once a majority has it on disk, no log loses it then, and any majority that answers overlaps that one.

--- a/src/consensus/consensus_client.cpp
+++ b/src/consensus/consensus_client.cpp
@@ -34,7 +34,7 @@
 };
 
 ConsensusClient::ConsensusClient(net::Loop& loop, ClusterTransport& transport, const config::Consensus& setup,
-                                 bool wait_for_folder, FleetView fleet, StateCallback state_changed)
+                                 const Options& options, FleetView fleet, StateCallback state_changed)
     : loop_(loop),
       transport_(transport),
       setup_(setup),
@@ -51,10 +51,12 @@
               }}),
       view_(voter_, follower_),
       processor_({loop, transport, setup_, voter_, view_, std::move(fleet)}),
-      server_(transport, voter_, view_, processor_) {
-    voter_.start(wait_for_folder);
+      server_(loop.clock(), transport, voter_, view_, processor_),
+      confirmer_({loop, transport, setup_, voter_, view_, follower_}, options.max_confirmed_age) {
+    voter_.start(options.wait_for_folder);
     log::info("consensus: started member={} role={}", self(), voter_.votes() ? "voter" : "follower");
     if (!voter_.votes()) follower_.start_polling();
+    confirmer_.start();
 }
 
 ConsensusClient::~ConsensusClient() {
@@ -75,6 +77,7 @@
 void ConsensusClient::close_now() {
     alive_.reset();
     server_.close();
+    confirmer_.close();
     follower_.close();
     voter_.close_now();
 }
@@ -236,7 +239,7 @@
 }
 
 std::string ConsensusClient::as_json() const {
-    return status_json(self(), voter_, view_, setup_, processor_.fleet());
+    return status_json(self(), voter_, view_, setup_, processor_.fleet(), loop_.clock().now());
 }
 
 }  // namespace sumackeel::consensus
--- a/src/consensus/consensus_client.h
+++ b/src/consensus/consensus_client.h
@@ -14,6 +14,7 @@
 #include "consensus/consensus_server.h"
 #include "consensus/local_voter.h"
 #include "consensus/request_processor.h"
+#include "consensus/state_confirmer.h"
 #include "consensus/state_follower.h"
 #include "consensus/state_view.h"
 #include "kv_store/kv_store.h"
@@ -30,10 +31,16 @@
     // request may have been committed nevertheless, and repeating it is safe.
     using ResultCallback = RaftNode::ResultCallback;
 
+    struct Options {
+        // Another process of this proxy may hold the folder until it is asked to terminate.
+        bool wait_for_folder = false;
+        // How old the confirmation of the state may be when it is used: it is confirmed several times within.
+        base::Micros max_confirmed_age = 0;
+    };
+
     // Throws ConsensusError if the folder or the address can't be used. `transport` must outlive this object.
-    // `wait_for_folder`: another process of this proxy may hold the folder until it is asked to terminate.
     ConsensusClient(net::Loop& loop, ClusterTransport& transport, const config::Consensus& setup,
-                    bool wait_for_folder, FleetView fleet, StateCallback state_changed);
+                    const Options& options, FleetView fleet, StateCallback state_changed);
     ~ConsensusClient();
     ConsensusClient(const ConsensusClient&) = delete;
     ConsensusClient& operator=(const ConsensusClient&) = delete;
@@ -68,7 +75,8 @@
     void replicate_now();
     // Polls that voter now if this member is not a voter or knows no leader.
     void poll_now(const std::string& member);
-    std::optional<base::Micros> confirmed_age() const { return view_.confirmed_age(); }
+    // See StateView::confirmed_at().
+    std::optional<base::Micros> confirmed_at() const { return view_.confirmed_at(); }
 
     // The result that a lease request for `member` would have now, based on the state known here; no value if
     // the member is unknown.
@@ -111,6 +119,7 @@
     StateView view_;
     RequestProcessor processor_;
     ConsensusServer server_;
+    StateConfirmer confirmer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/consensus/consensus_messages.cpp
+++ b/src/consensus/consensus_messages.cpp
@@ -12,14 +12,22 @@
 namespace {
 
 constexpr std::size_t kMaxElements = 16;  // per message
+constexpr std::size_t kMaxConfirmReplyBytes = 256;
+constexpr std::int64_t kNone = -1;  // on the wire
+
+std::optional<std::int64_t> next_optional(base::MsgpackReader& reader) {
+    const auto value = reader.next<std::int64_t>();
+    return value < 0 ? std::nullopt : std::optional(value);
+}
 
 }  // namespace
 
 std::string encode(const ConsensusReply& reply) {
     base::MsgpackWriter out;
-    return out.array(5)
-        .add(reply.done, reply.leader, reply.body, reply.history, reply.kv_store_update)
-        .bytes();
+    out.array(reply.confirmed_age ? 6 : 5)
+        .add(reply.done, reply.leader, reply.body, reply.history, reply.kv_store_update);
+    if (reply.confirmed_age) out.add(*reply.confirmed_age);
+    return out.bytes();
 }
 
 ConsensusReply decode_reply(const std::string& body) {
@@ -32,6 +40,30 @@
     if (reader.remaining() < 2) return reply;  // sent by a version without the key-value store
     reply.history = reader.next<std::uint64_t>();
     reply.kv_store_update = reader.text(kMaxCallBytes);
+    if (reader.remaining() > 0) reply.confirmed_age = next_optional(reader);
+    return reply;
+}
+
+std::string encode(const ConfirmReply& reply) {
+    const std::int64_t last_stored =
+        reply.last_stored ? static_cast<std::int64_t>(*reply.last_stored) : kNone;
+    base::MsgpackWriter out;
+    return out.array(6)
+        .add(reply.history, last_stored, reply.revision, reply.kv_store, reply.confirmed_age.value_or(kNone),
+             reply.leader)
+        .bytes();
+}
+
+ConfirmReply decode_confirm_reply(const std::string& body) {
+    const base::MsgpackDocument document = base::parse_msgpack(body, kMaxElements, kMaxConfirmReplyBytes);
+    base::MsgpackReader reader = document.reader(6);
+    ConfirmReply reply;
+    reply.history = reader.next<std::uint64_t>();
+    reply.last_stored = next_optional(reader);
+    reply.revision = reader.next<std::uint64_t>();
+    reply.kv_store = reader.next<std::uint64_t>();
+    reply.confirmed_age = next_optional(reader);
+    reply.leader = reader.text(rollout::kMaxNameLength);
     return reply;
 }
 
--- a/src/consensus/consensus_messages.h
+++ b/src/consensus/consensus_messages.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "base/time.h"
 #include "cluster_transport/message_codec.h"
 #include "rollout/rollout.h"
 
@@ -27,17 +29,33 @@
 // The verbs of the calls, as sent on the wire.
 constexpr const char* kRequestVerb = "wish";
 constexpr const char* kStateVerb = "state";
+constexpr const char* kConfirmVerb = "confirm";  // a query, see StateConfirmer
 
 // A voter's reply to a request or to a state poll.
 struct ConsensusReply {
-    bool done = false;                 // request: `body` has a result; state poll: the state is up to date
+    bool done = false;                 // request: `body` has a result; state poll: `confirmed_age` is known
     std::string leader, body;          // the leader's name, empty if unknown; an encoded result or state
     std::uint64_t history = 0;         // of the voter's log
     std::string kv_store_update = {};  // state poll: key-value changes since the known revision
+    // State poll: see ConfirmReply. Versions without confirm queries never send it.
+    std::optional<base::Micros> confirmed_age = {};
 };
 std::string encode(const ConsensusReply& reply);
 ConsensusReply decode_reply(const std::string& body);
 
+// A voter's reply to a confirm query.
+struct ConfirmReply {
+    std::uint64_t history = 0;  // of the voter's log
+    // The last entry on the voter's disk; none: it lacks entries that it once acknowledged.
+    std::optional<std::uint64_t> last_stored = {};
+    std::uint64_t revision = 0, kv_store = 0;  // of the voter's state
+    // The time since the voter's state was confirmed, see StateView::confirmed_at(); none: never.
+    std::optional<base::Micros> confirmed_age = {};
+    std::string leader = {};  // the leader's name by the voter's log; empty if unknown
+};
+std::string encode(const ConfirmReply& reply);
+ConfirmReply decode_confirm_reply(const std::string& body);
+
 // The revisions that a member already has when it polls for the state. On the wire "REVISION KV_REVISION
 // HISTORY"; the version before the key-value store only sends the first.
 struct KnownRevision {
--- a/src/consensus/consensus_server.cpp
+++ b/src/consensus/consensus_server.cpp
@@ -6,13 +6,15 @@
 
 namespace sumackeel::consensus {
 
-ConsensusServer::ConsensusServer(ClusterTransport& transport, LocalVoter& voter, const StateView& view,
-                                 RequestProcessor& processor)
-    : transport_(transport), voter_(voter), view_(view), processor_(processor) {
+ConsensusServer::ConsensusServer(base::Clock& clock, ClusterTransport& transport, LocalVoter& voter,
+                                 const StateView& view, RequestProcessor& processor)
+    : clock_(clock), transport_(transport), voter_(voter), view_(view), processor_(processor) {
     for (const char* verb : {kRequestVerb, kStateVerb})
         transport_.on_call(verb,
                            [this](const std::string& from, const std::string& called, const std::string& body,
                                   const Respond& respond) { on_call(from, called, body, respond); });
+    transport_.on_query(kConfirmVerb,
+                        [this](const std::string&, const std::string&) { return confirm_reply(); });
 }
 
 ConsensusServer::~ConsensusServer() {
@@ -21,6 +23,7 @@
 
 void ConsensusServer::close() {
     for (const char* verb : {kRequestVerb, kStateVerb}) transport_.remove_call_handler(verb);
+    transport_.remove_query_handlers(kConfirmVerb);
 }
 
 std::string ConsensusServer::own_leader() const {
@@ -57,9 +60,23 @@
     const std::uint64_t history = voter_.node().history();
     const bool same_history = known.history == history;
     const bool outdated = !same_history || known.revision != view_.state().revision();
-    return encode(ConsensusReply{!leader.empty() && view_.is_known(), leader,
-                                 outdated ? view_.state().encode() : std::string{}, history,
-                                 view_.kv_store().update_since(same_history ? known.kv_store : 0)});
+    const auto age = confirmed_age();
+    return encode(ConsensusReply{age.has_value(), leader, outdated ? view_.state().encode() : std::string{},
+                                 history, view_.kv_store().update_since(same_history ? known.kv_store : 0),
+                                 age});
+}
+
+std::optional<std::string> ConsensusServer::confirm_reply() const {
+    if (!voter_.votes()) return std::nullopt;
+    return encode(ConfirmReply{voter_.node().history(), voter_.node().last_stored(), view_.state().revision(),
+                               view_.kv_store().revision(), confirmed_age(), own_leader()});
+}
+
+// By a reading of the clock made now, after the query was received: by an earlier one the asker would date
+// the confirmation too late.
+std::optional<base::Micros> ConsensusServer::confirmed_age() const {
+    const auto at = view_.confirmed_at();
+    return at ? std::optional(clock_.now() - *at) : std::nullopt;
 }
 
 }  // namespace sumackeel::consensus
--- a/src/consensus/consensus_status.h
+++ b/src/consensus/consensus_status.h
@@ -12,6 +12,6 @@
 
 // Returns a single line. `self` is this member's name.
 std::string status_json(const std::string& self, const LocalVoter& voter, const StateView& view,
-                        const config::Consensus& setup, const FleetView& fleet);
+                        const config::Consensus& setup, const FleetView& fleet, base::Micros now);
 
 }  // namespace sumackeel::consensus
--- a/src/consensus/local_voter.cpp
+++ b/src/consensus/local_voter.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr Micros kTickInterval = 1'000'000;
-constexpr Micros kConfirmInterval = 50'000, kConfirmTimeout = 350'000;
 constexpr Micros kLeaderlessTimeout = 3'000'000;  // a voter without a leader then polls the others
 constexpr Micros kReopenInterval = 200'000;       // while another process holds the directory
 constexpr std::chrono::seconds kDirectoryCheckTimeout{2};
@@ -124,22 +123,9 @@
     node_->reconcile_voters();
     expire_keys();
     check_leader();
-    if (!confirm_timer_) confirm_state();
     tick_timer_ = loop_.timers().schedule(loop_.clock().now() + kTickInterval, [this] { tick(); });
 }
 
-// A voter that has just started may lack committed entries: a lease granted right before a power loss is only
-// on the disks of a majority. Its state therefore counts as known only once it is the leader and has applied
-// its log, or once the leader has sent its own state.
-void LocalVoter::confirm_state() {
-    confirm_timer_.reset();
-    if (follower_.is_known()) return;
-    if (is_leader() && node_->is_caught_up_leader()) return follower_.mark_known(self());
-    if (votes() && !is_leader() && !node_->leader().empty()) follower_.poll(node_->leader(), kConfirmTimeout);
-    confirm_timer_ =
-        loop_.timers().schedule(loop_.clock().now() + kConfirmInterval, [this] { confirm_state(); });
-}
-
 void LocalVoter::expire_keys() {
     const auto due = node_->kv_store().next_expiry();
     if (!due || !is_leader() || *due > loop_.clock().now()) return;
@@ -272,10 +258,8 @@
 
 void LocalVoter::close_now() {
     alive_.reset();
-    for (auto* timer : {&tick_timer_, &confirm_timer_}) {
-        if (*timer) loop_.timers().cancel(**timer);
-        timer->reset();
-    }
+    if (tick_timer_) loop_.timers().cancel(*tick_timer_);
+    tick_timer_.reset();
     if (node_) node_->close_now();
 }
 
--- a/src/consensus/local_voter.h
+++ b/src/consensus/local_voter.h
@@ -52,7 +52,6 @@
     void tick();
     void expire_keys();
     void check_leader();
-    void confirm_state();
     void on_newer_history(std::uint64_t history);
     void archive_unreadable_entries(const std::string& reason);
     // Moves files of the log into the folder `archive`; returns an empty string or the error. Runs on another
@@ -79,7 +78,6 @@
     bool entries_archived_ = false;                    // unreadable entries are archived at most once
     base::Micros leader_known_at_ = 0;                 // 0: never
     std::optional<base::TimerQueue::Key> tick_timer_;
-    std::optional<base::TimerQueue::Key> confirm_timer_;  // set until the state is known
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/consensus/raft_disk.h
+++ b/src/consensus/raft_disk.h
@@ -43,6 +43,8 @@
     // After loading: writes the end of the log to disk unless the log is behind the acknowledged position.
     // Blocks on disk I/O. Returns an empty string or the error.
     std::string record_loaded() const { return recorder_.record_loaded(); }
+    // True if the log lacks entries that this voter acknowledged.
+    bool is_log_behind() const { return recorder_.is_behind(); }
     // True if a write has been in progress for longer than a working disk needs.
     bool is_stuck() const;
     // To be called after raft_close(): cancels the deferred operations.
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -332,6 +332,14 @@
 bool RaftNode::is_caught_up_leader() const {
     return impl_->is_caught_up_leader();
 }
+std::optional<std::uint64_t> RaftNode::last_stored() const {
+    if (!impl_->votes() || impl_->disk.is_log_behind()) return std::nullopt;
+    const raft_index stored = impl_->raft_instance.last_stored;
+    return stored == 0 ? std::nullopt : std::optional<std::uint64_t>(stored);
+}
+std::uint64_t RaftNode::last_applied() const {
+    return impl_->votes() ? raft_last_applied(&impl_->raft_instance) : 0;
+}
 std::vector<std::string> RaftNode::voters() const {
     return impl_->reconciler.voters();
 }
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -75,6 +75,10 @@
     // True if this voter is the leader and has applied everything that was in its log when it was elected,
     // and thereby everything committed before.
     bool is_caught_up_leader() const;
+    // The log entries that this voter has on disk, and those applied to its state, up to these indices. None:
+    // the log lacks entries that this voter once acknowledged, or is being replaced by a snapshot.
+    std::optional<std::uint64_t> last_stored() const;
+    std::uint64_t last_applied() const;
     std::vector<std::string> voters() const;  // names; empty for a voter not in known_voters
     std::uint64_t history() const;            // of the log, see RaftDirectory
 
--- a/src/consensus/state_follower.cpp
+++ b/src/consensus/state_follower.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-// Bans have to reach members that are not voters within 1 s. The interval grows with the number of members up
-// to the maximum.
-constexpr Micros kMinPollInterval = 250'000, kPollIntervalPerMember = 2'000, kMaxPollInterval = 900'000;
+// The state is polled at once when StateConfirmer finds it behind; these polls are for a network that only
+// lets streams pass. The interval grows with the number of members up to the maximum.
+constexpr Micros kMinPollInterval = 250'000, kPollIntervalPerMember = 10'000, kMaxPollInterval = 3'000'000;
 // The minimum while the state is not known yet: startup waits for it.
 constexpr Micros kUnknownPollInterval = 100'000;
 
@@ -23,7 +23,11 @@
 
 StateFollower::StateFollower(net::Loop& loop, ClusterTransport& transport, const config::Consensus& setup,
                              Hooks hooks)
-    : loop_(loop), transport_(transport), setup_(setup), hooks_(std::move(hooks)) {}
+    : loop_(loop),
+      transport_(transport),
+      setup_(setup),
+      hooks_(std::move(hooks)),
+      known_from_(loop.clock().now()) {}
 
 StateFollower::~StateFollower() {
     close();
@@ -62,11 +66,12 @@
 void StateFollower::poll(const std::string& voter, Micros timeout) {
     const std::weak_ptr<bool> alive = alive_;
     const KnownRevision known{state_.revision(), needs_full_kv_store_ ? 0 : kv_store_.revision(), history_};
+    const Micros asked_at = loop_.clock().now();
     transport_.call(voter, kStateVerb, encode(known), timeout,
-                    [this, alive, voter](std::optional<std::string> body) {
+                    [this, alive, voter, asked_at](std::optional<std::string> body) {
                         if (alive.expired() || !body) return;
                         try {
-                            on_reply(voter, *body);
+                            on_reply(voter, *body, asked_at);
                         } catch (const std::exception& error) {
                             log::warn("consensus: state reply rejected reason={}", error.what());
                         }
@@ -75,20 +80,32 @@
 
 // Ignores replies from an earlier history. A later history, as after a forced start, invalidates the copy,
 // which is replaced once a voter with an up-to-date state replies.
-void StateFollower::on_reply(const std::string& voter, const std::string& body) {
+void StateFollower::on_reply(const std::string& voter, const std::string& body, Micros asked_at) {
     const ConsensusReply reply = decode_reply(body);
     if (reply.history < history_) return;
     if (!reply.leader.empty()) leader_ = reply.leader;
-    if (reply.done) confirmed_at_ = loop_.clock().now();
     if (reply.history > history_) {
         if (!reply.done) return;
         state_ = {};
         kv_store_ = {};
+        confirmed_at_.reset();
         history_ = reply.history;
     }
     if (!reply.kv_store_update.empty()) apply_kv_store_update(reply.kv_store_update);
     if (!reply.body.empty()) apply_state(reply.body);
-    if (reply.done) mark_known(voter);
+    // The voter's state was confirmed no later than this, as the age counts until after the query was sent.
+    if (reply.confirmed_age && !needs_full_kv_store_) confirm(asked_at - *reply.confirmed_age, voter);
+}
+
+void StateFollower::confirm(Micros at, const std::string& source) {
+    if (confirmed_at_ && *confirmed_at_ >= at) return;
+    confirmed_at_ = at;
+    if (at >= known_from_) mark_known(source);
+}
+
+void StateFollower::forget_known() {
+    known_ = false;
+    known_from_ = loop_.clock().now();
 }
 
 void StateFollower::mark_known(const std::string& source) {
@@ -111,11 +128,6 @@
     hooks_.state_changed(state_);
 }
 
-std::optional<Micros> StateFollower::confirmed_age() const {
-    if (!confirmed_at_) return std::nullopt;
-    return loop_.clock().now() - *confirmed_at_;
-}
-
 void StateFollower::adopt(const RaftNode& node) {
     if (node.state().revision() > state_.revision()) state_ = node.state();
     if (node.kv_store().revision() > kv_store_.revision()) kv_store_ = node.kv_store();
@@ -125,7 +137,8 @@
 void StateFollower::reset(std::uint64_t history) {
     state_ = {};
     kv_store_ = {};
-    known_ = false;
+    confirmed_at_.reset();
+    forget_known();
     leader_.clear();
     history_ = history;
 }
--- a/src/consensus/state_follower.h
+++ b/src/consensus/state_follower.h
@@ -50,13 +50,14 @@
     bool is_known() const { return known_; }
     // `source` is the voter whose reply established this, or this member's name if its own log did.
     void mark_known(const std::string& source);
-    void forget_known() { known_ = false; }
+    void forget_known();
+    // To be called when the state of this member is found to include everything committed before `at`.
+    void confirm(base::Micros at, const std::string& source);
+    // The latest time before which everything committed is included; no value if there is none.
+    std::optional<base::Micros> confirmed_at() const { return confirmed_at_; }
     // The leader's name according to the last reply; empty if none is known.
     const std::string& leader() const { return leader_; }
     void set_leader(const std::string& leader) { leader_ = leader; }
-    // The time since the last reply of a voter that knows a leader; no value if there was none.
-    std::optional<base::Micros> confirmed_age() const;
-
     // Takes over whatever is newer in the state of `node`, which has stopped voting.
     void adopt(const RaftNode& node);
     // Discards the copy because it is from an older history.
@@ -66,7 +67,7 @@
 
   private:
     base::Micros poll_interval() const;
-    void on_reply(const std::string& voter, const std::string& body);
+    void on_reply(const std::string& voter, const std::string& body, base::Micros asked_at);
     void apply_kv_store_update(const std::string& update);
     void apply_state(const std::string& body);
 
@@ -80,6 +81,7 @@
     bool needs_full_kv_store_ = false;  // an incremental update could not be applied to the copy
     bool known_ = false;
     std::string leader_;
+    base::Micros known_from_;  // a confirmation of this time or later makes the state known
     std::optional<base::Micros> confirmed_at_;
     std::size_t next_voter_ = 0;
     std::optional<base::TimerQueue::Key> poll_timer_;
--- a/src/consensus/state_view.cpp
+++ b/src/consensus/state_view.cpp
@@ -25,9 +25,8 @@
     return leader.empty() && follower_.is_polling() ? follower_.leader() : leader;
 }
 
-std::optional<base::Micros> StateView::confirmed_age() const {
-    if (voter_.votes() && !voter_.node().leader().empty() && is_known()) return 0;
-    return follower_.confirmed_age();
+std::uint64_t StateView::history() const {
+    return voter_.votes() ? voter_.node().history() : follower_.history();
 }
 
 rollout::RunningVersion StateView::running_version_of(const cluster::MemberRecord& record) const {
--- a/src/consensus/state_view.h
+++ b/src/consensus/state_view.h
@@ -25,9 +25,11 @@
     // received the state from a member for which this holds.
     bool is_known() const;
     std::string leader() const;  // a member's name; empty if none is known
-    // The time since the state was last confirmed to include everything committed; no value if it has not
-    // been confirmed since the start.
-    std::optional<base::Micros> confirmed_age() const;
+    // The latest time, by the clock of the loop, before which everything committed is known to be included in
+    // the state; no value if it has not been confirmed since the start. See StateConfirmer.
+    std::optional<base::Micros> confirmed_at() const { return follower_.confirmed_at(); }
+    // The number of the history that the state is from.
+    std::uint64_t history() const;
     // The version a proxy is running: from its member record, or as reported when it returned its last
     // upgrade lease if that was after a later start.
     rollout::RunningVersion running_version_of(const cluster::MemberRecord& record) const;
--- a/src/daemon/component_options.cpp
+++ b/src/daemon/component_options.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t kUnsentMemoryDivisor = 3;
 constexpr std::size_t kBytesPerMegabyte = std::size_t{1024} * 1024;
 
+// Leases and releases alone need no fresher state.
+constexpr base::Micros kMaxConfirmedAgeWithoutPurges = 1'500'000;
 constexpr int kGraceShareForSending = 6;  // one part of so many
 
 }  // namespace
@@ -57,7 +59,8 @@
 
 // The notification grace counts until a request has been sent; a part of it is left for the time between the
 // decision on what it accepts and the end of sending.
-base::Micros max_unconfirmed_copy_age(const routing::Settings& settings) {
+base::Micros max_confirmed_age(const routing::Settings& settings, const config::Operator& setup) {
+    if (!setup.store) return kMaxConfirmedAgeWithoutPurges;
     return settings.notification_grace - settings.notification_grace / kGraceShareForSending;
 }
 
--- a/src/daemon/component_options.h
+++ b/src/daemon/component_options.h
@@ -25,8 +25,8 @@
 // The router's settings: the platform's, with what the operator's settings add.
 routing::Settings routing_settings(const config::Config& config, const config::Operator& setup);
 
-// How old a copy may be that is accepted while a purge may have been missed.
-base::Micros max_unconfirmed_copy_age(const routing::Settings& settings);
+// How old the confirmation of the replicated state may be when it is used, see ConsensusClient::Options.
+base::Micros max_confirmed_age(const routing::Settings& settings, const config::Operator& setup);
 
 // How many proxies each zone has by the configuration, by zone name. Zones without any are left out.
 std::map<std::string, int> configured_instances_by_zone(const config::Site& site);
--- a/src/daemon/components.cpp
+++ b/src/daemon/components.cpp
@@ -71,9 +71,9 @@
         });
 }
 
-void Components::make_kv_store_service(const config::Store& settings, Micros max_unconfirmed_copy_age) {
+void Components::make_kv_store_service(const config::Store& settings, Micros max_confirmed_age) {
     kv_store_service = std::make_unique<KvStoreService>(
-        loop, socket_budget, *cluster_transport, *consensus_client, settings, max_unconfirmed_copy_age,
+        loop, socket_budget, *cluster_transport, *consensus_client, settings, max_confirmed_age,
         [this](const kv_store::Purge& purge) {
             endpoint_manager->add_purges({{purge.object, purge.purge_group, loop.clock().now()}});
         });
--- a/src/daemon/components.h
+++ b/src/daemon/components.h
@@ -50,7 +50,7 @@
 
     // Optional parts, created after the constructor in this order if the operator's settings contain them.
     void make_cluster_transport(config::Cluster settings);
-    void make_kv_store_service(const config::Store& settings, base::Micros max_unconfirmed_copy_age);
+    void make_kv_store_service(const config::Store& settings, base::Micros max_confirmed_age);
 
     // Applies what a new configuration may change in a running process. The router's settings, the listen
     // addresses and the store's settings stay the same until the next start.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -56,10 +56,9 @@
   private:
     void start_optional_parts(const config::Operator& setup) {
         if (setup.cluster) components_.make_cluster_transport(*setup.cluster);
-        if (setup.consensus) leases_.start(*setup.consensus);
-        if (setup.store)
-            components_.make_kv_store_service(*setup.store,
-                                              max_unconfirmed_copy_age(components_.config.site.settings));
+        const auto max_age = max_confirmed_age(components_.config.site.settings, setup);
+        if (setup.consensus) leases_.start(*setup.consensus, max_age);
+        if (setup.store) components_.make_kv_store_service(*setup.store, max_age);
         if (setup.recovery) recovery_.start(*setup.recovery);
     }
 
--- a/src/daemon/kv_store_service.cpp
+++ b/src/daemon/kv_store_service.cpp
@@ -25,7 +25,6 @@
 constexpr std::size_t kPurgeNotificationBatch = 50;
 constexpr Micros kPurgeNotificationInterval = 10'000;
 constexpr Micros kPurgeNotificationTimeout = 500'000;
-constexpr Micros kMaxConfirmedAge = 3'000'000;  // the state is confirmed every quarter of a second
 constexpr Micros kImportRetryDelay = 1'000'000;
 constexpr Micros kProgressTimeout = 800'000;  // operators' calls are answered within 1 s
 constexpr std::size_t kMaxListedKeys = 1'000;
@@ -56,13 +55,13 @@
 KvStoreService::KvStoreService(net::Loop& loop, net::SocketBudget& sockets,
                                cluster_transport::ClusterTransport& transport,
                                consensus::ConsensusClient& client, const config::Store& setup,
-                               Micros max_unconfirmed_copy_age, OnPurge on_purge)
+                               Micros max_confirmed_age, OnPurge on_purge)
     : loop_(loop),
       transport_(transport),
       consensus_(client),
       setup_(setup),
       on_purge_(std::move(on_purge)),
-      max_unconfirmed_copy_age_(max_unconfirmed_copy_age),
+      max_confirmed_age_(max_confirmed_age),
       api_(loop, sockets, setup.listen,
            [this](const Json::Value& request, const store::StoreApi::Answer& respond) {
                handle_request(request, respond);
@@ -97,9 +96,9 @@
 // A copy that was filled since the last confirmation may have been purged since, too. One that is younger
 // than the time within which a purge has to take effect can be accepted whatever was purged.
 core::PurgeKnowledge KvStoreService::purge_knowledge() const {
-    const auto age = consensus_.confirmed_age();
-    return {.valid_until = age ? loop_.clock().now() - *age + kMaxConfirmedAge : 0,
-            .max_copy_age_afterwards = max_unconfirmed_copy_age_};
+    const auto confirmed_at = consensus_.confirmed_at();
+    return {.valid_until = confirmed_at ? *confirmed_at + max_confirmed_age_ : 0,
+            .max_copy_age_afterwards = max_confirmed_age_};
 }
 
 // The time at which a purge was submitted is by another machine's clock, which may differ widely from the
@@ -168,7 +167,8 @@
             Json::Value value = json_field("version", Json::UInt64{entry ? entry->version : 0});
             if (entry) value["value"] = entry->value;
             value["revision"] = Json::UInt64{consensus_.kv_store().revision()};
-            if (const auto age = consensus_.confirmed_age()) value["age_s"] = static_cast<double>(*age) / 1e6;
+            if (const auto at = consensus_.confirmed_at())
+                value["age_s"] = static_cast<double>(loop_.clock().now() - *at) / 1e6;
             return respond(value);
         }
         return consensus_.read(key, [respond, reject](const std::optional<CommandResult>& result) {
--- a/src/daemon/kv_store_service.h
+++ b/src/daemon/kv_store_service.h
@@ -25,12 +25,12 @@
   public:
     using OnPurge = std::function<void(const kv_store::Purge&)>;
 
-    // `client` and `transport` must outlive this. `max_unconfirmed_copy_age`: of the copies that are accepted
-    // while a purge may have been missed. `on_purge` is called once for each purge, which counts as
-    // received now, whenever it was submitted.
+    // `client` and `transport` must outlive this. `max_confirmed_age`: for how long the purges in a confirmed
+    // state are taken for all, and the maximum age of the copies accepted after that. `on_purge` is called
+    // once for each purge, which counts as received now, whenever it was submitted.
     KvStoreService(net::Loop& loop, net::SocketBudget& sockets,
                    cluster_transport::ClusterTransport& transport, consensus::ConsensusClient& client,
-                   const config::Store& setup, base::Micros max_unconfirmed_copy_age, OnPurge on_purge);
+                   const config::Store& setup, base::Micros max_confirmed_age, OnPurge on_purge);
     ~KvStoreService();
     KvStoreService(const KvStoreService&) = delete;
     KvStoreService& operator=(const KvStoreService&) = delete;
@@ -56,7 +56,7 @@
     consensus::ConsensusClient& consensus_;
     const config::Store setup_;
     OnPurge on_purge_;
-    const base::Micros max_unconfirmed_copy_age_;
+    const base::Micros max_confirmed_age_;
     std::uint64_t notified_purge_ = 0;  // the newest purge passed to the router
     std::optional<store::LegacyStore> legacy_store_;
     std::optional<base::TimerQueue::Key> import_timer_;
--- a/src/daemon/lease_controller.cpp
+++ b/src/daemon/lease_controller.cpp
@@ -23,12 +23,16 @@
 
 }  // namespace
 
-void LeaseController::start(const config::Consensus& settings) {
+void LeaseController::start(const config::Consensus& settings, Micros max_confirmed_age) {
     Components& parts = components_;
     parts.budget_view =
         std::make_unique<DisruptionBudgetView>(parts.config.site, settings.removed_counts_for);
     parts.consensus_client = std::make_unique<consensus::ConsensusClient>(
-        parts.loop, *parts.cluster_transport, settings, parts.has_inherited_socket(),
+        parts.loop, *parts.cluster_transport, settings,
+        consensus::ConsensusClient::Options{
+            .wait_for_folder = parts.has_inherited_socket(),
+            .max_confirmed_age = max_confirmed_age,
+        },
         [&parts](rollout::MemberKind kind) {
             return kind == rollout::MemberKind::proxy
                        ? parts.budget_view->proxies(parts.cluster_transport->membership(),
--- a/src/daemon/lease_controller.h
+++ b/src/daemon/lease_controller.h
@@ -19,7 +19,8 @@
         : components_(components), applier_(applier) {}
 
     // Creates the consensus client and the release coordinator.
-    void start(const config::Consensus& settings);
+    // `max_confirmed_age`: see ConsensusClient::Options.
+    void start(const config::Consensus& settings, base::Micros max_confirmed_age);
 
     // The administrative state was taken over from another process: its drain is this process's own request.
     void adopt_drain_request();
--- a/tests/compatibility/encoded_forms_test.cpp
+++ b/tests/compatibility/encoded_forms_test.cpp
@@ -246,6 +246,23 @@
     const consensus::ConsensusReply reply{
         .done = true, .leader = "n2", .body = "body", .history = 4, .kv_store_update = "news"};
     EXPECT_EQ(encode(consensus::decode_reply(recorded("consensus_reply.bin", encode(reply)))), encode(reply));
+    consensus::ConsensusReply state_reply = reply;
+    state_reply.confirmed_age = 41'000;
+    EXPECT_EQ(
+        consensus::decode_reply(recorded("consensus_state_reply.bin", encode(state_reply))).confirmed_age,
+        41'000);
+    const consensus::ConfirmReply confirm_reply{.history = 4,
+                                                .last_stored = 1'017,
+                                                .revision = 7,
+                                                .kv_store = 9,
+                                                .confirmed_age = 41'000,
+                                                .leader = "n2"};
+    EXPECT_EQ(encode(consensus::decode_confirm_reply(recorded("confirm_reply.bin", encode(confirm_reply)))),
+              encode(confirm_reply));
+    const consensus::ConfirmReply unconfirmed =
+        consensus::decode_confirm_reply(encode(consensus::ConfirmReply{}));
+    EXPECT_EQ(unconfirmed.last_stored, std::nullopt);
+    EXPECT_EQ(unconfirmed.confirmed_age, std::nullopt);
     consensus::ConsensusRequest request;
     request.kind = consensus::RequestKind::release_command, request.forced = true,
     request.member_kind = rollout::MemberKind::pop_cache;
