Confirm queries keep a least interval; `get` of a voter cut off tells its real age

Cause: with an obey_after of 0 the interval of the queries would be 0, too. Seen on reading the change again, not run.

--- a/src/consensus/state_confirmer.cpp
+++ b/src/consensus/state_confirmer.cpp
@@ -19,6 +19,7 @@
 // answer them all, up to this share of the time.
 constexpr Micros kMinQueriesPerMaxAge = 3;
 constexpr Micros kIntervalPerMember = 300;  // us
+constexpr Micros kMinInterval = 10'000;
 // While the state is not known yet: startup waits for it.
 constexpr Micros kUnknownInterval = 50'000;
 constexpr Micros kFetchTimeout = 350'000;
@@ -56,9 +57,10 @@
 Micros StateConfirmer::interval() const {
     const auto members = static_cast<Micros>(context_.transport.membership().member_count());
     const Micros for_all = kIntervalPerMember * members;
-    const Micros shortest = max_age_ / kQueriesPerMaxAge;
+    const Micros shortest = std::max(kMinInterval, max_age_ / kQueriesPerMaxAge);
     const Micros known_interval =
-        is_voting_member() ? shortest : std::clamp(for_all, shortest, max_age_ / kMinQueriesPerMaxAge);
+        is_voting_member() ? shortest
+                           : std::max(shortest, std::min(for_all, max_age_ / kMinQueriesPerMaxAge));
     return context_.view.is_known() ? known_interval
                                     : std::min(known_interval, std::max(kUnknownInterval, for_all));
 }
--- a/src/consensus/state_view.h
+++ b/src/consensus/state_view.h
@@ -21,8 +21,9 @@
     const rollout::State& state() const;
     const kv_store::State& kv_store() const;
     // True if the state includes everything that had been committed at some point since this process started:
-    // either this member is the leader and has applied what was in its log when it was elected, or it
-    // received the state from a member for which this holds.
+    // either this member is the leader and has applied what was in its log when it was elected, or its state
+    // was confirmed as of such a point. False again after a voter has been without a leader for a while,
+    // until the next confirmation.
     bool is_known() const;
     std::string leader() const;  // a member's name; empty if none is known
     // The latest time, by the clock of the loop, before which everything committed is known to be included in
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -57,7 +57,7 @@
 // Until when the purges known to this process are sufficient, and what may be accepted after that.
 struct PurgeKnowledge {
     Micros valid_until = std::numeric_limits<Micros>::max();
-    Micros max_copy_age_afterwards = 0;  // of a copy that can't have been purged without this process
+    Micros max_copy_age_afterwards = 0;  // a younger copy is no older than any purge that binds; 0: no limit
 };
 
 // Receives the responses to requests that a server has submitted.
--- a/tests/fleet/harness/steps/purges.py
+++ b/tests/fleet/harness/steps/purges.py
@@ -70,6 +70,14 @@
         if ops_call(member.ops_port, "POST", path, host=member.host, bound=2) == 200:
             self.record_purge(called_at, time.time(), object_id)
 
+    def age_of_get(self, who, least=0.0, most=float("inf")):
+        """How old `get` says at `who` that its state is, in seconds; absent: never confirmed."""
+        for member in self.fleet.pick(who):
+            said = self.words(member, get="fleet/x") or {}
+            print(f"{member.name}: {said}")
+            if not least <= said.get("age_s", float("inf")) <= most:
+                raise Failed(f"{member.name}: age_s {said.get('age_s')}, {least} to {most} wanted")
+
     def no_purged_copy(self, least=1):
         """No copy older than a purge was served once the purge had to be obeyed; at least so many were served then."""
         with self.fleet.copies.lock:
