--- a/src/daemon/kv_store_service.cpp
+++ b/src/daemon/kv_store_service.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t kPurgeNotificationBatch = 50;
 constexpr Micros kPurgeNotificationInterval = 10'000;
 constexpr Micros kPurgeNotificationTimeout = 500'000;
+constexpr Micros kMinCopyAge = 1'000;  // 0 would be no limit
 constexpr Micros kImportRetryDelay = 1'000'000;
 constexpr Micros kProgressTimeout = 800'000;  // operators' calls are answered within 1 s
 constexpr std::size_t kMaxListedKeys = 1'000;
@@ -50,6 +51,39 @@
     return value;
 }
 
+Json::Value rejection_json(const std::optional<CommandResult>& result) {
+    return json_field("refused", result ? result->reason : "no majority of the voters answered, ask again");
+}
+
+Json::Value change_json(const std::optional<CommandResult>& result) {
+    const bool granted = result && result->outcome == Outcome::granted;
+    Json::Value value = json_field("outcome", !result ? "unknown" : granted ? "done" : "conflict");
+    if (result) value["version"] = Json::UInt64{result->number};
+    if (result && !granted) value["reason"] = result->reason;
+    return value;
+}
+
+// The change that a request with `set` or `remove` wants. Throws DaemonError.
+kv_store::Operation requested_operation(const Json::Value& request) {
+    const bool removes = request.isMember("remove");
+    kv_store::Operation operation;
+    operation.kind = removes ? kv_store::OperationKind::remove : kv_store::OperationKind::set;
+    operation.key = text_field(request, removes ? "remove" : "set");
+    if (!removes) operation.value = text_field(request, "value");
+    if (request.isMember("version")) {
+        if (!request["version"].isUInt64())
+            throw DaemonError(DaemonErrorCode::invalid_store_request, "version is no whole number");
+        operation.expected_version = request["version"].asUInt64();
+    }
+    if (request.isMember("lasts_s")) {
+        if (!request["lasts_s"].isNumeric())
+            throw DaemonError(DaemonErrorCode::invalid_store_request, "lasts_s is no number");
+        operation.time_to_live =
+            static_cast<Micros>(std::clamp(request["lasts_s"].asDouble(), 0.001, 1e9) * 1e6);
+    }
+    return operation;
+}
+
 }  // namespace
 
 KvStoreService::KvStoreService(net::Loop& loop, net::SocketBudget& sockets,
@@ -98,7 +132,7 @@
 core::PurgeKnowledge KvStoreService::purge_knowledge() const {
     const auto confirmed_at = consensus_.confirmed_at();
     return {.valid_until = confirmed_at ? *confirmed_at + max_confirmed_age_ : 0,
-            .max_copy_age_afterwards = max_confirmed_age_};
+            .max_copy_age_afterwards = std::max(kMinCopyAge, max_confirmed_age_)};
 }
 
 // The time at which a purge was submitted is by another machine's clock, which may differ widely from the
@@ -135,76 +169,60 @@
     });
 }
 
-// NOLINTNEXTLINE(readability-function-size): not split yet
 void KvStoreService::handle_request(const Json::Value& request, const store::StoreApi::Answer& respond) {
-    const auto reject = [respond](const std::optional<CommandResult>& result) {
-        respond(
-            json_field("refused", result ? result->reason : "no majority of the voters answered, ask again"));
-    };
-    if (request.isMember("promote"))
-        return consensus_.take_leadership([respond, reject](const std::optional<CommandResult>& result) {
-            if (!result || result->outcome != Outcome::granted) return reject(result);
-            respond(json_field("promoted", Json::UInt64{result->number}));
-        });
-    if (request.isMember("list")) {
-        const std::string prefix = text_field(request, "list");
-        Json::Value all = json_field("keys", Json::Value(Json::arrayValue));
-        const auto& entries = consensus_.kv_store().entries();
-        for (auto at = entries.lower_bound(prefix); at != entries.end() && at->first.starts_with(prefix);
-             ++at) {
-            if (all["keys"].size() >= kMaxListedKeys) {
-                all["more"] = true;
-                break;
-            }
-            all["keys"].append(entry_json(at->first, at->second));
-        }
-        return respond(all);
-    }
-    if (request.isMember("get")) {
-        const std::string key = text_field(request, "get");
-        if (!request["sure"].asBool()) {
-            const kv_store::Entry* entry = consensus_.kv_store().find(key);
-            Json::Value value = json_field("version", Json::UInt64{entry ? entry->version : 0});
-            if (entry) value["value"] = entry->value;
-            value["revision"] = Json::UInt64{consensus_.kv_store().revision()};
-            if (const auto at = consensus_.confirmed_at())
-                value["age_s"] = static_cast<double>(loop_.clock().now() - *at) / 1e6;
-            return respond(value);
+    if (request.isMember("promote")) return promote(respond);
+    if (request.isMember("list")) return respond(list_json(text_field(request, "list")));
+    if (!request.isMember("get")) return change(request, respond);
+    const std::string key = text_field(request, "get");
+    if (request["sure"].asBool()) return read_from_majority(key, respond);
+    respond(local_json(key));
+}
+
+void KvStoreService::promote(const store::StoreApi::Answer& respond) {
+    consensus_.take_leadership([respond](const std::optional<CommandResult>& result) {
+        if (!result || result->outcome != Outcome::granted) return respond(rejection_json(result));
+        respond(json_field("promoted", Json::UInt64{result->number}));
+    });
+}
+
+// The keys with this prefix, as known here.
+Json::Value KvStoreService::list_json(const std::string& prefix) const {
+    Json::Value all = json_field("keys", Json::Value(Json::arrayValue));
+    const auto& entries = consensus_.kv_store().entries();
+    for (auto at = entries.lower_bound(prefix); at != entries.end() && at->first.starts_with(prefix); ++at) {
+        if (all["keys"].size() >= kMaxListedKeys) {
+            all["more"] = true;
+            break;
         }
-        return consensus_.read(key, [respond, reject](const std::optional<CommandResult>& result) {
-            if (!result) return reject(result);
-            Json::Value value = json_field("version", Json::UInt64{result->number});
-            if (result->outcome == Outcome::granted) value["value"] = result->reason;
-            respond(value);
-        });
+        all["keys"].append(entry_json(at->first, at->second));
     }
-    kv_store::Operation operation;
-    operation.kind =
-        request.isMember("remove") ? kv_store::OperationKind::remove : kv_store::OperationKind::set;
-    operation.key = text_field(request, operation.kind == kv_store::OperationKind::remove ? "remove" : "set");
-    if (operation.kind == kv_store::OperationKind::set) operation.value = text_field(request, "value");
-    if (request.isMember("version")) {
-        if (!request["version"].isUInt64())
-            throw DaemonError(DaemonErrorCode::invalid_store_request, "version is no whole number");
-        operation.expected_version = request["version"].asUInt64();
-    }
-    if (request.isMember("lasts_s")) {
-        if (!request["lasts_s"].isNumeric())
-            throw DaemonError(DaemonErrorCode::invalid_store_request, "lasts_s is no number");
-        operation.time_to_live =
-            static_cast<Micros>(std::clamp(request["lasts_s"].asDouble(), 0.001, 1e9) * 1e6);
-    }
-    consensus_.submit_change({{operation}, transport_.membership().self().name, 0},
-                             [respond](const std::optional<CommandResult>& result) {
-                                 Json::Value value = json_field(
-                                     "outcome", !result                               ? "unknown"
-                                                : result->outcome == Outcome::granted ? "done"
-                                                                                      : "conflict");
-                                 if (result) value["version"] = Json::UInt64{result->number};
-                                 if (result && result->outcome != Outcome::granted)
-                                     value["reason"] = result->reason;
-                                 respond(value);
-                             });
+    return all;
+}
+
+// One key as known here, and when that was last confirmed.
+Json::Value KvStoreService::local_json(const std::string& key) const {
+    const kv_store::Entry* entry = consensus_.kv_store().find(key);
+    Json::Value value = json_field("version", Json::UInt64{entry ? entry->version : 0});
+    if (entry) value["value"] = entry->value;
+    value["revision"] = Json::UInt64{consensus_.kv_store().revision()};
+    if (const auto at = consensus_.confirmed_at())
+        value["age_s"] = static_cast<double>(loop_.clock().now() - *at) / 1e6;
+    return value;
+}
+
+void KvStoreService::read_from_majority(const std::string& key, const store::StoreApi::Answer& respond) {
+    consensus_.read(key, [respond](const std::optional<CommandResult>& result) {
+        if (!result) return respond(rejection_json(result));
+        Json::Value value = json_field("version", Json::UInt64{result->number});
+        if (result->outcome == Outcome::granted) value["value"] = result->reason;
+        respond(value);
+    });
+}
+
+void KvStoreService::change(const Json::Value& request, const store::StoreApi::Answer& respond) {
+    consensus_.submit_change(
+        {{requested_operation(request)}, transport_.membership().self().name, 0},
+        [respond](const std::optional<CommandResult>& result) { respond(change_json(result)); });
 }
 
 // Imports the old store once, on the member that was its primary. The import marker is written together with
