--- a/bench/confirmation_cost.py
+++ b/bench/confirmation_cost.py
@@ -12,7 +12,7 @@
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
 sys.path.insert(0, os.path.join(ROOT, "tests", "fleet"))
 sys.path.insert(0, os.path.join(ROOT, "bench"))
-from group_processes import DEFAULTS  # noqa: E402
+from group_processes import DEFAULTS, cpu_of  # noqa: E402
 from harness.network import PEERS, VOTES, own_network  # noqa: E402
 from harness.processes import Member  # noqa: E402
 from harness.stub_caches import StubCaches  # noqa: E402
@@ -20,7 +20,6 @@
 MEMBERS_IN_NETWORK = 200
 SETTLED_AFTER_S = 10
 AGREED_WITHIN_S = 180
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 class DirectFleet:
@@ -62,12 +61,6 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def processor_s(member):
-    with open(f"/proc/{member.process.pid}/stat", encoding="utf-8") as stat:
-        fields = stat.read().rsplit(") ", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-
-
 def queries(member):
     counters = (member.group() or {}).get("counters", {})
     return counters.get("queries_out", 0)
@@ -78,7 +71,7 @@
 
 
 def measure(fleet, seconds, voters):
-    began = [(processor_s(member), queries(member)) for member in fleet.all]
+    began = [(cpu_of(member), queries(member)) for member in fleet.all]
     at = time.monotonic()
     ages = []
     while time.monotonic() < at + seconds:
@@ -86,7 +79,7 @@
             ages.append(sure_age(member) or float("inf"))
         time.sleep(0.2)
     took = time.monotonic() - at
-    rates = [((processor_s(member) - cpu) / took * 100, (queries(member) - sent) / took)
+    rates = [((cpu_of(member) - cpu) / took * 100, (queries(member) - sent) / took)
              for member, (cpu, sent) in zip(fleet.all, began)]
     ages.sort()
 
--- a/src/config/key_table.cpp
+++ b/src/config/key_table.cpp
@@ -146,8 +146,7 @@
          "In which the count of proxies falls to what is there, where most are there."},
         {"peers", "bytes_per_s", Type::number, false, 1'500, 10'000'000, "4000", "",
          "Cap on what this member sends about members. At the cap the least urgent is dropped first, and "
-         "counted. "
-         "Calls and queries of other parts are not included."},
+         "counted. Calls and queries of other parts are not included."},
 
         {"agreed", "folder", Type::path, true, 0, 0, "", "",
          "Where a voter's log lies; made if it is missing. For this proxy alone, on a disk that lasts."},
--- a/src/consensus/consensus_client.h
+++ b/src/consensus/consensus_client.h
@@ -75,8 +75,9 @@
     void replicate_now();
     // Polls that voter now if this member is not a voter or knows no leader.
     void poll_now(const std::string& member);
-    // See StateView::confirmed_at().
+    // See StateView::confirmed_at(), and the time since then.
     std::optional<base::Micros> confirmed_at() const { return view_.confirmed_at(); }
+    std::optional<base::Micros> confirmed_age() const { return view_.confirmed_age(loop_.clock().now()); }
 
     // The result that a lease request for `member` would have now, based on the state known here; no value if
     // the member is unknown.
--- a/src/consensus/consensus_server.cpp
+++ b/src/consensus/consensus_server.cpp
@@ -60,23 +60,18 @@
     const std::uint64_t history = voter_.node().history();
     const bool same_history = known.history == history;
     const bool outdated = !same_history || known.revision != view_.state().revision();
-    const auto age = confirmed_age();
+    const auto age = view_.confirmed_age(clock_.now());
     return encode(ConsensusReply{age.has_value(), leader, outdated ? view_.state().encode() : std::string{},
                                  history, view_.kv_store().update_since(same_history ? known.kv_store : 0),
                                  age});
 }
 
+// The age is as of now, after the query was received: by an earlier reading of the clock the asker would date
+// the confirmation too late.
 std::optional<std::string> ConsensusServer::confirm_reply() const {
     if (!voter_.votes()) return std::nullopt;
     return encode(ConfirmReply{voter_.node().history(), voter_.node().last_stored(), view_.state().revision(),
-                               view_.kv_store().revision(), confirmed_age(), own_leader()});
-}
-
-// By a reading of the clock made now, after the query was received: by an earlier one the asker would date
-// the confirmation too late.
-std::optional<base::Micros> ConsensusServer::confirmed_age() const {
-    const auto at = view_.confirmed_at();
-    return at ? std::optional(clock_.now() - *at) : std::nullopt;
+                               view_.kv_store().revision(), view_.confirmed_age(clock_.now()), own_leader()});
 }
 
 }  // namespace sumackeel::consensus
--- a/src/consensus/consensus_server.h
+++ b/src/consensus/consensus_server.h
@@ -30,7 +30,6 @@
     void on_request(const std::string& body, const Respond& respond);
     std::string state_reply(const KnownRevision& known) const;
     std::optional<std::string> confirm_reply() const;
-    std::optional<base::Micros> confirmed_age() const;
     // The leader according to this member's own log. Leaders reported by others are not passed on: members
     // would keep repeating the name to each other after that leader is gone.
     std::string own_leader() const;
--- a/src/consensus/consensus_status.cpp
+++ b/src/consensus/consensus_status.cpp
@@ -85,7 +85,7 @@
     root["known"] = view.is_known();
     root["revision"] = Json::UInt64{view.state().revision()};
     root["registry"] = registry_json(view.kv_store());
-    if (const auto at = view.confirmed_at()) root["sure_age_s"] = seconds(now - *at);
+    if (const auto age = view.confirmed_age(now)) root["sure_age_s"] = seconds(*age);
     root["last_lease"] = Json::UInt64{view.state().last_number()};
     root["leases"] = Json::Value(Json::arrayValue);
     for (const auto& [key, lease] : view.state().leases()) root["leases"].append(lease_json(lease));
--- a/src/consensus/quorum_read.cpp
+++ b/src/consensus/quorum_read.cpp
@@ -12,20 +12,19 @@
     return last_number_;
 }
 
-QuorumRead::Query* QuorumRead::find(std::uint64_t number) {
-    const auto found = std::find_if(queries_.begin(), queries_.end(),
-                                    [number](const Query& query) { return query.number == number; });
-    return found == queries_.end() ? nullptr : &*found;
+std::optional<std::size_t> QuorumRead::position_of(std::uint64_t number) const {
+    const bool open =
+        !queries_.empty() && number >= queries_.front().number && number <= queries_.back().number;
+    return open ? std::optional<std::size_t>(number - queries_.front().number) : std::nullopt;
 }
 
 std::optional<Micros> QuorumRead::asked_at(std::uint64_t number) const {
-    for (const Query& query : queries_)
-        if (query.number == number) return query.asked_at;
-    return std::nullopt;
+    const auto position = position_of(number);
+    return position ? std::optional(queries_[*position].asked_at) : std::nullopt;
 }
 
 void QuorumRead::add_answer(std::uint64_t number, const std::string& voter, LogIndex last_stored) {
-    if (Query* query = find(number)) query->answers.emplace(voter, last_stored);
+    if (const auto position = position_of(number)) queries_[*position].answers.emplace(voter, last_stored);
 }
 
 // The end of the longest log of the majority whose longest log is the shortest.
--- a/src/consensus/quorum_read.h
+++ b/src/consensus/quorum_read.h
@@ -52,7 +52,8 @@
         base::Micros asked_at = 0;
         std::map<std::string, LogIndex> answers;  // by voter
     };
-    Query* find(std::uint64_t number);
+    // Of an open query, among them; their numbers are consecutive.
+    std::optional<std::size_t> position_of(std::uint64_t number) const;
     static std::optional<LogIndex> required_index(const Query& query, const std::vector<std::string>& voters);
 
     std::deque<Query> queries_;  // the oldest first
--- a/src/consensus/state_confirmer.cpp
+++ b/src/consensus/state_confirmer.cpp
@@ -58,9 +58,9 @@
     const auto members = static_cast<Micros>(context_.transport.membership().member_count());
     const Micros for_all = kIntervalPerMember * members;
     const Micros shortest = std::max(kMinInterval, max_age_ / kQueriesPerMaxAge);
-    const Micros known_interval =
-        is_voting_member() ? shortest
-                           : std::max(shortest, std::min(for_all, max_age_ / kMinQueriesPerMaxAge));
+    const Micros known_interval = current_voters().empty()
+                                      ? std::max(shortest, std::min(for_all, max_age_ / kMinQueriesPerMaxAge))
+                                      : shortest;
     return context_.view.is_known() ? known_interval
                                     : std::min(known_interval, std::max(kUnknownInterval, for_all));
 }
@@ -83,9 +83,13 @@
     log_transitions();
 }
 
+std::vector<std::string> StateConfirmer::current_voters() const {
+    return context_.voter.votes() ? context_.voter.node().voters() : std::vector<std::string>{};
+}
+
 std::vector<std::string> StateConfirmer::targets() {
-    if (!is_voting_member()) return {next_single_target()};
-    std::vector<std::string> others = context_.voter.node().voters();
+    std::vector<std::string> others = current_voters();
+    if (others.empty()) return {next_single_target()};
     std::erase_if(others, [this](const std::string& voter) { return voter.empty() || voter == self(); });
     return others;
 }
@@ -115,9 +119,8 @@
 }
 
 void StateConfirmer::evaluate() {
-    if (!is_voting_member()) return;
-    const RaftNode& node = context_.voter.node();
-    if (const auto at = reads_.evaluate(node.voters(), node.last_applied()))
+    if (!context_.voter.votes()) return;
+    if (const auto at = reads_.evaluate(current_voters(), context_.voter.node().last_applied()))
         context_.follower.confirm(*at, self());
 }
 
@@ -131,21 +134,21 @@
 
 void StateConfirmer::fetch_state(const std::string& voter) {
     const Micros now = context_.loop.clock().now();
-    const auto confirmed_at = context_.view.confirmed_at();
-    const bool has_time = confirmed_at && now - *confirmed_at + kIntervalsLeftAtFetch * interval() < max_age_;
+    const auto age = context_.view.confirmed_age(now);
+    const bool has_time = age && *age + kIntervalsLeftAtFetch * interval() < max_age_;
     if (has_time || now < next_fetch_at_) return;
     next_fetch_at_ = now + interval();
     context_.follower.poll(voter, kFetchTimeout);
 }
 
 void StateConfirmer::log_transitions() {
-    const auto at = context_.view.confirmed_at();
-    const Micros age = at ? context_.loop.clock().now() - *at : 0;
-    const bool confirmed = at && age <= max_age_;
+    const auto age = context_.view.confirmed_age(context_.loop.clock().now());
+    const bool confirmed = age && *age <= max_age_;
     if (std::exchange(is_confirmed_, confirmed) == confirmed) return;
-    if (confirmed) return log::info("consensus: state confirmed age_ms={}", age / 1'000);
-    log::warn("consensus: state unconfirmed age_ms={} votes={} leader={}", age / 1'000,
-              context_.voter.votes(), context_.view.leader());
+    const Micros age_ms = age.value_or(0) / 1'000;
+    if (confirmed) return log::info("consensus: state confirmed age_ms={}", age_ms);
+    log::warn("consensus: state unconfirmed age_ms={} votes={} leader={}", age_ms, context_.voter.votes(),
+              context_.view.leader());
 }
 
 }  // namespace sumackeel::consensus
--- a/src/consensus/state_confirmer.h
+++ b/src/consensus/state_confirmer.h
@@ -56,9 +56,8 @@
     void confirm_by(const std::string& voter, base::Micros asked_at, const ConfirmReply& reply);
     void fetch_state(const std::string& voter);
     void log_transitions();
-    bool is_voting_member() const {
-        return context_.voter.votes() && !context_.voter.node().voters().empty();
-    }
+    // By the log of this member; empty if it is not a voter, or its log has no configuration yet.
+    std::vector<std::string> current_voters() const;
     const std::string& self() const { return context_.transport.membership().self().name; }
 
     Context context_;
--- a/src/consensus/state_view.cpp
+++ b/src/consensus/state_view.cpp
@@ -25,6 +25,11 @@
     return leader.empty() && follower_.is_polling() ? follower_.leader() : leader;
 }
 
+std::optional<base::Micros> StateView::confirmed_age(base::Micros now) const {
+    const auto at = confirmed_at();
+    return at ? std::optional(now - *at) : std::nullopt;
+}
+
 std::uint64_t StateView::history() const {
     return voter_.votes() ? voter_.node().history() : follower_.history();
 }
--- a/src/consensus/state_view.h
+++ b/src/consensus/state_view.h
@@ -29,6 +29,8 @@
     // The latest time, by the clock of the loop, before which everything committed is known to be included in
     // the state; no value if it has not been confirmed since the start. See StateConfirmer.
     std::optional<base::Micros> confirmed_at() const { return follower_.confirmed_at(); }
+    // The time from then until `now`, which has to be a reading of the clock made after whatever it answers.
+    std::optional<base::Micros> confirmed_age(base::Micros now) const;
     // The number of the history that the state is from.
     std::uint64_t history() const;
     // The version a proxy is running: from its member record, or as reported when it returned its last
--- a/src/daemon/components.cpp
+++ b/src/daemon/components.cpp
@@ -77,8 +77,7 @@
         [this](const kv_store::Purge& purge) {
             endpoint_manager->add_purges({{purge.object, purge.purge_group, loop.clock().now()}});
         });
-    core.set_purge_knowledge(
-        [this] { return kv_store_service ? kv_store_service->purge_knowledge() : core::PurgeKnowledge{}; });
+    core.set_purge_knowledge([this] { return kv_store_service->purge_knowledge(); });
 }
 
 void Components::update_config(const config::Config& fresh, const config::Operator& setup) {
--- a/src/daemon/components.h
+++ b/src/daemon/components.h
@@ -62,7 +62,6 @@
 
     // Another process listens on the same sockets before and after this one.
     bool has_inherited_socket() const { return config.inherited_fd >= 0; }
-    // The maximum age of a copy that may be served; 0: any.
     // A disk read or write is in progress, and may hang.
     bool disk_busy() const;
 
--- a/src/daemon/kv_store_service.cpp
+++ b/src/daemon/kv_store_service.cpp
@@ -205,8 +205,7 @@
     Json::Value value = json_field("version", Json::UInt64{entry ? entry->version : 0});
     if (entry) value["value"] = entry->value;
     value["revision"] = Json::UInt64{consensus_.kv_store().revision()};
-    if (const auto at = consensus_.confirmed_at())
-        value["age_s"] = static_cast<double>(loop_.clock().now() - *at) / 1e6;
+    if (const auto age = consensus_.confirmed_age()) value["age_s"] = static_cast<double>(*age) / 1e6;
     return value;
 }
 
