Tests: one core fixture, one way to interrupt a member, a query with its answers

Cause: purge_knowledge_test wrote the fixture of shutdown_deadline_test again, the storm of purges the stops and kills of `faults`, the cases of QuorumRead each the same three lines. Change: tests/core/core_fixture.h, ProcessesSteps.interrupt() and ask() serve both sides; checks, draws by seed and times of faults are as they were.

--- a/tests/consensus/quorum_read_test.cpp
+++ b/tests/consensus/quorum_read_test.cpp
@@ -18,10 +18,16 @@
 
 const std::vector<std::string> kThree{"a", "b", "c"};
 
+// A query sent at `now` with these answers; its number.
+std::uint64_t ask(QuorumRead& reads, Micros now, const std::map<std::string, Index>& answers) {
+    const auto number = reads.begin(now);
+    for (const auto& [voter, last_stored] : answers) reads.add_answer(number, voter, last_stored);
+    return number;
+}
+
 TEST(QuorumRead, NeedsAMajorityOfAnswers) {
     QuorumRead reads;
-    const auto number = reads.begin(100);
-    reads.add_answer(number, "a", 7);
+    const auto number = ask(reads, 100, {{"a", 7}});
     EXPECT_EQ(reads.evaluate(kThree, 7), std::nullopt);
     reads.add_answer(number, "a", 7);  // repeated
     EXPECT_EQ(reads.evaluate(kThree, 7), std::nullopt);
@@ -46,9 +52,7 @@
 
 TEST(QuorumRead, WaitsForWhatItsOwnStateLacks) {
     QuorumRead reads;
-    const auto number = reads.begin(100);
-    reads.add_answer(number, "a", 7);
-    reads.add_answer(number, "b", 9);
+    ask(reads, 100, {{"a", 7}, {"b", 9}});
     EXPECT_EQ(reads.evaluate(kThree, 8), std::nullopt);
     EXPECT_EQ(reads.evaluate(kThree, 9), 100);
 }
@@ -56,18 +60,13 @@
 // A former leader's entries that were never committed must not keep all others from being confirmed.
 TEST(QuorumRead, LeavesOutALongerLogBesideAMajorityOfShorterOnes) {
     QuorumRead reads;
-    const auto number = reads.begin(100);
-    reads.add_answer(number, "a", 7);
-    reads.add_answer(number, "b", 900);
-    reads.add_answer(number, "c", 7);
+    ask(reads, 100, {{"a", 7}, {"b", 900}, {"c", 7}});
     EXPECT_EQ(reads.evaluate(kThree, 7), 100);
 }
 
 TEST(QuorumRead, CountsOnlyCurrentVoters) {
     QuorumRead reads;
-    const auto number = reads.begin(100);
-    reads.add_answer(number, "a", 7);
-    reads.add_answer(number, "gone", 7);
+    ask(reads, 100, {{"a", 7}, {"gone", 7}});
     EXPECT_EQ(reads.evaluate(kThree, 7), std::nullopt);
     EXPECT_EQ(reads.evaluate({}, 7), std::nullopt);
     EXPECT_EQ(reads.evaluate({"a", "gone"}, 7), 100);
--- a/tests/core/purge_knowledge_test.cpp
+++ b/tests/core/purge_knowledge_test.cpp
@@ -2,12 +2,10 @@
 // accept is limited then, however long they waited for their connection or for the process to continue.
 #include <gtest/gtest.h>
 
-#include <limits>
+#include <string>
 #include <vector>
 
-#include "../daemon/support.h"
-#include "config/config.h"
-#include "core/core.h"
+#include "core_fixture.h"
 #include "upstream/cache_protocol.h"
 
 using namespace sumackeel;
@@ -16,9 +14,9 @@
 
 constexpr base::Micros kValidFor = 250'000, kMaxAge = 250'000;
 
-// Encodes each attempt as it would be at two times: when it was decided, and once the purges are not
-// sufficient.
-struct EncodingUpstream : core::Upstream {
+// Encodes each attempt as it would be written at several times, before and after the known purges are no
+// longer sufficient.
+struct EncodingUpstream : IdleUpstream {
     base::Micros written_at = 0;
     std::vector<std::string> written;
     std::uint64_t start(const core::AttemptRequest& attempt) override {
@@ -27,45 +25,14 @@
             written.push_back(encoder.encode_at(written_at + delay));
         return written.size();
     }
-    bool cancel(base::Handle) override { return true; }
-    bool not_started(base::Handle) const override { return false; }
-    void close_idle_connections(const std::string&) override {}
 };
 
 struct IgnoringSink : core::ResponseSink {
     void on_response(std::uint64_t, core::Response) override {}
 };
 
-struct PurgeKnowledgeTest : testing::Test {
-    config::Config config = config::parse_config(story::config_text(
-        {R"({"host":"s-a","dial":"127.0.0.1:1","site":"edge-1","class":"small","block":1,"health":"SERVING","share":8,"born_ms":0})",
-         R"({"host":"s-o","dial":"127.0.0.1:2","site":"coast","class":"origin","block":3,"health":"SERVING","share":8,"born_ms":0})"}));
-    base::Clock clock;
-    base::TimerQueue deadlines;
-    EncodingUpstream upstream;
-    IgnoringSink sink;
-    core::Core core{config.site.settings, 42, clock, deadlines};
-
-    void SetUp() override {
-        core.attach(upstream);
-        routing::EndpointUpdate update;
-        update.kind = routing::EndpointUpdateKind::full;
-        for (const config::LocatedEndpoint& located : config.known.front().endpoints)
-            update.endpoints.push_back(located.endpoint);
-        core.notify(std::move(update));
-        core.process_events();
-        upstream.written_at = clock.now();
-    }
-    void submit(int class_index = 0) {
-        core::Request request;
-        request.class_index = class_index;
-        request.id = "00000000000000c1";
-        request.object = "7f3a9c21e0b4d655";
-        request.time_left = 6'000'000;
-        request.size_kb = 40;
-        core.submit(std::move(request), sink, 1);
-        core.process_events();
-    }
+struct PurgeKnowledgeTest : testing::Test, CoreFixture<EncodingUpstream, IgnoringSink> {
+    PurgeKnowledgeTest() { upstream.written_at = clock.now(); }
     bool accepts_all(std::size_t index) const {
         return upstream.written.at(index).find(",accept=") == std::string::npos;
     }
--- a/tests/core/shutdown_deadline_test.cpp
+++ b/tests/core/shutdown_deadline_test.cpp
@@ -2,21 +2,18 @@
 // response from the core, instead of losing their connection without one.
 #include <gtest/gtest.h>
 
-#include "../daemon/support.h"
-#include "config/config.h"
-#include "core/core.h"
+#include <vector>
+
+#include "core_fixture.h"
 
 using namespace sumackeel;
 
 namespace {
 
 // Never ends an attempt, like a pop cache that has stopped responding.
-struct UnresponsiveUpstream : core::Upstream {
+struct UnresponsiveUpstream : IdleUpstream {
     int started = 0;
     std::uint64_t start(const core::AttemptRequest&) override { return ++started; }
-    bool cancel(base::Handle) override { return true; }
-    bool not_started(base::Handle) const override { return false; }
-    void close_idle_connections(const std::string&) override {}
 };
 
 struct RecordingSink : core::ResponseSink {
@@ -24,41 +21,12 @@
     void on_response(std::uint64_t, core::Response response) override { statuses.push_back(response.status); }
 };
 
-struct CoreFixture {
-    config::Config config = config::parse_config(story::config_text(
-        {R"({"host":"s-a","dial":"127.0.0.1:1","site":"edge-1","class":"small","block":1,"health":"SERVING","share":8,"born_ms":0})",
-         R"({"host":"s-o","dial":"127.0.0.1:2","site":"coast","class":"origin","block":3,"health":"SERVING","share":8,"born_ms":0})"}));
-    base::Clock clock;
-    base::TimerQueue deadlines;
-    UnresponsiveUpstream upstream;
-    RecordingSink sink;
-    core::Core core{config.site.settings, 42, clock, deadlines};
-
-    CoreFixture() {
-        core.attach(upstream);
-        routing::EndpointUpdate update;
-        update.kind = routing::EndpointUpdateKind::full;
-        for (const config::LocatedEndpoint& located : config.known.front().endpoints)
-            update.endpoints.push_back(located.endpoint);
-        core.notify(std::move(update));
-        core.process_events();
-    }
-    void submit(double size_kb = 40) {
-        core::Request request;
-        request.class_index = 0;  // video: the client's timeout is 6 s
-        request.id = "00000000000000c1";
-        request.object = "7f3a9c21e0b4d655";
-        request.time_left = 6'000'000;
-        request.size_kb = size_kb;
-        core.submit(std::move(request), sink, 1);
-        core.process_events();
-    }
-};
+using LastWordFixture = CoreFixture<UnresponsiveUpstream, RecordingSink>;
 
 }  // namespace
 
 TEST(LastWord, AnswersWhatIsOpenByTheTimeTheProcessIsToBeGone) {
-    CoreFixture fixture;
+    LastWordFixture fixture;
     fixture.submit();
     const base::Micros now = fixture.clock.now();
     fixture.core.set_shutdown_deadline(now + 1'000'000);
@@ -69,7 +37,7 @@
 }
 
 TEST(LastWord, BindsRequestsTakenAfterItWasSaid) {
-    CoreFixture fixture;
+    LastWordFixture fixture;
     const base::Micros now = fixture.clock.now();
     fixture.core.set_shutdown_deadline(now + 1'000'000);
     fixture.submit();
@@ -80,7 +48,7 @@
 // Without an immediate rejection, clients that keep sending on open connections during an upgrade have every
 // long video cut off at the shutdown deadline, 2 s after they could have had it from the new process.
 TEST(LastWord, RefusesAtOnceWhatCanNotEndByThen) {
-    CoreFixture fixture;
+    LastWordFixture fixture;
     fixture.core.set_shutdown_deadline(fixture.clock.now() + 500'000);
     const double kb_a_second = fixture.config.site.settings.transfer_rate_kb_per_s;
     fixture.submit(0.1 * kb_a_second);
@@ -92,7 +60,7 @@
 }
 
 TEST(LastWord, LeavesRequestsAloneWhileNoEndIsNear) {
-    CoreFixture fixture;
+    LastWordFixture fixture;
     fixture.submit();
     fixture.deadlines.run_due(fixture.clock.now() + 1'100'000);
     EXPECT_TRUE(fixture.sink.statuses.empty());
--- a/tests/fleet/harness/steps/processes.py
+++ b/tests/fleet/harness/steps/processes.py
@@ -114,20 +114,21 @@
                 member, what = chance.choice(self.fleet.all), chance.choice(["stop", "kill", "cut", "cut"])
                 last, rest = chance.uniform(0.3, 1.5), chance.uniform(0.2, 0.8)
             with member.taken:
-                if what == "stop":
-                    self.stop(member.index)
-                    time.sleep(last)
-                    self.cont(member.index)
-                elif what == "kill":
-                    self.kill(member.index)
-                    time.sleep(last / 2)
-                    self.start(member.index)
-                else:
+                if what == "cut":
                     self.cut(member.index, "all", both=True)
                     time.sleep(last)
                     self.heal()
+                else:
+                    self.interrupt(member, what, last if what == "stop" else last / 2)
             time.sleep(rest)
 
+    def interrupt(self, member, what, seconds):
+        """It does not run for so long: stopped and continued, or killed and started."""
+        halt, resume = (self.stop, self.cont) if what == "stop" else (self.kill, self.start)
+        halt(member.index)
+        time.sleep(seconds)
+        resume(member.index)
+
     def launch(self, who):
         """Started, not waited for."""
         for member in self.fleet.pick(who):
--- a/tests/fleet/harness/steps/purges.py
+++ b/tests/fleet/harness/steps/purges.py
@@ -31,6 +31,7 @@
         super().__init__(fleet)
         self.purges = []
         self.companion = None  # cut off together with "led"
+        self.unconfirmed_marked = {}  # attempts by member, at the mark
 
     def record_purge(self, called_at, acknowledged_at, object_id):
         self.purges.append(AcknowledgedPurge(called_at, acknowledged_at, object_id))
@@ -128,14 +129,8 @@
             what = chance.choice(["stop", "kill", "cut", "cut out", "cut in", "late", "lossy"])
             last = chance.uniform(0.3, 2.5)
             print(f"{what} {member.name} for {last:.2f} s", flush=True)
-            if what == "stop":
-                self.stop(member.index)
-                time.sleep(last)
-                self.cont(member.index)
-            elif what == "kill":
-                self.kill(member.index)
-                time.sleep(last / 4)
-                self.start(member.index)
+            if what in ("stop", "kill"):
+                self.interrupt(member, what, last if what == "stop" else last / 4)
             else:
                 self.disturb_links(member.index, what, chance)
                 time.sleep(last)
@@ -158,8 +153,7 @@
     def unconfirmed_attempts(self, most):
         """So many attempts were sent at the most with the limit for purges that may have been missed, since the mark."""
         counted = {member.name: self.count_unconfirmed(member) for member in self.fleet.all}
-        since = getattr(self, "unconfirmed_marked", {})
-        found = {name: count - since.get(name, 0) for name, count in counted.items()}
+        found = {name: count - self.unconfirmed_marked.get(name, 0) for name, count in counted.items()}
         print(f"attempts by unconfirmed purges: {found}")
         if sum(found.values()) > most:
             raise Failed(f"attempts by unconfirmed purges: {found}")
