--- a/src/consensus/consensus_client.cpp
+++ b/src/consensus/consensus_client.cpp
@@ -51,8 +51,9 @@
               }}),
       view_(voter_, follower_),
       processor_({loop, transport, setup_, voter_, view_, std::move(fleet)}),
-      server_(loop.clock(), transport, voter_, view_, processor_),
-      confirmer_({loop, transport, setup_, voter_, view_, follower_}, options.max_confirmed_age) {
+      server_(loop.clock(), transport, voter_, view_, processor_, purge_relay_),
+      confirmer_({loop, transport, setup_, voter_, view_, purge_relay_, follower_},
+                 options.max_confirmed_age) {
     voter_.start(options.wait_for_folder);
     log::info("consensus: started member={} role={}", self(), voter_.votes() ? "voter" : "follower");
     if (!voter_.votes()) follower_.start_polling();
--- a/src/consensus/consensus_client.h
+++ b/src/consensus/consensus_client.h
@@ -7,12 +7,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "cluster_transport/cluster_transport.h"
 #include "config/operator.h"
 #include "consensus/consensus_messages.h"
 #include "consensus/consensus_server.h"
 #include "consensus/local_voter.h"
+#include "consensus/purge_relay.h"
 #include "consensus/request_processor.h"
 #include "consensus/state_confirmer.h"
 #include "consensus/state_follower.h"
@@ -70,6 +72,8 @@
     const kv_store::State& kv_store() const { return view_.kv_store(); }
     // Sets the callback that runs after each change of the key-value store.
     void on_kv_store_change(std::function<void()> callback) { kv_store_changed_ = std::move(callback); }
+    // Purges to send with the confirm queries and replies, and the callback for received ones.
+    void set_purge_relay(PurgeRelay relay) { purge_relay_ = std::move(relay); }
     // On the leader: makes the reachable voters apply what is committed here at once instead of with the next
     // heartbeat.
     void replicate_now();
@@ -83,6 +87,7 @@
     // the member is unknown.
     std::optional<rollout::CommandResult> explain(const std::string& member) const;
     bool is_leader() const { return voter_.is_leader(); }
+    bool votes() const { return voter_.votes(); }
     // The version a proxy is running, by the latest information known here.
     rollout::RunningVersion running_version_of(const cluster::MemberRecord& record) const {
         return view_.running_version_of(record);
@@ -115,6 +120,7 @@
     config::Consensus setup_;
     StateCallback state_changed_;
     std::function<void()> kv_store_changed_;
+    PurgeRelay purge_relay_;
     StateFollower follower_;
     LocalVoter voter_;
     StateView view_;
--- a/src/consensus/consensus_messages.cpp
+++ b/src/consensus/consensus_messages.cpp
@@ -6,6 +6,7 @@
 
 #include "base/msgpack.h"
 #include "consensus/consensus_error.h"
+#include "kv_store/purge_exchange.h"
 
 namespace sumackeel::consensus {
 
@@ -48,10 +49,11 @@
     const std::int64_t last_stored =
         reply.last_stored ? static_cast<std::int64_t>(*reply.last_stored) : kNone;
     base::MsgpackWriter out;
-    return out.array(6)
+    out.array(reply.pending_purges.empty() ? 6 : 7)
         .add(reply.history, last_stored, reply.revision, reply.kv_store, reply.confirmed_age.value_or(kNone),
-             reply.leader)
-        .bytes();
+             reply.leader);
+    if (!reply.pending_purges.empty()) kv_store::pack_purges(out, reply.pending_purges);
+    return out.bytes();
 }
 
 ConfirmReply decode_confirm_reply(const std::string& body) {
@@ -64,6 +66,7 @@
     reply.kv_store = reader.next<std::uint64_t>();
     reply.confirmed_age = next_optional(reader);
     reply.leader = reader.text(rollout::kMaxNameLength);
+    if (reader.remaining() > 0) reply.pending_purges = kv_store::read_purges(reader);
     return reply;
 }
 
--- a/src/consensus/consensus_messages.h
+++ b/src/consensus/consensus_messages.h
@@ -5,9 +5,11 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "cluster_transport/message_codec.h"
+#include "kv_store/kv_store.h"
 #include "rollout/rollout.h"
 
 namespace sumackeel::consensus {
@@ -52,6 +54,8 @@
     // The time since the voter's state was confirmed, see StateView::confirmed_at(); none: never.
     std::optional<base::Micros> confirmed_age = {};
     std::string leader = {};  // the leader's name by the voter's log; empty if unknown
+    // Purges that the voter knows of and that are not in the log yet, see PurgeRelay.
+    std::vector<kv_store::Purge> pending_purges = {};
 };
 std::string encode(const ConfirmReply& reply);
 ConfirmReply decode_confirm_reply(const std::string& body);
--- a/src/consensus/consensus_server.cpp
+++ b/src/consensus/consensus_server.cpp
@@ -3,18 +3,26 @@
 #include <optional>
 
 #include "base/log.h"
+#include "kv_store/purge_exchange.h"
 
 namespace sumackeel::consensus {
 
 ConsensusServer::ConsensusServer(base::Clock& clock, ClusterTransport& transport, LocalVoter& voter,
-                                 const StateView& view, RequestProcessor& processor)
-    : clock_(clock), transport_(transport), voter_(voter), view_(view), processor_(processor) {
+                                 const StateView& view, RequestProcessor& processor,
+                                 const PurgeRelay& purge_relay)
+    : clock_(clock),
+      transport_(transport),
+      voter_(voter),
+      view_(view),
+      processor_(processor),
+      purge_relay_(purge_relay) {
     for (const char* verb : {kRequestVerb, kStateVerb})
         transport_.on_call(verb,
                            [this](const std::string& from, const std::string& called, const std::string& body,
                                   const Respond& respond) { on_call(from, called, body, respond); });
-    transport_.on_query(kConfirmVerb,
-                        [this](const std::string&, const std::string&) { return confirm_reply(); });
+    transport_.on_query(kConfirmVerb, [this](const std::string& from, const std::string& query) {
+        return confirm_reply(from, query);
+    });
 }
 
 ConsensusServer::~ConsensusServer() {
@@ -68,10 +76,22 @@
 
 // The age is as of now, after the query was received: by an earlier reading of the clock the asker would date
 // the confirmation too late.
-std::optional<std::string> ConsensusServer::confirm_reply() const {
+std::optional<std::string> ConsensusServer::confirm_reply(const std::string& from,
+                                                          const std::string& query) const {
+    try {
+        purge_relay_.receive(kv_store::decode_purges(query));
+    } catch (const std::exception& error) {
+        log::warn("consensus: confirm query rejected member={} reason={}", from, error.what());
+        return std::nullopt;
+    }
     if (!voter_.votes()) return std::nullopt;
-    return encode(ConfirmReply{voter_.node().history(), voter_.node().last_stored(), view_.state().revision(),
-                               view_.kv_store().revision(), view_.confirmed_age(clock_.now()), own_leader()});
+    return encode(ConfirmReply{.history = voter_.node().history(),
+                               .last_stored = voter_.node().last_stored(),
+                               .revision = view_.state().revision(),
+                               .kv_store = view_.kv_store().revision(),
+                               .confirmed_age = view_.confirmed_age(clock_.now()),
+                               .leader = own_leader(),
+                               .pending_purges = purge_relay_.to_send()});
 }
 
 }  // namespace sumackeel::consensus
--- a/src/consensus/consensus_server.h
+++ b/src/consensus/consensus_server.h
@@ -8,6 +8,7 @@
 #include "cluster_transport/cluster_transport.h"
 #include "consensus/consensus_messages.h"
 #include "consensus/local_voter.h"
+#include "consensus/purge_relay.h"
 #include "consensus/request_processor.h"
 #include "consensus/state_view.h"
 
@@ -17,7 +18,7 @@
   public:
     // Handles calls until close() or destruction; all references must outlive this object.
     ConsensusServer(base::Clock& clock, ClusterTransport& transport, LocalVoter& voter, const StateView& view,
-                    RequestProcessor& processor);
+                    RequestProcessor& processor, const PurgeRelay& purge_relay);
     ~ConsensusServer();
     ConsensusServer(const ConsensusServer&) = delete;
     ConsensusServer& operator=(const ConsensusServer&) = delete;
@@ -29,7 +30,7 @@
                  const Respond& respond);
     void on_request(const std::string& body, const Respond& respond);
     std::string state_reply(const KnownRevision& known) const;
-    std::optional<std::string> confirm_reply() const;
+    std::optional<std::string> confirm_reply(const std::string& from, const std::string& query) const;
     // The leader according to this member's own log. Leaders reported by others are not passed on: members
     // would keep repeating the name to each other after that leader is gone.
     std::string own_leader() const;
@@ -39,6 +40,7 @@
     LocalVoter& voter_;
     const StateView& view_;
     RequestProcessor& processor_;
+    const PurgeRelay& purge_relay_;
 };
 
 }  // namespace sumackeel::consensus
--- a/src/consensus/request_processor.cpp
+++ b/src/consensus/request_processor.cpp
@@ -27,9 +27,13 @@
     if (request.kind == RequestKind::read) return node.read(request.member, std::move(done));
     if (request.kind == RequestKind::take_leadership)
         return node.transfer_leadership(request.member, std::move(done));
-    if (request.kind == RequestKind::change)
+    if (request.kind == RequestKind::change) {
+        const auto purge = kv_store::purge_of_origin(request.body);
+        if (purge && node.kv_store().has_purge_of_origin(*purge))
+            return done(CommandResult{rollout::Outcome::granted, node.kv_store().last_purge(), {}, {}});
         return node.propose(kv_store::with_leader_time(request.body, context_.loop.clock().now()),
                             std::move(done));
+    }
     // Without an active release there is no upgrade lease; proposed as a plain lease it would be granted.
     if (request.kind == RequestKind::upgrade_lease && !node.state().releases().active())
         return done(CommandResult{rollout::Outcome::none, 0, "no release is under way", {}});
--- a/src/consensus/state_confirmer.cpp
+++ b/src/consensus/state_confirmer.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "kv_store/purge_exchange.h"
 
 namespace sumackeel::consensus {
 
@@ -78,7 +79,9 @@
         const auto last_stored = context_.voter.node().last_stored();
         if (last_stored) reads_.add_answer(number, self(), *last_stored);
     }
-    for (const std::string& voter : targets()) context_.transport.send_query(voter, kConfirmVerb, number, {});
+    const std::string pending_purges = kv_store::encode_purges(context_.purge_relay.to_send());
+    for (const std::string& voter : targets())
+        context_.transport.send_query(voter, kConfirmVerb, number, pending_purges);
     evaluate();
     log_transitions();
 }
@@ -106,6 +109,7 @@
 
 void StateConfirmer::on_reply(const std::string& from, std::uint64_t number, const std::string& body) {
     const ConfirmReply reply = decode_confirm_reply(body);
+    context_.purge_relay.receive(reply.pending_purges);
     const auto asked_at = reads_.asked_at(number);
     if (!asked_at) return;
     const std::uint64_t own_history = context_.view.history();
--- a/src/consensus/state_confirmer.h
+++ b/src/consensus/state_confirmer.h
@@ -15,6 +15,7 @@
 #include "config/operator.h"
 #include "consensus/consensus_messages.h"
 #include "consensus/local_voter.h"
+#include "consensus/purge_relay.h"
 #include "consensus/quorum_read.h"
 #include "consensus/state_follower.h"
 #include "consensus/state_view.h"
@@ -30,6 +31,7 @@
         const config::Consensus& setup;  // always the current settings
         const LocalVoter& voter;
         const StateView& view;
+        const PurgeRelay& purge_relay;
         StateFollower& follower;
     };
     // Everything that the context refers to must outlive this object. `max_age`: how old the confirmation of
--- a/src/daemon/components.cpp
+++ b/src/daemon/components.cpp
@@ -14,6 +14,18 @@
 
 using base::Micros;
 
+namespace {
+
+kv_store::Purge purge_of(const config::WatchEvent& event) {
+    kv_store::Purge purge;
+    purge.object = event.object;
+    purge.purge_group = event.object.empty() ? event.purge_group : 0;
+    purge.origin_time = event.purge_time.micros;
+    return purge;
+}
+
+}  // namespace
+
 Components::Components(const config::Config& configuration, const config::Operator& setup, Files read_from,
                        Hooks hooks)
     : config(configuration),
@@ -73,10 +85,15 @@
 
 void Components::make_kv_store_service(const config::Store& settings, Micros max_confirmed_age) {
     kv_store_service = std::make_unique<KvStoreService>(
-        loop, socket_budget, *cluster_transport, *consensus_client, settings, max_confirmed_age,
-        [this](const kv_store::Purge& purge) {
-            endpoint_manager->add_purges({{purge.object, purge.purge_group, loop.clock().now()}});
-        });
+        loop, socket_budget, *cluster_transport, *consensus_client, settings,
+        KvStoreService::PurgeOptions{
+            .max_confirmed_age = max_confirmed_age,
+            .retention = 2 * config.site.settings.purge_completes_within,
+            .on_purge = [this](const kv_store::Purge& purge) {
+                endpoint_manager->add_purges({{purge.object, purge.purge_group, loop.clock().now()}});
+            }});
+    endpoint_manager->on_change_log_purge(
+        [this](const config::WatchEvent& event) { kv_store_service->on_change_log_purge(purge_of(event)); });
     core.set_purge_knowledge([this] { return kv_store_service->purge_knowledge(); });
 }
 
@@ -99,6 +116,7 @@
     core.set_purge_knowledge({});
     core.on_served({});
     endpoint_manager->on_confirmed({});
+    endpoint_manager->on_change_log_purge({});
 }
 
 bool Components::disk_busy() const {
--- a/src/daemon/endpoint_manager.cpp
+++ b/src/daemon/endpoint_manager.cpp
@@ -21,6 +21,8 @@
 constexpr Micros kPurgeEventDelay = 1'000'000;
 // Start times of all endpoints ever reported; beyond this number they are converted again.
 constexpr std::size_t kMaxStartTimes = 200'000;
+// Told before there is a store to pass them on to; the oldest come first, in the configuration.
+constexpr std::size_t kMaxPurgesBeforeCallback = 20'000;
 
 endpoints::ViewOptions view_options(const config::Config& config, const config::Operator& setup) {
     endpoints::ViewOptions options;
@@ -62,7 +64,12 @@
 EndpointManager::EndpointManager(net::Loop& loop, net::SocketBudget& sockets, core::Core& core,
                                  upstream::ConnectionPool& pool, const config::Config& config,
                                  const config::Operator& setup)
-    : loop_(loop), core_(core), pool_(pool), config_(config), view_(view_options(config, setup)) {
+    : loop_(loop),
+      core_(core),
+      pool_(pool),
+      config_(config),
+      view_(view_options(config, setup)),
+      passes_purges_on_(setup.store.has_value()) {
     if (setup.endpoint_snapshot) {
         start_snapshots(*setup.endpoint_snapshot);
         // The age of the configuration is unknown, so its endpoints are only a seed list.
@@ -195,10 +202,31 @@
         "endpoints: received sequence={} log={} fleet={} entries={} purge={} object={} group={} ago_us={}",
         change.sequence, log_index, change.has_endpoints, change.endpoints.size(), change.has_purge,
         change.object, change.purge_group, change.has_purge ? now - change.purged_at : 0);
-    if (change.has_purge) notify_purge({change.object, change.purge_group, change.purged_at});
+    if (change.has_purge) {
+        notify_purge({change.object, change.purge_group, change.purged_at});
+        report_purge(reported);
+    }
     if (snapshot_writer_ && result != endpoints::ApplyResult::outdated) snapshot_writer_->on_changed();
 }
 
+void EndpointManager::report_purge(const config::WatchEvent& event) {
+    if (on_change_log_purge_)
+        on_change_log_purge_(event);
+    else if (passes_purges_on_ && purges_before_callback_.size() < kMaxPurgesBeforeCallback)
+        purges_before_callback_.push_back(event);
+}
+
+// The configuration may hold the purges of hours; all but the newest have been carried out long ago.
+void EndpointManager::on_change_log_purge(std::function<void(const config::WatchEvent&)> callback) {
+    on_change_log_purge_ = std::move(callback);
+    base::UnixTime newest{};
+    for (const config::WatchEvent& event : purges_before_callback_)
+        newest = std::max(newest, event.purge_time);
+    const Micros retention = 2 * config_.site.settings.purge_completes_within;
+    for (const config::WatchEvent& event : std::exchange(purges_before_callback_, {}))
+        if (on_change_log_purge_ && newest - event.purge_time <= retention) on_change_log_purge_(event);
+}
+
 void EndpointManager::on_list_confirmed() {
     const bool first = !view_.is_live();
     view_.confirm(loop_.clock().now());
--- a/src/daemon/endpoint_manager.h
+++ b/src/daemon/endpoint_manager.h
@@ -43,6 +43,9 @@
     // Whether the list was confirmed within the last `within`; also true if there is no change log.
     bool is_confirmed(base::Micros within) const;
     void on_confirmed(std::function<void()> callback) { on_confirmed_ = std::move(callback); }
+    // Called for each purge that a change log or the configuration tells, from now on and once for each that
+    // was told before, while copies from before it may exist.
+    void on_change_log_purge(std::function<void(const config::WatchEvent&)> callback);
     bool is_known(const std::string& id) const { return view_.find(id) != nullptr; }
 
   private:
@@ -51,6 +54,7 @@
     void poll_snapshot_loader();
     void on_watch_event(const config::WatchEvent& change, int log_index);
     void notify_purge(const endpoints::Purge& purge);
+    void report_purge(const config::WatchEvent& event);
     void on_list_confirmed();
     void publish();
     void convert_start_times(config::WatchEvent& change);
@@ -76,6 +80,9 @@
     std::map<std::string, StartTime> start_times_;  // by endpoint
     base::Micros cold_since_ = 0;                   // 0: no endpoint is treated as cold
     std::function<void()> on_confirmed_;
+    std::function<void(const config::WatchEvent&)> on_change_log_purge_;
+    const bool passes_purges_on_;  // the callback will be set
+    std::vector<config::WatchEvent> purges_before_callback_;
 };
 
 }  // namespace sumackeel::daemon
--- a/src/daemon/kv_store_service.cpp
+++ b/src/daemon/kv_store_service.cpp
@@ -89,13 +89,14 @@
 KvStoreService::KvStoreService(net::Loop& loop, net::SocketBudget& sockets,
                                cluster_transport::ClusterTransport& transport,
                                consensus::ConsensusClient& client, const config::Store& setup,
-                               Micros max_confirmed_age, OnPurge on_purge)
+                               PurgeOptions purges)
     : loop_(loop),
       transport_(transport),
       consensus_(client),
       setup_(setup),
-      on_purge_(std::move(on_purge)),
-      max_confirmed_age_(max_confirmed_age),
+      max_confirmed_age_(purges.max_confirmed_age),
+      replicator_(loop, client, transport.membership().self().name,
+                  {.retention = purges.retention, .on_purge = std::move(purges.on_purge)}),
       api_(loop, sockets, setup.listen,
            [this](const Json::Value& request, const store::StoreApi::Answer& respond) {
                handle_request(request, respond);
@@ -144,11 +145,17 @@
     const auto newer = std::upper_bound(
         state.purges().begin(), state.purges().end(), notified_purge_,
         [](std::uint64_t number, const kv_store::Purge& purge) { return number < purge.number; });
-    std::for_each(newer, state.purges().end(), on_purge_);
-    const bool has_new = state.last_purge() > notified_purge_;
+    bool has_new = false, has_new_of_operator = false;
+    std::for_each(newer, state.purges().end(), [&](const kv_store::Purge& purge) {
+        has_new = true;
+        has_new_of_operator = has_new_of_operator || purge.origin_time == 0;
+        replicator_.on_replicated(purge, state.purges().back());
+    });
     notified_purge_ = std::max(notified_purge_, state.last_purge());
     if (!has_new || !consensus_.is_leader()) return;
     consensus_.replicate_now();
+    // Members learn of the others from their own change logs, or from the next confirm query.
+    if (!has_new_of_operator) return;
     auto names = std::make_shared<std::vector<std::string>>();
     for (const cluster::MemberView& member : transport_.membership().members())
         if (member.state == cluster::State::alive || member.state == cluster::State::suspect)
--- a/src/daemon/kv_store_service.h
+++ b/src/daemon/kv_store_service.h
@@ -15,6 +15,7 @@
 #include "config/operator.h"
 #include "consensus/consensus_client.h"
 #include "core/core.h"
+#include "daemon/purge_replicator.h"
 #include "net/loop.h"
 #include "store/legacy_store_import.h"
 #include "store/store_api.h"
@@ -25,17 +26,25 @@
   public:
     using OnPurge = std::function<void(const kv_store::Purge&)>;
 
-    // `client` and `transport` must outlive this. `max_confirmed_age`: for how long the purges in a confirmed
-    // state are taken for all, and the maximum age of the copies accepted after that. `on_purge` is called
-    // once for each purge, which counts as received now, whenever it was submitted.
+    // How purges are obeyed. `max_confirmed_age`: for how long the purges in a confirmed state are taken for
+    // all, and the maximum age of the copies accepted after that. `retention`: for how long a copy from
+    // before a purge may exist. `on_purge` is called once for each purge that this proxy did not learn from
+    // its own change log; it counts as received now, whenever it was submitted.
+    struct PurgeOptions {
+        base::Micros max_confirmed_age = 0, retention = 0;
+        OnPurge on_purge;
+    };
+    // `client` and `transport` must outlive this.
     KvStoreService(net::Loop& loop, net::SocketBudget& sockets,
                    cluster_transport::ClusterTransport& transport, consensus::ConsensusClient& client,
-                   const config::Store& setup, base::Micros max_confirmed_age, OnPurge on_purge);
+                   const config::Store& setup, PurgeOptions purges);
     ~KvStoreService();
     KvStoreService(const KvStoreService&) = delete;
     KvStoreService& operator=(const KvStoreService&) = delete;
 
     std::optional<std::string> get(const std::string& key) const;
+    // A purge that the change log told this proxy, which obeys it already: passed on to all others.
+    void on_change_log_purge(const kv_store::Purge& purge) { replicator_.on_change_log_purge(purge); }
     // A proxy whose state has not been confirmed for a while may have missed a purge.
     core::PurgeKnowledge purge_knowledge() const;
     // Handles calls under /ops/purge. No value: the reply comes by `respond_later`.
@@ -60,8 +69,8 @@
     cluster_transport::ClusterTransport& transport_;
     consensus::ConsensusClient& consensus_;
     const config::Store setup_;
-    OnPurge on_purge_;
     const base::Micros max_confirmed_age_;
+    PurgeReplicator replicator_;
     std::uint64_t notified_purge_ = 0;  // the newest purge passed to the router
     std::optional<store::LegacyStore> legacy_store_;
     std::optional<base::TimerQueue::Key> import_timer_;
--- a/src/kv_store/codec.cpp
+++ b/src/kv_store/codec.cpp
@@ -1,9 +1,11 @@
 // The encoding of commands and state in the log, in snapshots and between members: a MessagePack array that
 // starts with a format marker. No rollout command starts with this marker.
+#include <algorithm>
 #include <stdexcept>
 
 #include "base/msgpack.h"
 #include "kv_store/kv_store.h"
+#include "kv_store/purge_exchange.h"
 
 namespace sumackeel::kv_store {
 
@@ -41,14 +43,18 @@
     return item;
 }
 
+// Versions without purges of change logs read the first five values.
 void pack(MsgpackWriter& out, const Purge& purge) {
-    out.array(5).add(purge.number, purge.purge_group, purge.object, purge.by, purge.at);
+    const bool is_of_origin = purge.origin_time != 0;
+    out.array(is_of_origin ? 6 : 5).add(purge.number, purge.purge_group, purge.object, purge.by, purge.at);
+    if (is_of_origin) out.add(purge.origin_time);
 }
 Purge read_purge(MsgpackReader reader) {
     Purge purge;
     purge.number = reader.next<std::uint64_t>(), purge.purge_group = reader.next<int>();
     purge.object = reader.text(kMaxKeyLength), purge.by = reader.text(kMaxNameLength),
     purge.at = reader.next<Micros>();
+    if (reader.remaining() > 0) purge.origin_time = reader.next<std::int64_t>();
     return purge;
 }
 
@@ -116,6 +122,42 @@
     }
 }
 
+std::optional<Purge> purge_of_origin(std::string_view command) {
+    const base::MsgpackDocument document = parse(command);
+    MsgpackReader reader = document.reader(3);
+    if (reader.next<int>() != kFormatMarker) MsgpackReader::fail();
+    if (reader.enumeration(RecordKind::update) != RecordKind::purge) return std::nullopt;
+    const Purge purge = read_purge(reader.array(5));
+    return purge.origin_time != 0 ? std::optional(purge) : std::nullopt;
+}
+
+void pack_purges(MsgpackWriter& out, const std::vector<Purge>& purges) {
+    out.array(purges.size());
+    for (const Purge& purge : purges) pack(out, purge);
+}
+
+std::vector<Purge> read_purges(MsgpackReader& reader) {
+    std::vector<Purge> purges;
+    for (MsgpackReader items = reader.list(kMaxRelayedPurges); items.remaining() > 0;)
+        purges.push_back(read_purge(items.array(5)));
+    return purges;
+}
+
+std::string encode_purges(const std::vector<Purge>& purges) {
+    if (purges.empty()) return {};
+    MsgpackWriter out;
+    pack_purges(out.array(1), purges);
+    return out.bytes();
+}
+
+std::vector<Purge> decode_purges(std::string_view bytes) {
+    if (bytes.empty()) return {};
+    const base::MsgpackDocument document =
+        base::parse_msgpack(bytes, kMaxRelayedPurges, std::max(kMaxKeyLength, kMaxNameLength));
+    MsgpackReader reader = document.reader(1);
+    return read_purges(reader);
+}
+
 std::string with_leader_time(std::string_view command, Micros now) {
     const base::MsgpackDocument document = parse(command);
     MsgpackReader reader = document.reader(3);
--- a/src/kv_store/kv_store.cpp
+++ b/src/kv_store/kv_store.cpp
@@ -171,6 +171,14 @@
     return {true, revision_, {}};
 }
 
+// From the newest on: a purge that is proposed twice is proposed twice within a short time.
+bool State::has_purge_of_origin(const Purge& purge) const {
+    return std::any_of(purges_.rbegin(), purges_.rend(), [&](const Purge& known) {
+        return known.origin_time == purge.origin_time && known.object == purge.object &&
+               known.purge_group == purge.purge_group;
+    });
+}
+
 std::optional<Micros> State::next_expiry() const {
     std::optional<Micros> at;
     if (!expiring_.empty()) at = expiring_.begin()->first;
--- a/src/kv_store/kv_store.h
+++ b/src/kv_store/kv_store.h
@@ -73,6 +73,9 @@
     std::string by;
     // By the leader's clock and only informational: each receiver measures the age by its own clock.
     Micros at = 0;
+    // The Unix time that the origin gave it, if a proxy learned of it from a change log; 0: an operator's
+    // call.
+    std::int64_t origin_time = 0;
     bool operator==(const Purge&) const = default;
 };
 struct ExpireKeys {
@@ -103,6 +106,8 @@
     const std::map<std::string, Entry>& entries() const { return entries_; }
     const std::deque<Purge>& purges() const { return purges_; }
     std::uint64_t revision() const { return revision_; }
+    // Whether a purge with the same object, group and origin time is in the log.
+    bool has_purge_of_origin(const Purge& purge) const;
     std::uint64_t last_purge() const { return purges_.empty() ? last_dropped_purge_ : purges_.back().number; }
     // The time, by the leader's clock, from which an ExpireKeys command would change something.
     std::optional<Micros> next_expiry() const;
@@ -149,6 +154,8 @@
 std::string encode(const ExpireKeys& command);
 bool is_command(std::string_view bytes);
 ApplyResult apply(State& state, std::string_view command);
+// The purge in the command, if it is one that a change log told of; throws std::runtime_error.
+std::optional<Purge> purge_of_origin(std::string_view command);
 // Returns the command with the leader's time set; used by the leader when it proposes another member's
 // command.
 std::string with_leader_time(std::string_view command, Micros now);
--- a/tests/compatibility/encoded_forms_test.cpp
+++ b/tests/compatibility/encoded_forms_test.cpp
@@ -259,6 +259,11 @@
                                                 .leader = "n2"};
     EXPECT_EQ(encode(consensus::decode_confirm_reply(recorded("confirm_reply.bin", encode(confirm_reply)))),
               encode(confirm_reply));
+    consensus::ConfirmReply with_purges = confirm_reply;
+    with_purges.pending_purges = {purge(), purge()};
+    with_purges.pending_purges[1].origin_time = 1'700'000'000'400'000;
+    EXPECT_EQ(consensus::decode_confirm_reply(encode(with_purges)).pending_purges,
+              with_purges.pending_purges);
     const consensus::ConfirmReply unconfirmed =
         consensus::decode_confirm_reply(encode(consensus::ConfirmReply{}));
     EXPECT_EQ(unconfirmed.last_stored, std::nullopt);
--- a/tests/fleet/harness/steps/purges.py
+++ b/tests/fleet/harness/steps/purges.py
@@ -66,6 +66,13 @@
     def purge_group(self, member):
         self.call_purge(member, f"/ops/purge/group/{GROUP}", None)
 
+    def purge_told_to(self, only):
+        """The whole group is purged, and the change log of one member alone tells it: it learns of it at the latest when
+        it first asks for a copy that is not older."""
+        member = self.fleet.pick(only)[0]
+        self.purge(member.index)
+        self.record_purge(self.purged_at, time.time(), None)
+
     def call_purge(self, member, path, object_id):
         called_at = time.time()
         if ops_call(member.ops_port, "POST", path, host=member.host, bound=2) == 200:
