--- a/src/daemon/endpoint_manager.cpp
+++ b/src/daemon/endpoint_manager.cpp
@@ -21,6 +21,8 @@
 constexpr Micros kPurgeEventDelay = 1'000'000;
 // Start times of all endpoints ever reported; beyond this number they are converted again.
 constexpr std::size_t kMaxStartTimes = 200'000;
+constexpr std::size_t kMaxWarned = 16'384;
+constexpr Micros kNumberingCatchUp = 300'000;  // for what a change log that began anew has so far
 // Told before there is a store to pass them on to; the oldest come first, in the configuration.
 constexpr std::size_t kMaxPurgesBeforeCallback = 20'000;
 
@@ -69,16 +71,14 @@
       pool_(pool),
       config_(config),
       view_(view_options(config, setup)),
+      requires_proof_(watch_options(setup).require_proof),
       passes_purges_on_(setup.store.has_value()) {
     if (setup.endpoint_snapshot) {
         start_snapshots(*setup.endpoint_snapshot);
         // The age of the configuration is unknown, so its endpoints are only a seed list.
         for (const config::WatchEvent& change : config.known) {
             if (change.has_endpoints) seed(change);
-            if (!change.has_purge) continue;
-            config::WatchEvent purge = change;
-            purge.has_endpoints = false;
-            on_watch_event(purge, -1);
+            if (change.has_purge) obey_purge(change);
         }
     } else {
         for (const config::WatchEvent& change : config.known) on_watch_event(change, -1);
@@ -90,11 +90,16 @@
     const std::int64_t resume_after = setup.endpoint_snapshot ? view_.resume_after() : config.known_seq;
     watch_ = std::make_unique<discovery::DiscoveryWatch>(
         loop_, sockets, addresses, config.site, resume_after, watch_options(setup), config.seed,
-        [this](const config::WatchEvent& change, int log_index) {
-            on_watch_event(change, log_index);
-            publish();
-        },
-        [this] { on_list_confirmed(); });
+        discovery::DiscoveryWatch::Callbacks{
+            .on_change =
+                [this](const config::WatchEvent& change, int log_index) {
+                    on_watch_event(change, log_index);
+                    publish();
+                },
+            .on_confirmed = [this] { on_list_confirmed(); },
+            .on_known_number = [this](const config::WatchEvent& change,
+                                      bool is_other_proven) { on_known_number(change, is_other_proven); },
+            .on_short_answer = [this] { begin_numbering(); }});
 }
 
 void EndpointManager::start_snapshots(const config::EndpointSnapshot& settings) {
@@ -185,13 +190,11 @@
 void EndpointManager::on_watch_event(const config::WatchEvent& reported, int log_index) {
     const Micros now = loop_.clock().now();
     config::WatchEvent change = reported;
-    // The time of a purge is taken from the origin's clock. The local clock may be an hour ahead of it after
-    // a restart, and the purge would seem long completed. An event from a change log that confirmed the list
-    // a moment ago is no older than that confirmation.
     convert_start_times(change);
-    if (change.has_purge) change.purged_at = loop_.clock().from_unix(change.purge_time);
-    if (change.has_purge && on_confirmed_ && view_.is_live())
-        change.purged_at = std::max(change.purged_at, now - view_.age(now) - kPurgeEventDelay);
+    if (change.has_purge) change.purged_at = purge_time_of(change);
+    for (const config::LocatedEndpoint& located : change.endpoints) {
+        if (warned_.erase(located.endpoint.name) > 0) view_.mark_changed(located.endpoint.name);
+    }
     const endpoints::ApplyResult result = view_.apply(change, now, log_index);
     if (result == endpoints::ApplyResult::deferred)
         log::warn("endpoints: list without cache servers deferred sequence={} known={}", change.sequence,
@@ -209,6 +212,64 @@
     if (snapshot_writer_ && result != endpoints::ApplyResult::outdated) snapshot_writer_->on_changed();
 }
 
+// Only a change log that is not contradicted by another, known to be current, may begin the numbers anew.
+void EndpointManager::on_known_number(const config::WatchEvent& event, bool is_other_proven) {
+    if (event.has_purge) obey_purge(event);
+    if (is_other_proven) return;
+    const endpoints::Continuity continuity = view_.compare(event);
+    if (continuity == endpoints::Continuity::other_numbering) {
+        obey_warnings(event);
+        return begin_numbering();
+    }
+    if (continuity == endpoints::Continuity::unknown) obey_warnings(event);
+}
+
+// The first events may say that an endpoint is in use which drains by a later one, so they are published
+// together.
+void EndpointManager::begin_numbering() {
+    log::warn("endpoints: change log began anew known={}", view_.resume_after());
+    view_.begin_numbering();
+    watch_->begin_numbering();
+    if (publish_not_before_) loop_.timers().cancel(publish_not_before_->timer);
+    const Micros at = loop_.clock().now() + kNumberingCatchUp;
+    publish_not_before_ = {at, loop_.timers().schedule(at, [this] {
+                               publish_not_before_.reset();
+                               publish();
+                               core_.process_events();
+                           })};
+}
+
+void EndpointManager::obey_warnings(const config::WatchEvent& event) {
+    bool changed = false;
+    for (const config::LocatedEndpoint& located : event.endpoints) {
+        const std::string& id = located.endpoint.name;
+        if (located.endpoint.state == EndpointState::ready || warned_.size() >= kMaxWarned) continue;
+        if (!warned_.insert(id).second) continue;
+        view_.mark_changed(id);
+        changed = true;
+    }
+    if (changed) publish();
+}
+
+// The time of a purge is taken from the origin's clock. The local clock may be an hour ahead of it after a
+// restart, and the purge would seem long completed. An event from a change log that confirmed the list a
+// moment ago is no older than that confirmation.
+Micros EndpointManager::purge_time_of(const config::WatchEvent& event) {
+    const Micros now = loop_.clock().now();
+    const Micros purged_at = loop_.clock().from_unix(event.purge_time);
+    if (!on_confirmed_ || !view_.is_live()) return purged_at;
+    return std::max(purged_at, now - view_.age(now) - kPurgeEventDelay);
+}
+
+// A purge that may be known: a second time it changes nothing.
+void EndpointManager::obey_purge(const config::WatchEvent& event) {
+    const endpoints::Purge purge{event.object, event.object.empty() ? event.purge_group : 0,
+                                 purge_time_of(event)};
+    view_.add_purge(purge, loop_.clock().now());
+    notify_purge({event.object, event.purge_group, purge.at});
+    report_purge(event);
+}
+
 void EndpointManager::report_purge(const config::WatchEvent& event) {
     if (on_change_log_purge_)
         on_change_log_purge_(event);
@@ -230,6 +291,10 @@
 void EndpointManager::on_list_confirmed() {
     const bool first = !view_.is_live();
     view_.confirm(loop_.clock().now());
+    if (requires_proof_ && !warned_.empty()) {
+        for (const std::string& id : std::exchange(warned_, {})) view_.mark_changed(id);
+        publish();
+    }
     if (on_confirmed_) on_confirmed_();
     if (snapshot_writer_) first ? snapshot_writer_->on_changed() : snapshot_writer_->on_confirmed();
     if (!first) return;
@@ -241,6 +306,7 @@
 // Passes changes of the usable endpoints to the router and their addresses to the connection pool. Runs again
 // at the time at which the view changes by the passage of time alone.
 void EndpointManager::publish() {
+    if (publish_not_before_) return;
     const Micros now = loop_.clock().now();
     const bool was_deferred = view_.has_deferred_update();
     view_.advance(now);
@@ -250,7 +316,7 @@
     update.version = view_.last_sequence();
     update.kind = routing::EndpointUpdateKind::incremental;
     for (config::LocatedEndpoint located : view_.take_changes(now)) {
-        if (located.endpoint.state == EndpointState::ready && bans_.contains(located.endpoint.name))
+        if (located.endpoint.state == EndpointState::ready && is_held_back(located.endpoint.name))
             located.endpoint.state = EndpointState::draining;
         if (cold_since_ > 0 && located.endpoint.kind != config_.site.settings.origin_kind)
             located.endpoint.started_at = std::max(located.endpoint.started_at, cold_since_);
--- a/src/daemon/endpoint_manager.h
+++ b/src/daemon/endpoint_manager.h
@@ -54,7 +54,14 @@
     void poll_snapshot_loader();
     void on_watch_event(const config::WatchEvent& change, int log_index);
     void notify_purge(const endpoints::Purge& purge);
+    base::Micros purge_time_of(const config::WatchEvent& event);
+    void obey_purge(const config::WatchEvent& event);
     void report_purge(const config::WatchEvent& event);
+    void on_known_number(const config::WatchEvent& event, bool is_other_proven);
+    void begin_numbering();
+    // Drains and removals in an event whose place among the known ones is not known bind until a later event.
+    void obey_warnings(const config::WatchEvent& event);
+    bool is_held_back(const std::string& id) const { return bans_.contains(id) || warned_.contains(id); }
     void on_list_confirmed();
     void publish();
     void convert_start_times(config::WatchEvent& change);
@@ -77,10 +84,17 @@
     std::unique_ptr<discovery::DiscoveryWatch> watch_;
     std::optional<base::TimerQueue::Key> next_publish_;
     std::set<std::string> bans_;
+    std::set<std::string> warned_;  // endpoints, see obey_warnings()
+    struct DelayedPublish {
+        base::Micros at = 0;
+        base::TimerQueue::Key timer;
+    };
+    std::optional<DelayedPublish> publish_not_before_;
     std::map<std::string, StartTime> start_times_;  // by endpoint
     base::Micros cold_since_ = 0;                   // 0: no endpoint is treated as cold
     std::function<void()> on_confirmed_;
     std::function<void(const config::WatchEvent&)> on_change_log_purge_;
+    const bool requires_proof_;
     const bool passes_purges_on_;  // the callback will be set
     std::vector<config::WatchEvent> purges_before_callback_;
 };
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t kMaxEventSize = 4 << 20;
 constexpr base::Micros kMaxUpdateInterval = 250'000;
+// Numberings that began anew are added up.
+constexpr std::int64_t kMaxSequence = std::int64_t{1} << 48;
 
 }  // namespace
 
@@ -68,7 +70,7 @@
         : watch(owner),
           source(source_index),
           after_seq(from),
-          reader([this](const std::string& data) { watch.on_event(source, data); }) {
+          reader([this](const std::string& data) { watch.on_event(*this, data); }) {
         http_parser_init(&parser, HTTP_RESPONSE);
         parser.data = this;
         http_parser_settings_init(&parser_settings);
@@ -105,8 +107,9 @@
         const std::size_t read = http_parser_execute(&parser, &parser_settings, bytes.data(), bytes.size());
         if (read != bytes.size() || HTTP_PARSER_ERRNO(&parser) != HPE_OK)
             throw StreamError(StreamError::Code::bad_response, "the change log's answer can't be read");
+        if (!watch.is_current(*this)) return;  // an event has ended this connection
         const bool confirmed = streaming && watch.sources_.on_data(source, watch.loop_.clock().now());
-        if (confirmed && watch.on_confirmed_) watch.on_confirmed_();
+        if (confirmed && watch.callbacks_.on_confirmed) watch.callbacks_.on_confirmed();
     }
 
     void on_close(net::Stream&, net::DisconnectCause cause) override {
@@ -119,14 +122,12 @@
 
 DiscoveryWatch::DiscoveryWatch(net::Loop& loop, net::SocketBudget& budget, std::vector<std::string> addresses,
                                const config::Site& site, std::int64_t last_seq,
-                               endpoints::WatchOptions options, std::uint64_t seed, OnChange on_change,
-                               OnConfirmed on_confirmed)
+                               endpoints::WatchOptions options, std::uint64_t seed, Callbacks callbacks)
     : loop_(loop),
       budget_(budget),
       site_(site),
       last_seq_(last_seq),
-      on_change_(std::move(on_change)),
-      on_confirmed_(std::move(on_confirmed)),
+      callbacks_(std::move(callbacks)),
       sources_(addresses.size(), options, seed),
       connections_(addresses.size()),
       addresses_(std::move(addresses)) {
@@ -146,6 +147,12 @@
             connect(step.source, step.behind);
             continue;
         }
+        if (step.kind == endpoints::WatchSources::Step::Kind::restart_numbering) {
+            loop_.timers().schedule(now, [this] {
+                if (callbacks_.on_short_answer) callbacks_.on_short_answer();
+            });
+            continue;
+        }
         const std::string& reason = sources_.health()[step.source].last_fault;
         if (reason == "fell silent")
             log::warn("discovery: change log silent, reconnecting log={}", addresses_[step.source]);
@@ -184,37 +191,65 @@
 void DiscoveryWatch::set_addresses(std::vector<std::string> addresses) {
     if (addresses == addresses_) return;
     addresses_ = std::move(addresses);
+    reconnect_all();
+    for (const std::string& address : addresses_)
+        log::info("discovery: change log moved log={} sequence={}", address, last_seq_);
+    update();
+}
+
+void DiscoveryWatch::reconnect_all() {
     for (auto& connection : connections_)
         if (connection) closed_.push_back(std::move(connection));
     connections_.clear();
     connections_.resize(addresses_.size());
     sources_.replace(addresses_.size());
-    for (const std::string& address : addresses_)
-        log::info("discovery: change log moved log={} sequence={}", address, last_seq_);
+}
+
+void DiscoveryWatch::begin_numbering() {
+    last_seq_ = 0;
+    reconnect_all();
+    sources_.restart_numbering();
+    update();
+}
+
+// What a change log has sent so far may have been another numbering's.
+void DiscoveryWatch::skip_through(std::int64_t seq) {
+    if (seq <= last_seq_) return;
+    last_seq_ = seq;
+    reconnect_all();
     update();
 }
 
 // An invalid event is skipped: if it ended the connection it would be sent again on each new one, and no
 // later event would ever be received.
-void DiscoveryWatch::on_event(std::size_t source, const std::string& data) {
+void DiscoveryWatch::on_event(const Connection& connection, const std::string& data) {
+    if (!is_current(connection)) return;
+    const std::size_t source = connection.source;
     config::WatchEvent change;
     try {
         change = config::parse_watch_event(config::parse(data, "change log"), site_);
     } catch (const config::ConfigError& error) {
         return log::error("discovery: event skipped error={}", error.what());
     }
+    if (change.sequence > kMaxSequence)
+        return log::error("discovery: event skipped error=number too high sequence={}", change.sequence);
     using EventResult = endpoints::WatchSources::EventResult;
     const EventResult result = sources_.on_event(source, change.sequence, last_seq_, loop_.clock().now());
     if (result == EventResult::regressed)
         log::warn("discovery: sequence regressed log={} sequence={} newest={}", addresses_[source],
                   change.sequence, sources_.health()[source].highest_on_connection);
-    if (result == EventResult::apply) apply(change, static_cast<int>(source));
+    if (result == EventResult::apply) return apply(change, static_cast<int>(source));
+    if (callbacks_.on_known_number) callbacks_.on_known_number(change, sources_.is_other_proven(source));
+}
+
+bool DiscoveryWatch::is_current(const Connection& connection) const {
+    return connection.source < connections_.size() && connections_[connection.source].get() == &connection;
 }
 
 void DiscoveryWatch::apply(const config::WatchEvent& change, int log) {
     if (change.sequence <= last_seq_) return;
     last_seq_ = change.sequence;
-    on_change_(change, log);
+    callbacks_.on_change(change, log);
 }
 
 }  // namespace sumackeel::discovery
--- a/src/discovery/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -56,20 +56,31 @@
     using OnChange = std::function<void(const config::WatchEvent&, int log)>;
     // A proven source has sent data, so the endpoint list is current. Called for each such read.
     using OnConfirmed = std::function<void()>;
+    // An event whose number is known already. `is_other_proven`: another source is known to be current.
+    using OnKnownNumber = std::function<void(const config::WatchEvent&, bool is_other_proven)>;
+    struct Callbacks {
+        OnChange on_change;
+        OnConfirmed on_confirmed = {};
+        OnKnownNumber on_known_number = {};
+        // The only change log has less than is known. The callee calls begin_numbering().
+        std::function<void()> on_short_answer = {};
+    };
 
     DiscoveryWatch(net::Loop& loop, net::SocketBudget& budget, std::vector<std::string> addresses,
                    const config::Site& site, std::int64_t last_seq, endpoints::WatchOptions options,
-                   std::uint64_t seed, OnChange on_change, OnConfirmed on_confirmed = {});
+                   std::uint64_t seed, Callbacks callbacks);
     ~DiscoveryWatch();
     DiscoveryWatch(const DiscoveryWatch&) = delete;
     DiscoveryWatch& operator=(const DiscoveryWatch&) = delete;
 
     // Replaces the addresses of the change logs; the sequence numbers continue.
     void set_addresses(std::vector<std::string> addresses);
+    // The change logs number their events from 1 again: all of them are asked for all that they have.
+    void begin_numbering();
     // Passes the event on unless it is already known.
     void apply(const config::WatchEvent& change) { apply(change, -1); }
     // Events up to `seq` are known from elsewhere.
-    void skip_through(std::int64_t seq) { last_seq_ = std::max(last_seq_, seq); }
+    void skip_through(std::int64_t seq);
     std::int64_t last_seq() const { return last_seq_; }
     const std::vector<endpoints::WatchSources::Health>& health() const { return sources_.health(); }
 
@@ -78,15 +89,16 @@
     void update();
     void connect(std::size_t source, std::int64_t after_seq);
     void on_disconnected(std::size_t source, const char* reason);
-    void on_event(std::size_t source, const std::string& data);
+    void on_event(const Connection& connection, const std::string& data);
+    void reconnect_all();
+    bool is_current(const Connection& connection) const;
     void apply(const config::WatchEvent& change, int log);
 
     net::Loop& loop_;
     net::SocketBudget& budget_;
     const config::Site& site_;
     std::int64_t last_seq_;
-    OnChange on_change_;
-    OnConfirmed on_confirmed_;
+    Callbacks callbacks_;
     endpoints::WatchSources sources_;
     std::vector<std::unique_ptr<Connection>> connections_;  // by source; a new one for each connection
     std::vector<std::unique_ptr<Connection>>
--- a/src/endpoints/endpoint_view.cpp
+++ b/src/endpoints/endpoint_view.cpp
@@ -15,6 +15,29 @@
     return state == EndpointState::removed ? 2 : state == EndpointState::draining ? 1 : 0;
 }
 
+constexpr std::size_t kMaxPurgeEvents = 1'024;  // remembered by their numbers
+
+std::string identity_of_purge(const config::WatchEvent& change) {
+    const std::string subject =
+        change.object.empty() ? "group " + std::to_string(change.purge_group) : "object " + change.object;
+    return subject + ' ' + std::to_string(change.purge_time.micros);
+}
+
+// As a snapshot takes it for a name.
+bool is_short_text(const std::string& text) {
+    constexpr std::size_t kMaxLength = 256;
+    return text.size() <= kMaxLength &&
+           text.find_first_of(std::string_view("\r\n\0", 3)) == std::string::npos;
+}
+
+// Whether both say the same of an endpoint. Start times are left out: they are converted by clocks that may
+// have been set in between.
+bool describes_same(const config::LocatedEndpoint& a, const config::LocatedEndpoint& b) {
+    return a.address == b.address && a.endpoint.state == b.endpoint.state &&
+           a.endpoint.zone == b.endpoint.zone && a.endpoint.kind == b.endpoint.kind &&
+           a.endpoint.cell == b.endpoint.cell && a.endpoint.weight == b.endpoint.weight;
+}
+
 std::string name_of(const Purge& purge) {
     return purge.object.empty() ? "group " + std::to_string(purge.purge_group) : "object " + purge.object;
 }
@@ -77,7 +100,11 @@
             return;
         }
     } else if (!record->supersedes(*found->second.record)) {
-        return;
+        // The same from a better source: the seed list is confirmed.
+        const bool confirms_seed = found->second.record->source == RecordSource::seed &&
+                                   record->source == RecordSource::watch &&
+                                   !found->second.record->supersedes(*record);
+        if (!confirms_seed) return;
     }
     const bool was_removed =
         found != endpoints_.end() && found->second.record->located.endpoint.state == EndpointState::removed;
@@ -151,12 +178,69 @@
            });
 }
 
-ApplyResult EndpointView::apply(const config::WatchEvent& change, Micros now, int watch_source,
+void EndpointView::begin_numbering() {
+    numbering_base_ = last_sequence_;
+    purge_events_.clear();
+    deferred_update_.reset();
+}
+
+config::WatchEvent EndpointView::with_base(const config::WatchEvent& change) const {
+    config::WatchEvent numbered = change;
+    numbered.sequence += numbering_base_;
+    return numbered;
+}
+
+void EndpointView::remember_purge(const config::WatchEvent& change) {
+    purge_events_[change.sequence] = identity_of_purge(change);
+    if (purge_events_.size() > kMaxPurgeEvents) purge_events_.erase(purge_events_.begin());
+}
+
+Continuity EndpointView::compare(const config::WatchEvent& change) const {
+    const std::int64_t sequence = numbering_base_ + change.sequence;
+    const bool was_deferred = deferred_update_ && sequence >= deferred_update_->change.sequence;
+    if (sequence > last_sequence_ || was_deferred) return Continuity::unknown;
+    Continuity result = compare_purge(change, sequence);
+    const bool is_full_list = change.has_endpoints && change.is_full_list;
+    if (is_full_list ? full_list_sequence_ < sequence : full_list_sequence_ == sequence)
+        return Continuity::other_numbering;
+    for (const config::LocatedEndpoint& located : change.endpoints) {
+        const Continuity of_one = compare_endpoint(located, sequence);
+        if (of_one == Continuity::other_numbering || result == Continuity::unknown) result = of_one;
+        if (result == Continuity::other_numbering) return result;
+    }
+    return result;
+}
+
+// An endpoint that an event told of has a record of that number or a later one, or was removed since.
+Continuity EndpointView::compare_endpoint(const config::LocatedEndpoint& located,
+                                          std::int64_t sequence) const {
+    const auto found = endpoints_.find(located.endpoint.name);
+    if (found == endpoints_.end()) {
+        const bool may_be_removed = full_list_sequence_ > sequence || forgotten_through_ >= sequence ||
+                                    endpoints_.size() >= options_.max_endpoints;
+        return may_be_removed ? Continuity::unknown : Continuity::other_numbering;
+    }
+    const EndpointRecord& record = *found->second.record;
+    if (record.sequence > sequence) return Continuity::unknown;
+    const bool is_same = record.sequence == sequence && describes_same(record.located, located);
+    return is_same ? Continuity::same_numbering : Continuity::other_numbering;
+}
+
+Continuity EndpointView::compare_purge(const config::WatchEvent& change, std::int64_t sequence) const {
+    const auto found = purge_events_.find(sequence);
+    if (found == purge_events_.end()) return Continuity::unknown;
+    const bool is_same = change.has_purge && found->second == identity_of_purge(change);
+    return is_same ? Continuity::same_numbering : Continuity::other_numbering;
+}
+
+ApplyResult EndpointView::apply(const config::WatchEvent& event, Micros now, int watch_source,
                                 RecordSource source) {
+    const config::WatchEvent change = with_base(event);
     bool updated = false, table_full = false, deferred = false;
     if (change.has_purge)
         insert_purge({change.object, change.object.empty() ? change.purge_group : 0, change.purged_at}, now,
                      updated);
+    if (change.has_purge) remember_purge(change);
     if (change.has_endpoints) {
         if (deferred_update_ && change.is_full_list && change.sequence >= deferred_update_->change.sequence &&
             !would_remove_last_cache(change))
@@ -207,6 +291,8 @@
     }
     load_purges(saved, now);
     last_sequence_ = std::max(last_sequence_, saved.last_sequence);
+    numbering_base_ = std::max(numbering_base_, saved.numbering_base);
+    if (!saved.last_purge_event.empty()) purge_events_[saved.last_sequence] = saved.last_purge_event;
     forgotten_through_ = std::max(forgotten_through_, saved.forgotten_through);
     if (!live_ && saved.confirmed_age >= 0)
         confirmed_at_ = std::max(confirmed_at_, now - since_taken - saved.confirmed_age);
@@ -389,7 +475,11 @@
     saved.site = site;
     saved.taken_at = wall_now;
     saved.confirmed_age = confirmed_at_ > 0 ? std::max<Micros>(0, now - confirmed_at_) : -1;
-    saved.last_sequence = resume_after();
+    saved.last_sequence = numbering_base_ + resume_after();
+    saved.numbering_base = numbering_base_;
+    const auto last_purge = purge_events_.find(saved.last_sequence);
+    if (last_purge != purge_events_.end() && is_short_text(last_purge->second))
+        saved.last_purge_event = last_purge->second;
     saved.full_list_sequence = full_list_sequence_;
     saved.forgotten_through = forgotten_through_;
     saved.endpoints.reserve(endpoints_.size());
--- a/src/endpoints/endpoint_view.h
+++ b/src/endpoints/endpoint_view.h
@@ -8,6 +8,11 @@
 // removes every endpoint that has an older record and is not listed, and from then on records older than S
 // are ignored: an endpoint that was reported as removed returns only with a newer record. Sequence numbers
 // are those of one change log, or of several change logs that carry the same events.
+//
+// A change log that was set up anew numbers its events from 1 again. Such a numbering has a base, the highest
+// number known before it, and each of its events counts by base and number together. So what was known before
+// binds until the new events say otherwise, and is older than any of them. Numbers within the view include
+// the base; those of events passed in and of resume_after() are the change log's.
 #pragma once
 
 #include <algorithm>
@@ -62,6 +67,8 @@
     base::UnixTime taken_at;
     Micros confirmed_age = -1;  // since a live source last confirmed the list; below 0: never confirmed
     std::int64_t last_sequence = 0, full_list_sequence = 0, forgotten_through = 0;
+    std::int64_t numbering_base = 0;       // included in all sequence numbers above
+    std::string last_purge_event;          // the purge that `last_sequence` told; empty: it told none
     std::vector<KnownEndpoint> endpoints;  // `last_response_at` holds an age; below 0: never
     std::vector<Purge> purges;             // `at` holds a Unix time of the clock of `taken_at`
 };
@@ -78,6 +85,13 @@
     std::size_t max_purges = 60'000;
 };
 
+// What an event with a known number says of its change log's numbering.
+enum class Continuity {
+    same_numbering,   // it is the event that had this number before
+    other_numbering,  // it can't be
+    unknown,
+};
+
 enum class ApplyResult {
     applied,
     outdated,  // everything in it was known, or older than what is known
@@ -90,10 +104,15 @@
     explicit EndpointView(ViewOptions options = {}) : options_(options) {}
 
     // An event of the change log with the index `watch_source`, or of the platform's configuration (-1).
-    ApplyResult apply(const config::WatchEvent& change, Micros now, int watch_source = -1,
+    ApplyResult apply(const config::WatchEvent& event, Micros now, int watch_source = -1,
                       RecordSource source = RecordSource::watch);
-    // Loads a snapshot file. `wall_now`: the system clock, which gives the file's age; `now`: this program's
-    // clock. Until a live source confirms the list, the staleness policy decides how its endpoints are used.
+    // The events passed in from now on are of a change log that counts from 1 again.
+    void begin_numbering();
+    // Compares an event whose number is known with what that number left behind.
+    Continuity compare(const config::WatchEvent& change) const;
+    // Loads a snapshot file, with its numbering. `wall_now`: the system clock, which gives the file's age;
+    // `now`: this program's clock. Until a live source confirms the list, the staleness policy decides how
+    // its endpoints are used.
     void load(const Snapshot& saved, base::UnixTime wall_now, Micros now);
     // Loads a snapshot whose age can't be determined: no endpoint is used because of it, but its drains,
     // removals and purges apply.
@@ -130,7 +149,7 @@
     // The sequence number after which to resume the change log on a restart: a deferred update is requested
     // again.
     std::int64_t resume_after() const {
-        return deferred_update_ ? deferred_update_->change.sequence - 1 : last_sequence_;
+        return (deferred_update_ ? deferred_update_->change.sequence - 1 : last_sequence_) - numbering_base_;
     }
     std::int64_t last_sequence() const { return last_sequence_; }
     // Sequence number of the newest list, seed lists included: for display only, not for resuming a change
@@ -163,6 +182,11 @@
         Trust trust = Trust::none;
     };
 
+    // `change` with the number that it has within the view.
+    config::WatchEvent with_base(const config::WatchEvent& change) const;
+    Continuity compare_endpoint(const config::LocatedEndpoint& located, std::int64_t sequence) const;
+    Continuity compare_purge(const config::WatchEvent& change, std::int64_t sequence) const;
+    void remember_purge(const config::WatchEvent& change);
     void merge(std::shared_ptr<const EndpointRecord> record, bool& updated, bool& table_full);
     void merge_endpoints(const config::WatchEvent& change, Micros now, RecordSource source, bool& updated,
                          bool& table_full);
@@ -190,6 +214,8 @@
     PurgesByAge purges_by_age_;
     std::optional<DeferredUpdate> deferred_update_;
     std::int64_t last_sequence_ = 0, full_list_sequence_ = 0, seed_sequence_ = 0;
+    std::int64_t numbering_base_ = 0;
+    std::map<std::int64_t, std::string> purge_events_;  // the newest ones, by number
     // Records of unknown endpoints up to this number belong to removed endpoints that were evicted.
     std::int64_t forgotten_through_ = 0;
     std::size_t removed_count_ = 0;
--- a/src/endpoints/watch_sources.cpp
+++ b/src/endpoints/watch_sources.cpp
@@ -43,9 +43,31 @@
 }
 
 void WatchSources::update_proven(Health& health, Micros now) {
-    health.proven = health.state == State::following &&
-                    (!options_.require_proof || (health.highest_on_connection > 0 &&
-                                                 health.highest_on_connection >= settled_sequence(now)));
+    const bool is_current =
+        health.highest_on_connection > 0 && health.highest_on_connection >= settled_sequence(now);
+    health.proven = health.state == State::following && (!options_.require_proof || is_current);
+}
+
+bool WatchSources::has_short_answer(const Health& health, Micros now) const {
+    return options_.require_proof && health.state == State::following && !health.asked_for_all &&
+           health.highest_on_connection == 0 && now >= health.since + options_.short_answer_after;
+}
+
+bool WatchSources::is_other_proven(std::size_t source) const {
+    for (std::size_t i = 0; i < health_.size(); ++i)
+        if (i != source && health_[i].proven) return true;
+    return false;
+}
+
+void WatchSources::call(std::size_t source, std::int64_t behind, Micros now, std::vector<Step>& steps) {
+    Health& health = health_[source];
+    health.state = State::calling;
+    health.since = now;
+    health.highest_on_connection = 0;
+    health.regressed = false;
+    health.proven = false;
+    health.asked_for_all = behind == 0;
+    steps.push_back({Step::Kind::call, source, behind});
 }
 
 // Whether a source counts as followed: it is proven, or it was just connected and may still respond.
@@ -88,6 +110,10 @@
             steps.push_back({Step::Kind::drop, i}), fail(health, now, "response timeout");
         else if (health.state == State::following && now > health.last_byte_at + options_.silence_timeout)
             steps.push_back({Step::Kind::drop, i}), fail(health, now, "fell silent");
+        else if (has_short_answer(health, now) && health_.size() > 1)
+            call(i, 0, now, steps);
+        else if (has_short_answer(health, now) && !std::exchange(health.asked_for_all, true))
+            steps.push_back({Step::Kind::restart_numbering, i});
     }
     int usable_count = 0;
     for (std::size_t i = 0; i < health_.size(); ++i) {
@@ -110,25 +136,26 @@
             // Requested from one number before, a source that has the newest event must send it again.
             const std::int64_t behind =
                 options_.require_proof ? std::max<std::int64_t>(0, newest - 1) : newest;
-            health.state = State::calling;
-            health.since = now;
-            health.highest_on_connection = 0;
-            health.regressed = false;
-            health.proven = false;
-            steps.push_back({Step::Kind::call, i, behind});
+            call(i, behind, now, steps);
         }
         usable_count += is_usable(health);
     }
     return steps;
 }
 
+Micros WatchSources::following_deadline(const Health& health) const {
+    const Micros silent_at = health.last_byte_at + options_.silence_timeout + 1;
+    const bool may_be_short =
+        options_.require_proof && !health.asked_for_all && health.highest_on_connection == 0;
+    return may_be_short ? std::min(silent_at, health.since + options_.short_answer_after) : silent_at;
+}
+
 std::optional<Micros> WatchSources::next_deadline() const {
     std::optional<Micros> first;
     for (const Health& health : health_) {
-        const Micros at = health.state == State::resting ? health.retry_at
-                          : health.state == State::following
-                              ? health.last_byte_at + options_.silence_timeout + 1
-                              : health.since + options_.response_timeout + 1;
+        const Micros at = health.state == State::resting     ? health.retry_at
+                          : health.state == State::following ? following_deadline(health)
+                                                             : health.since + options_.response_timeout + 1;
         if (!first || at < *first) first = at;
     }
     return first;
--- a/src/endpoints/watch_sources.h
+++ b/src/endpoints/watch_sources.h
@@ -31,6 +31,10 @@
     int follow = 1;                       // number of sources followed at a time, at least 1
     Micros max_lag = 2'000'000;           // allowed delay of one source behind another
     bool require_proof = false;           // false: proven by its first byte, which a single source needs
+    // A source that was asked for events from the newest known one on, and does not send that one within this
+    // time, lags behind or has begun its numbers anew. If it is the only one, it has nothing to lag behind;
+    // otherwise it is asked for all that it has.
+    Micros short_answer_after = 500'000;
 };
 
 class WatchSources {
@@ -39,6 +43,7 @@
     struct Health {
         State state = State::resting;
         bool proven = false;
+        bool asked_for_all = false;              // on its current connection
         bool regressed = false;                  // sent a lower number than before on the same connection
         int failures = 0;                        // in a row
         std::int64_t highest = 0;                // number that it ever sent
@@ -49,7 +54,11 @@
         std::string last_fault;  // why its last connection ended
     };
     struct Step {
-        enum class Kind { call, drop } kind;
+        enum class Kind {
+            call,
+            drop,
+            restart_numbering  // the only source has begun its numbers anew
+        } kind;
         std::size_t source;
         std::int64_t behind = 0;  // call: events after this number are requested
     };
@@ -71,6 +80,10 @@
     bool on_data(std::size_t source, Micros now);
     EventResult on_event(std::size_t source, std::int64_t sequence, std::int64_t newest, Micros now);
     void on_disconnected(std::size_t source, Micros now, std::string reason);
+    // Whether a source other than this one is proven.
+    bool is_other_proven(std::size_t source) const;
+    // Forgets all numbers: those of the events begin anew.
+    void restart_numbering() { newest_history_.clear(); }
     // Replaces the list of sources: all of them are connected anew without a wait.
     void replace(std::size_t count);
 
@@ -81,6 +94,9 @@
     std::int64_t settled_sequence(Micros now);
     void update_proven(Health& health, Micros now);
     bool is_usable(const Health& health) const;
+    bool has_short_answer(const Health& health, Micros now) const;
+    void call(std::size_t source, std::int64_t behind, Micros now, std::vector<Step>& steps);
+    Micros following_deadline(const Health& health) const;
     void fail(Health& health, Micros now, std::string reason);
 
     WatchOptions options_;
--- a/tests/daemon/cache_stub.h
+++ b/tests/daemon/cache_stub.h
@@ -193,6 +193,11 @@
         const std::lock_guard held(mutex_);
         events_.emplace_back(seq, event);
     }
+    // Forgets its events: its numbers begin anew. Called while it is down.
+    void forget() {
+        const std::lock_guard held(mutex_);
+        events_.clear();
+    }
     int comments() const { return comments_; }  // told so far to whoever follows
     // The numbers that it was asked to begin behind.
     std::vector<int> asked_behind() const {
--- a/tests/endpoints/endpoint_view_test.cpp
+++ b/tests/endpoints/endpoint_view_test.cpp
@@ -401,4 +401,83 @@
     EXPECT_EQ(view.purges().size(), 1u);
 }
 
+// Guards against events of a change log that began anew being passed over, or taken for known (review/6).
+TEST(ViewNumbering, WhatWasKnownBindsUntilANewEventSaysOtherwise) {
+    EndpointView view = live_view();
+    view.apply(endpoint_event(40, false, {located_endpoint("a", kA.address, EndpointState::draining)}),
+               kStart);
+    view.begin_numbering();
+    EXPECT_EQ(view.resume_after(), 0);
+    view.apply(endpoint_event(1, false, {kB}), kStart);
+    EXPECT_EQ(changes_by_name(view, kStart)["a"].endpoint.state, EndpointState::draining);
+    view.apply(endpoint_event(2, true, {kA, kB, kOriginEndpoint}), kStart);
+    EXPECT_EQ(changes_by_name(view, kStart)["a"].endpoint.state, EndpointState::ready);
+    view.apply(endpoint_event(3, true, {kA, kOriginEndpoint}), kStart);
+    EXPECT_EQ(changes_by_name(view, kStart)["b"].endpoint.state, EndpointState::removed);
+    EXPECT_EQ(view.resume_after(), 3);
+}
+
+TEST(ViewNumbering, ASnapshotKeepsTheNumbersOfBothLives) {
+    EndpointView view = live_view();
+    view.apply(endpoint_event(40, false, {kA}), kStart);
+    view.begin_numbering();
+    view.apply(endpoint_event(2, false, {located_endpoint("a", kA.address, EndpointState::draining)}),
+               kStart);
+    const Snapshot saved = view.snapshot("school", {kStart}, kStart);
+    const NameTables names{{"coast", "edge-1"}, {"small", "parent", "origin"}};
+    const auto decoded = decode(encode(saved, names), names);
+    ASSERT_FALSE(decoded.error);
+    EndpointView loaded = view_loaded_from(decoded.snapshot);
+    EXPECT_EQ(loaded.resume_after(), 2);
+    EXPECT_TRUE(loaded.same_knowledge(view));
+    EXPECT_EQ(changes_by_name(loaded, kStart).count("a"), 1);
+    EXPECT_EQ(loaded.compare(endpoint_event(2, false, {kA})), Continuity::other_numbering);
+}
+
+TEST(ViewNumbering, AKnownNumberTellsWhetherTheNumberingIsTheSame) {
+    const LocatedEndpoint drained = located_endpoint("a", kA.address, EndpointState::draining);
+    EndpointView view = live_view();  // the whole list at 5
+    view.apply(endpoint_event(7, false, {drained}), kStart);
+    EXPECT_EQ(view.compare(endpoint_event(7, false, {drained})), Continuity::same_numbering);
+    EXPECT_EQ(view.compare(endpoint_event(7, false, {kA})), Continuity::other_numbering);
+    EXPECT_EQ(view.compare(endpoint_event(6, false, {kB})), Continuity::other_numbering)
+        << "it was told at 5 last";
+    EXPECT_EQ(view.compare(endpoint_event(6, false, {kA})), Continuity::unknown) << "it was told of since";
+    EXPECT_EQ(view.compare(endpoint_event(6, false, {located_endpoint("c", "10.0.0.3:1")})),
+              Continuity::other_numbering);
+    EXPECT_EQ(view.compare(endpoint_event(3, false, {located_endpoint("c", "10.0.0.3:1")})),
+              Continuity::unknown);
+    EXPECT_EQ(view.compare(endpoint_event(6, true, {kA, kB})), Continuity::other_numbering)
+        << "a later whole list";
+    EXPECT_EQ(view.compare(endpoint_event(5, false, {kB})), Continuity::other_numbering)
+        << "that was a whole list";
+    EXPECT_EQ(view.compare(endpoint_event(8, false, {kB})), Continuity::unknown) << "not known yet";
+}
+
+TEST(ViewNumbering, APurgeIsComparedAfterARestartToo) {
+    EndpointView view = live_view();
+    view.apply(purge_event(6, "x", kStart), kStart);
+    EndpointView loaded = view_loaded_from(view.snapshot("school", {kStart}, kStart));
+    for (const EndpointView* one : {&view, &loaded}) {
+        EXPECT_EQ(one->compare(purge_event(6, "x", kStart)), Continuity::same_numbering);
+        EXPECT_EQ(one->compare(purge_event(6, "y", kStart)), Continuity::other_numbering);
+        EXPECT_EQ(one->compare(endpoint_event(6, false, {kA})), Continuity::other_numbering);
+    }
+}
+
+TEST(ViewNumbering, AListThatIsHeldBackTellsNothing) {
+    EndpointView view(options(kSecond));
+    view.apply(endpoint_event(5, true, {kA, kB, kOriginEndpoint}), kStart);
+    EXPECT_EQ(view.apply(endpoint_event(6, true, {kOriginEndpoint}), kStart), ApplyResult::deferred);
+    EXPECT_EQ(view.compare(endpoint_event(6, true, {kOriginEndpoint})), Continuity::unknown);
+}
+
+TEST(ViewNumbering, AChangeLogConfirmsASeedList) {
+    EndpointView view(options());
+    view.seed(endpoint_event(1, true, {kA, kB}), kStart);
+    view.apply(endpoint_event(1, true, {kA, kB}), kStart);
+    view.confirm(kStart);
+    EXPECT_EQ(view.trust_of("a", kStart), Trust::full);
+}
+
 }  // namespace sumackeel::endpoints
--- a/tests/endpoints/watch_sources_test.cpp
+++ b/tests/endpoints/watch_sources_test.cpp
@@ -158,4 +158,43 @@
     EXPECT_EQ(sources.health()[0].state, State::calling);
 }
 
+// Guards against a change log that began anew with fewer events being waited for in vain (review/6).
+TEST(Sources, TheOnlyOneThatHasLessThanIsKnownBeganAnew) {
+    WatchSources sources(1, options_with_proof(), 1);
+    EXPECT_EQ(called_sources(sources.next_steps(0, 50)), Indices{0});
+    sources.on_connected(0, 10);
+    EXPECT_FALSE(sources.on_data(0, 20));
+    EXPECT_TRUE(sources.next_steps(500'019, 50).empty());
+    const auto steps = sources.next_steps(*sources.next_deadline(), 50);
+    ASSERT_EQ(steps.size(), 1u);
+    EXPECT_EQ(steps[0].kind, Kind::restart_numbering);
+    EXPECT_TRUE(sources.next_steps(600'000, 50).empty()) << "said once";
+    sources.restart_numbering();
+    sources.replace(1);
+    const auto again = sources.next_steps(600'000, 0);
+    ASSERT_EQ(called_sources(again), Indices{0});
+    EXPECT_EQ(again[0].behind, 0);
+    sources.on_connected(0, 600'010);
+    EXPECT_EQ(sources.on_event(0, 1, 0, 600'020), WatchSources::EventResult::apply);
+    EXPECT_TRUE(sources.on_data(0, 600'030));
+}
+
+TEST(Sources, OneOfSeveralThatHasLessIsAskedForAllItHasOnce) {
+    WatchSources sources(2, options_with_proof(), 1);
+    sources.next_steps(0, 50);
+    sources.on_connected(0, 10);
+    EXPECT_FALSE(sources.on_data(0, 20));
+    EXPECT_EQ(called_sources(sources.next_steps(30, 50)), Indices{1});
+    follow(sources, 1, 40, 50);
+    EXPECT_TRUE(sources.is_other_proven(0));
+    EXPECT_FALSE(sources.is_other_proven(1));
+    const auto steps = sources.next_steps(500'020, 50);
+    ASSERT_EQ(called_sources(steps), Indices{0});
+    EXPECT_EQ(steps[0].behind, 0);
+    sources.on_connected(0, 500'030);
+    sources.on_event(0, 3, 50, 500'040);
+    EXPECT_FALSE(sources.on_data(0, 500'050));
+    EXPECT_TRUE(called_sources(sources.next_steps(1'500'000, 50)).empty());
+}
+
 }  // namespace sumackeel::endpoints
