--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -133,7 +133,8 @@
     connection_reset,
     cancelled,
     not_sent,
-    not_found
+    not_found,
+    withheld  // not written: the endpoint or the source was drained or removed while the attempt waited
 };
 
 // Source of a response, or the reason why its fill failed, as far as the site reports it.
@@ -334,6 +335,12 @@
     // Processes `event` and appends the resulting actions. `now` must not decrease between calls.
     void handle(Micros now, const Event& event, std::vector<Action>& actions);
 
+    // For attempts that wait to be written. Both answer by the events handled so far.
+    // Whether the endpoint, as a cache or as a source, is listed and ready.
+    bool can_receive(const std::string& endpoint) const;
+    // The maximum age of a copy of this object by its purges; 0: none of them is known.
+    Micros purge_age_limit(Micros now, const std::string& object, int purge_group) const;
+
   private:
     class Impl;
     std::unique_ptr<Impl> impl_;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -28,7 +28,8 @@
 
 bool proves_not_run(AttemptStatus verdict) {
     return verdict == AttemptStatus::overloaded || verdict == AttemptStatus::connect_failed ||
-           verdict == AttemptStatus::not_sent || verdict == AttemptStatus::not_found;
+           verdict == AttemptStatus::not_sent || verdict == AttemptStatus::not_found ||
+           verdict == AttemptStatus::withheld;
 }
 
 // The maximum age of a copy under a further limit; 0: none. `max_age` 0: the class's own applies.
@@ -303,12 +304,8 @@
     attempt.source = forward.source;
     attempt.sent_at = now;
     attempt.stall_time_when_sent = clock_.total_stall_time();
-    const PurgeKnowledge knowledge = purge_knowledge_ ? purge_knowledge_() : PurgeKnowledge{};
-    const bool purges_unconfirmed = now >= knowledge.valid_until;
-    if (forward.max_age > 0) attempt.oldest_acceptable = now - forward.max_age;
-    if (purges_unconfirmed)
-        attempt.oldest_acceptable =
-            std::max(attempt.oldest_acceptable, now - knowledge.max_copy_age_afterwards);
+    attempt.max_age = forward.max_age;
+    const bool purges_unconfirmed = now >= purge_knowledge().valid_until;
     if (!request) {  // it ended while the router decided
         AttemptFinished finished;
         finished.id = forward.id;
@@ -357,12 +354,7 @@
     attempt_request.target = forward.endpoint;
     attempt_request.source = forward.source == forward.endpoint ? std::string{} : forward.source;
     attempt_request.deadline = now + timeout;
-    const Micros class_max_age = settings_.classes[request->request.class_index].freshness_lifetime;
-    attempt_request.max_age =
-        limited_age(forward.max_age, class_max_age, max_copy_age_ ? max_copy_age_() : 0);
-    attempt_request.late_from = knowledge.valid_until;
-    attempt_request.late_max_age =
-        limited_age(attempt_request.max_age, class_max_age, knowledge.max_copy_age_afterwards);
+    attempt_request.max_age = forward.max_age;
     attempt_request.cache_priority = forward.cache_priority;
     attempt_request.coalesce = forward.coalesce;
     attempt_request.source_cached_only = forward.source_cached_only;
@@ -381,6 +373,32 @@
         attempt_request.max_age, request->request.purge_group, timeout);
 }
 
+PurgeKnowledge Core::purge_knowledge() const {
+    return purge_knowledge_ ? purge_knowledge_() : PurgeKnowledge{};
+}
+
+// The limits of the decision still hold, beside those that came while the attempt waited.
+WriteTerms Core::terms_at_write(Handle handle) {
+    OpenAttempt* attempt = attempts_.find(handle);
+    const OpenRequest* request = attempt ? requests_.find(attempt->request) : nullptr;
+    if (!request) return {};
+    const bool has_source = !attempt->source.empty() && attempt->source != attempt->target;
+    if (!router_.can_receive(attempt->target) || (has_source && !router_.can_receive(attempt->source)))
+        return {};
+    const Micros now = clock_.now();
+    const PurgeKnowledge knowledge = purge_knowledge();
+    const Micros class_max_age = settings_.classes[request->request.class_index].freshness_lifetime;
+    WriteTerms terms{.allowed = true, .max_age = attempt->max_age};
+    const auto limit_to = [&](Micros limit) {
+        terms.max_age = limited_age(terms.max_age, class_max_age, limit);
+    };
+    limit_to(router_.purge_age_limit(now, request->request.object, request->request.purge_group));
+    if (now >= knowledge.valid_until) limit_to(knowledge.max_copy_age_afterwards);
+    if (terms.max_age > 0) attempt->oldest_acceptable = now - terms.max_age;
+    limit_to(max_copy_age_ ? max_copy_age_() : 0);
+    return terms;
+}
+
 // When the caches' deduplication of a request with an idempotency key ends: one idempotency window of its
 // class after the first attempt that may have run; 0: no limit.
 Micros Core::idempotency_deadline(const OpenRequest& request) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -73,11 +73,7 @@
     Handle attempt;
     std::string target, source;  // source: of a fill; empty: no fill
     Micros deadline = 0;         // when the attempt times out
-    Micros max_age = 0;          // of a copy; 0: by the class
-    // A request that is written at this time or later accepts copies of at most `late_max_age`, as the purges
-    // known when it was decided may no longer be all.
-    Micros late_from = std::numeric_limits<Micros>::max();
-    Micros late_max_age = 0;
+    Micros max_age = 0;          // of a copy, as decided, see terms_at_write(); 0: by the class
     int cache_priority = 0;
     bool coalesce = false, source_cached_only = false, parent_bypasses_cache = false, revalidate = false;
     // An attempt that starts later could run the request a second time; 0: no limit.
@@ -86,6 +82,12 @@
     std::vector<std::uint64_t> avoid_connections;  // used by earlier attempts of the request
 };
 
+// What holds for an attempt whose first byte is written now.
+struct WriteTerms {
+    bool allowed = false;  // false: its target or source may not get it any more
+    Micros max_age = 0;    // of a copy; 0: by the class
+};
+
 struct AttemptResult {
     routing::AttemptStatus status = routing::AttemptStatus::error;
     routing::CacheStatus cache_status = routing::CacheStatus::unknown;
@@ -154,6 +156,9 @@
     void on_attempt_finished(Handle attempt, AttemptResult result);
     void notify(routing::Event event);  // endpoint updates and purges
     void process_events();              // handles all queued events
+    // To be called when the attempt is about to be written, with all queued events handled. An attempt that
+    // is not allowed ends as withheld.
+    WriteTerms terms_at_write(Handle attempt);
 
     std::size_t open_requests() const { return requests_.size(); }
     const Metrics& metrics() const { return metrics_; }
@@ -189,7 +194,8 @@
         int number = 0;
         Micros sent_at = 0;
         Micros stall_time_when_sent = 0;  // the clock's total_stall_time() when it was sent
-        Micros oldest_acceptable = 0;     // minimum origin date of a copy; 0: any
+        Micros max_age = 0;               // of a copy, as decided; 0: by the class
+        Micros oldest_acceptable = 0;     // minimum origin date of a copy, since it was written; 0: any
         TimerQueue::Key timeout_timer;
     };
 
@@ -208,6 +214,7 @@
     void perform(const routing::SendHealthCheck&) {}  // neither is enabled here
     void perform(const routing::SendGossip&) {}
     void start_attempt(const routing::Forward& forward);
+    PurgeKnowledge purge_knowledge() const;
     void finish(Handle request, Response response);
     void on_deadline(Handle request);
     std::optional<OpenRequest> remove_request(Handle request);
--- a/src/expectations/simulation.cpp
+++ b/src/expectations/simulation.cpp
@@ -251,7 +251,8 @@
             found->second.in_flight.erase(attempt);
             const bool never_ran = status == AttemptStatus::overloaded ||
                                    status == AttemptStatus::connect_failed ||
-                                   status == AttemptStatus::not_sent || status == AttemptStatus::not_found;
+                                   status == AttemptStatus::not_sent || status == AttemptStatus::not_found ||
+                                   status == AttemptStatus::withheld;
             if (!never_ran) found->second.may_have_run = true;
         }
         const bool served = status == AttemptStatus::served && found != open_.end();
--- a/src/routing/outlier_detection.cpp
+++ b/src/routing/outlier_detection.cpp
@@ -83,6 +83,7 @@
         case AttemptStatus::cancelled:
         case AttemptStatus::not_sent:
         case AttemptStatus::not_found:
+        case AttemptStatus::withheld:
             break;
     }
     breaker_.on_attempt_ended(observation.cache);
--- a/src/routing/purge_log.h
+++ b/src/routing/purge_log.h
@@ -18,6 +18,9 @@
     // Time of the last purge of the request's object or purge group; 0: not in the log.
     Micros purged_at(const Request& request) const;
 
+    // Maximum age in microseconds of a copy by the purges of its object or purge group alone; 0: no limit.
+    Micros age_limit(Micros now, const std::string& object, int purge_group) const;
+
     // Maximum age in microseconds of a copy served to the request; 0: the class's freshness lifetime applies.
     Micros max_age(const Request& request, bool accepts_stale) const;
 
@@ -28,6 +31,8 @@
     // Entries are only needed until all caches have applied the purge.
     static constexpr std::size_t kMaxPurges = 60'000;
 
+    Micros last_purge(const std::string& object, int purge_group) const;
+
     const DecisionContext& context_;
     BoundedMap<std::string, Micros> purged_at_{kMaxPurges};
 };
--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -53,8 +53,9 @@
     const bool not_found = result.status == AttemptStatus::not_found;
     // The parents tried so far lack the object, and the origin may not be contacted.
     if (not_found && origin_throttle_.is_blocked() && request.attempts.size() > 1) return kGiveUp;
-    if (!not_found && retries_ < 1) return kGiveUp;
-    if (!not_found) retries_ -= 1;
+    const bool uses_budget = !not_found && result.status != AttemptStatus::withheld;
+    if (uses_budget && retries_ < 1) return kGiveUp;
+    if (uses_budget) retries_ -= 1;
     const std::size_t attempts = request.attempts.size();
     if (attempts < 2) return {RetryKind::now};
     const Micros backoff = kFirstBackoff << std::min(attempts - 2, kMaxBackoffDoublings);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -46,6 +46,15 @@
         std::visit([this](const auto& e) { on(e); }, event);
     }
 
+    bool can_receive(const std::string& endpoint) {
+        const Target* target = endpoints_.find(endpoint);
+        return target && target->entry.state == EndpointState::ready;
+    }
+
+    Micros purge_age_limit(Micros now, const std::string& object, int purge_group) const {
+        return purges_.age_limit(now, object, purge_group);
+    }
+
   private:
     // Endpoint and cluster events.
     void on(const EndpointUpdate& update);
@@ -307,5 +316,11 @@
 void Router::handle(Micros now, const Event& event, std::vector<Action>& actions) {
     impl_->handle(now, event, actions);
 }
+bool Router::can_receive(const std::string& endpoint) const {
+    return impl_->can_receive(endpoint);
+}
+Micros Router::purge_age_limit(Micros now, const std::string& object, int purge_group) const {
+    return impl_->purge_age_limit(now, object, purge_group);
+}
 
 }  // namespace sumackeel::routing
--- a/src/upstream/cache_protocol.cpp
+++ b/src/upstream/cache_protocol.cpp
@@ -87,10 +87,7 @@
 }  // namespace
 
 RequestEncoder::RequestEncoder(const core::AttemptRequest& attempt_request)
-    : deadline_(attempt_request.deadline),
-      max_age_(attempt_request.max_age),
-      late_from_(attempt_request.late_from),
-      late_max_age_(attempt_request.late_max_age) {
+    : deadline_(attempt_request.deadline) {
     const core::Request& request = *attempt_request.request;
     before_limit_ = "REQ " + request.id + " cls=" + request.class_name;
     if (!request.object.empty())
@@ -114,11 +111,10 @@
     text += ' ' + std::to_string(request.body.size()) + "\r\n" + request.body + "\r\n";
 }
 
-std::string RequestEncoder::encode_at(base::Micros now) const {
+std::string RequestEncoder::encode_at(base::Micros now, base::Micros max_age) const {
     std::string text = before_limit_ + std::to_string(to_milliseconds(deadline_ - now, 1)) + before_max_age_;
     // Rounded down, so that a copy that is too old by a fraction of a millisecond is not accepted.
-    if (const base::Micros max_age = max_age_at(now); max_age > 0)
-        text += ",accept=" + std::to_string(to_milliseconds(max_age, 1));
+    if (max_age > 0) text += ",accept=" + std::to_string(to_milliseconds(max_age, 1));
     return text + after_max_age_;
 }
 
--- a/src/upstream/cache_protocol.h
+++ b/src/upstream/cache_protocol.h
@@ -19,17 +19,13 @@
 class RequestEncoder {
   public:
     explicit RequestEncoder(const core::AttemptRequest& attempt_request);
-    std::string encode_at(base::Micros now) const;
+    // `max_age`: of a copy; 0: by the class.
+    std::string encode_at(base::Micros now, base::Micros max_age) const;
     base::Micros deadline() const { return deadline_; }
 
   private:
-    base::Micros max_age_at(base::Micros now) const {
-        return now >= late_from_ && late_max_age_ > 0 ? late_max_age_ : max_age_;
-    }
-
     std::string before_limit_, before_max_age_, after_max_age_;
     base::Micros deadline_;
-    base::Micros max_age_, late_from_, late_max_age_;
 };
 std::string encode_cancel(const std::string& id);
 
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -58,7 +58,7 @@
         Micros start_deadline;  // 0: none
         bool deferred = false;  // already once, to read input first
     };
-    enum class WriteResult { written, too_late, deferred };
+    enum class WriteResult { written, too_late, withheld, deferred };
     // Written once the connection is up and all earlier bytes are sent. Requests are encoded only then, since
     // the limit in an encoded request would not account for the wait.
     std::vector<QueuedRequest> queued;
@@ -77,7 +77,7 @@
         pool.opened_.push_back(number);
     }
 
-    bool can_write() const { return connected && stream->unsent_bytes() == 0; }
+    bool can_write() const { return connected && stream && stream->unsent_bytes() == 0; }
 
     void on_ready() {
         connected = true;
@@ -89,7 +89,9 @@
         if (can_write()) write_queued();
     }
 
+    // What was read in this iteration may forbid some of them, or end them.
     void write_queued() {
+        pool.core_.process_events();
         std::vector<QueuedRequest> pending = std::exchange(queued, {});
         for (QueuedRequest& entry : pending) {
             if (!can_write()) {
@@ -101,15 +103,18 @@
                 defer(std::move(entry));
                 continue;
             }
-            if (result != WriteResult::too_late) continue;
+            if (result == WriteResult::written) continue;
             const Handle attempt = open_attempts.at(entry.id).attempt;
             open_attempts.erase(entry.id);
             pool.locations_.erase(attempt.number());
-            pool.core_.on_attempt_finished(attempt,
-                                           core::AttemptResult{.status = AttemptStatus::connect_failed});
+            pool.core_.on_attempt_finished(attempt, core::AttemptResult{.status = status_of(result)});
         }
     }
 
+    static AttemptStatus status_of(WriteResult unwritten) {
+        return unwritten == WriteResult::withheld ? AttemptStatus::withheld : AttemptStatus::connect_failed;
+    }
+
     // The process may be stalled at any moment. After a stall the limit in an encoded request is too long,
     // and the client may have left, so input is read before anything is written.
     WriteResult write(const QueuedRequest& entry) {
@@ -119,9 +124,11 @@
                 return WriteResult::too_late;
             if (!entry.deferred && pool.loop_.iteration_age() > kMaxIterationAge)
                 return WriteResult::deferred;
-            const std::string text = entry.request.encode_at(now);
-            if (pool.loop_.clock().now() - now > kMaxEncodeTime) continue;
             OpenAttempt& attempt = open_attempts.at(entry.id);
+            const core::WriteTerms terms = pool.core_.terms_at_write(attempt.attempt);
+            if (!terms.allowed) return WriteResult::withheld;
+            const std::string text = entry.request.encode_at(now, terms.max_age);
+            if (pool.loop_.clock().now() - now > kMaxEncodeTime) continue;
             attempt.written = true;
             attempt.sent_at = now;
             stream->write_immediately(text);
@@ -335,25 +342,29 @@
         connection->queued.push_back(std::move(queued));
         return connection->number;
     }
-    switch (connection->write(queued)) {
+    const Connection::WriteResult result = connection->write(queued);
+    switch (result) {
         case Connection::WriteResult::written:
             break;
         case Connection::WriteResult::deferred:
             connection->defer(std::move(queued));
             break;
         case Connection::WriteResult::too_late:
-            loop_.timers().schedule(now, [this, attempt] { finish_unwritten(attempt); });
+        case Connection::WriteResult::withheld:
+            loop_.timers().schedule(now, [this, attempt, status = Connection::status_of(result)] {
+                finish_unwritten(attempt, status);
+            });
             break;
     }
     return connection->number;
 }
 
-void ConnectionPool::finish_unwritten(Handle attempt) {
+void ConnectionPool::finish_unwritten(Handle attempt, AttemptStatus status) {
     const auto found = locations_.find(attempt.number());
     if (found == locations_.end()) return;  // cancelled meanwhile
     const auto connection = connections_.find(found->second.connection);
     if (connection != connections_.end()) connection->second->open_attempts.erase(found->second.id);
-    finish(attempt, AttemptStatus::connect_failed);
+    finish(attempt, status);
 }
 
 bool ConnectionPool::cancel(Handle attempt) {
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -60,7 +60,7 @@
     Connection* open_connection(const std::string& name, Target& target);
     void finish(Handle attempt, routing::AttemptStatus status);
     void close(Connection& connection, bool was_connected);
-    void finish_unwritten(Handle attempt);
+    void finish_unwritten(Handle attempt, routing::AttemptStatus status);
     bool is_unresponsive(const Connection& connection) const;
     bool make_room(const Connection* keep);
     void sweep();
--- a/tests/core/purge_knowledge_test.cpp
+++ b/tests/core/purge_knowledge_test.cpp
@@ -14,15 +14,26 @@
 
 constexpr base::Micros kValidFor = 250'000, kMaxAge = 250'000;
 
+base::Micros manual_now = 0;
+
+base::Clock::Reading read_manual_clock() {
+    return {{manual_now}, manual_now};
+}
+
 // Encodes each attempt as it would be written at several times, before and after the known purges are no
 // longer sufficient.
 struct EncodingUpstream : IdleUpstream {
+    core::Core* core = nullptr;
     base::Micros written_at = 0;
     std::vector<std::string> written;
     std::uint64_t start(const core::AttemptRequest& attempt) override {
         const upstream::RequestEncoder encoder(attempt);
-        for (const base::Micros delay : {base::Micros{0}, kValidFor - 1, kValidFor, 4 * kValidFor})
-            written.push_back(encoder.encode_at(written_at + delay));
+        for (const base::Micros delay : {base::Micros{0}, kValidFor - 1, kValidFor, 4 * kValidFor}) {
+            manual_now = written_at + delay;
+            const core::WriteTerms terms = core->terms_at_write(attempt.attempt);
+            EXPECT_TRUE(terms.allowed);
+            written.push_back(encoder.encode_at(written_at + delay, terms.max_age));
+        }
         return written.size();
     }
 };
@@ -32,7 +43,11 @@
 };
 
 struct PurgeKnowledgeTest : testing::Test, CoreFixture<EncodingUpstream, IgnoringSink> {
-    PurgeKnowledgeTest() { upstream.written_at = clock.now(); }
+    PurgeKnowledgeTest() {
+        upstream.core = &core;
+        upstream.written_at = manual_now = clock.now();
+        clock = base::Clock(read_manual_clock);
+    }
     bool accepts_all(std::size_t index) const {
         return upstream.written.at(index).find(",accept=") == std::string::npos;
     }
