Memory of answers that nobody reads is counted whole

What callers saw: 40 connections that send alive at full speed and never read took 198 MB in 8 s (release, arm64, once; limit 192 MB). Cause: the bounds of unsent answers counted payload, some 40 bytes, not the write that holds it, some 300; and only a dispatched request made room beyond the bound over all connections. Change: Stream::write_memory and SocketBudget::write_memory count what writes hold; beyond the bound over all, each read makes room and connections pause at 64 KiB. The same measure in the store's API.

--- a/src/daemon/component_options.cpp
+++ b/src/daemon/component_options.cpp
@@ -38,7 +38,7 @@
 
 platform_server::Limits platform_limits(const config::Config& config) {
     return {.connections = config.sockets / kClientShareDivisor,
-            .unsent_bytes =
+            .write_memory =
                 static_cast<std::size_t>(config.memory_mb) * kBytesPerMegabyte / kUnsentMemoryDivisor};
 }
 
--- a/src/net/connection_manager.h
+++ b/src/net/connection_manager.h
@@ -50,7 +50,8 @@
     void evict_slowest_reader(const ClientConnection& keep);
     // Null: closed, or half-closed.
     ClientConnection* find(std::uint64_t id) const;
-    std::size_t unsent_bytes() const { return budget_.unsent_bytes(); }  // of responses, over all connections
+    // That responses hold until they are sent, over all connections.
+    std::size_t write_memory() const { return budget_.write_memory(); }
     void set_max_connections(int limit) { budget_.set_limit(limit); }
     // Connections in the accept queue are accepted first, unless another process accepts from the same
     // socket. The listener stays open while there is no room, or no descriptor, for some of them: call again.
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -89,8 +89,8 @@
     std::vector<char> read_buffer_ = std::vector<char>(kReadBufferBytes);
 };
 
-// Sockets that may still be opened, and the bytes written to them that are not sent. At the limit new sockets
-// are refused, open ones go on.
+// Sockets that may still be opened, and the memory that writes to them hold until they are done. At the limit
+// new sockets are refused, open ones go on.
 class SocketBudget {
   public:
     explicit SocketBudget(int limit) : shared_(std::make_shared<Shared>(limit)) {}
@@ -100,8 +100,8 @@
         return true;
     }
     void release() { --shared_->used; }
-    void unsent_bytes(std::ptrdiff_t change) { shared_->unsent += change; }
-    std::size_t unsent_bytes() const { return static_cast<std::size_t>(shared_->unsent); }
+    void write_memory(std::ptrdiff_t change) { shared_->write_memory += change; }
+    std::size_t write_memory() const { return static_cast<std::size_t>(shared_->write_memory); }
     void set_limit(int limit) { shared_->limit = limit; }
     int limit() const { return shared_->limit; }
     int available() const { return shared_->limit - shared_->used; }
@@ -111,7 +111,7 @@
         explicit Shared(int max_sockets) : limit(max_sockets) {}
         int limit;
         int used = 0;
-        std::ptrdiff_t unsent = 0;
+        std::ptrdiff_t write_memory = 0;
     };
     std::shared_ptr<Shared> shared_;  // by all copies: sockets close after their owners are gone
 };
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -22,9 +22,15 @@
 constexpr std::uint64_t kMaxCheckTime = 20'000;  // ns
 constexpr int kMaxChecks = 4;
 
+constexpr std::size_t kAllocatorOverhead = 16;  // bytes, of one allocation
+
 struct Write {
     uv_write_t request;
     std::string bytes;
+
+    std::ptrdiff_t memory() const {
+        return static_cast<std::ptrdiff_t>(sizeof(Write) + kAllocatorOverhead + bytes.capacity());
+    }
 };
 
 Loop& loop_of(const uv_tcp_t& handle) {
@@ -153,26 +159,30 @@
     auto* write = new Write{{}, std::move(bytes)};
     write->request.data = this;
     const uv_buf_t buffer = uv_buf_init(write->bytes.data(), static_cast<unsigned>(write->bytes.size()));
-    const auto size = static_cast<std::ptrdiff_t>(write->bytes.size());
-    budget_.unsent_bytes(size);
+    account_write(write->memory());
     const int failed =
         uv_write(&write->request, as_stream(), &buffer, 1, [](uv_write_t* request, int status) {
             auto* self = static_cast<Stream*>(request->data);
             auto* done = reinterpret_cast<Write*>(request);
-            self->budget_.unsent_bytes(-static_cast<std::ptrdiff_t>(done->bytes.size()));
+            self->account_write(-done->memory());
             delete done;
             if (self->state_ == State::closed) return;
             if (status != 0) return self->disconnect(DisconnectCause::error);
             if (self->state_ == State::open) self->handler_->on_write_drained(*self);
         });
     if (failed != 0) {
+        account_write(-write->memory());
         delete write;
-        budget_.unsent_bytes(-size);
         // The read side reports the broken connection; reporting it here would call the handler from within
         // its own call.
     }
 }
 
+void Stream::account_write(std::ptrdiff_t change) {
+    write_memory_ += static_cast<std::size_t>(change);
+    budget_.write_memory(change);
+}
+
 void Stream::write_immediately(std::string_view bytes) {
     if (state_ != State::open) return;
     // libuv does not modify what it writes.
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -74,6 +74,8 @@
     // system does not accept at once are passed to write(); on_write_drained() is called for these only.
     void write_immediately(std::string_view bytes);
     std::size_t unsent_bytes() const { return uv_stream_get_write_queue_size(as_stream()); }
+    // The memory that writes hold until they are done: for small ones several times their bytes.
+    std::size_t write_memory() const { return write_memory_; }
     void pause(bool on);
     bool has_unread_data() const { return unread_bytes() > 0; }
     std::size_t unread_bytes() const;  // in the system's receive buffer; 0 where it can't tell
@@ -168,7 +170,10 @@
     uv_tcp_t tcp_;
     uv_connect_t connect_request_;
     uv_shutdown_t shutdown_request_;
+    void account_write(std::ptrdiff_t change);
+
     SocketBudget budget_;
+    std::size_t write_memory_ = 0;
     Handler* handler_;
     State state_ = State::connecting;
     bool reading_ = false;
--- a/src/platform_server/platform_server.cpp
+++ b/src/platform_server/platform_server.cpp
@@ -15,7 +15,9 @@
 namespace {
 
 constexpr std::size_t kMaxOpenRequests = 32;      // per connection
-constexpr std::size_t kMaxUnsentBytes = 4 << 20;  // per connection; beyond it, reading pauses
+constexpr std::size_t kMaxWriteMemory = 4 << 20;  // per connection; beyond it, reading pauses
+// The same while responses take more memory than they may over all connections.
+constexpr std::size_t kMaxWriteMemoryOverBudget = 64 << 10;
 constexpr std::size_t kMaxBodyBytes = 48'000;
 // A connection that sends nothing usable has to be closed within 3 s of connecting. A regular client sends a
 // request at once.
@@ -79,6 +81,7 @@
         if (peer_has_left()) return server.connection_manager_.close(*this);
         processing_input = true;
         auto progress = net::Progress::none;
+        if (server.is_over_budget()) server.connection_manager_.evict_slowest_reader(*this);
         reader.read(bytes, [this, &progress](std::string_view frame) {
             has_received_frame = true;
             progress = net::Progress::request_complete;
@@ -94,8 +97,8 @@
         if (!stream()) return;
         // Danger: while reading is paused, cancellations and disconnects go unnoticed. So the limit is twice
         // as high while requests are open; there is one, as rejections and replies to `alive` add up too.
-        stream()->pause(stream()->unsent_bytes() >
-                        (open_calls.empty() ? kMaxUnsentBytes : 2 * kMaxUnsentBytes));
+        const std::size_t limit = server.is_over_budget() ? kMaxWriteMemoryOverBudget : kMaxWriteMemory;
+        stream()->pause(stream()->write_memory() > (open_calls.empty() ? limit : 2 * limit));
         const net::ConnectionState state = !open_calls.empty()            ? net::ConnectionState::processing
                                            : stream()->unsent_bytes() > 0 ? net::ConnectionState::flushing
                                            : !has_received_frame ? net::ConnectionState::awaiting_request
@@ -192,11 +195,11 @@
     core::Request request;
     if (!decode_request(call, request) || core_.is_open(request.id))
         return client.stream()->write(encode_response(call.seqid, {}));
-    const bool over_budget = connection_manager_.unsent_bytes() > limits_.unsent_bytes;
+    const bool over_budget = is_over_budget();
     if (over_budget) connection_manager_.evict_slowest_reader(client);
     const bool overloaded =
         client.open_calls.size() >= kMaxOpenRequests || over_budget ||
-        client.stream()->unsent_bytes() > kMaxUnsentBytes ||
+        client.stream()->write_memory() > kMaxWriteMemory ||
         core_.open_requests() >= static_cast<std::size_t>(std::max(1, site_.settings.max_in_flight));
     request.received_at = client.last_byte_at;  // the time-out counts from here
     if (overloaded || request.received_at + request.time_left <= now)
--- a/src/platform_server/platform_server.h
+++ b/src/platform_server/platform_server.h
@@ -15,7 +15,7 @@
 // Resource limits of the server; requests beyond them are rejected.
 struct Limits {
     int connections = 340;
-    std::size_t unsent_bytes = 64 << 20;  // of responses, over all connections
+    std::size_t write_memory = 64 << 20;  // of responses that are not sent, over all connections
 };
 
 class PlatformServer : core::ResponseSink {
@@ -39,7 +39,7 @@
     void set_limits(const Limits& limits) {
         limits_ = limits, connection_manager_.set_max_connections(limits.connections);
     }
-    bool has_unsent_responses() const { return connection_manager_.unsent_bytes() > 0; }
+    bool has_unsent_responses() const { return connection_manager_.write_memory() > 0; }
     const net::ConnectionManager& connection_manager() const { return connection_manager_; }  // for metrics
 
     // Requests affected by drains, since the process started.
@@ -70,6 +70,8 @@
     };
     base::SlotMap<OpenRequest> open_requests_;
     bool ready_ = false;  // the reply to `alive`; false until set_ready()
+    bool is_over_budget() const { return connection_manager_.write_memory() > limits_.write_memory; }
+
     DrainMetrics drain_metrics_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // checked by timers
     net::Loop& loop_;
--- a/src/signed_url_server/signed_url_server.h
+++ b/src/signed_url_server/signed_url_server.h
@@ -36,7 +36,7 @@
     }
     // Replaces keys, issuers, names and limits for new requests; open requests are unaffected.
     void update_config(const config::SignedUrlServer& server_config);
-    bool has_unsent_responses() const { return connection_manager_.unsent_bytes() > 0; }
+    bool has_unsent_responses() const { return connection_manager_.write_memory() > 0; }
     const net::ConnectionManager& connection_manager() const { return connection_manager_; }  // for metrics
 
   private:
--- a/src/store/store_api.cpp
+++ b/src/store/store_api.cpp
@@ -16,7 +16,7 @@
 constexpr base::Micros kIdleTimeout = 30'000'000;  // a connection without requests is closed after this
 constexpr base::Micros kHandlingBudget = 10'000;   // us in an iteration of the loop, for all connections
 constexpr std::size_t kMaxOpenRequests = 64;       // per connection, without a response
-constexpr std::size_t kMaxUnsentBytes = 1 << 20;   // per connection; one more response may exceed it
+constexpr std::size_t kMaxUnsentMemory = 1 << 20;  // per connection; one more response may exceed it
 
 }  // namespace
 
@@ -45,7 +45,7 @@
     bool has_line() const { return buffer.find('\n') != std::string::npos; }
     // The requests of a client that has closed the connection are handled too.
     bool may_handle_request() const {
-        const bool responses_unread = stream && stream->unsent_bytes() > kMaxUnsentBytes;
+        const bool responses_unread = stream && stream->write_memory() > kMaxUnsentMemory;
         return !responses_unread && open_requests < kMaxOpenRequests && has_line();
     }
     void handle_request() {
