Discovery: a log that contradicts itself is followed, not asked again without end

Change: the numbers begin anew once in 2 s at the most; an event that is the known one under its number is passed over.

--- a/src/daemon/endpoint_manager.cpp
+++ b/src/daemon/endpoint_manager.cpp
@@ -22,6 +22,7 @@
 // Start times of all endpoints ever reported; beyond this number they are converted again.
 constexpr std::size_t kMaxStartTimes = 200'000;
 constexpr std::size_t kMaxWarned = 16'384;
+constexpr Micros kMinNumberingInterval = 2'000'000;
 constexpr Micros kNumberingCatchUp = 300'000;  // for what a change log that began anew has so far
 // Told before there is a store to pass them on to; the oldest come first, in the configuration.
 constexpr std::size_t kMaxPurgesBeforeCallback = 20'000;
@@ -212,16 +213,17 @@
     if (snapshot_writer_ && result != endpoints::ApplyResult::outdated) snapshot_writer_->on_changed();
 }
 
-// Only a change log that is not contradicted by another, known to be current, may begin the numbers anew.
+// Only a change log that is not contradicted by another, known to be current, may begin the numbers anew. One
+// that contradicts itself does not do so again and again.
 void EndpointManager::on_known_number(const config::WatchEvent& event, bool is_other_proven) {
+    const endpoints::Continuity continuity = view_.compare(event);
+    if (continuity == endpoints::Continuity::same_numbering) return;
     if (event.has_purge) obey_purge(event);
     if (is_other_proven) return;
-    const endpoints::Continuity continuity = view_.compare(event);
-    if (continuity == endpoints::Continuity::other_numbering) {
-        obey_warnings(event);
-        return begin_numbering();
-    }
-    if (continuity == endpoints::Continuity::unknown) obey_warnings(event);
+    obey_warnings(event);
+    const Micros now = loop_.clock().now();
+    const bool is_due = !numbering_began_at_ || now >= *numbering_began_at_ + kMinNumberingInterval;
+    if (continuity == endpoints::Continuity::other_numbering && is_due) begin_numbering();
 }
 
 // The first events may say that an endpoint is in use which drains by a later one, so they are published
@@ -230,8 +232,9 @@
     log::warn("endpoints: change log began anew known={}", view_.resume_after());
     view_.begin_numbering();
     watch_->begin_numbering();
+    numbering_began_at_ = loop_.clock().now();
     if (publish_not_before_) loop_.timers().cancel(publish_not_before_->timer);
-    const Micros at = loop_.clock().now() + kNumberingCatchUp;
+    const Micros at = *numbering_began_at_ + kNumberingCatchUp;
     publish_not_before_ = {at, loop_.timers().schedule(at, [this] {
                                publish_not_before_.reset();
                                publish();
--- a/src/daemon/endpoint_manager.h
+++ b/src/daemon/endpoint_manager.h
@@ -90,6 +90,7 @@
         base::TimerQueue::Key timer;
     };
     std::optional<DelayedPublish> publish_not_before_;
+    std::optional<base::Micros> numbering_began_at_;
     std::map<std::string, StartTime> start_times_;  // by endpoint
     base::Micros cold_since_ = 0;                   // 0: no endpoint is treated as cold
     std::function<void()> on_confirmed_;
--- a/src/endpoints/endpoint_view.cpp
+++ b/src/endpoints/endpoint_view.cpp
@@ -15,14 +15,6 @@
     return state == EndpointState::removed ? 2 : state == EndpointState::draining ? 1 : 0;
 }
 
-constexpr std::size_t kMaxPurgeEvents = 1'024;  // remembered by their numbers
-
-std::string identity_of_purge(const config::WatchEvent& change) {
-    const std::string subject =
-        change.object.empty() ? "group " + std::to_string(change.purge_group) : "object " + change.object;
-    return subject + ' ' + std::to_string(change.purge_time.micros);
-}
-
 // As a snapshot takes it for a name.
 bool is_short_text(const std::string& text) {
     constexpr std::size_t kMaxLength = 256;
@@ -30,14 +22,6 @@
            text.find_first_of(std::string_view("\r\n\0", 3)) == std::string::npos;
 }
 
-// Whether both say the same of an endpoint. Start times are left out: they are converted by clocks that may
-// have been set in between.
-bool describes_same(const config::LocatedEndpoint& a, const config::LocatedEndpoint& b) {
-    return a.address == b.address && a.endpoint.state == b.endpoint.state &&
-           a.endpoint.zone == b.endpoint.zone && a.endpoint.kind == b.endpoint.kind &&
-           a.endpoint.cell == b.endpoint.cell && a.endpoint.weight == b.endpoint.weight;
-}
-
 std::string name_of(const Purge& purge) {
     return purge.object.empty() ? "group " + std::to_string(purge.purge_group) : "object " + purge.object;
 }
@@ -190,49 +174,6 @@
     return numbered;
 }
 
-void EndpointView::remember_purge(const config::WatchEvent& change) {
-    purge_events_[change.sequence] = identity_of_purge(change);
-    if (purge_events_.size() > kMaxPurgeEvents) purge_events_.erase(purge_events_.begin());
-}
-
-Continuity EndpointView::compare(const config::WatchEvent& change) const {
-    const std::int64_t sequence = numbering_base_ + change.sequence;
-    const bool was_deferred = deferred_update_ && sequence >= deferred_update_->change.sequence;
-    if (sequence > last_sequence_ || was_deferred) return Continuity::unknown;
-    Continuity result = compare_purge(change, sequence);
-    const bool is_full_list = change.has_endpoints && change.is_full_list;
-    if (is_full_list ? full_list_sequence_ < sequence : full_list_sequence_ == sequence)
-        return Continuity::other_numbering;
-    for (const config::LocatedEndpoint& located : change.endpoints) {
-        const Continuity of_one = compare_endpoint(located, sequence);
-        if (of_one == Continuity::other_numbering || result == Continuity::unknown) result = of_one;
-        if (result == Continuity::other_numbering) return result;
-    }
-    return result;
-}
-
-// An endpoint that an event told of has a record of that number or a later one, or was removed since.
-Continuity EndpointView::compare_endpoint(const config::LocatedEndpoint& located,
-                                          std::int64_t sequence) const {
-    const auto found = endpoints_.find(located.endpoint.name);
-    if (found == endpoints_.end()) {
-        const bool may_be_removed = full_list_sequence_ > sequence || forgotten_through_ >= sequence ||
-                                    endpoints_.size() >= options_.max_endpoints;
-        return may_be_removed ? Continuity::unknown : Continuity::other_numbering;
-    }
-    const EndpointRecord& record = *found->second.record;
-    if (record.sequence > sequence) return Continuity::unknown;
-    const bool is_same = record.sequence == sequence && describes_same(record.located, located);
-    return is_same ? Continuity::same_numbering : Continuity::other_numbering;
-}
-
-Continuity EndpointView::compare_purge(const config::WatchEvent& change, std::int64_t sequence) const {
-    const auto found = purge_events_.find(sequence);
-    if (found == purge_events_.end()) return Continuity::unknown;
-    const bool is_same = change.has_purge && found->second == identity_of_purge(change);
-    return is_same ? Continuity::same_numbering : Continuity::other_numbering;
-}
-
 ApplyResult EndpointView::apply(const config::WatchEvent& event, Micros now, int watch_source,
                                 RecordSource source) {
     const config::WatchEvent change = with_base(event);
