Tests: a reader of 20 MB doesn't read them through a window of 4 KB

Change: the window is small until the API has stood still, as before, and large while the responses are read. Checks and bound stay.

--- a/tests/daemon/store_test.cpp
+++ b/tests/daemon/store_test.cpp
@@ -184,12 +184,14 @@
         sockaddr_in address{};
         net::parse_address(fmt::format("127.0.0.1:{}", api.port()), address);
         client = socket(AF_INET, SOCK_STREAM, 0);
-        const int receive_buffer = 4'096;
-        setsockopt(client, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+        set_receive_buffer(4'096);
         REQUIRE(connect(client, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
     }
     ~SlowStoreApi() { close(client); }
 
+    void set_receive_buffer(int bytes) const {
+        setsockopt(client, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+    }
     void send_requests(std::size_t count) const {
         std::string requests;
         for (std::size_t i = 0; i < count; ++i) requests += "{}\n";
@@ -236,6 +238,7 @@
         return stands_still;
     }));
     CHECK(slow.handled <= SlowStoreApi::kMaxUnreadResponses);
+    slow.set_receive_buffer(1 << 20);  // through a small window 20 MB take 6 s, more than half of the bound
     std::size_t received = 0;
     REQUIRE(slow.test_loop.run_until([&] {
         received += slow.read_responses();
