An id that may have run doesn't run again when it comes again

Cause: the core forgot the ids of requests that were given up, though their attempts may have run. Why this works: an attempt counts as long as its first byte may have been written; what was never written is served. Test: AbandonedTest; without remember_abandoned AnIdThatMayHaveRunFailsWhenItComesAgain counts two attempts.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -21,6 +21,8 @@
 constexpr Micros kOriginDateTolerance = 2'000;
 // The core responds by itself this long before the client's deadline.
 constexpr Micros kResponseMargin = 4'000;
+// A client that comes again with the id of a request that it left does so within seconds.
+constexpr Micros kAbandonedRetention = 30 * base::kSecond;
 
 std::string format_handle(Handle handle) {
     return std::to_string(handle.slot) + '.' + std::to_string(handle.generation);
@@ -90,14 +92,56 @@
     OpenRequest& open_request = *requests_.find(handle);
     open_request.name = received.id = format_handle(handle);
     open_request.deadline_timer = schedule_deadline(handle, open_request);
-    if (const auto retry_after = admission_check_ ? admission_check_(open_request.request) : std::nullopt) {
-        rejected_.emplace_back(handle, *retry_after);
+    if (auto response = immediate_response(open_request)) {
+        immediate_responses_.push_back({handle, std::move(*response)});
         return handle;
     }
     events_.emplace_back(std::move(received));
     return handle;
 }
 
+std::optional<Response> Core::immediate_response(OpenRequest& request) {
+    const auto retry_after = admission_check_ ? admission_check_(request.request) : std::nullopt;
+    if (retry_after) return Response{.status = ResponseStatus::rejected, .retry_after = *retry_after};
+    return check_abandoned(request);
+}
+
+// With an idempotency key the caches drop a repetition, wherever it arrives, for one window; attempts that
+// begin later are withheld. Where only some caches would drop it, it is not repeated at all.
+std::optional<Response> Core::check_abandoned(OpenRequest& request) {
+    const routing::ClassSettings& class_settings = settings_.classes[request.request.class_index];
+    if (class_settings.retry_safety == RetrySafety::idempotent) return std::nullopt;
+    const Micros now = clock_.now();
+    if (!abandoned_.has_room(now)) return Response{.status = ResponseStatus::rejected};
+    const auto earlier = abandoned_.find(request.request.id, now);
+    if (!earlier) return std::nullopt;
+    const bool all_drop_repetitions = class_settings.retry_safety == RetrySafety::with_idempotency_key &&
+                                      class_settings.idempotency_scope == routing::IdempotencyScope::all &&
+                                      now < earlier->may_have_run_since + class_settings.idempotency_window;
+    if (!all_drop_repetitions) return Response{.status = ResponseStatus::failed};
+    request.may_have_run = true;
+    request.may_have_run_since = earlier->may_have_run_since;
+    return std::nullopt;
+}
+
+std::optional<Micros> Core::may_have_run_since(const OpenRequest& request) {
+    std::optional<Micros> since;
+    if (request.may_have_run) since = request.may_have_run_since;
+    for (const Handle handle : request.open_attempts) {
+        const OpenAttempt* attempt = attempts_.find(handle);
+        if (!attempt || upstream_->not_started(handle)) continue;
+        since = std::min(since.value_or(attempt->sent_at), attempt->sent_at);
+    }
+    return since;
+}
+
+void Core::remember_abandoned(const OpenRequest& request) {
+    const auto retry_safety = settings_.classes[request.request.class_index].retry_safety;
+    if (retry_safety == RetrySafety::idempotent) return;
+    const auto since = may_have_run_since(request);
+    if (since) abandoned_.add(request.request.id, *since, clock_.now(), kAbandonedRetention);
+}
+
 // Schedules the core's own response: just before the client's deadline, or at the shutdown or response
 // deadline if that is earlier.
 base::TimerQueue::Key Core::schedule_deadline(Handle handle, const OpenRequest& request) {
@@ -131,6 +175,7 @@
 void Core::cancel(Handle handle) {
     const OpenRequest* request = requests_.find(handle);
     if (!request) return;
+    remember_abandoned(*request);
     events_.emplace_back(routing::ClientCancelled{request->name});
     remove_request(handle);
 }
@@ -247,8 +292,8 @@
 void Core::process_events() {
     if (processing_) return;
     processing_ = true;
-    for (const auto& [handle, retry_after] : std::exchange(rejected_, {}))
-        finish(handle, Response{.status = ResponseStatus::rejected, .retry_after = retry_after});
+    for (ImmediateResponse& immediate : std::exchange(immediate_responses_, {}))
+        finish(immediate.request, std::move(immediate.response));
     while (!events_.empty()) {
         const routing::Event event = std::move(events_.front());
         events_.pop_front();
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -18,6 +18,7 @@
 #include "base/clock.h"
 #include "base/slot_map.h"
 #include "base/timer_queue.h"
+#include "core/abandoned_requests.h"
 #include "routing/router.h"
 
 namespace sumackeel::core {
@@ -152,7 +153,9 @@
 
     // The one response goes to `sink`. The server calls process_events() once it has submitted its requests.
     Handle submit(Request client_request, ResponseSink& sink, std::uint64_t cookie);
-    void cancel(Handle request);  // the client no longer waits: there is no response
+    // The client no longer waits: there is no response. If the request may have run, and must not run twice,
+    // its id is answered with `failed` when it comes again.
+    void cancel(Handle request);
     void on_attempt_finished(Handle attempt, AttemptResult result);
     void notify(routing::Event event);  // endpoint updates and purges
     void process_events();              // handles all queued events
@@ -215,6 +218,11 @@
     void perform(const routing::SendGossip&) {}
     void start_attempt(const routing::Forward& forward);
     PurgeKnowledge purge_knowledge() const;
+    // The response to a request that must not reach the router; none: it may.
+    std::optional<Response> immediate_response(OpenRequest& request);
+    std::optional<Response> check_abandoned(OpenRequest& request);
+    void remember_abandoned(const OpenRequest& request);
+    std::optional<Micros> may_have_run_since(const OpenRequest& request);
     void finish(Handle request, Response response);
     void on_deadline(Handle request);
     std::optional<OpenRequest> remove_request(Handle request);
@@ -236,8 +244,13 @@
     std::function<void(const Request&, const std::string&, routing::CacheStatus)> on_served_;
     std::function<Micros()> max_copy_age_;
     std::function<PurgeKnowledge()> purge_knowledge_;
-    std::vector<std::pair<Handle, Micros>>
-        rejected_;  // by the admission check, responded to in the next process_events()
+    struct ImmediateResponse {
+        Handle request;
+        Response response;
+    };
+    // Of requests that never reach the router; sent in the next process_events().
+    std::vector<ImmediateResponse> immediate_responses_;
+    AbandonedRequests abandoned_;
     std::deque<routing::Event> events_;
     std::vector<routing::Action> actions_;
     bool processing_ = false;
