--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -137,6 +137,13 @@
     withheld  // not written: the endpoint or the source was drained or removed while the attempt waited
 };
 
+// Whether the status guarantees, per the wire protocol, that the endpoint did not execute the request.
+inline bool proves_not_run(AttemptStatus status) {
+    return status == AttemptStatus::overloaded || status == AttemptStatus::connect_failed ||
+           status == AttemptStatus::not_sent || status == AttemptStatus::not_found ||
+           status == AttemptStatus::withheld;
+}
+
 // Source of a response, or the reason why its fill failed, as far as the site reports it.
 enum class CacheStatus {
     unknown,
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -28,12 +28,6 @@
     return std::to_string(handle.slot) + '.' + std::to_string(handle.generation);
 }
 
-bool proves_not_run(AttemptStatus verdict) {
-    return verdict == AttemptStatus::overloaded || verdict == AttemptStatus::connect_failed ||
-           verdict == AttemptStatus::not_sent || verdict == AttemptStatus::not_found ||
-           verdict == AttemptStatus::withheld;
-}
-
 // The maximum age of a copy under a further limit; 0: none. `max_age` 0: the class's own applies.
 Micros limited_age(Micros max_age, Micros class_max_age, Micros limit) {
     if (limit == 0) return max_age;
@@ -124,22 +118,23 @@
     return std::nullopt;
 }
 
-std::optional<Micros> Core::may_have_run_since(const OpenRequest& request) {
-    std::optional<Micros> since;
-    if (request.may_have_run) since = request.may_have_run_since;
+// When the first attempt that may have run, or may still run, was sent; 0: there is none.
+Micros Core::first_attempt_at(const OpenRequest& request, OpenAttempts counted) {
+    Micros first = request.may_have_run_since;
     for (const Handle handle : request.open_attempts) {
         const OpenAttempt* attempt = attempts_.find(handle);
-        if (!attempt || upstream_->not_started(handle)) continue;
-        since = std::min(since.value_or(attempt->sent_at), attempt->sent_at);
+        if (!attempt) continue;
+        if (counted == OpenAttempts::written && upstream_->not_started(handle)) continue;
+        first = first > 0 ? std::min(first, attempt->sent_at) : attempt->sent_at;
     }
-    return since;
+    return first;
 }
 
 void Core::remember_abandoned(const OpenRequest& request) {
     const auto retry_safety = settings_.classes[request.request.class_index].retry_safety;
     if (retry_safety == RetrySafety::idempotent) return;
-    const auto since = may_have_run_since(request);
-    if (since) abandoned_.add(request.request.id, *since, clock_.now(), kAbandonedRetention);
+    const Micros since = first_attempt_at(request, OpenAttempts::written);
+    if (since > 0) abandoned_.add(request.request.id, since, clock_.now(), kAbandonedRetention);
 }
 
 // Schedules the core's own response: just before the client's deadline, or at the shutdown or response
@@ -272,7 +267,7 @@
     events_.emplace_back(std::move(finished));
     if (!request) return;
     std::erase(request->open_attempts, handle);
-    if (!proves_not_run(result.status)) {
+    if (!routing::proves_not_run(result.status)) {
         request->may_have_run = true;
         request->may_have_run_since =
             request->may_have_run_since > 0 ? std::min(request->may_have_run_since, sent_at) : sent_at;
@@ -449,11 +444,7 @@
 Micros Core::idempotency_deadline(const OpenRequest& request) {
     const routing::ClassSettings& class_settings = settings_.classes[request.request.class_index];
     if (class_settings.retry_safety != RetrySafety::with_idempotency_key) return 0;
-    Micros since = request.may_have_run_since;
-    for (const Handle handle : request.open_attempts) {
-        const OpenAttempt* attempt = attempts_.find(handle);
-        if (attempt) since = since > 0 ? std::min(since, attempt->sent_at) : attempt->sent_at;
-    }
+    const Micros since = first_attempt_at(request, OpenAttempts::all);
     return since > 0 ? since + class_settings.idempotency_window : 0;
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -222,7 +222,8 @@
     std::optional<Response> immediate_response(OpenRequest& request);
     std::optional<Response> check_abandoned(OpenRequest& request);
     void remember_abandoned(const OpenRequest& request);
-    std::optional<Micros> may_have_run_since(const OpenRequest& request);
+    enum class OpenAttempts { all, written };
+    Micros first_attempt_at(const OpenRequest& request, OpenAttempts counted);
     void finish(Handle request, Response response);
     void on_deadline(Handle request);
     std::optional<OpenRequest> remove_request(Handle request);
--- a/src/daemon/component_options.cpp
+++ b/src/daemon/component_options.cpp
@@ -49,6 +49,10 @@
     return std::min(settings.connect_timeout, settings.drain_grace / 2);
 }
 
+Micros purge_retention(const routing::Settings& settings) {
+    return 2 * settings.purge_completes_within;
+}
+
 routing::Settings routing_settings(const config::Config& config, const config::Operator& setup) {
     routing::Settings settings = config.site.settings;
     if (setup.endpoint_snapshot)
--- a/src/daemon/component_options.h
+++ b/src/daemon/component_options.h
@@ -22,6 +22,9 @@
 // How long establishing a connection to a cache may take.
 routing::Micros upstream_connect_timeout(const routing::Settings& settings);
 
+// For how long a copy from before a purge may exist, with as much again for caches that are late.
+routing::Micros purge_retention(const routing::Settings& settings);
+
 // The router's settings: the platform's, with what the operator's settings add.
 routing::Settings routing_settings(const config::Config& config, const config::Operator& setup);
 
--- a/src/daemon/components.cpp
+++ b/src/daemon/components.cpp
@@ -88,7 +88,7 @@
         loop, socket_budget, *cluster_transport, *consensus_client, settings,
         KvStoreService::PurgeOptions{
             .max_confirmed_age = max_confirmed_age,
-            .retention = 2 * config.site.settings.purge_completes_within,
+            .retention = purge_retention(config.site.settings),
             .on_purge = [this](const kv_store::Purge& purge) {
                 endpoint_manager->add_purges({{purge.object, purge.purge_group, loop.clock().now()}});
             }});
--- a/src/daemon/endpoint_manager.cpp
+++ b/src/daemon/endpoint_manager.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "daemon/component_options.h"
 
 namespace sumackeel::daemon {
 
@@ -31,7 +32,7 @@
     endpoints::ViewOptions options;
     options.origin_kind = config.site.settings.origin_kind;
     options.parent_kind = config.site.settings.parent_kind;
-    options.purge_retention = 2 * config.site.settings.purge_completes_within;
+    options.purge_retention = purge_retention(config.site.settings);
     if (setup.discovery) options.empty_list_delay = setup.discovery->empty_list_delay;
     if (setup.endpoint_snapshot)
         options.staleness = {.full_until = setup.endpoint_snapshot->full_until,
@@ -207,7 +208,7 @@
         change.sequence, log_index, change.has_endpoints, change.endpoints.size(), change.has_purge,
         change.object, change.purge_group, change.has_purge ? now - change.purged_at : 0);
     if (change.has_purge) {
-        notify_purge({change.object, change.purge_group, change.purged_at});
+        notify_purge(endpoints::purge_of(change, change.purged_at));
         report_purge(reported);
     }
     if (snapshot_writer_ && result != endpoints::ApplyResult::outdated) snapshot_writer_->on_changed();
@@ -233,13 +234,12 @@
     view_.begin_numbering();
     watch_->begin_numbering();
     numbering_began_at_ = loop_.clock().now();
-    if (publish_not_before_) loop_.timers().cancel(publish_not_before_->timer);
-    const Micros at = *numbering_began_at_ + kNumberingCatchUp;
-    publish_not_before_ = {at, loop_.timers().schedule(at, [this] {
-                               publish_not_before_.reset();
-                               publish();
-                               core_.process_events();
-                           })};
+    if (delayed_publish_) loop_.timers().cancel(*delayed_publish_);
+    delayed_publish_ = loop_.timers().schedule(*numbering_began_at_ + kNumberingCatchUp, [this] {
+        delayed_publish_.reset();
+        publish();
+        core_.process_events();
+    });
 }
 
 void EndpointManager::obey_warnings(const config::WatchEvent& event) {
@@ -266,10 +266,9 @@
 
 // A purge that may be known: a second time it changes nothing.
 void EndpointManager::obey_purge(const config::WatchEvent& event) {
-    const endpoints::Purge purge{event.object, event.object.empty() ? event.purge_group : 0,
-                                 purge_time_of(event)};
+    const endpoints::Purge purge = endpoints::purge_of(event, purge_time_of(event));
     view_.add_purge(purge, loop_.clock().now());
-    notify_purge({event.object, event.purge_group, purge.at});
+    notify_purge(purge);
     report_purge(event);
 }
 
@@ -286,7 +285,7 @@
     base::UnixTime newest{};
     for (const config::WatchEvent& event : purges_before_callback_)
         newest = std::max(newest, event.purge_time);
-    const Micros retention = 2 * config_.site.settings.purge_completes_within;
+    const Micros retention = purge_retention(config_.site.settings);
     for (const config::WatchEvent& event : std::exchange(purges_before_callback_, {}))
         if (on_change_log_purge_ && newest - event.purge_time <= retention) on_change_log_purge_(event);
 }
@@ -309,7 +308,7 @@
 // Passes changes of the usable endpoints to the router and their addresses to the connection pool. Runs again
 // at the time at which the view changes by the passage of time alone.
 void EndpointManager::publish() {
-    if (publish_not_before_) return;
+    if (delayed_publish_) return;
     const Micros now = loop_.clock().now();
     const bool was_deferred = view_.has_deferred_update();
     view_.advance(now);
--- a/src/daemon/endpoint_manager.h
+++ b/src/daemon/endpoint_manager.h
@@ -84,12 +84,8 @@
     std::unique_ptr<discovery::DiscoveryWatch> watch_;
     std::optional<base::TimerQueue::Key> next_publish_;
     std::set<std::string> bans_;
-    std::set<std::string> warned_;  // endpoints, see obey_warnings()
-    struct DelayedPublish {
-        base::Micros at = 0;
-        base::TimerQueue::Key timer;
-    };
-    std::optional<DelayedPublish> publish_not_before_;
+    std::set<std::string> warned_;                          // endpoints, see obey_warnings()
+    std::optional<base::TimerQueue::Key> delayed_publish_;  // nothing is published until then
     std::optional<base::Micros> numbering_began_at_;
     std::map<std::string, StartTime> start_times_;  // by endpoint
     base::Micros cold_since_ = 0;                   // 0: no endpoint is treated as cold
--- a/src/daemon/kv_store_service.cpp
+++ b/src/daemon/kv_store_service.cpp
@@ -145,10 +145,10 @@
     const auto newer = std::upper_bound(
         state.purges().begin(), state.purges().end(), notified_purge_,
         [](std::uint64_t number, const kv_store::Purge& purge) { return number < purge.number; });
-    bool has_new = false, has_new_of_operator = false;
+    const bool has_new = newer != state.purges().end();
+    const bool has_new_of_operator = std::any_of(
+        newer, state.purges().end(), [](const kv_store::Purge& purge) { return purge.origin_time == 0; });
     std::for_each(newer, state.purges().end(), [&](const kv_store::Purge& purge) {
-        has_new = true;
-        has_new_of_operator = has_new_of_operator || purge.origin_time == 0;
         replicator_.on_replicated(purge, state.purges().back());
     });
     notified_purge_ = std::max(notified_purge_, state.last_purge());
--- a/src/daemon/kv_store_service.h
+++ b/src/daemon/kv_store_service.h
@@ -24,7 +24,7 @@
 
 class KvStoreService {
   public:
-    using OnPurge = std::function<void(const kv_store::Purge&)>;
+    using OnPurge = PurgeReplicator::OnPurge;
 
     // How purges are obeyed. `max_confirmed_age`: for how long the purges in a confirmed state are taken for
     // all, and the maximum age of the copies accepted after that. `retention`: for how long a copy from
--- a/src/daemon/purge_replicator.h
+++ b/src/daemon/purge_replicator.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 
--- a/src/endpoints/continuity.cpp
+++ b/src/endpoints/continuity.cpp
@@ -1,17 +1,22 @@
 // Whether an event with a known number continues the numbering that is known, or belongs to another life of
 // its change log.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+
 #include "endpoints/endpoint_view.h"
 
 namespace sumackeel::endpoints {
 
 namespace {
 
-constexpr std::size_t kMaxPurgeEvents = 1'024;  // remembered by their numbers
+constexpr std::size_t kMaxPurgeDigests = 1'024;  // remembered by their numbers
 
-std::string identity_of_purge(const config::WatchEvent& change) {
-    const std::string subject =
-        change.object.empty() ? "group " + std::to_string(change.purge_group) : "object " + change.object;
-    return subject + ' ' + std::to_string(change.purge_time.micros);
+// Of the purge that an event tells of. Never 0.
+std::uint64_t purge_digest(const config::WatchEvent& change) {
+    const std::string text = name_of(purge_of(change, 0)) + ' ' + std::to_string(change.purge_time.micros);
+    return std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size()));
 }
 
 // Whether both say the same of an endpoint. Start times are left out: they are converted by clocks that may
@@ -25,8 +30,8 @@
 }  // namespace
 
 void EndpointView::remember_purge(const config::WatchEvent& change) {
-    purge_events_[change.sequence] = identity_of_purge(change);
-    if (purge_events_.size() > kMaxPurgeEvents) purge_events_.erase(purge_events_.begin());
+    purge_digests_[change.sequence] = purge_digest(change);
+    if (purge_digests_.size() > kMaxPurgeDigests) purge_digests_.erase(purge_digests_.begin());
 }
 
 Continuity EndpointView::compare(const config::WatchEvent& change) const {
@@ -61,9 +66,9 @@
 }
 
 Continuity EndpointView::compare_purge(const config::WatchEvent& change, std::int64_t sequence) const {
-    const auto found = purge_events_.find(sequence);
-    if (found == purge_events_.end()) return Continuity::unknown;
-    const bool is_same = change.has_purge && found->second == identity_of_purge(change);
+    const auto found = purge_digests_.find(sequence);
+    if (found == purge_digests_.end()) return Continuity::unknown;
+    const bool is_same = change.has_purge && found->second == purge_digest(change);
     return is_same ? Continuity::same_numbering : Continuity::other_numbering;
 }
 
--- a/src/endpoints/endpoint_view.cpp
+++ b/src/endpoints/endpoint_view.cpp
@@ -15,17 +15,6 @@
     return state == EndpointState::removed ? 2 : state == EndpointState::draining ? 1 : 0;
 }
 
-// As a snapshot takes it for a name.
-bool is_short_text(const std::string& text) {
-    constexpr std::size_t kMaxLength = 256;
-    return text.size() <= kMaxLength &&
-           text.find_first_of(std::string_view("\r\n\0", 3)) == std::string::npos;
-}
-
-std::string name_of(const Purge& purge) {
-    return purge.object.empty() ? "group " + std::to_string(purge.purge_group) : "object " + purge.object;
-}
-
 using RecordOrder = std::tuple<std::int64_t, int, const std::string&, Micros, double, int, int, std::int64_t>;
 
 RecordOrder order_key(const EndpointRecord& record) {
@@ -42,6 +31,14 @@
 
 }  // namespace
 
+std::string name_of(const Purge& purge) {
+    return purge.object.empty() ? "group " + std::to_string(purge.purge_group) : "object " + purge.object;
+}
+
+Purge purge_of(const config::WatchEvent& event, Micros at) {
+    return {event.object, event.object.empty() ? event.purge_group : 0, at};
+}
+
 const char* name_of(RecordSource source) {
     return source == RecordSource::watch ? "log" : source == RecordSource::snapshot ? "saved" : "seed";
 }
@@ -164,24 +161,18 @@
 
 void EndpointView::begin_numbering() {
     numbering_base_ = last_sequence_;
-    purge_events_.clear();
+    purge_digests_.clear();
     deferred_update_.reset();
 }
 
-config::WatchEvent EndpointView::with_base(const config::WatchEvent& change) const {
-    config::WatchEvent numbered = change;
-    numbered.sequence += numbering_base_;
-    return numbered;
-}
-
-ApplyResult EndpointView::apply(const config::WatchEvent& event, Micros now, int watch_source,
+ApplyResult EndpointView::apply(config::WatchEvent change, Micros now, int watch_source,
                                 RecordSource source) {
-    const config::WatchEvent change = with_base(event);
+    change.sequence += numbering_base_;
     bool updated = false, table_full = false, deferred = false;
-    if (change.has_purge)
-        insert_purge({change.object, change.object.empty() ? change.purge_group : 0, change.purged_at}, now,
-                     updated);
-    if (change.has_purge) remember_purge(change);
+    if (change.has_purge) {
+        insert_purge(purge_of(change, change.purged_at), now, updated);
+        remember_purge(change);
+    }
     if (change.has_endpoints) {
         if (deferred_update_ && change.is_full_list && change.sequence >= deferred_update_->change.sequence &&
             !would_remove_last_cache(change))
@@ -233,7 +224,7 @@
     load_purges(saved, now);
     last_sequence_ = std::max(last_sequence_, saved.last_sequence);
     numbering_base_ = std::max(numbering_base_, saved.numbering_base);
-    if (!saved.last_purge_event.empty()) purge_events_[saved.last_sequence] = saved.last_purge_event;
+    if (saved.last_purge_digest != 0) purge_digests_[saved.last_sequence] = saved.last_purge_digest;
     forgotten_through_ = std::max(forgotten_through_, saved.forgotten_through);
     if (!live_ && saved.confirmed_age >= 0)
         confirmed_at_ = std::max(confirmed_at_, now - since_taken - saved.confirmed_age);
@@ -418,9 +409,8 @@
     saved.confirmed_age = confirmed_at_ > 0 ? std::max<Micros>(0, now - confirmed_at_) : -1;
     saved.last_sequence = numbering_base_ + resume_after();
     saved.numbering_base = numbering_base_;
-    const auto last_purge = purge_events_.find(saved.last_sequence);
-    if (last_purge != purge_events_.end() && is_short_text(last_purge->second))
-        saved.last_purge_event = last_purge->second;
+    const auto last_purge = purge_digests_.find(saved.last_sequence);
+    if (last_purge != purge_digests_.end()) saved.last_purge_digest = last_purge->second;
     saved.full_list_sequence = full_list_sequence_;
     saved.forgotten_through = forgotten_through_;
     saved.endpoints.reserve(endpoints_.size());
--- a/src/endpoints/endpoint_view.h
+++ b/src/endpoints/endpoint_view.h
@@ -60,6 +60,10 @@
 
     bool operator==(const Purge&) const = default;
 };
+// "group NUMBER" or "object ID".
+std::string name_of(const Purge& purge);
+// The purge that an event tells of, which was issued `at`.
+Purge purge_of(const config::WatchEvent& event, Micros at);
 
 // A view as it is stored on disk. Ages are relative to `taken_at`.
 struct Snapshot {
@@ -68,7 +72,7 @@
     Micros confirmed_age = -1;  // since a live source last confirmed the list; below 0: never confirmed
     std::int64_t last_sequence = 0, full_list_sequence = 0, forgotten_through = 0;
     std::int64_t numbering_base = 0;       // included in all sequence numbers above
-    std::string last_purge_event;          // the purge that `last_sequence` told; empty: it told none
+    std::uint64_t last_purge_digest = 0;   // of the purge that `last_sequence` told; 0: it told none
     std::vector<KnownEndpoint> endpoints;  // `last_response_at` holds an age; below 0: never
     std::vector<Purge> purges;             // `at` holds a Unix time of the clock of `taken_at`
 };
@@ -104,7 +108,7 @@
     explicit EndpointView(ViewOptions options = {}) : options_(options) {}
 
     // An event of the change log with the index `watch_source`, or of the platform's configuration (-1).
-    ApplyResult apply(const config::WatchEvent& event, Micros now, int watch_source = -1,
+    ApplyResult apply(config::WatchEvent change, Micros now, int watch_source = -1,
                       RecordSource source = RecordSource::watch);
     // The events passed in from now on are of a change log that counts from 1 again.
     void begin_numbering();
@@ -182,8 +186,6 @@
         Trust trust = Trust::none;
     };
 
-    // `change` with the number that it has within the view.
-    config::WatchEvent with_base(const config::WatchEvent& change) const;
     Continuity compare_endpoint(const config::LocatedEndpoint& located, std::int64_t sequence) const;
     Continuity compare_purge(const config::WatchEvent& change, std::int64_t sequence) const;
     void remember_purge(const config::WatchEvent& change);
@@ -215,7 +217,7 @@
     std::optional<DeferredUpdate> deferred_update_;
     std::int64_t last_sequence_ = 0, full_list_sequence_ = 0, seed_sequence_ = 0;
     std::int64_t numbering_base_ = 0;
-    std::map<std::int64_t, std::string> purge_events_;  // the newest ones, by number
+    std::map<std::int64_t, std::uint64_t> purge_digests_;  // of the newest events that told one, by number
     // Records of unknown endpoints up to this number belong to removed endpoints that were evicted.
     std::int64_t forgotten_through_ = 0;
     std::size_t removed_count_ = 0;
--- a/src/endpoints/snapshot_codec.cpp
+++ b/src/endpoints/snapshot_codec.cpp
@@ -131,7 +131,7 @@
         if (key == "last_seq") snapshot.last_sequence = item.val.as<std::int64_t>();
         if (key == "whole_at") snapshot.full_list_sequence = item.val.as<std::int64_t>();
         if (key == "numbered_from") snapshot.numbering_base = item.val.as<std::int64_t>();
-        if (key == "last_purge") snapshot.last_purge_event = decode_name(item.val);
+        if (key == "last_purge") snapshot.last_purge_digest = item.val.as<std::uint64_t>();
         if (key == "forgotten_to") snapshot.forgotten_through = item.val.as<std::int64_t>();
         if (key == "members") {
             const auto& entries =
@@ -199,7 +199,7 @@
 std::string encode(const Snapshot& snapshot, const NameTables& names) {
     msgpack::sbuffer uncompressed;
     msgpack::packer pack(uncompressed);
-    const bool has_base = snapshot.numbering_base > 0, has_last_purge = !snapshot.last_purge_event.empty();
+    const bool has_base = snapshot.numbering_base > 0, has_last_purge = snapshot.last_purge_digest != 0;
     pack.pack_map(8 + static_cast<std::uint32_t>(has_base) + static_cast<std::uint32_t>(has_last_purge));
     pack.pack("site"), pack.pack(snapshot.site);
     pack.pack("taken_at"), pack.pack(snapshot.taken_at.micros);
@@ -208,7 +208,7 @@
     pack.pack("whole_at"), pack.pack(snapshot.full_list_sequence);
     pack.pack("forgotten_to"), pack.pack(snapshot.forgotten_through);
     if (has_base) pack.pack("numbered_from"), pack.pack(snapshot.numbering_base);
-    if (has_last_purge) pack.pack("last_purge"), pack.pack(snapshot.last_purge_event);
+    if (has_last_purge) pack.pack("last_purge"), pack.pack(snapshot.last_purge_digest);
     pack.pack("members"), pack.pack_array(static_cast<std::uint32_t>(snapshot.endpoints.size()));
     for (const KnownEndpoint& endpoint : snapshot.endpoints) {
         const Endpoint& entry = endpoint.record->located.endpoint;
--- a/src/endpoints/watch_sources.cpp
+++ b/src/endpoints/watch_sources.cpp
@@ -48,9 +48,9 @@
     health.proven = health.state == State::following && (!options_.require_proof || is_current);
 }
 
-bool WatchSources::has_short_answer(const Health& health, Micros now) const {
+bool WatchSources::awaits_newest(const Health& health) const {
     return options_.require_proof && health.state == State::following && !health.asked_for_all &&
-           health.highest_on_connection == 0 && now >= health.since + options_.short_answer_after;
+           health.highest_on_connection == 0;
 }
 
 bool WatchSources::is_other_proven(std::size_t source) const {
@@ -110,10 +110,8 @@
             steps.push_back({Step::Kind::drop, i}), fail(health, now, "response timeout");
         else if (health.state == State::following && now > health.last_byte_at + options_.silence_timeout)
             steps.push_back({Step::Kind::drop, i}), fail(health, now, "fell silent");
-        else if (has_short_answer(health, now) && health_.size() > 1)
-            call(i, 0, now, steps);
-        else if (has_short_answer(health, now) && !std::exchange(health.asked_for_all, true))
-            steps.push_back({Step::Kind::restart_numbering, i});
+        else if (awaits_newest(health) && now >= health.since + options_.short_answer_after)
+            on_short_answer(i, now, steps);
     }
     int usable_count = 0;
     for (std::size_t i = 0; i < health_.size(); ++i) {
@@ -143,11 +141,17 @@
     return steps;
 }
 
+// Either is done once on a connection.
+void WatchSources::on_short_answer(std::size_t source, Micros now, std::vector<Step>& steps) {
+    if (health_.size() > 1) return call(source, 0, now, steps);
+    health_[source].asked_for_all = true;
+    steps.push_back({Step::Kind::restart_numbering, source});
+}
+
 Micros WatchSources::following_deadline(const Health& health) const {
     const Micros silent_at = health.last_byte_at + options_.silence_timeout + 1;
-    const bool may_be_short =
-        options_.require_proof && !health.asked_for_all && health.highest_on_connection == 0;
-    return may_be_short ? std::min(silent_at, health.since + options_.short_answer_after) : silent_at;
+    return awaits_newest(health) ? std::min(silent_at, health.since + options_.short_answer_after)
+                                 : silent_at;
 }
 
 std::optional<Micros> WatchSources::next_deadline() const {
--- a/src/endpoints/watch_sources.h
+++ b/src/endpoints/watch_sources.h
@@ -94,7 +94,9 @@
     std::int64_t settled_sequence(Micros now);
     void update_proven(Health& health, Micros now);
     bool is_usable(const Health& health) const;
-    bool has_short_answer(const Health& health, Micros now) const;
+    // It was asked for the newest known event and has not sent any yet.
+    bool awaits_newest(const Health& health) const;
+    void on_short_answer(std::size_t source, Micros now, std::vector<Step>& steps);
     void call(std::size_t source, std::int64_t behind, Micros now, std::vector<Step>& steps);
     Micros following_deadline(const Health& health) const;
     void fail(Health& health, Micros now, std::string reason);
--- a/src/expectations/simulation.cpp
+++ b/src/expectations/simulation.cpp
@@ -249,16 +249,12 @@
             finished.load = {.in_flight = 500, .ingress_utilization = 20};
         if (found != open_.end()) {
             found->second.in_flight.erase(attempt);
-            const bool never_ran = status == AttemptStatus::overloaded ||
-                                   status == AttemptStatus::connect_failed ||
-                                   status == AttemptStatus::not_sent || status == AttemptStatus::not_found ||
-                                   status == AttemptStatus::withheld;
-            if (!never_ran) found->second.may_have_run = true;
+            if (!routing::proves_not_run(status)) found->second.may_have_run = true;
         }
         const bool served = status == AttemptStatus::served && found != open_.end();
-        static constexpr const char* kStatusNames[] = {"served",     "error",         "full",
-                                                       "timed out",  "not connected", "broken off",
-                                                       "called off", "never sent",    "missing"};
+        static constexpr const char* kStatusNames[] = {
+            "served",     "error",      "full",       "timed out", "not connected",
+            "broken off", "called off", "never sent", "missing",   "withheld"};
         deliver(finished, [&] {
             return fmt::format("request {}: attempt {} at {}: {}", id, attempt, finished.endpoint,
                                kStatusNames[static_cast<std::size_t>(status)]);
--- a/src/kv_store/codec.cpp
+++ b/src/kv_store/codec.cpp
@@ -122,11 +122,11 @@
     }
 }
 
+// Other commands may be long, so only a purge is parsed: behind the marker stands the kind, in one byte too.
 std::optional<Purge> purge_of_origin(std::string_view command) {
+    if (!is_command(command) || command[2] != static_cast<char>(RecordKind::purge)) return std::nullopt;
     const base::MsgpackDocument document = parse(command);
-    MsgpackReader reader = document.reader(3);
-    if (reader.next<int>() != kFormatMarker) MsgpackReader::fail();
-    if (reader.enumeration(RecordKind::update) != RecordKind::purge) return std::nullopt;
+    MsgpackReader reader = body_reader(document, RecordKind::purge, 1);
     const Purge purge = read_purge(reader.array(5));
     return purge.origin_time != 0 ? std::optional(purge) : std::nullopt;
 }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -21,7 +21,6 @@
 // If a check for dropped data takes longer, the process was preempted and the result is out of date.
 constexpr std::uint64_t kMaxCheckTime = 20'000;  // ns
 constexpr int kMaxChecks = 4;
-
 constexpr std::size_t kAllocatorOverhead = 16;  // bytes, of one allocation
 
 struct Write {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -165,13 +165,12 @@
     void unblock_receive();
     void set_cork(bool on);
     int descriptor() const;  // -1: closed
+    void account_write(std::ptrdiff_t change);
     void disconnect(DisconnectCause cause);
 
     uv_tcp_t tcp_;
     uv_connect_t connect_request_;
     uv_shutdown_t shutdown_request_;
-    void account_write(std::ptrdiff_t change);
-
     SocketBudget budget_;
     std::size_t write_memory_ = 0;
     Handler* handler_;
--- a/src/platform_server/platform_server.h
+++ b/src/platform_server/platform_server.h
@@ -60,6 +60,7 @@
     void send_delayed_rejections(Client& client);
     void end_drain();
     bool decode_request(ThriftCall& call, core::Request& request) const;
+    bool is_over_budget() const { return connection_manager_.write_memory() > limits_.write_memory; }
 
     core::Core& core_;
     const config::Site& site_;
@@ -70,8 +71,6 @@
     };
     base::SlotMap<OpenRequest> open_requests_;
     bool ready_ = false;  // the reply to `alive`; false until set_ready()
-    bool is_over_budget() const { return connection_manager_.write_memory() > limits_.write_memory; }
-
     DrainMetrics drain_metrics_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // checked by timers
     net::Loop& loop_;
--- a/src/routing/request.h
+++ b/src/routing/request.h
@@ -10,13 +10,6 @@
 
 namespace sumackeel::routing {
 
-// Whether the status guarantees, per the wire protocol, that the endpoint did not execute the request.
-inline bool proves_not_run(AttemptStatus status) {
-    return status == AttemptStatus::overloaded || status == AttemptStatus::connect_failed ||
-           status == AttemptStatus::not_sent || status == AttemptStatus::not_found ||
-           status == AttemptStatus::withheld;
-}
-
 struct Attempt {
     Target* cache = nullptr;
     Target* source = nullptr;
--- a/tests/core/abandoned_requests_test.cpp
+++ b/tests/core/abandoned_requests_test.cpp
@@ -19,11 +19,6 @@
     bool not_started(base::Handle) const override { return !writes; }
 };
 
-struct RecordingSink : core::ResponseSink {
-    std::vector<core::ResponseStatus> statuses;
-    void on_response(std::uint64_t, core::Response response) override { statuses.push_back(response.status); }
-};
-
 struct AbandonedTest : testing::Test, CoreFixture<RecordingUpstream, RecordingSink> {
     base::Handle submit_enrol(const std::string& id) {
         core::Request request;
--- a/tests/core/core_fixture.h
+++ b/tests/core/core_fixture.h
@@ -1,6 +1,8 @@
 // A core before one pop cache and an origin, without a network.
 #pragma once
 
+#include <vector>
+
 #include "../daemon/support.h"
 #include "config/config.h"
 #include "core/core.h"
@@ -14,6 +16,15 @@
     void close_idle_connections(const std::string&) override {}
 };
 
+struct IgnoringSink : core::ResponseSink {
+    void on_response(std::uint64_t, core::Response) override {}
+};
+
+struct RecordingSink : core::ResponseSink {
+    std::vector<core::ResponseStatus> statuses;
+    void on_response(std::uint64_t, core::Response response) override { statuses.push_back(response.status); }
+};
+
 template <typename Upstream, typename Sink>
 struct CoreFixture {
     config::Config config = config::parse_config(story::config_text(
--- a/tests/core/purge_knowledge_test.cpp
+++ b/tests/core/purge_knowledge_test.cpp
@@ -38,10 +38,6 @@
     }
 };
 
-struct IgnoringSink : core::ResponseSink {
-    void on_response(std::uint64_t, core::Response) override {}
-};
-
 struct PurgeKnowledgeTest : testing::Test, CoreFixture<EncodingUpstream, IgnoringSink> {
     PurgeKnowledgeTest() {
         upstream.core = &core;
--- a/tests/core/shutdown_deadline_test.cpp
+++ b/tests/core/shutdown_deadline_test.cpp
@@ -16,11 +16,6 @@
     std::uint64_t start(const core::AttemptRequest&) override { return ++started; }
 };
 
-struct RecordingSink : core::ResponseSink {
-    std::vector<core::ResponseStatus> statuses;
-    void on_response(std::uint64_t, core::Response response) override { statuses.push_back(response.status); }
-};
-
 using LastWordFixture = CoreFixture<UnresponsiveUpstream, RecordingSink>;
 
 }  // namespace
--- a/tests/core/write_terms_test.cpp
+++ b/tests/core/write_terms_test.cpp
@@ -20,10 +20,6 @@
     bool not_started(base::Handle) const override { return true; }
 };
 
-struct IgnoringSink : core::ResponseSink {
-    void on_response(std::uint64_t, core::Response) override {}
-};
-
 struct WriteTermsTest : testing::Test, CoreFixture<WaitingUpstream, IgnoringSink> {
     core::WriteTerms terms() { return core.terms_at_write(upstream.waiting.back().attempt); }
     void tell(const std::string& name, routing::EndpointState state) {
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "net/stream.h"
+#include "socket_pair.h"
 
 namespace sumackeel::net {
 namespace {
@@ -28,29 +29,6 @@
     while (uv_hrtime() < end) continue;
 }
 
-// The two ends of a connection over loopback.
-struct SocketPair {
-    int client = -1;
-    int server = -1;
-};
-
-SocketPair connect_pair() {
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof address;
-    SocketPair pair;
-    if (bind(listener, reinterpret_cast<sockaddr*>(&address), length) == 0 && listen(listener, 1) == 0 &&
-        getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length) == 0) {
-        pair.client = socket(AF_INET, SOCK_STREAM, 0);
-        if (connect(pair.client, reinterpret_cast<sockaddr*>(&address), length) == 0)
-            pair.server = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    }
-    close(listener);
-    return pair;
-}
-
 struct LoopTest : testing::Test {
     struct Counter : Stream::Handler {
         LoopTest& test;
--- a/tests/net/write_memory_test.cpp
+++ b/tests/net/write_memory_test.cpp
@@ -1,12 +1,10 @@
 // What writes hold until they are done. Guards against answers to a client that never reads taking several
 // times the memory that is counted for them, until the process is killed.
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "net/loop.h"
 #include "net/stream.h"
+#include "socket_pair.h"
 
 namespace sumackeel::net {
 namespace {
@@ -20,30 +18,14 @@
     void on_close(Stream&, DisconnectCause) override {}
 };
 
-int accept_own_connection(int& client) {
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof address;
-    bind(listener, reinterpret_cast<sockaddr*>(&address), length);
-    listen(listener, 1);
-    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
-    client = socket(AF_INET, SOCK_STREAM, 0);
-    connect(client, reinterpret_cast<sockaddr*>(&address), length);
-    const int accepted = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    close(listener);
-    return accepted;
-}
-
 }  // namespace
 
 TEST(WriteMemory, SmallWritesCountWithAllThatTheyHold) {
     Loop loop;
     SocketBudget budget(8);
     IdleHandler handler;
-    int client = -1;
-    Stream* stream = Stream::adopt(loop, budget, accept_own_connection(client), handler);
+    const SocketPair sockets = connect_pair();
+    Stream* stream = Stream::adopt(loop, budget, sockets.server, handler);
     ASSERT_NE(stream, nullptr);
     stream->write(std::string(kFillsSystemBuffers, 'x'));
     const std::size_t before = stream->write_memory();
@@ -55,7 +37,7 @@
     loop.timers().schedule(loop.clock().now() + 10'000, [&] { loop.stop(); });
     loop.run();
     EXPECT_EQ(budget.write_memory(), 0) << "given back with the connection";
-    close(client);
+    close(sockets.client);
 }
 
 }  // namespace sumackeel::net
