Discovery: debug lines for each call sent and each that ended unanswered

Hypotheses: calls are given up before their answer; answers are refused; events are read but not applied. The log could not tell them apart, so a call now says when it was sent and when it ended unanswered (debug).

--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -98,6 +98,7 @@
     }
 
     void on_open(net::Stream& s) override {
+        log::debug("discovery: call sent log={} after={}", watch.addresses_[source], after_seq);
         watch.sources_.on_connected(source, watch.loop_.clock().now());
         s.write("GET /changes HTTP/1.1\r\nHost: " + watch.addresses_[source] +
                 "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + std::to_string(after_seq) + "\r\n\r\n");
@@ -156,6 +157,9 @@
         const std::string& reason = sources_.health()[step.source].last_fault;
         if (reason == "fell silent")
             log::warn("discovery: change log silent, reconnecting log={}", addresses_[step.source]);
+        else if (reason == "response timeout")
+            log::debug("discovery: call ended unanswered log={} failures={}", addresses_[step.source],
+                       sources_.health()[step.source].failures);
         if (connections_[step.source]) closed_.push_back(std::move(connections_[step.source]));
     }
     updating_ = false;
