--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -2,18 +2,23 @@
 
 #include <json/json.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "base/log.h"
 
 namespace sumackeel::discovery {
 
+using Step = endpoints::WatchSources::Step;
+
 namespace {
 
 constexpr std::size_t kMaxEventSize = 4 << 20;
 constexpr base::Micros kMaxUpdateInterval = 250'000;
 // Numberings that began anew are added up.
 constexpr std::int64_t kMaxSequence = std::int64_t{1} << 48;
+// With fewer free sockets, fewer calls wait beside one another.
+constexpr int kMinFreeSockets = 16;
 
 }  // namespace
 
@@ -55,10 +60,11 @@
     has_data_ = true;
 }
 
-// One connection to one change log.
+// One call to one change log, on a connection of its own.
 struct DiscoveryWatch::Connection : net::Stream::Handler {
     DiscoveryWatch& watch;
-    const std::size_t source;
+    std::size_t source;  // changes when the list of addresses does
+    const base::CallId call;
     const std::int64_t after_seq;
     net::Stream* stream = nullptr;
     http_parser parser{};
@@ -66,10 +72,11 @@
     EventStreamReader reader;
     bool streaming = false;  // the response has status 200, and its body is the event stream
 
-    Connection(DiscoveryWatch& owner, std::size_t source_index, std::int64_t from)
+    Connection(DiscoveryWatch& owner, const endpoints::WatchSources::Step& step)
         : watch(owner),
-          source(source_index),
-          after_seq(from),
+          source(step.source),
+          call(step.call),
+          after_seq(step.behind),
           reader([this](const std::string& data) { watch.on_event(*this, data); }) {
         http_parser_init(&parser, HTTP_RESPONSE);
         parser.data = this;
@@ -98,8 +105,9 @@
     }
 
     void on_open(net::Stream& s) override {
+        if (!watch.is_current(*this)) return;
         log::debug("discovery: call sent log={} after={}", watch.addresses_[source], after_seq);
-        watch.sources_.on_connected(source, watch.loop_.clock().now());
+        watch.sources_.on_connected(source, call, watch.loop_.clock().now());
         s.write("GET /changes HTTP/1.1\r\nHost: " + watch.addresses_[source] +
                 "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + std::to_string(after_seq) + "\r\n\r\n");
     }
@@ -109,15 +117,16 @@
         if (read != bytes.size() || HTTP_PARSER_ERRNO(&parser) != HPE_OK)
             throw StreamError(StreamError::Code::bad_response, "the change log's answer can't be read");
         if (!watch.is_current(*this)) return;  // an event has ended this connection
-        const bool confirmed = streaming && watch.sources_.on_data(source, watch.loop_.clock().now());
+        const bool confirmed = streaming && watch.sources_.on_data(source, call, watch.loop_.clock().now());
+        if (watch.sources_.has_superseded_calls()) watch.on_answer(*this);
         if (confirmed && watch.callbacks_.on_confirmed) watch.callbacks_.on_confirmed();
     }
 
     void on_close(net::Stream&, net::DisconnectCause cause) override {
         stream = nullptr;
-        watch.on_disconnected(source, cause == net::DisconnectCause::connect_failed   ? "refused"
-                                      : cause == net::DisconnectCause::closed_by_peer ? "closed"
-                                                                                      : "broken");
+        watch.on_disconnected(*this, cause == net::DisconnectCause::connect_failed   ? "refused"
+                                     : cause == net::DisconnectCause::closed_by_peer ? "closed"
+                                                                                     : "broken");
     }
 };
 
@@ -130,7 +139,6 @@
       last_seq_(last_seq),
       callbacks_(std::move(callbacks)),
       sources_(addresses.size(), options, seed),
-      connections_(addresses.size()),
       addresses_(std::move(addresses)) {
     loop_.on_each_iteration([this] { closed_.clear(); });
     update();
@@ -143,25 +151,9 @@
 void DiscoveryWatch::update() {
     if (std::exchange(updating_, true)) return;
     const base::Micros now = loop_.clock().now();
-    for (const auto& step : sources_.next_steps(now, last_seq_)) {
-        if (step.kind == endpoints::WatchSources::Step::Kind::call) {
-            connect(step.source, step.behind);
-            continue;
-        }
-        if (step.kind == endpoints::WatchSources::Step::Kind::restart_numbering) {
-            loop_.timers().schedule(now, [this] {
-                if (callbacks_.on_short_answer) callbacks_.on_short_answer();
-            });
-            continue;
-        }
-        const std::string& reason = sources_.health()[step.source].last_fault;
-        if (reason == "fell silent")
-            log::warn("discovery: change log silent, reconnecting log={}", addresses_[step.source]);
-        else if (reason == "response timeout")
-            log::debug("discovery: call ended unanswered log={} failures={}", addresses_[step.source],
-                       sources_.health()[step.source].failures);
-        if (connections_[step.source]) closed_.push_back(std::move(connections_[step.source]));
-    }
+    const bool sockets_short = budget_.available() < kMinFreeSockets;
+    sources_.limit_pending(sockets_short ? base::PendingCalls::kMinPending : base::PendingCalls::kMaxPending);
+    for (const auto& step : sources_.next_steps(now, last_seq_)) carry_out(step);
     updating_ = false;
     if (update_timer_) loop_.timers().cancel(*update_timer_);
     const base::Micros due = sources_.next_deadline().value_or(now + kMaxUpdateInterval);
@@ -172,40 +164,97 @@
         });
 }
 
-void DiscoveryWatch::connect(std::size_t source, std::int64_t after_seq) {
-    if (connections_[source]) closed_.push_back(std::move(connections_[source]));
+void DiscoveryWatch::carry_out(const Step& step) {
+    switch (step.kind) {
+        case Step::Kind::call:
+            return connect(step);
+        case Step::Kind::drop:
+            return close(step.call);
+        case Step::Kind::restart_numbering:
+            loop_.timers().schedule(loop_.clock().now(), [this] {
+                if (callbacks_.on_short_answer) callbacks_.on_short_answer();
+            });
+    }
+}
+
+void DiscoveryWatch::connect(const Step& step) {
+    log_call(step);
     sockaddr_in to{};
-    auto connection = std::make_unique<Connection>(*this, source, after_seq);
-    if (net::parse_address(addresses_[source], to))
+    auto connection = std::make_unique<Connection>(*this, step);
+    if (net::parse_address(addresses_[step.source], to))
         connection->stream = net::Stream::connect(loop_, budget_, to, *connection);
     if (connection->stream)
-        connections_[source] = std::move(connection);
+        connections_[step.call] = std::move(connection);
     else
-        sources_.on_disconnected(source, loop_.clock().now(), "no connection can be made");
+        sources_.on_disconnected(step.source, step.call, loop_.clock().now(), "no connection can be made");
 }
 
-void DiscoveryWatch::on_disconnected(std::size_t source, const char* reason) {
-    if (connections_[source]) closed_.push_back(std::move(connections_[source]));
-    sources_.on_disconnected(source, loop_.clock().now(), reason);
+void DiscoveryWatch::log_call(const Step& step) {
+    const endpoints::WatchSources::Health& health = sources_.health()[step.source];
+    const std::string& address = addresses_[step.source];
+    const std::size_t pending = sources_.pending_count(step.source);
+    const base::Micros waited = sources_.longest_pending(step.source, loop_.clock().now());
+    log::debug("discovery: call log={} behind={} calls={} pending={} longest_ms={} given_up={} last_fault={}",
+               address, step.behind, health.calls, pending, waited / 1000, health.given_up,
+               health.last_fault);
+    if (health.state == endpoints::WatchSources::State::silent && pending == 1)
+        call_log_.warn("discovery: change log silent, calling again log={}", address);
+    if (health.state != endpoints::WatchSources::State::silent && pending == 2)
+        call_log_.warn("discovery: change log does not answer, calling again log={} waited_ms={}", address,
+                       waited / 1000);
+}
+
+void DiscoveryWatch::close(base::CallId call) {
+    const auto found = connections_.find(call);
+    if (found == connections_.end()) return;
+    closed_.push_back(std::move(found->second));
+    connections_.erase(found);
+}
+
+// Others were open beside this call.
+void DiscoveryWatch::on_answer(const Connection& connection) {
+    answer_log_.warn("discovery: change log answered late log={} after_ms={}", addresses_[connection.source],
+                     sources_.health()[connection.source].response_time / 1000);
+    update();
+}
+
+void DiscoveryWatch::on_disconnected(const Connection& connection, const char* reason) {
+    if (!is_current(connection)) return;
+    const std::size_t source = connection.source;
+    const base::CallId call = connection.call;
+    close(call);
+    sources_.on_disconnected(source, call, loop_.clock().now(), reason);
     update();
 }
 
-// Connections to the old addresses are dropped, and the new ones are connected to at once, since their events
-// count as known soon.
+// The new addresses are called at once, since their events count as known soon.
 void DiscoveryWatch::set_addresses(std::vector<std::string> addresses) {
     if (addresses == addresses_) return;
+    std::vector<std::optional<std::size_t>> kept(addresses.size());
+    std::map<std::size_t, std::size_t> moved;  // from the index in the old list to that in the new one
+    for (std::size_t i = 0; i < addresses.size(); ++i) {
+        const auto found = std::find(addresses_.begin(), addresses_.end(), addresses[i]);
+        const auto old_index = static_cast<std::size_t>(found - addresses_.begin());
+        if (found != addresses_.end() && moved.emplace(old_index, i).second)
+            kept[i] = old_index;
+        else
+            log::info("discovery: change log moved log={} sequence={}", addresses[i], last_seq_);
+    }
+    for (auto at = connections_.begin(); at != connections_.end();) {
+        const auto current = at++;
+        const auto place = moved.find(current->second->source);
+        if (place == moved.end())
+            close(current->first);
+        else
+            current->second->source = place->second;
+    }
     addresses_ = std::move(addresses);
-    reconnect_all();
-    for (const std::string& address : addresses_)
-        log::info("discovery: change log moved log={} sequence={}", address, last_seq_);
+    sources_.replace(kept);
     update();
 }
 
 void DiscoveryWatch::reconnect_all() {
-    for (auto& connection : connections_)
-        if (connection) closed_.push_back(std::move(connection));
-    connections_.clear();
-    connections_.resize(addresses_.size());
+    while (!connections_.empty()) close(connections_.begin()->first);
     sources_.replace(addresses_.size());
 }
 
@@ -238,7 +287,8 @@
     if (change.sequence > kMaxSequence)
         return log::error("discovery: event skipped error=number too high sequence={}", change.sequence);
     using EventResult = endpoints::WatchSources::EventResult;
-    const EventResult result = sources_.on_event(source, change.sequence, last_seq_, loop_.clock().now());
+    const EventResult result =
+        sources_.on_event(source, connection.call, change.sequence, last_seq_, loop_.clock().now());
     if (result == EventResult::regressed)
         log::warn("discovery: sequence regressed log={} sequence={} newest={}", addresses_[source],
                   change.sequence, sources_.health()[source].highest_on_connection);
@@ -247,7 +297,8 @@
 }
 
 bool DiscoveryWatch::is_current(const Connection& connection) const {
-    return connection.source < connections_.size() && connections_[connection.source].get() == &connection;
+    const auto found = connections_.find(connection.call);
+    return found != connections_.end() && found->second.get() == &connection;
 }
 
 void DiscoveryWatch::apply(const config::WatchEvent& change, int log) {
--- a/src/discovery/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -4,12 +4,14 @@
 #include <http_parser.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "base/log.h"
 #include "config/config.h"
 #include "endpoints/watch_sources.h"
 #include "net/stream.h"
@@ -73,7 +75,8 @@
     DiscoveryWatch(const DiscoveryWatch&) = delete;
     DiscoveryWatch& operator=(const DiscoveryWatch&) = delete;
 
-    // Replaces the addresses of the change logs; the sequence numbers continue.
+    // Replaces the addresses of the change logs; the sequence numbers continue. Calls to one that stays are
+    // kept.
     void set_addresses(std::vector<std::string> addresses);
     // The change logs number their events from 1 again: all of them are asked for all that they have.
     void begin_numbering();
@@ -82,13 +85,16 @@
     // Events up to `seq` are known from elsewhere.
     void skip_through(std::int64_t seq);
     std::int64_t last_seq() const { return last_seq_; }
-    const std::vector<endpoints::WatchSources::Health>& health() const { return sources_.health(); }
 
   private:
     struct Connection;
     void update();
-    void connect(std::size_t source, std::int64_t after_seq);
-    void on_disconnected(std::size_t source, const char* reason);
+    void carry_out(const endpoints::WatchSources::Step& step);
+    void connect(const endpoints::WatchSources::Step& step);
+    void log_call(const endpoints::WatchSources::Step& step);
+    void close(base::CallId call);
+    void on_answer(const Connection& connection);
+    void on_disconnected(const Connection& connection, const char* reason);
     void on_event(const Connection& connection, const std::string& data);
     void reconnect_all();
     bool is_current(const Connection& connection) const;
@@ -100,12 +106,13 @@
     std::int64_t last_seq_;
     Callbacks callbacks_;
     endpoints::WatchSources sources_;
-    std::vector<std::unique_ptr<Connection>> connections_;  // by source; a new one for each connection
+    std::map<base::CallId, std::unique_ptr<Connection>> connections_;
     std::vector<std::unique_ptr<Connection>>
         closed_;  // destroyed at the end of the iteration: one of them may be running
     std::vector<std::string> addresses_;
     std::optional<base::TimerQueue::Key> update_timer_;
     bool updating_ = false;
+    log::RateLimitedLogger call_log_, answer_log_;
 };
 
 }  // namespace sumackeel::discovery
--- a/tests/daemon/cache_stub.h
+++ b/tests/daemon/cache_stub.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <set>
 
 #include "support.h"
@@ -185,6 +186,8 @@
 // Tells all its events, from the one asked for on, to whoever follows; a comment each 100 ms.
 class ChangeLog : public Server {
   public:
+    // How long the n-th call from now on, counted from 0, waits for its answer; nullopt: for ever.
+    using AnswersAfter = std::function<std::optional<std::chrono::milliseconds>(int call)>;
     ChangeLog() { start(); }
     ~ChangeLog() override { stop(); }
     void die() { stop(); }
@@ -198,6 +201,17 @@
         const std::lock_guard held(mutex_);
         events_.clear();
     }
+    void answer_after(AnswersAfter answers_after) {
+        const std::lock_guard held(mutex_);
+        answers_after_ = std::move(answers_after);
+        calls_ = 0;
+    }
+    // The connections that it answered stay open, and nothing more is told on them.
+    void fall_silent() {
+        const std::lock_guard held(mutex_);
+        sent_.clear();
+    }
+    int told() const { return told_; }          // events, each time counted
     int comments() const { return comments_; }  // told so far to whoever follows
     // The numbers that it was asked to begin behind.
     std::vector<int> asked_behind() const {
@@ -213,9 +227,9 @@
         const std::lock_guard held(mutex_);
         behind_.push_back(std::stoi(conn.in.substr(header + 15)));
         conn.in.erase(0, end + 4);
-        send_all(conn.fd, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n");
-        sent_[conn.fd] = 0;
         last_behind_[conn.fd] = behind_.back();
+        if (const auto after = answers_after_(calls_++))
+            answers_at_[conn.fd] = std::chrono::steady_clock::now() + *after;
         return true;
     }
     void turn(std::vector<Conn>& conns) override {
@@ -226,26 +240,37 @@
         std::set<int> open;
         for (const Conn& conn : conns) {
             open.insert(conn.fd);
+            if (const auto due = answers_at_.find(conn.fd); due != answers_at_.end() && due->second <= now) {
+                answers_at_.erase(due);
+                send_all(conn.fd, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n");
+                sent_[conn.fd] = 0;
+            }
             const auto sent = sent_.find(conn.fd);
             if (sent == sent_.end()) continue;
             for (; sent->second < events_.size(); ++sent->second) {
                 const auto& [seq, event] = events_[sent->second];
                 if (seq <= last_behind_[conn.fd]) continue;
                 send_all(conn.fd, "id: " + std::to_string(seq) + "\ndata: " + event + "\n\n");
+                ++told_;
             }
             if (comment) send_all(conn.fd, ":\n\n");
         }
-        std::erase_if(sent_, [&](const auto& item) { return !open.contains(item.first); });
+        const auto is_closed = [&](const auto& item) { return !open.contains(item.first); };
+        std::erase_if(sent_, is_closed);
+        std::erase_if(answers_at_, is_closed);
     }
 
   private:
     mutable std::mutex mutex_;
     std::vector<std::pair<int, std::string>> events_;
     std::vector<int> behind_;
+    AnswersAfter answers_after_ = [](int) { return std::chrono::milliseconds(0); };
+    int calls_ = 0;
+    std::map<int, Moment> answers_at_;
     std::map<int, std::size_t> sent_;
     std::map<int, int> last_behind_;
     Moment commented_{};
-    std::atomic<int> comments_ = 0;
+    std::atomic<int> comments_ = 0, told_ = 0;
 };
 
 }  // namespace story
