First events of a new numbering are published together however late they come

Cause: the 0.3 s in which the first events are taken together counted from the call, so they were over before a late answer began.

Change: they count from the first event of the new numbering (EndpointManager::delay_publish).

--- a/src/daemon/endpoint_manager.cpp
+++ b/src/daemon/endpoint_manager.cpp
@@ -194,6 +194,7 @@
     config::WatchEvent change = reported;
     convert_start_times(change);
     if (change.has_purge) change.purged_at = purge_time_of(change);
+    if (log_index >= 0 && std::exchange(awaits_first_event_, false)) delay_publish();
     for (const config::LocatedEndpoint& located : change.endpoints) {
         if (warned_.erase(located.endpoint.name) > 0) view_.mark_changed(located.endpoint.name);
     }
@@ -227,15 +228,19 @@
     if (continuity == endpoints::Continuity::other_numbering && is_due) begin_numbering();
 }
 
-// The first events may say that an endpoint is in use which drains by a later one, so they are published
-// together.
 void EndpointManager::begin_numbering() {
     log::warn("endpoints: change log began anew known={}", view_.resume_after());
     view_.begin_numbering();
     watch_->begin_numbering();
     numbering_began_at_ = loop_.clock().now();
+    awaits_first_event_ = true;
+}
+
+// The first events of a numbering may say that an endpoint is in use which drains by a later one, so they are
+// published together. Their time counts from the first one: the change log may answer late.
+void EndpointManager::delay_publish() {
     if (delayed_publish_) loop_.timers().cancel(*delayed_publish_);
-    delayed_publish_ = loop_.timers().schedule(*numbering_began_at_ + kNumberingCatchUp, [this] {
+    delayed_publish_ = loop_.timers().schedule(loop_.clock().now() + kNumberingCatchUp, [this] {
         delayed_publish_.reset();
         publish();
         core_.process_events();
--- a/src/daemon/endpoint_manager.h
+++ b/src/daemon/endpoint_manager.h
@@ -59,6 +59,7 @@
     void report_purge(const config::WatchEvent& event);
     void on_known_number(const config::WatchEvent& event, bool is_other_proven);
     void begin_numbering();
+    void delay_publish();
     // Drains and removals in an event whose place among the known ones is not known bind until a later event.
     void obey_warnings(const config::WatchEvent& event);
     bool is_held_back(const std::string& id) const { return bans_.contains(id) || warned_.contains(id); }
@@ -87,6 +88,7 @@
     std::set<std::string> warned_;                          // endpoints, see obey_warnings()
     std::optional<base::TimerQueue::Key> delayed_publish_;  // nothing is published until then
     std::optional<base::Micros> numbering_began_at_;
+    bool awaits_first_event_ = false;               // of a numbering that began
     std::map<std::string, StartTime> start_times_;  // by endpoint
     base::Micros cold_since_ = 0;                   // 0: no endpoint is treated as cold
     std::function<void()> on_confirmed_;
--- a/tests/daemon/slow_log_test.cpp
+++ b/tests/daemon/slow_log_test.cpp
@@ -73,3 +73,39 @@
     platform.log.answer_after([](int) { return std::nullopt; });
     CHECK(platform.obeys(daemon));
 }
+
+// Guards against a list of the new numbering being used before the drains that follow it (the time for them
+// was counted from the call).
+TEST_CASE("a change log counts anew and answers late: a drain behind its list is never passed over") {
+    DrainedFleet fleet;
+    SavedList saved;
+    ChangeLog log;
+    fleet.begin_life(log, 2);
+    log.tell(3, ::fleet(3, false, {fleet.hosts("DRAINING")[0]}));
+    Daemon daemon({}, log.address(), saved.operator_config);
+    REQUIRE(saved.wait_until([](const Snapshot& list) { return list.last_sequence == 3; }));
+    log.die();
+    log.forget();
+    log.tell(1, ::fleet(1, true, fleet.hosts()));
+    log.answer_after([](int call) { return call == 0 ? 0ms : 700ms; });
+    log.come_back();
+    Wire client = Wire::to(daemon.port());
+    int seqid = 0;
+    const auto ask_until = [&](auto is_over) {
+        while (!is_over()) {
+            ++seqid;
+            CHECK(send_and_get_result(client, seqid, request_for("sheet", seqid)) == 0);
+        }
+    };
+    const auto ask_for = [&](std::chrono::milliseconds time) {
+        ask_until([end = std::chrono::steady_clock::now() + time] {
+            return std::chrono::steady_clock::now() > end;
+        });
+    };
+    const int told = log.told();
+    ask_until([&] { return log.told() > told; });
+    ask_for(100ms);
+    log.tell(2, ::fleet(2, false, {fleet.hosts("DRAINING")[0]}));
+    ask_for(500ms);
+    CHECK(fleet.drained.count() == 0);
+}
