A voter's reply that is late is heard: attempts of a request wait beside one another

What callers saw: a lease whose reply takes over 0.35 s was answered "no majority" after 0.85 s, though the leader had granted it.

Each attempt was ended after 0.35 s and made anew, its reply dropped.

Change: an attempt is kept until the request's deadline (0.85 s, as before); the next is made beside it when it was before. The first result counts, but for a rejection beside a newer attempt, which may be granted.

--- a/src/consensus/consensus_client.cpp
+++ b/src/consensus/consensus_client.cpp
@@ -16,7 +16,7 @@
 
 // Admin API calls are answered within 1 s; a request that is not committed by then is reported as failed.
 constexpr Micros kRequestTimeout = 850'000;
-constexpr Micros kAttemptTimeout = 350'000;  // for one voter
+constexpr Micros kAttemptTimeout = 350'000;  // without a reply another attempt is made beside it
 constexpr Micros kRetryInterval = 60'000;    // while there is no leader
 
 }  // namespace
@@ -27,7 +27,12 @@
     ResultCallback done;
     Micros deadline = 0;
     bool finished = false;
+    std::uint64_t last_attempt = 0;  // its number
+    bool awaits_reply = false;       // to the last attempt, before the next is due
 
+    bool awaits_reply_to(std::uint64_t attempt) const {
+        return !finished && awaits_reply && attempt == last_attempt;
+    }
     void finish(std::optional<CommandResult> result) {
         if (!std::exchange(finished, true)) done(std::move(result));
     }
@@ -165,9 +170,10 @@
         PendingRequest{std::move(request), std::move(done), loop_.clock().now() + kRequestTimeout, false}));
 }
 
-// Makes one attempt after another until the request is committed or times out. An attempt whose reply was
-// lost may have been committed. Requests are therefore idempotent: repeating a lease request yields the same
-// lease, and repeating a return changes nothing.
+// Makes one attempt after another until the request is committed or times out. One whose reply is late is
+// kept beside the next: the first result counts. An attempt whose reply was lost may have been committed.
+// Requests are therefore idempotent: repeating a lease request yields the same lease, and repeating a return
+// changes nothing.
 void ConsensusClient::attempt(const PendingPtr& pending) {
     if (pending->finished) return;
     if (loop_.clock().now() >= pending->deadline) return pending->finish(std::nullopt);
@@ -190,28 +196,48 @@
 
 void ConsensusClient::attempt_at(const std::string& voter, const PendingPtr& pending) {
     const std::weak_ptr<bool> alive = alive_;
-    const Micros timeout = std::min(kAttemptTimeout, pending->deadline - loop_.clock().now());
-    transport_.call(voter, kRequestVerb, pending->request.encode(), timeout,
-                    [this, alive, pending](std::optional<std::string> body) {
+    const Micros now = loop_.clock().now();
+    const std::uint64_t number = ++pending->last_attempt;
+    pending->awaits_reply = true;
+    transport_.call(voter, kRequestVerb, pending->request.encode(), pending->deadline - now,
+                    [this, alive, pending, number](std::optional<std::string> body) {
                         if (alive.expired()) return;
-                        follower_.set_leader({});
-                        if (!body) return retry_later(pending);
-                        on_reply(pending, *body);
+                        if (body) return on_reply(pending, number, *body);
+                        on_attempt_failed(pending, number);
                     });
+    loop_.timers().schedule(now + kAttemptTimeout, [this, alive, pending, number] {
+        if (!alive.expired()) on_attempt_failed(pending, number);
+    });
 }
 
-void ConsensusClient::on_reply(const PendingPtr& pending, const std::string& body) {
+void ConsensusClient::on_attempt_failed(const PendingPtr& pending, std::uint64_t number) {
+    if (!pending->awaits_reply_to(number)) return;
+    follower_.set_leader({});
+    retry_later(pending);
+}
+
+void ConsensusClient::on_reply(const PendingPtr& pending, std::uint64_t number, const std::string& body) {
+    if (pending->finished) return;
     try {
         const ConsensusReply reply = decode_reply(body);
-        follower_.set_leader(reply.leader);
-        if (reply.done) return pending->finish(rollout::decode_result(reply.body));
+        if (pending->awaits_reply_to(number)) follower_.set_leader(reply.leader);
+        if (reply.done) {
+            CommandResult result = rollout::decode_result(reply.body);
+            // A newer attempt may be granted what this one was not.
+            const bool may_change =
+                result.outcome == rollout::Outcome::rejected && number != pending->last_attempt;
+            if (!may_change) pending->finish(std::move(result));
+            return;
+        }
     } catch (const std::exception& error) {
         log::warn("consensus: reply rejected reason={}", error.what());
+        return on_attempt_failed(pending, number);
     }
-    retry_later(pending);
+    if (pending->awaits_reply_to(number)) retry_later(pending);
 }
 
 void ConsensusClient::retry_later(const PendingPtr& pending) {
+    pending->awaits_reply = false;
     const std::weak_ptr<bool> alive = alive_;
     loop_.timers().schedule(loop_.clock().now() + kRetryInterval, [this, alive, pending] {
         if (!alive.expired()) attempt(pending);
--- a/src/consensus/consensus_client.h
+++ b/src/consensus/consensus_client.h
@@ -110,7 +110,8 @@
     void attempt(const PendingPtr& pending);
     void attempt_locally(const PendingPtr& pending);
     void attempt_at(const std::string& voter, const PendingPtr& pending);
-    void on_reply(const PendingPtr& pending, const std::string& body);
+    void on_reply(const PendingPtr& pending, std::uint64_t number, const std::string& body);
+    void on_attempt_failed(const PendingPtr& pending, std::uint64_t number);
     void retry_later(const PendingPtr& pending);
     std::string next_target();
     const std::string& self() const { return transport_.membership().self().name; }
