A state that a voter sends late is heard: polls wait beside one another

What was seen: a member that does not vote never knew the state where a voter needs longer for it than the poll's wait (0.1 s at a start, up to 3 s, 0.35 s where a confirmation finds the state behind), and so did not end its start.

Change: polls wait beside one another, five a voter (base::PendingCalls), 5 s each. Those made before the one that is answered are ended (ClusterTransport::abandon), and all once the key-value store has changed, as their updates begin at the old revision. Times of asking count as before, so a late state confirms nothing newer.

--- a/src/cluster_transport/cluster_transport.h
+++ b/src/cluster_transport/cluster_transport.h
@@ -79,8 +79,11 @@
     void remove_call_handler(const std::string& method) { call_handlers_.erase(method); }
     // Called exactly once, from the loop: with the response, or with none after a timeout or a failure.
     using CallCallback = std::function<void(std::optional<std::string> response)>;
-    void call(const std::string& to, const std::string& method, std::string body, base::Micros timeout,
-              CallCallback callback);
+    // Returns the number of the call.
+    std::uint64_t call(const std::string& to, const std::string& method, std::string body,
+                       base::Micros timeout, CallCallback callback);
+    // Ends a call whose callback has not run; it never will.
+    void abandon(std::uint64_t call);
 
     // A query and its reply, one datagram each, which may be lost, late or repeated. For what is asked often
     // and answered with a few numbers. The reply is sent at once; none: the query is not answered.
--- a/src/cluster_transport/outgoing_call.cpp
+++ b/src/cluster_transport/outgoing_call.cpp
@@ -1,5 +1,6 @@
 #include "cluster_transport/outgoing_call.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sumackeel::cluster_transport {
@@ -35,6 +36,11 @@
     schedule_end(transport_.loop_.clock().now());
 }
 
+void ClusterTransport::OutgoingCall::abandon() {
+    callback_ = nullptr;
+    end({});
+}
+
 void ClusterTransport::OutgoingCall::on_open(net::Stream&) {
     std::string bytes = transport_.codec_.encode_call(request_);
     transport_.metrics_.bytes_out += bytes.size();
@@ -73,8 +79,8 @@
     if (const CallCallback callback = std::exchange(callback_, nullptr)) callback(std::move(response));
 }
 
-void ClusterTransport::call(const std::string& to, const std::string& method, std::string body,
-                            base::Micros timeout, CallCallback callback) {
+std::uint64_t ClusterTransport::call(const std::string& to, const std::string& method, std::string body,
+                                     base::Micros timeout, CallCallback callback) {
     const std::string advertised = membership_.address_of(to);
     CallFrame request{.from = membership_.self().name,
                       .to = to,
@@ -90,6 +96,13 @@
         call->attach(net::Stream::connect(loop_, sockets_, address, *call));
     if (!call->is_attached()) call->fail_soon();
     outgoing_calls_.push_back(std::move(call));
+    return last_call_number_;
+}
+
+void ClusterTransport::abandon(std::uint64_t call) {
+    const auto found = std::find_if(outgoing_calls_.begin(), outgoing_calls_.end(),
+                                    [call](const auto& open) { return open->number() == call; });
+    if (found != outgoing_calls_.end()) (*found)->abandon();
 }
 
 }  // namespace sumackeel::cluster_transport
--- a/src/cluster_transport/outgoing_call.h
+++ b/src/cluster_transport/outgoing_call.h
@@ -22,6 +22,9 @@
     bool is_attached() const { return stream_ != nullptr; }
     // Ends the call without a response, from the loop.
     void fail_soon();
+    // Ends the call without its callback.
+    void abandon();
+    std::uint64_t number() const { return request_.sequence; }
 
     void on_open(net::Stream&) override;
     void on_data(net::Stream&, std::string_view bytes) override;
--- a/src/consensus/consensus_client.cpp
+++ b/src/consensus/consensus_client.cpp
@@ -258,7 +258,7 @@
 }
 
 void ConsensusClient::poll_now(const std::string& member) {
-    if (!voter_.votes() || voter_.node().leader().empty()) follower_.poll(member, kAttemptTimeout);
+    if (!voter_.votes() || voter_.node().leader().empty()) follower_.poll(member);
 }
 
 std::optional<CommandResult> ConsensusClient::explain(const std::string& member) const {
--- a/src/consensus/state_confirmer.cpp
+++ b/src/consensus/state_confirmer.cpp
@@ -23,7 +23,6 @@
 constexpr Micros kMinInterval = 10'000;
 // While the state is not known yet: startup waits for it.
 constexpr Micros kUnknownInterval = 50'000;
-constexpr Micros kFetchTimeout = 350'000;
 // A member that is behind fetches the state while this many more queries fit into the time: one that hears of
 // each change anyway, as a voter does by its log, needs no copy.
 constexpr Micros kIntervalsLeftAtFetch = 2;
@@ -142,7 +141,7 @@
     const bool has_time = age && *age + kIntervalsLeftAtFetch * interval() < max_age_;
     if (has_time || now < next_fetch_at_) return;
     next_fetch_at_ = now + interval();
-    context_.follower.poll(voter, kFetchTimeout);
+    context_.follower.poll(voter);
 }
 
 void StateConfirmer::log_transitions() {
--- a/src/consensus/state_follower.cpp
+++ b/src/consensus/state_follower.cpp
@@ -18,6 +18,7 @@
 constexpr Micros kMinPollInterval = 250'000, kPollIntervalPerMember = 10'000, kMaxPollInterval = 3'000'000;
 // The minimum while the state is not known yet: startup waits for it.
 constexpr Micros kUnknownPollInterval = 100'000;
+constexpr Micros kPollTimeout = 5'000'000;
 
 }  // namespace
 
@@ -54,7 +55,7 @@
     const std::string voter = next_voter();
     const Micros interval = poll_interval();
     poll_timer_ = loop_.timers().schedule(loop_.clock().now() + interval, [this] { start_polling(); });
-    poll(voter, interval);
+    poll(voter);
 }
 
 std::string StateFollower::next_voter() {
@@ -63,19 +64,33 @@
     return voter->first;
 }
 
-void StateFollower::poll(const std::string& voter, Micros timeout) {
+// A reply counts however late it is: by when it was asked for, and only with newer revisions.
+void StateFollower::poll(const std::string& voter) {
+    std::erase_if(polls_, [](const auto& of_voter) { return of_voter.second.empty(); });
     const std::weak_ptr<bool> alive = alive_;
     const KnownRevision known{state_.revision(), needs_full_kv_store_ ? 0 : kv_store_.revision(), history_};
     const Micros asked_at = loop_.clock().now();
-    transport_.call(voter, kStateVerb, encode(known), timeout,
-                    [this, alive, voter, asked_at](std::optional<std::string> body) {
-                        if (alive.expired() || !body) return;
-                        try {
-                            on_reply(voter, *body, asked_at);
-                        } catch (const std::exception& error) {
-                            log::warn("consensus: state reply rejected reason={}", error.what());
-                        }
-                    });
+    const auto number = std::make_shared<base::CallId>();
+    *number = transport_.call(voter, kStateVerb, encode(known), kPollTimeout,
+                              [this, alive, voter, asked_at, number](std::optional<std::string> body) {
+                                  if (alive.expired()) return;
+                                  if (!body) return void(polls_[voter].take(*number));
+                                  end_poll(voter, *number);
+                                  try {
+                                      on_reply(voter, *body, asked_at);
+                                  } catch (const std::exception& error) {
+                                      log::warn("consensus: state reply rejected reason={}", error.what());
+                                  }
+                              });
+    for (const base::CallId given_up :
+         polls_[voter].add({.id = *number, .begun_at = asked_at}, base::PendingCalls::kMaxPending))
+        transport_.abandon(given_up);
+}
+
+// Polls that were made before the one that was answered would bring an older state.
+void StateFollower::end_poll(const std::string& voter, base::CallId poll) {
+    for (const base::PendingCalls::Call& ended : polls_[voter].take_through(poll))
+        if (ended.id != poll) transport_.abandon(ended.id);
 }
 
 // Ignores replies from an earlier history. A later history, as after a forced start, invalidates the copy,
@@ -118,9 +133,16 @@
 void StateFollower::apply_kv_store_update(const std::string& update) {
     if (kv_store::revision_of_update(update) <= kv_store_.revision()) return;
     needs_full_kv_store_ = !kv_store_.apply_update(update);  // if it throws, nothing has changed
+    abandon_polls();
     if (!needs_full_kv_store_) hooks_.kv_store_changed();
 }
 
+// Their updates begin at the revision that was known when they were made.
+void StateFollower::abandon_polls() {
+    for (auto& [voter, polls] : polls_)
+        for (const base::PendingCalls::Call& poll : polls.take_all()) transport_.abandon(poll.id);
+}
+
 void StateFollower::apply_state(const std::string& body) {
     rollout::State state = rollout::State::decode(body);
     if (state.revision() <= state_.revision()) return;
--- a/src/consensus/state_follower.h
+++ b/src/consensus/state_follower.h
@@ -4,10 +4,12 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "base/pending_calls.h"
 #include "cluster_transport/cluster_transport.h"
 #include "config/operator.h"
 #include "consensus/raft_node.h"
@@ -35,8 +37,8 @@
     void start_polling();
     void stop_polling();
     bool is_polling() const { return poll_timer_.has_value(); }
-    // Polls that voter now; no reply within `timeout` is not an error.
-    void poll(const std::string& voter, base::Micros timeout);
+    // Polls that voter now, beside polls that wait for a late reply; none is not an error.
+    void poll(const std::string& voter);
     // Round robin, shared by polls and requests.
     std::string next_voter();
 
@@ -67,6 +69,8 @@
 
   private:
     base::Micros poll_interval() const;
+    void end_poll(const std::string& voter, base::CallId poll);
+    void abandon_polls();
     void on_reply(const std::string& voter, const std::string& body, base::Micros asked_at);
     void apply_kv_store_update(const std::string& update);
     void apply_state(const std::string& body);
@@ -84,6 +88,7 @@
     base::Micros known_from_;  // a confirmation of this time or later makes the state known
     std::optional<base::Micros> confirmed_at_;
     std::size_t next_voter_ = 0;
+    std::map<std::string, base::PendingCalls> polls_;  // by voter
     std::optional<base::TimerQueue::Key> poll_timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/consensus/late_replies_test.cpp
+++ b/tests/consensus/late_replies_test.cpp
@@ -58,5 +58,14 @@
     EXPECT_FALSE(request_lease());
 }
 
+TEST_F(LateVoter, AStateThatIsLateIsHeard) {
+    reply_late(kStateVerb, [](int) {
+        return ConsensusReply{.done = true, .leader = "right", .body = {}, .confirmed_age = 0};
+    });
+    const auto client = follow();
+    run_until([&] { return client->is_known(); });
+    EXPECT_EQ(client->leader(), "right");
+}
+
 }  // namespace
 }  // namespace sumackeel::consensus
