--- a/src/store/redis_one_time_tokens.cpp
+++ b/src/store/redis_one_time_tokens.cpp
@@ -22,6 +22,7 @@
 
 // A command sent to Redis. It is finished by its reply or its deadline, whichever comes first.
 struct RedisOneTimeTokens::PendingCommand {
+    std::string name;
     Done done;
     base::TimerQueue::Key deadline;
     bool finished = false;
@@ -85,6 +86,7 @@
     const std::string key = kKeyPrefix + name;
     const auto ms = static_cast<long long>(std::clamp(std::ceil((until - now) * 1000), 1000.0, 1e12));
     auto pending = std::make_shared<PendingCommand>();
+    pending->name = name;
     pending->done = std::move(done);
     pending->self = pending;
     pending->deadline = loop_.timers().schedule(loop_.clock().now() + timeout_,
@@ -101,7 +103,9 @@
             const bool accepted =
                 reply && reply->type == REDIS_REPLY_STATUS && std::string_view(reply->str) == "OK";
             const bool exists = reply && reply->type == REDIS_REPLY_NIL;
-            request->finish(accepted ? TokenUse::first : exists ? TokenUse::reused : TokenUse::unknown);
+            if (accepted && request->finished) return self->release_late(request->name);
+            const bool is_reused = exists && !self->releasing_late_.contains(request->name);
+            request->finish(accepted ? TokenUse::first : is_reused ? TokenUse::reused : TokenUse::unknown);
         },
         pending.get(), "SET %b 1 NX PX %lld", key.data(), key.size(), ms);
     if (sent == REDIS_OK) return;
@@ -110,6 +114,22 @@
     pending->finish(TokenUse::unknown);
 }
 
+// The use was refused as unknown before Redis granted it. Until it is released, Redis says that it is used.
+void RedisOneTimeTokens::release_late(const std::string& name) {
+    auto released = std::make_unique<LateRelease>(LateRelease{.owner = *this, .name = name});
+    const std::string key = kKeyPrefix + name;
+    const int sent = redisAsyncCommand(
+        context_,
+        [](redisAsyncContext*, void*, void* data) {
+            const std::unique_ptr<LateRelease> ended(static_cast<LateRelease*>(data));
+            ended->owner.releasing_late_.erase(ended->name);
+        },
+        released.get(), "DEL %b", key.data(), key.size());
+    if (sent != REDIS_OK) return;
+    releasing_late_.insert(name);
+    static_cast<void>(released.release());  // the callback owns it
+}
+
 void RedisOneTimeTokens::release(const std::string& name) {
     if (!context_ || !connected_) return;  // the link stays used, which is safe
     const std::string key = kKeyPrefix + name;
--- a/src/store/redis_one_time_tokens.h
+++ b/src/store/redis_one_time_tokens.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "core/one_time_tokens.h"
@@ -25,9 +26,14 @@
 
   private:
     struct PendingCommand;
+    struct LateRelease {
+        RedisOneTimeTokens& owner;
+        std::string name;
+    };
 
     void connect();
     void on_disconnected();
+    void release_late(const std::string& name);
 
     net::Loop& loop_;
     std::string host_;
@@ -35,6 +41,7 @@
     base::Micros timeout_;
     redisAsyncContext* context_ = nullptr;
     bool connected_ = false;
+    std::set<std::string> releasing_late_;  // names, see release_late()
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/daemon/store_test.cpp
+++ b/tests/daemon/store_test.cpp
@@ -107,7 +107,19 @@
     std::vector<net::Stream*> streams;
     std::string buffer;
     bool silent = false;
+    net::Loop* loop = nullptr;
+    base::Micros late = 0;  // 0: replies at once
+    int waiting = 0;        // late replies that are not sent yet
 
+    // In the order of the commands.
+    void reply(net::Stream& stream, const std::string& text) {
+        if (late == 0) return stream.write(text);
+        ++waiting;
+        loop->timers().schedule(loop->clock().now() + late, [this, &stream, text] {
+            --waiting;
+            stream.write(text);
+        });
+    }
     void on_data(net::Stream& stream, std::string_view bytes) override {
         buffer += bytes;
         for (;;) {
@@ -131,9 +143,9 @@
             buffer.erase(0, at);
             if (silent) continue;
             if (arguments[0] == "DEL")
-                stream.write(":" + std::to_string(keys.erase(arguments[1])) + "\r\n");
+                reply(stream, ":" + std::to_string(keys.erase(arguments[1])) + "\r\n");
             else if (arguments.size() == 6 && arguments[3] == "NX" && arguments[4] == "PX")
-                stream.write(keys.emplace(arguments[1], arguments[2]).second ? "+OK\r\n" : "$-1\r\n");
+                reply(stream, keys.emplace(arguments[1], arguments[2]).second ? "+OK\r\n" : "$-1\r\n");
             else
                 stream.write("-ERR not here\r\n");
         }
@@ -166,6 +178,16 @@
     CHECK(redeem_token("j1") == TokenUse::reused);
     one_time.release("j1");
     CHECK(redeem_token("j1") == TokenUse::first);
+    // Granted after it was refused as unknown: the link is not used up (a late grant was not heard).
+    redis.loop = &test_loop.loop;
+    redis.late = 300'000;
+    CHECK(redeem_token("late") == TokenUse::unknown);
+    redis.late = 100'000;
+    CHECK(redeem_token("late") == TokenUse::unknown);  // answered in time, while the grant is given back
+    CHECK(test_loop.run_until([&] { return redis.waiting == 0; }));
+    redis.late = 0;
+    CHECK(redeem_token("late") == TokenUse::first);
+    CHECK(redeem_token("late") == TokenUse::reused);
     redis.silent = true;
     CHECK(redeem_token("j2") == TokenUse::unknown);
     listener.reset();
