Discovery: events of a superseded call are passed over; stories share a served client

A call whose drop is still to be carried out was followed up by on_event as if it were open; WatchSources now ignores it, and replacing the list of sources keeps drops that are due. No failure was seen: found by reading the change once more.

The stories of platform, crossings and busy_clients that begin with a fleet, a daemon and one client share the fixture Served, and answer_ok; each keeps its checks.

--- a/src/base/pending_calls.cpp
+++ b/src/base/pending_calls.cpp
@@ -38,7 +38,7 @@
 std::vector<PendingCalls::Call> PendingCalls::take_through(CallId id) {
     const auto found = std::find_if(calls_.begin(), calls_.end(), [id](const Call& c) { return c.id == id; });
     if (found == calls_.end()) return {};
-    const std::vector<Call> taken(calls_.begin(), found + 1);
+    std::vector<Call> taken(calls_.begin(), found + 1);
     calls_.erase(calls_.begin(), found + 1);
     return taken;
 }
--- a/src/endpoints/watch_sources.cpp
+++ b/src/endpoints/watch_sources.cpp
@@ -45,7 +45,6 @@
     }
     health_ = std::move(health);
     calls_ = std::move(calls);
-    superseded_.clear();
 }
 
 void WatchSources::record_newest(std::int64_t sequence, Micros now) {
@@ -268,7 +267,7 @@
 WatchSources::EventResult WatchSources::on_event(std::size_t source, CallId call, std::int64_t sequence,
                                                  std::int64_t newest, Micros now) {
     Health& health = health_[source];
-    if (calls_[source].followed != call) follow(source, call, now);
+    if (calls_[source].followed != call && !follow(source, call, now)) return EventResult::duplicate;
     const bool is_regressed = sequence < health.highest_on_connection;
     health.highest_on_connection = std::max(health.highest_on_connection, sequence);
     health.highest = std::max(health.highest, sequence);
--- a/tests/daemon/busy_clients_test.cpp
+++ b/tests/daemon/busy_clients_test.cpp
@@ -15,10 +15,8 @@
 
 // Guards against a time limit for one request that is applied to many: each of these is complete at once, but
 // whenever the connection is looked at, the first bytes of the next one have arrived.
-TEST_CASE("a client that is always half-way through its next request keeps its connection") {
-    OneCache fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<OneCache>,
+                  "a client that is always half-way through its next request keeps its connection") {
     const auto end = std::chrono::steady_clock::now() + kLongerThanARequestMayTake;
     constexpr std::size_t kPartialBytes = 10;
     std::string rest;  // of the request that is half sent
--- a/tests/daemon/crossings_test.cpp
+++ b/tests/daemon/crossings_test.cpp
@@ -209,10 +209,8 @@
 
 // Guards: a partial line received on an idle connection would be read as the head of the next response on
 // it.
-TEST_CASE("a resting connection on which half a line came carries no further request") {
-    OneCache fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<OneCache>,
+                  "a resting connection on which half a line came carries no further request") {
     client.send(dispatch(1, read("sheet", "00000000000000a1")));
     Wire cache = fleet.cache.accept();
     read_req(cache);
@@ -402,10 +400,9 @@
 
 // Guards: a cache that is killed right after accepting a connection may have read nothing or the whole
 // request.
-TEST_CASE("a cache killed right after its accept: a read goes elsewhere, what must not run twice does not") {
-    TwoCaches fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(
+    Served<TwoCaches>,
+    "a cache killed right after its accept: a read goes elsewhere, what must not run twice does not") {
     client.send(dispatch(1, read("sheet", "00000000000000a1")));
     Peer& first = first_called({&fleet.a, &fleet.b});
     first.accept().reset();
--- a/tests/daemon/platform_test.cpp
+++ b/tests/daemon/platform_test.cpp
@@ -19,10 +19,7 @@
 
 }  // namespace
 
-TEST_CASE("a read reaches the cache as asked and its bytes come back whole") {
-    OneCache fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<OneCache>, "a read reaches the cache as asked and its bytes come back whole") {
     client.send(dispatch(1, read("sheet", "9b1f03aa5c7e2d41")));
     Wire cache = fleet.cache.accept();
     const Req req = read_req(cache);
@@ -60,10 +57,8 @@
 
 // Guards: enrol must not be executed twice. The request was written before the reset, so it may have been
 // executed.
-TEST_CASE("an enrol whose connection breaks is failed and goes out no second time") {
-    OneCache fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<OneCache>,
+                  "an enrol whose connection breaks is failed and goes out no second time") {
     client.send(dispatch(1, read("enrol", "00000000000000e1"), "form"));
     Wire cache = fleet.cache.accept();
     CHECK(read_req(cache).body == "form");
@@ -76,10 +71,7 @@
 
 // Guards: a connection that is refused or never established proves that nothing was executed, so a request
 // that must not run twice may go to the next cache.
-TEST_CASE("an enrol goes on to another cache when the first can't be reached") {
-    TwoCaches fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<TwoCaches>, "an enrol goes on to another cache when the first can't be reached") {
     client.send(dispatch(1, read("enrol", "00000000000000e1")));
     Peer& first = first_called({&fleet.a, &fleet.b});
     Wire cache = first.accept();
@@ -115,18 +107,14 @@
         cache.send(broken);
         CHECK(cache.rest().empty());
         Wire again = fleet.cache.accept();
-        const Req req = read_req(again);
-        again.send(req.id + " DONE - 2\r\nok\r\n");
+        answer_ok(again);
         CHECK(body(read_reply(client)) == "ok");
     }
 }
 
 // Guards: a machine that has disappeared leaves its connection open and silent. Later requests must not each
 // time out on it in turn.
-TEST_CASE("a second request does not follow the first on to a silent connection") {
-    OneCache fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<OneCache>, "a second request does not follow the first on to a silent connection") {
     client.send(dispatch(1, read("enrol", "00000000000000e1", 400)));
     Wire silent = fleet.cache.accept();
     read_req(silent);
@@ -134,18 +122,14 @@
     CHECK(silent.line() == "STOP 00000000000000e1");
     client.send(dispatch(2, read("video", "00000000000000a2", 6000)));
     Wire next = fleet.cache.accept();
-    const Req req = read_req(next);
-    next.send(req.id + " DONE - 2\r\nok\r\n");
+    answer_ok(next);
     CHECK(body(read_reply(client)) == "ok");
     CHECK(silent.rest().empty());
 }
 
 // Guards: a request that its client cancelled is stopped and gets no response, and the cache's late response
 // is not delivered to another request.
-TEST_CASE("a cancelled request is stopped and its late answer is dropped") {
-    OneCache fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<OneCache>, "a cancelled request is stopped and its late answer is dropped") {
     client.send(dispatch(1, read("sheet", "00000000000000a1")));
     Wire cache = fleet.cache.accept();
     read_req(cache);
@@ -153,18 +137,15 @@
     CHECK(cache.line() == "STOP 00000000000000a1");
     cache.send("00000000000000a1 DONE - 4\r\nlate\r\n");
     client.send(dispatch(3, read("sheet", "00000000000000a3")));
-    const Req req = read_req(cache);
-    cache.send(req.id + " DONE - 2\r\nok\r\n");
+    answer_ok(cache);
     const Reply reply = read_reply(client);
     CHECK(reply.seqid == 3);
     CHECK(body(reply) == "ok");
 }
 
 // Guards: a cache that never responds must not leave the client without a response.
-TEST_CASE("a request that nobody answers gets its final answer before its client gives up") {
-    OneCache fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<OneCache>,
+                  "a request that nobody answers gets its final answer before its client gives up") {
     const auto start = std::chrono::steady_clock::now();
     client.send(dispatch(1, read("enrol", "00000000000000e1", 700)));
     Wire cache = fleet.cache.accept();
@@ -194,8 +175,7 @@
         fields["subject"] = "000000000000000" + std::to_string(i);
         client.send(dispatch(i, fields));
         if (i == 1) cache = fleet.b.accept();
-        const Req req = read_req(cache);
-        cache.send(req.id + " DONE - 2\r\nok\r\n");
+        answer_ok(cache);
         CHECK(body(read_reply(client)) == "ok");
     }
     CHECK_FALSE(fleet.a.called());
@@ -272,10 +252,7 @@
 
 // Guards: a planned restart loses no request: new ones are accepted for a while, and all open ones are
 // answered.
-TEST_CASE("told to end, it answers what still comes and then ends by itself") {
-    OneCache fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<OneCache>, "told to end, it answers what still comes and then ends by itself") {
     client.send(dispatch(1, read("sheet", "00000000000000a1")));
     Wire cache = fleet.cache.accept();
     const Req open = read_req(cache);
@@ -283,8 +260,7 @@
     Wire late = Wire::to(daemon.port());
     late.send(dispatch(1, read("video", "00000000000000a2")));
     Wire other = fleet.cache.accept();
-    const Req req = read_req(other);
-    other.send(req.id + " DONE - 2\r\nok\r\n");
+    answer_ok(other);
     cache.send(open.id + " DONE - 2\r\nok\r\n");
     CHECK(body(read_reply(client)) == "ok");
     CHECK(body(read_reply(late)) == "ok");
@@ -383,10 +359,7 @@
 
 // Guards: a forwarded request that no cache can use would count against the caches, and a cache that
 // receives a line it can't parse closes the connection with all its open requests.
-TEST_CASE("fields that can't be used are answered as failed and reach no cache") {
-    OneCache fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<OneCache>, "fields that can't be used are answered as failed and reach no cache") {
     const std::vector<std::pair<std::string, std::string>> wrong{{"kind", "film"},
                                                                  {"kind", ""},
                                                                  {"req", ""},
@@ -463,10 +436,7 @@
 
 // Guards: a response that can't be parsed fails all requests open on its connection. While there are enough
 // descriptors, that is one request.
-TEST_CASE("a spoilt answer costs no other request its answer") {
-    OneCache fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<OneCache>, "a spoilt answer costs no other request its answer") {
     client.send(dispatch(1, read_of("00000000000000a1", "00000000000000e1", 9000)));
     Wire first = fleet.cache.accept();
     read_req(first);
@@ -488,10 +458,8 @@
 
 // Guards: a response that stops in the middle does not resume. Waiting for it until the deadline would leave
 // no time for a retry and occupy a connection for nothing.
-TEST_CASE("an answer that stops in the middle ends its connection long before the deadline") {
-    OneCache fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<OneCache>,
+                  "an answer that stops in the middle ends its connection long before the deadline") {
     const auto start = std::chrono::steady_clock::now();
     client.send(dispatch(1, read("enrol", "00000000000000e1", 9000)));
     Wire cache = fleet.cache.accept();
@@ -503,10 +471,7 @@
 }
 
 // Guards: a cache that refuses further connections still serves requests on those it has accepted.
-TEST_CASE("requests share a connection where a further one is refused") {
-    OneCache fleet;
-    Daemon daemon(fleet.hosts());
-    Wire client = Wire::to(daemon.port());
+TEST_CASE_FIXTURE(Served<OneCache>, "requests share a connection where a further one is refused") {
     client.send(dispatch(1, read_of("00000000000000a1", "00000000000000e1", 9000)));
     Wire cache = fleet.cache.accept();
     const Req first = read_req(cache);
@@ -557,8 +522,7 @@
     Wire client = Wire::to(daemon.port());
     client.send(dispatch(1, read_of("00000000000000a1", "00000000000000e1")));
     Wire old = fleet.cache.accept();
-    const Req req = read_req(old);
-    old.send(req.id + " DONE - 2\r\nok\r\n");
+    answer_ok(old);
     CHECK(body(read_reply(client)) == "ok");
     feed.send("data: " +
               story::fleet(2, false,
--- a/tests/daemon/support.h
+++ b/tests/daemon/support.h
@@ -145,6 +145,11 @@
     return req;
 }
 
+// Reads one request and answers it with "ok".
+inline void answer_ok(Wire& wire) {
+    wire.send(read_req(wire).id + " DONE - 2\r\nok\r\n");
+}
+
 // A pop cache's answer: served, filled from its source.
 inline std::string done(const std::string& id, const std::string& bytes) {
     return id + " DONE digest=ab12,dated=1764576000123,tell=pulled " + std::to_string(bytes.size()) + "\r\n" +
@@ -365,6 +370,14 @@
     std::thread thread_;
 };
 
+// A daemon before a fleet of that kind, and one client.
+template <typename Fleet>
+struct Served {
+    Fleet fleet;
+    Daemon daemon{fleet.hosts()};
+    Wire client = Wire::to(daemon.port());
+};
+
 // ---- the platform's Thrift, written out byte by byte from its specification ----
 inline std::string be(std::uint64_t value, int width) {
     std::string text;
