--- a/tests/layout/clang_tidy.sh
+++ b/tests/layout/clang_tidy.sh
@@ -4,5 +4,8 @@
 set -eu
 build=$1
 cores=$(nproc)
-git ls-files 'src/*.cpp' | xargs -P "$cores" -n 1 clang-tidy -p "$build" --quiet --extra-arg=-Wno-unknown-warning-option \
-    2>/dev/null
+# What a run says on standard error is shown only where it fails.
+git ls-files 'src/*.cpp' | xargs -P "$cores" -n 1 sh -c '
+    errors=$(clang-tidy -p "$0" --quiet --extra-arg=-Wno-unknown-warning-option "$1" 2>&1 >&3) && exit 0
+    echo "$1: clang-tidy failed: $errors"
+    exit 1' "$build" 3>&1
