Drain: pipelined requests that were sent early end by the drain's deadline

Cause: the drain's response deadline was set when bytes arrived, or a request was submitted, after new requests begin to be rejected. A client that has sent all before and waits causes neither, and its open request ran to its own deadline.

Change: when the drain begins to reject requests, each open request that has others behind it gets that deadline.

--- a/src/admin/drain_schedule.h
+++ b/src/admin/drain_schedule.h
@@ -52,6 +52,10 @@
         if (elapsed < kResponseDeadline) return DrainStage::rejecting;
         return elapsed < kForceAfter ? DrainStage::closing : DrainStage::forcing;
     }
+    // When new requests begin to be rejected; empty: no drain.
+    std::optional<Micros> rejects_at() const {
+        return began_ ? std::optional(*began_ + kRejectAfter) : std::nullopt;
+    }
     // When all connections that the drain closes are closed; empty: no drain.
     std::optional<Micros> ends_at() const {
         return began_ ? std::optional(*began_ + kEndAfter) : std::nullopt;
--- a/src/signed_url_server/signed_url_server.cpp
+++ b/src/signed_url_server/signed_url_server.cpp
@@ -336,11 +336,25 @@
     connection_manager_.set_drain(drain);
     connection_manager_.set_draining(on);
     if (!changed) return;
+    for_each_busy_client([&](Client& client) {
+        if (drain.is_active() && client.exceeds_pipeline_limit()) set_drain_deadline(client);
+        if (!drain.is_active()) core_.set_response_deadline(client.core_request, std::nullopt);
+    });
+    if (drain.is_active()) schedule_drain_deadlines();
+}
+
+// Requests that were pipelined before new ones are rejected may be followed by no further bytes.
+void SignedUrlServer::schedule_drain_deadlines() {
+    const Micros rejects_at = *connection_manager_.drain().rejects_at();
+    loop_.timers().schedule(rejects_at, [this, alive = std::weak_ptr<bool>(alive_)] {
+        if (alive.expired() || !connection_manager_.drain().rejects_new_requests(loop_.clock().now())) return;
+        for_each_busy_client([this](Client& client) { set_drain_deadline(client); });
+    });
+}
+
+void SignedUrlServer::for_each_busy_client(const std::function<void(Client&)>& handle) {
     open_requests_.for_each([&](Handle, const OpenRequest& open) {
-        auto* client = static_cast<Client*>(connection_manager_.find(open.client));
-        if (!client) return;
-        if (drain.is_active() && client->exceeds_pipeline_limit()) set_drain_deadline(*client);
-        if (!drain.is_active()) core_.set_response_deadline(client->core_request, std::nullopt);
+        if (auto* client = static_cast<Client*>(connection_manager_.find(open.client))) handle(*client);
     });
 }
 
--- a/src/signed_url_server/signed_url_server.h
+++ b/src/signed_url_server/signed_url_server.h
@@ -62,6 +62,8 @@
     void send_response(Client& client, const HttpResponse& response);
     bool is_last(const Client& client) const;
     void set_drain_deadline(Client& client);
+    void schedule_drain_deadlines();
+    void for_each_busy_client(const std::function<void(Client&)>& handle);
     double now_s() const;
     int retry_after() const;
 
--- a/tests/daemon/signed_test.cpp
+++ b/tests/daemon/signed_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <signal.h>
 
+#include "admin/drain_schedule.h"
+#include "admin_calls.h"
 #include "signed_url_server/signed_urls.h"
 #include "support.h"
 
@@ -44,14 +46,24 @@
     return result;
 }
 
+constexpr int kEnrolClass = 2;
+constexpr sumackeel::base::Micros kEnrolDeadline = 6'000'000;  // behind the end of a drain
+
+sumackeel::config::Config site_config(const std::vector<std::string>& hosts) {
+    sumackeel::config::Config config = with_ops(hosts);
+    config.site.settings.classes[kEnrolClass].deadline = kEnrolDeadline;
+    return config;
+}
+
 struct Site {
     Peer cache, parent, origin;
     sumackeel::config::SignedUrlServer front = make_server_config();
     LinkVerifier signer{front};
-    Daemon daemon{{host("s-cache", cache, "edge-1", "small"), host("s-parent", parent, "coast", "parent"),
-                   host("s-origin", origin, "coast", "origin")},
-                  "",
-                  operator_config_with(front)};
+    Daemon daemon{
+        site_config({host("s-cache", cache, "edge-1", "small"), host("s-parent", parent, "coast", "parent"),
+                     host("s-origin", origin, "coast", "origin")}),
+        {},
+        operator_config_with(front)};
 
     std::string link(const std::string& path, double valid_for_s = 60, const std::string& jti = {},
                      const std::string& student = "ana", const std::string& kid = "link-1") {
@@ -315,6 +327,27 @@
     CHECK(read_response(client).status == 200);
 }
 
+// Guards against a connection held past the end of a drain: requests sent behind an open one, with no byte
+// after new requests are rejected, did not give it the drain's deadline.
+TEST_CASE("a request with others behind it has an answer by the drain's deadline") {
+    Site site;
+    const std::string token = site.token();
+    Wire client = Wire::to(site.daemon.signed_port());
+    std::string requests;
+    for (const char* use : {"j0", "j1", "j2"})
+        requests += request("POST", site.link(kEnrol, 60, use), token, "form");
+    client.send(requests);
+    Wire cache = site.cache.accept();
+    read_req(cache);  // and no answer
+    REQUIRE(admin_request(site.daemon.ops_port(), "POST", "/ops/drain/start") == 200);
+    const auto drained = std::chrono::steady_clock::now();
+    const Response last = read_response(client);
+    const auto waited = std::chrono::steady_clock::now() - drained;
+    CHECK(last.status == 504);
+    CHECK(last.headers.at("Connection") == "close");
+    CHECK(waited < std::chrono::microseconds(sumackeel::admin::DrainSchedule::kEndAfter));
+}
+
 // Guards: the same limits on new connections apply to both servers.
 TEST_CASE("clients that only connect don't shut a student out") {
     Peer cache, parent, origin;
@@ -322,7 +355,7 @@
     front.connections = 8;
     Daemon daemon({host("s-cache", cache, "edge-1", "small"), host("s-parent", parent, "coast", "parent"),
                    host("s-origin", origin, "coast", "origin")},
-                  {}, operator_config_with(front));
+                  "", operator_config_with(front));
     std::vector<Wire> idle;
     for (int i = 0; i < 40; ++i) idle.push_back(Wire::to(daemon.signed_port()));
     Wire student = Wire::to(daemon.signed_port());
--- a/tests/daemon/support.h
+++ b/tests/daemon/support.h
@@ -337,8 +337,10 @@
           thread_([this] { daemon_.run(); }) {}
     // A configuration as the platform would set it beside its file (the operators' address, a socket
     // handed in) and where the hand-over file is.
-    Daemon(sumackeel::config::Config config, sumackeel::daemon::Files files)
+    Daemon(sumackeel::config::Config config, sumackeel::daemon::Files files,
+           const sumackeel::config::Operator& setup = {})
         : config_(std::move(config)),
+          operator_(setup),
           daemon_(config_, operator_, std::move(files)),
           thread_([this] { daemon_.run(); }) {}
     ~Daemon() {
