Discovery: the head of an answer doesn't end the calls beside it

Callers saw: where the change log sends the head of each answer at once and its events 3.5 s later, a proxy heard no event at all: a draining pop cache kept its work, purges were missed.

Cause: the head counted as the answer. Its call was silent after 2.5 s, another was made beside it, and the head of that one closed the call whose events were on their way.

Change: an answer begins with the first byte of the event stream. A head gives its call the silence timeout before another is made beside it. "answered late" is logged only where the answer was late, and the ids of pending calls are searched in one place.

--- a/src/base/pending_calls.cpp
+++ b/src/base/pending_calls.cpp
@@ -27,8 +27,12 @@
     return found;
 }
 
+PendingCalls::Calls::const_iterator PendingCalls::find(CallId id) const {
+    return std::find_if(calls_.begin(), calls_.end(), [id](const Call& c) { return c.id == id; });
+}
+
 std::optional<PendingCalls::Call> PendingCalls::take(CallId id) {
-    const auto found = std::find_if(calls_.begin(), calls_.end(), [id](const Call& c) { return c.id == id; });
+    const auto found = find(id);
     if (found == calls_.end()) return std::nullopt;
     const Call call = *found;
     calls_.erase(found);
@@ -36,10 +40,11 @@
 }
 
 std::vector<PendingCalls::Call> PendingCalls::take_through(CallId id) {
-    const auto found = std::find_if(calls_.begin(), calls_.end(), [id](const Call& c) { return c.id == id; });
+    const auto found = find(id);
     if (found == calls_.end()) return {};
-    std::vector<Call> taken(calls_.begin(), found + 1);
-    calls_.erase(calls_.begin(), found + 1);
+    const auto end = found + 1;
+    std::vector<Call> taken(calls_.cbegin(), end);
+    calls_.erase(calls_.cbegin(), end);
     return taken;
 }
 
@@ -48,7 +53,7 @@
 }
 
 bool PendingCalls::contains(CallId id) const {
-    return std::any_of(calls_.begin(), calls_.end(), [id](const Call& c) { return c.id == id; });
+    return find(id) != calls_.end();
 }
 
 void ResponseTimeout::on_overdue() {
--- a/src/base/pending_calls.h
+++ b/src/base/pending_calls.h
@@ -46,9 +46,11 @@
     Micros oldest_age(Micros now) const { return calls_.empty() ? 0 : now - calls_.front().begun_at; }
 
   private:
+    using Calls = std::vector<Call>;
+    Calls::const_iterator find(CallId id) const;
     std::size_t most_crowded(Micros now) const;
 
-    std::vector<Call> calls_;  // the oldest first
+    Calls calls_;  // the oldest first
 };
 
 // How long a call waits for its answer before another is made beside it. Follows what was seen, as a
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -70,7 +70,8 @@
     http_parser parser{};
     http_parser_settings parser_settings{};
     EventStreamReader reader;
-    bool streaming = false;  // the response has status 200, and its body is the event stream
+    bool streaming = false;     // the response has status 200, and its body is the event stream
+    bool stream_begun = false;  // bytes of it were received
 
     Connection(DiscoveryWatch& owner, const endpoints::WatchSources::Step& step)
         : watch(owner),
@@ -89,8 +90,10 @@
         // until its timeout.
         parser_settings.on_message_complete = [](http_parser*) { return -1; };
         parser_settings.on_body = [](http_parser* p, const char* at, std::size_t length) {
+            auto& connection = *static_cast<Connection*>(p->data);
+            connection.stream_begun = true;
             try {
-                static_cast<Connection*>(p->data)->reader.append({at, length});
+                connection.reader.append({at, length});
             } catch (const std::exception& error) {
                 log::warn("discovery: event stream failed error={}", error.what());
                 return -1;
@@ -113,11 +116,14 @@
     }
 
     void on_data(net::Stream&, std::string_view bytes) override {
+        const bool had_head = streaming;
         const std::size_t read = http_parser_execute(&parser, &parser_settings, bytes.data(), bytes.size());
         if (read != bytes.size() || HTTP_PARSER_ERRNO(&parser) != HPE_OK)
             throw StreamError(StreamError::Code::bad_response, "the change log's answer can't be read");
         if (!watch.is_current(*this)) return;  // an event has ended this connection
-        const bool confirmed = streaming && watch.sources_.on_data(source, call, watch.loop_.clock().now());
+        const base::Micros now = watch.loop_.clock().now();
+        if (streaming && !had_head && !stream_begun) watch.sources_.on_head(source, call, now);
+        const bool confirmed = stream_begun && watch.sources_.on_data(source, call, now);
         if (watch.sources_.has_superseded_calls()) watch.on_answer(*this);
         if (confirmed && watch.callbacks_.on_confirmed) watch.callbacks_.on_confirmed();
     }
@@ -138,6 +144,7 @@
       site_(site),
       last_seq_(last_seq),
       callbacks_(std::move(callbacks)),
+      response_timeout_(options.response_timeout),
       sources_(addresses.size(), options, seed),
       addresses_(std::move(addresses)) {
     loop_.on_each_iteration([this] { closed_.clear(); });
@@ -213,8 +220,10 @@
 
 // Others were open beside this call.
 void DiscoveryWatch::on_answer(const Connection& connection) {
-    answer_log_.warn("discovery: change log answered late log={} after_ms={}", addresses_[connection.source],
-                     sources_.health()[connection.source].response_time / 1000);
+    const base::Micros waited = sources_.health()[connection.source].response_time;
+    if (waited > response_timeout_)
+        answer_log_.warn("discovery: change log answered late log={} after_ms={}",
+                         addresses_[connection.source], waited / 1000);
     update();
 }
 
--- a/src/discovery/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -105,6 +105,7 @@
     const config::Site& site_;
     std::int64_t last_seq_;
     Callbacks callbacks_;
+    base::Micros response_timeout_;  // of the options
     endpoints::WatchSources sources_;
     std::map<base::CallId, std::unique_ptr<Connection>> connections_;
     std::vector<std::unique_ptr<Connection>>
--- a/src/endpoints/watch_sources.cpp
+++ b/src/endpoints/watch_sources.cpp
@@ -234,6 +234,11 @@
     health.since = now;
 }
 
+void WatchSources::on_head(std::size_t source, CallId call, Micros now) {
+    Calls& calls = calls_[source];
+    if (calls.pending.is_newest(call)) calls.answer_due_at = now + options_.silence_timeout;
+}
+
 bool WatchSources::on_data(std::size_t source, CallId call, Micros now) {
     Health& health = health_[source];
     if (calls_[source].followed != call && !follow(source, call, now)) return false;
--- a/src/endpoints/watch_sources.h
+++ b/src/endpoints/watch_sources.h
@@ -3,8 +3,8 @@
 //
 // A call that waits for its answer, or whose stream fell silent, is kept until another of that source is
 // answered (pending_calls.h). The call that is answered last is the one that is followed; all others of its
-// source are closed. Each call asks for all events behind what was known when it was made, so none is lost
-// between two calls.
+// source are closed. An answer begins with the first byte of the event stream, not with its head. Each call
+// asks for all events behind what was known when it was made, so none is lost between two calls.
 //
 // The first `follow` usable sources are followed; while fewer are usable, the next one in order is connected.
 // A source is proven once it has sent an event as new as the newest one known when it was connected; only a
@@ -34,7 +34,7 @@
     Micros first_wait = 100'000;    // before reconnecting after a failure; doubled with each further one
     Micros longest_wait = 100'000;  // upper bound of the doubled wait
     double jitter = 0;  // 0 to 1: each wait is multiplied by a random factor from (1 - jitter) to 1
-    // Without a byte of the response for this time, another call is made beside the one that waits.
+    // Without a byte of the event stream for this time, another call is made beside the one that waits.
     Micros response_timeout = 1'000'000;
     Micros longest_response_timeout = 2'000'000;  // upper bound where answers take longer or are missing
     Micros silence_timeout = 2'500'000;  // without data; a working source sends a comment each second
@@ -101,7 +101,9 @@
 
     // In the events below `call` is one that was not dropped; others are ignored.
     void on_connected(std::size_t source, CallId call, Micros now);  // the request is written
-    // Response bytes were received. True: the source is proven, so the list is current.
+    // The head of the answer was received, and no byte of the stream: that has `silence_timeout` to begin.
+    void on_head(std::size_t source, CallId call, Micros now);
+    // Bytes of the stream were received. True: the source is proven, so the list is current.
     bool on_data(std::size_t source, CallId call, Micros now);
     EventResult on_event(std::size_t source, CallId call, std::int64_t sequence, std::int64_t newest,
                          Micros now);
--- a/tests/daemon/cache_stub.h
+++ b/tests/daemon/cache_stub.h
@@ -206,6 +206,8 @@
         answers_after_ = std::move(answers_after);
         calls_ = 0;
     }
+    // The head of each answer comes at once, and the rest as set by answer_after().
+    void send_heads_at_once() { heads_at_once_ = true; }
     // The connections that it answered stay open, and nothing more is told on them.
     void fall_silent() {
         const std::lock_guard held(mutex_);
@@ -228,6 +230,7 @@
         behind_.push_back(std::stoi(conn.in.substr(header + 15)));
         conn.in.erase(0, end + 4);
         last_behind_[conn.fd] = behind_.back();
+        if (heads_at_once_) send_all(conn.fd, kHead);
         if (const auto after = answers_after_(calls_++))
             answers_at_[conn.fd] = std::chrono::steady_clock::now() + *after;
         return true;
@@ -242,7 +245,7 @@
             open.insert(conn.fd);
             if (const auto due = answers_at_.find(conn.fd); due != answers_at_.end() && due->second <= now) {
                 answers_at_.erase(due);
-                send_all(conn.fd, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n");
+                send_all(conn.fd, (heads_at_once_ ? "" : kHead) + std::string(":\n\n"));
                 sent_[conn.fd] = 0;
             }
             const auto sent = sent_.find(conn.fd);
@@ -261,6 +264,8 @@
     }
 
   private:
+    static constexpr const char* kHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    std::atomic<bool> heads_at_once_ = false;
     mutable std::mutex mutex_;
     std::vector<std::pair<int, std::string>> events_;
     std::vector<int> behind_;
--- a/tests/daemon/slow_log_test.cpp
+++ b/tests/daemon/slow_log_test.cpp
@@ -42,6 +42,14 @@
     }
 }
 
+// Guards against a head counting as the answer, for which the call whose events are on their way was closed.
+TEST_CASE("the head of each answer comes at once and its events late: drains and purges are obeyed") {
+    Platform platform(always(3'500ms));
+    platform.log.send_heads_at_once();
+    Daemon daemon(platform.fleet.hosts(), platform.log.address());
+    CHECK(platform.obeys(daemon));
+}
+
 TEST_CASE("the change log falls silent, the next call is never answered and others late: both are obeyed") {
     Platform platform(always(0ms));
     Daemon daemon(platform.fleet.hosts(), platform.log.address());
--- a/tests/endpoints/watch_sources_test.cpp
+++ b/tests/endpoints/watch_sources_test.cpp
@@ -92,9 +92,14 @@
     }
     // The time at which the log is followed; nullopt: not by `end`.
     std::optional<Micros> followed_by(Micros end, std::size_t log = 0) {
-        while (now_ < end && sources_.health()[log].state != State::following) run_until(now_ + kStep);
+        while (now_ < end && !is_followed(log)) run_until(now_ + kStep);
         return now_ < end ? std::optional(now_) : std::nullopt;
     }
+    // Followed, and an event has come on the call.
+    bool is_followed(std::size_t log) const {
+        return health(log).state == State::following && health(log).highest_on_connection > 0;
+    }
+    void send_heads_at_once() { heads_at_once_ = true; }
     void silence_open_calls() {
         for (auto& [id, call] : open_) call.next_byte.reset();
     }
@@ -121,6 +126,7 @@
             const auto after = answers_after_[step.source](made_[step.source]++);
             open_[step.call] = {step.source, after ? std::optional(now_ + *after) : std::nullopt};
             sources_.on_connected(step.source, step.call, now_);
+            if (heads_at_once_) sources_.on_head(step.source, step.call, now_);
         }
     }
     std::vector<CallId> due_calls() const {
@@ -140,6 +146,7 @@
     std::map<CallId, Open> open_;
     std::size_t most_open_ = 0;
     Micros now_ = 0;
+    bool heads_at_once_ = false;
 };
 
 }  // namespace
@@ -340,9 +347,11 @@
         {"two of three never",
          [](int call) { return call % 3 < 2 ? std::nullopt : std::optional<Micros>(1'500'000); },
          7 * kSecond}};
-    for (const Case& one : cases) {
+    const auto check = [](const Case& one, bool heads_at_once) {
         SCOPED_TRACE(one.name);
+        SCOPED_TRACE(heads_at_once);
         VirtualLogs logs({one.answers_after});
+        if (heads_at_once) logs.send_heads_at_once();
         EXPECT_TRUE(logs.followed_by(one.heard_within + 20'000));
         logs.run_until(logs.now() + 15 * kSecond);
         logs.silence_open_calls();
@@ -350,6 +359,10 @@
         EXPECT_EQ(logs.health().state, State::silent) << "noticed in time";
         EXPECT_TRUE(logs.followed_by(logs.now() + one.heard_within + 150'000));
         EXPECT_LE(logs.most_open(), PendingCalls::kMaxPending + 1);
+    };
+    for (const Case& one : cases) {
+        check(one, false);
+        check(one, true);
     }
 }
 
