Upstream: a connection that comes up behind its timeout serves later attempts

Cause: the connection was closed at its timeout and the next one begun anew, so none was ever up.

Change: attempts fail at the timeout, as before; the connection is kept for later ones, the oldest and the newest of a target, 10 s at most, and makes room first where sockets are short.

late_connection_test "a connection that comes up behind its time-out carries later requests" fails before and passes now.

--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -2,16 +2,14 @@
 
 #include <algorithm>
 #include <tuple>
-#include <unordered_set>
 #include <utility>
 
 #include "base/log.h"
 #include "base/system_error.h"
+#include "upstream/pool_connection.h"
 
 namespace sumackeel::upstream {
 
-using routing::AttemptStatus;
-
 namespace {
 
 // An invalid response or a reset loses all open attempts of its connection, so attempts share a connection
@@ -23,7 +21,6 @@
 constexpr double kConnectionLossProbability = 0.02;  // during a request, by a break or a missing response
 constexpr int kReservedForFirstConnections = 16;     // descriptors kept for targets without a connection
 constexpr int kReservedForOthers = 8;  // descriptors never used here: the change log has to be reachable
-constexpr Micros kConnectBackoff = 2'000'000;    // after a target refused a further connection
 constexpr Micros kMaxResponseStall = 1'000'000;  // in the middle of a response, which is then considered lost
 constexpr Micros kUnresponsiveAfter = 400'000;   // without a byte while attempts are open
 constexpr Micros kSuspectAfterSilence = 200'000;  // an attempt was cancelled after so long without a byte
@@ -33,8 +30,11 @@
 // of them gets no new attempts and closes once nothing is open on it.
 constexpr std::size_t kMaxCancelledIds = 256;
 
-constexpr Micros kMaxIterationAge = 50'000;  // in an older one input is read first, then requests are written
-constexpr Micros kMaxEncodeTime = 1'000;     // between computing a limit and writing it
+// A connection that isn't up at its timeout fails its attempts, but is kept for later ones for this long, as
+// the next one may take as long. Of each target the oldest and the newest are kept.
+constexpr Micros kLongestConnect = 10'000'000;
+constexpr std::size_t kMaxOverdueConnections = 2;
+
 constexpr Micros kConnectRetryInterval = 20'000;  // after a local lack of sockets
 
 // Whether a connect error is caused by this machine, not by the target.
@@ -44,141 +44,6 @@
 
 }  // namespace
 
-struct ConnectionPool::Connection : net::Stream::Handler {
-    ConnectionPool& pool;
-    std::uint64_t number;
-    std::string target;
-    net::Stream* stream = nullptr;
-    bool connected = false;
-    bool disconnected = false;  // closed by the other side, or could not be established
-    bool suspect = false;       // an attempt timed out here and no byte has been received since
-    struct QueuedRequest {
-        std::string id;
-        RequestEncoder request;
-        Micros start_deadline;  // 0: none
-        bool deferred = false;  // already once, to read input first
-    };
-    enum class WriteResult { written, too_late, withheld, deferred };
-    // Written once the connection is up and all earlier bytes are sent. Requests are encoded only then, since
-    // the limit in an encoded request would not account for the wait.
-    std::vector<QueuedRequest> queued;
-    std::unordered_map<std::string, OpenAttempt> open_attempts;
-    std::unordered_set<std::string> cancelled_ids;  // written, cancelled, and without a response so far
-    ResponseReader reader;
-    Micros last_byte_at = 0;  // last byte received, or the first one sent after an idle time
-    Micros last_used_at = 0;
-    base::TimerQueue::Key connect_timer;
-
-    Connection(ConnectionPool& owner, std::uint64_t n, std::string to)
-        : pool(owner), number(n), target(std::move(to)) {}
-
-    void on_open(net::Stream&) override {
-        pool.loop_.timers().cancel(connect_timer);
-        pool.opened_.push_back(number);
-    }
-
-    bool can_write() const { return connected && stream && stream->unsent_bytes() == 0; }
-
-    void on_ready() {
-        connected = true;
-        last_byte_at = pool.loop_.clock().now();
-        write_queued();
-    }
-
-    void on_write_drained(net::Stream&) override {
-        if (can_write()) write_queued();
-    }
-
-    // What was read in this iteration may forbid some of them, or end them.
-    void write_queued() {
-        pool.core_.process_events();
-        std::vector<QueuedRequest> pending = std::exchange(queued, {});
-        for (QueuedRequest& entry : pending) {
-            if (!can_write()) {
-                queued.push_back(std::move(entry));
-                continue;
-            }
-            const WriteResult result = write(entry);
-            if (result == WriteResult::deferred) {
-                defer(std::move(entry));
-                continue;
-            }
-            if (result == WriteResult::written) continue;
-            const Handle attempt = open_attempts.at(entry.id).attempt;
-            open_attempts.erase(entry.id);
-            pool.locations_.erase(attempt.number());
-            pool.core_.on_attempt_finished(attempt, core::AttemptResult{.status = status_of(result)});
-        }
-    }
-
-    static AttemptStatus status_of(WriteResult unwritten) {
-        return unwritten == WriteResult::withheld ? AttemptStatus::withheld : AttemptStatus::connect_failed;
-    }
-
-    // The process may be stalled at any moment. After a stall the limit in an encoded request is too long,
-    // and the client may have left, so input is read before anything is written.
-    WriteResult write(const QueuedRequest& entry) {
-        for (;;) {
-            const Micros now = pool.loop_.clock().now();
-            if (now >= entry.request.deadline() || (entry.start_deadline > 0 && now >= entry.start_deadline))
-                return WriteResult::too_late;
-            if (!entry.deferred && pool.loop_.iteration_age() > kMaxIterationAge)
-                return WriteResult::deferred;
-            OpenAttempt& attempt = open_attempts.at(entry.id);
-            const core::WriteTerms terms = pool.core_.terms_at_write(attempt.attempt);
-            if (!terms.allowed) return WriteResult::withheld;
-            const std::string text = entry.request.encode_at(now, terms.max_age);
-            if (pool.loop_.clock().now() - now > kMaxEncodeTime) continue;
-            attempt.written = true;
-            attempt.sent_at = now;
-            stream->write_immediately(text);
-            return WriteResult::written;
-        }
-    }
-
-    // Until the next iteration of the loop, which reads input before it runs timers.
-    void defer(QueuedRequest entry) {
-        entry.deferred = true;
-        queued.push_back(std::move(entry));
-        pool.loop_.timers().schedule(pool.loop_.clock().now(), [&pool = pool, number = number] {
-            const auto found = pool.connections_.find(number);
-            if (found != pool.connections_.end() && found->second->can_write()) found->second->write_queued();
-        });
-    }
-
-    void on_data(net::Stream&, std::string_view bytes) override {
-        last_byte_at = pool.loop_.clock().now();
-        suspect = false;
-        reader.append(bytes);
-        CacheResponse response;
-        while (reader.next(response)) {
-            const auto found = open_attempts.find(response.id);
-            if (found == open_attempts.end()) {  // cancelled
-                cancelled_ids.erase(response.id);
-                continue;
-            }
-            const Handle attempt = found->second.attempt;
-            open_attempts.erase(found);
-            last_used_at = last_byte_at;
-            pool.locations_.erase(attempt.number());
-            pool.core_.on_attempt_finished(attempt, std::move(response.result));
-        }
-    }
-
-    void on_close(net::Stream&, net::DisconnectCause cause) override {
-        stream = nullptr;
-        disconnected = true;
-        if (cause == net::DisconnectCause::connect_failed) {
-            log::debug("upstream: connection refused at={}", target);
-            Target& to = pool.targets_[target];
-            const bool others = std::any_of(to.connections.begin(), to.connections.end(),
-                                            [](const auto& c) { return c->connected; });
-            if (others) to.backoff_until = pool.loop_.clock().now() + kConnectBackoff;
-        }
-        pool.close(*this, connected);
-    }
-};
-
 ConnectionPool::ConnectionPool(net::Loop& loop, net::SocketBudget& budget, core::Core& core, Limits limits)
     : loop_(loop), budget_(budget), core_(core), limits_(limits) {
     sweep();
@@ -243,6 +108,7 @@
         return std::tuple(is_unresponsive(c), c.open_attempts.size(), !c.connected, -c.last_byte_at);
     };
     for (const auto& connection : target.connections) {
+        if (connection->overdue) continue;
         if (connection->open_attempts.size() >= static_cast<std::size_t>(limits_.streams_per_conn)) continue;
         const auto& avoid = attempt_request.avoid_connections;
         if (std::find(avoid.begin(), avoid.end(), connection->number) != avoid.end()) continue;
@@ -269,14 +135,14 @@
     return new_connection ? new_connection : best;
 }
 
-// Closes the connection of any target that has been idle longest, but not `keep`.
+// Closes the connection of any target that has been idle longest, but not `keep`; an overdue one first.
 bool ConnectionPool::make_room(const Connection* keep) {
     Connection* idle = nullptr;
+    const auto rank = [](const Connection& c) { return std::tuple(!c.overdue, c.last_used_at); };
     for (const auto& [number, connection] : connections_)
-        if (connection != keep && connection->connected && connection->open_attempts.empty() &&
-            (!idle || connection->last_used_at < idle->last_used_at))
+        if (connection != keep && connection->is_idle() && (!idle || rank(*connection) < rank(*idle)))
             idle = connection;
-    if (idle) close(*idle, true);
+    if (idle) close(*idle, idle->connected);
     return idle != nullptr;
 }
 
@@ -294,15 +160,31 @@
     raw->connect_timer =
         loop_.timers().schedule(raw->last_used_at + limits_.connect_timeout, [this, number = raw->number] {
             const auto found = connections_.find(number);
-            if (found == connections_.end() || found->second->connected) return;
-            close(*found->second, false);
-            core_.process_events();
+            if (found != connections_.end() && !found->second->connected) on_connect_timeout(*found->second);
         });
     connections_[raw->number] = raw;
     target.connections.push_back(std::move(connection));
     return raw;
 }
 
+void ConnectionPool::on_connect_timeout(Connection& connection) {
+    if (connection.stream) {
+        connection.overdue = true;
+        fail_open_attempts(connection, AttemptStatus::connect_failed);
+        limit_overdue(targets_[connection.target]);
+    } else {
+        close(connection, false);
+    }
+    core_.process_events();
+}
+
+void ConnectionPool::limit_overdue(const Target& target) {
+    std::vector<Connection*> overdue;
+    for (const auto& connection : target.connections)
+        if (connection->overdue) overdue.push_back(connection.get());
+    if (overdue.size() > kMaxOverdueConnections) close(*overdue[overdue.size() - 2], false);
+}
+
 // Requests stay queued for the connection; the failure is local and does not count against the pop cache.
 void ConnectionPool::retry_connect(std::uint64_t number) {
     loop_.timers().schedule(loop_.clock().now() + kConnectRetryInterval, [this, number] {
@@ -425,8 +307,14 @@
                                     [&](const auto& c) { return c.get() == &connection; });
     closed_.push_back(std::move(*found));
     target.connections.erase(found);
+    fail_open_attempts(connection, unwritten_status);
+}
+
+void ConnectionPool::fail_open_attempts(Connection& connection, AttemptStatus unwritten_status) {
+    connection.queued.clear();
     std::vector<OpenAttempt> open_attempts;
-    for (const auto& [id, entry] : connection.open_attempts) open_attempts.push_back(entry);
+    for (const auto& [id, entry] : std::exchange(connection.open_attempts, {}))
+        open_attempts.push_back(entry);
     std::sort(open_attempts.begin(), open_attempts.end(), [](const OpenAttempt& a, const OpenAttempt& b) {
         return a.attempt.number() < b.attempt.number();
     });
@@ -443,23 +331,29 @@
     if (found == targets_.end()) return;
     std::vector<Connection*> idle;
     for (const auto& connection : found->second.connections)
-        if (connection->open_attempts.empty() && connection->connected) idle.push_back(connection.get());
-    for (Connection* connection : idle) close(*connection, true);
+        if (connection->is_idle()) idle.push_back(connection.get());
+    for (Connection* connection : idle) close(*connection, connection->connected);
+}
+
+// Of an idle connection.
+bool ConnectionPool::is_expired(const Connection& connection, Micros now) const {
+    if (targets_.at(connection.target).retired || connection.suspect) return true;
+    const Micros unused_for = now - connection.last_used_at;
+    if (connection.overdue) return unused_for > kLongestConnect;
+    return connection.cancelled_ids.size() >= kMaxCancelledIds ||
+           unused_for > limits_.idle_close - kIdleMargin;
 }
 
 void ConnectionPool::sweep() {
     const Micros now = loop_.clock().now();
     std::vector<Connection*> idle, stalled;
     for (const auto& [number, connection] : connections_)
-        if (connection->connected && connection->open_attempts.empty() &&
-            (connection->suspect || connection->cancelled_ids.size() >= kMaxCancelledIds ||
-             targets_[connection->target].retired ||
-             now - connection->last_used_at > limits_.idle_close - kIdleMargin))
+        if (connection->is_idle() && is_expired(*connection, now))
             idle.push_back(connection);
         else if (connection->reader.has_partial_response() &&
                  now - connection->last_byte_at > kMaxResponseStall)
             stalled.push_back(connection);
-    for (Connection* connection : idle) close(*connection, true);
+    for (Connection* connection : idle) close(*connection, connection->connected);
     for (Connection* connection : stalled) {
         log::debug("upstream: response stalled, connection closed at={}", connection->target);
         close(*connection, true);
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -60,8 +60,12 @@
     Connection* open_connection(const std::string& name, Target& target);
     void finish(Handle attempt, routing::AttemptStatus status);
     void close(Connection& connection, bool was_connected);
+    void fail_open_attempts(Connection& connection, routing::AttemptStatus unwritten_status);
+    void on_connect_timeout(Connection& connection);
+    void limit_overdue(const Target& target);
     void finish_unwritten(Handle attempt, routing::AttemptStatus status);
     bool is_unresponsive(const Connection& connection) const;
+    bool is_expired(const Connection& connection, Micros now) const;
     bool make_room(const Connection* keep);
     void sweep();
     void start_opened();
--- a/tests/daemon/late_connection_test.cpp
+++ b/tests/daemon/late_connection_test.cpp
@@ -1,5 +1,6 @@
-// Requests that wait for a connection to their cache while a purge or a drain is told. Guards against
-// requests that were written by what was known when they were decided (review/8).
+// Requests that wait for a connection to their cache while a purge or a drain is told, and connections that
+// come up later than they are waited for. Guards against requests that were written by what was known when
+// they were decided (review/8).
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 #include <fcntl.h>
@@ -13,7 +14,8 @@
 
 using Clock = std::chrono::steady_clock;
 constexpr std::chrono::milliseconds kToldAfter{150}, kTakesAgainAfter{500}, kWatched{1'500};
-constexpr int kRequests = 6;
+constexpr std::chrono::milliseconds kConnectTimeout{400}, kRetransmitted{1'500}, kAskEvery{50};
+constexpr int kRequests = 6, kMostAsked = 100;
 constexpr double kSizeKb = 4'000;  // large enough for an attempt to wait for a late connection
 
 // A cache whose queue of connections is full: the system drops those that come and asks again after 1 s.
@@ -34,6 +36,8 @@
         listen(fd_, 256);
         for (const int filler : fillers_) ::close(filler);
     }
+    // The connections that it has taken and that are open.
+    long connections() const { return std::ranges::count_if(conns_, is_open); }
     // The requests that come until then, with the time of each.
     std::vector<std::pair<std::string, Clock::time_point>> requests_until(Clock::time_point end) {
         std::map<int, std::string> in;
@@ -64,6 +68,10 @@
         connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
         return fd;
     }
+    static bool is_open(int fd) {
+        char byte = 0;
+        return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+    }
     static void take_lines(std::string& in,
                            std::vector<std::pair<std::string, Clock::time_point>>& requests) {
         for (auto end = in.find("\r\n"); end != std::string::npos; end = in.find("\r\n")) {
@@ -86,18 +94,34 @@
     return {with(text, R"("drain_grace":2000000)", R"("drain_grace":3000000)")};
 }
 
+WithConfig usual_config(const std::vector<std::string>& hosts, const std::string& change_log) {
+    return {config_text(hosts, change_log)};
+}
+
 struct Fleet {
+    explicit Fleet(decltype(patient_config)* config = patient_config) : config_(config) {}
+
+    decltype(patient_config)* config_;
     LateCache late;
     Box other, origin;
     ChangeLog log;
     std::vector<std::string> hosts = {host_at("s-late", late.address()), host_at("s-other", other.address()),
                                       host_at("s-origin", origin.address(), "origin")};
-    Daemon daemon{patient_config(hosts, log.address()), {}};
+    Daemon daemon{config_(hosts, log.address()), {}};
     Wire client = Wire::to(daemon.port());
 
     void send_all() {
         for (int i = 1; i <= kRequests; ++i) client.send(dispatch(i, request_for("video", i, kSizeKb)));
     }
+    // Asks for an object a time until a request reaches the late cache.
+    bool reaches_late_cache() {
+        for (int i = kRequests + 1; i <= kMostAsked; ++i) {
+            client.send(dispatch(i, request_for("video", i, kSizeKb)));
+            if (!late.requests_until(Clock::now() + kAskEvery).empty()) return true;
+            CHECK(read_reply(client).place == 0);
+        }
+        return false;
+    }
     // Tells it while requests wait, and returns those that reach the late cache.
     std::vector<std::pair<std::string, Clock::time_point>> requests_after(const std::string& event) {
         std::this_thread::sleep_for(kToldAfter);
@@ -137,3 +161,18 @@
     CHECK(requests.empty());
     for (int i = 1; i <= kRequests; ++i) CHECK(read_reply(fleet.client).place == 0);
 }
+
+// Guards against a cache whose connections come up late each time being reached by no request ever: each
+// connection was closed at its time-out, and the next one made anew.
+TEST_CASE("a connection that comes up behind its time-out carries later requests") {
+    Fleet fleet(usual_config);
+    fleet.send_all();
+    for (int i = 1; i <= kRequests; ++i) CHECK(read_reply(fleet.client).place == 0);
+    std::this_thread::sleep_for(kConnectTimeout);
+    fleet.late.take_connections();
+    CHECK(fleet.late.requests_until(Clock::now() + kRetransmitted).empty());
+    REQUIRE(fleet.late.connections() > 0);
+    const long connections = fleet.late.connections();
+    CHECK(fleet.reaches_late_cache());
+    CHECK(fleet.late.connections() == connections);
+}
