Signed URL server: a head has 100 fields at most, an empty value loses none

A field behind one with an empty value was lost.

Cause: the bound counts bytes, each field is kept as two strings in a map; the end of a field was told by a value that is not empty.

Change: the 101st field ends the request with 431; a field ends when the next name begins.

signed_test "a head of too many fields is rejected, an empty field changes no other" fails before and passes now (9 of 9 cases).

--- a/src/signed_url_server/signed_url_server.cpp
+++ b/src/signed_url_server/signed_url_server.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::size_t kMaxHeadBytes = 24 * 1024;
+constexpr int kMaxHeadFields = 100;  // each takes more memory than its bytes
 constexpr std::size_t kMaxBodyBytes = 48'000;
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;  // of requests sent before earlier ones are answered
 constexpr Micros kRequestTimeout = 15'000'000;         // to receive a complete request
@@ -86,6 +87,8 @@
     std::string url, name, value, body;
     std::map<std::string, std::string> headers;
     std::size_t head_bytes = 0;
+    int head_fields = 0;
+    bool reading_value = false;     // of a header field, which may be empty
     base::Micros last_byte_at = 0;  // when bytes last arrived
     int limit_status = 0;           // the status if the request exceeds a limit
     bool busy = false, request_complete = false, keep_alive = true, has_received_request = false;
@@ -105,10 +108,13 @@
                 return self(p).append_head(self(p).url, at, n);
             };
             s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
-                if (!self(p).value.empty()) self(p).finish_header();
+                if (self(p).reading_value) self(p).finish_header();
+                if (self(p).name.empty() && ++self(p).head_fields > kMaxHeadFields)
+                    return self(p).limit_status = 431, -1;
                 return self(p).append_head(self(p).name, at, n);
             };
             s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+                self(p).reading_value = true;
                 return self(p).append_head(self(p).value, at, n);
             };
             s.on_headers_complete = [](http_parser* p) { return self(p).finish_header(), 0; };
@@ -129,7 +135,8 @@
 
     int reset_request() {
         url.clear(), name.clear(), value.clear(), body.clear(), headers.clear();
-        head_bytes = 0, limit_status = 0;
+        head_bytes = 0, head_fields = 0, limit_status = 0;
+        reading_value = false;
         return 0;
     }
     int append_head(std::string& into, const char* at, std::size_t length) {
@@ -141,6 +148,7 @@
     void finish_header() {
         if (!name.empty()) headers.emplace(to_lower(name), value);
         name.clear(), value.clear();
+        reading_value = false;
     }
     int append_body(const char* at, std::size_t length) {
         if (body.size() + length > kMaxBodyBytes) return limit_status = 413, -1;
--- a/tests/daemon/signed_test.cpp
+++ b/tests/daemon/signed_test.cpp
@@ -327,6 +327,24 @@
     CHECK(read_response(client).status == 200);
 }
 
+// Guards against heads of very many short fields: their bytes are few, the memory that holds them is not.
+TEST_CASE("a head of too many fields is rejected, an empty field changes no other") {
+    Site site;
+    const auto status_with = [&](const std::string& fields) {
+        Wire client = Wire::to(site.daemon.signed_port());
+        client.send(request("GET", "/nothing", {}, {}, fields));
+        return read_response(client).status;
+    };
+    std::string fields;
+    for (int i = 0; i < 40; ++i) fields += "f" + std::to_string(i) + ":b\r\n";
+    CHECK(status_with(fields) == 404);
+    for (int i = 40; i < 200; ++i) fields += "f" + std::to_string(i) + ":b\r\n";
+    CHECK(status_with(fields) == 431);
+    Wire student = Wire::to(site.daemon.signed_port());
+    student.send("GET " + site.link(kVideo) + " HTTP/1.1\r\nEmpty:\r\nHost: cache.example.org\r\n\r\n");
+    CHECK(read_response(student).status == 401);  // the host was read, and there is no token
+}
+
 // Guards against a connection held past the end of a drain: requests sent behind an open one, with no byte
 // after new requests are rejected, did not give it the drain's deadline.
 TEST_CASE("a request with others behind it has an answer by the drain's deadline") {
