Tests: a write that one failure in two lets through may be kept

faults_recovery_folder_fails failed once beside load: "write=ENOSPC+EIO/2: 200 'down s-a'" where "not kept" was wanted.

Cause: that rule fails one write in two at random, so the one write of the call may succeed.

Change: where the reply doesn't say "not kept", the newest file must have the ban at that moment; where every call fails it can't, so the check is as strict there as it was, and stricter for the rest.

--- a/tests/faults/faults_test.py
+++ b/tests/faults/faults_test.py
@@ -169,20 +169,28 @@
     first.folder.cleanup()
 
 
+def want_ban_kept(program, talking, faults):
+    """The newest file of the recovery directory has the ban."""
+    shown = subprocess.run([program, "recovery", "verify", os.path.join(talking.folder.name, "kept")], check=False,
+                           capture_output=True, text=True).stdout
+    want(", 1 bans" in shown.splitlines()[0], f"{faults}: the ban is not in the newest file: {shown!r}")
+
+
 def recovery_folder_fails(program, library):
-    """Pending writes to the recovery directory are done once it works again, without a further call to trigger them."""
+    """Pending writes to the recovery directory are done once it works again, without a further call to trigger them. A call
+    whose reply doesn't say that its effect is not kept has it on disk: with one failure in two calls a write may succeed."""
     for faults in DISK_ERRORS:
         boxes, talking = Boxes(), Talking()
         first = talking.start(program, library, boxes, faults.replace("@1-4", "@5-8"), "kept")
         first.wait_until(6)
         status, said = first.call("/ops/pop-caches/down/s-a")
-        want(status == 200 and "not kept" in said, f"{faults}: {status} {said!r}")
+        want(status == 200, f"{faults}: {status} {said!r}")
+        if "not kept" not in said:
+            want_ban_kept(program, talking, faults)
         first.wait_until(10)
         first.kill()
-        shown = subprocess.run([program, "recovery", "verify", os.path.join(talking.folder.name, "kept")], check=False,
-                               capture_output=True, text=True).stdout
+        want_ban_kept(program, talking, faults)
         talking.folder.cleanup()
-        want(", 1 bans" in shown.splitlines()[0], f"{faults}: the ban is not in the newest file: {shown!r}")
         print(f"{faults}: kept")
 
 
