--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	red=$$(tests/known_red.sh .) && \
 	ctest --test-dir build-test --output-on-failure -LE '^(fleet|waits)$$' -E "$$red" -j 3 && \
 	ctest --test-dir build-test --output-on-failure -L '^waits$$' -E "$$red" -j 3 && \
-	ctest --test-dir build-test --output-on-failure -L '^fleet$$' -E "$$red" -j 6
+	ctest --test-dir build-test --output-on-failure -L '^fleet$$' -E "$$red" -j 3
 
 # clang-format, clang-tidy (.clang-tidy), layering, sizes and withdrawn words.
 lint:
