Consensus: log slow writes of a voter and requests that time out

Change: a voter logs a write that took over 0.1 s, with what was written (entries, term and vote, acknowledged position); a request that times out logs its kind, its attempts and how many voters said that they don't lead. The fleet bench prints the latest warnings of each member when a scenario fails.

--- a/src/consensus/acknowledgement_recorder.cpp
+++ b/src/consensus/acknowledgement_recorder.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "consensus/slow_write.h"
 
 namespace sumackeel::consensus {
 
@@ -51,6 +52,7 @@
 }
 
 void AcknowledgementRecorder::on_written(std::size_t count, const std::string& error) {
+    warn_if_slow("acknowledged position", writer_.last_duration());
     if (stopped_) return;
     if (!error.empty()) {
         log::error("consensus: acknowledged position not written reason={}", error);
--- a/src/consensus/consensus_client.cpp
+++ b/src/consensus/consensus_client.cpp
@@ -29,6 +29,7 @@
     bool finished = false;
     std::uint64_t last_attempt = 0;  // its number
     bool awaits_reply = false;       // to the last attempt, before the next is due
+    int leaderless_replies = 0;      // of voters that did not lead
 
     bool awaits_reply_to(std::uint64_t attempt) const {
         return !finished && awaits_reply && attempt == last_attempt;
@@ -36,6 +37,12 @@
     void finish(std::optional<CommandResult> result) {
         if (!std::exchange(finished, true)) done(std::move(result));
     }
+    void time_out() {
+        if (finished) return;
+        log::warn("consensus: request timed out kind={} attempts={} leaderless_replies={}",
+                  name_of(request.kind), last_attempt, leaderless_replies);
+        finish(std::nullopt);
+    }
 };
 
 ConsensusClient::ConsensusClient(net::Loop& loop, ClusterTransport& transport, const config::Consensus& setup,
@@ -176,7 +183,7 @@
 // changes nothing.
 void ConsensusClient::attempt(const PendingPtr& pending) {
     if (pending->finished) return;
-    if (loop_.clock().now() >= pending->deadline) return pending->finish(std::nullopt);
+    if (loop_.clock().now() >= pending->deadline) return pending->time_out();
     if (voter_.is_leader()) return attempt_locally(pending);
     const std::string target = next_target();
     if (target == self()) return retry_later(pending);
@@ -186,7 +193,7 @@
 void ConsensusClient::attempt_locally(const PendingPtr& pending) {
     const std::weak_ptr<bool> alive = alive_;
     loop_.timers().schedule(pending->deadline, [alive, pending] {
-        if (!alive.expired()) pending->finish(std::nullopt);
+        if (!alive.expired()) pending->time_out();
     });
     processor_.process(pending->request, [this, alive, pending](std::optional<CommandResult> result) {
         if (alive.expired()) return;
@@ -233,6 +240,7 @@
         log::warn("consensus: reply rejected reason={}", error.what());
         return on_attempt_failed(pending, number);
     }
+    ++pending->leaderless_replies;
     if (pending->awaits_reply_to(number)) retry_later(pending);
 }
 
--- a/src/consensus/consensus_messages.cpp
+++ b/src/consensus/consensus_messages.cpp
@@ -23,6 +23,26 @@
 
 }  // namespace
 
+const char* name_of(RequestKind kind) {
+    switch (kind) {
+        case RequestKind::request_lease:
+            return "request_lease";
+        case RequestKind::return_lease:
+            return "return_lease";
+        case RequestKind::upgrade_lease:
+            return "upgrade_lease";
+        case RequestKind::release_command:
+            return "release_command";
+        case RequestKind::change:
+            return "change";
+        case RequestKind::read:
+            return "read";
+        case RequestKind::take_leadership:
+            return "take_leadership";
+    }
+    return "?";
+}
+
 std::string encode(const ConsensusReply& reply) {
     base::MsgpackWriter out;
     out.array(reply.confirmed_age ? 6 : 5)
--- a/src/consensus/consensus_messages.h
+++ b/src/consensus/consensus_messages.h
@@ -26,6 +26,7 @@
     read,
     take_leadership
 };
+const char* name_of(RequestKind kind);  // for the log
 constexpr std::size_t kMaxBodyBytes = 1 << 20;
 
 // The verbs of the calls, as sent on the wire.
--- a/src/consensus/raft_disk.cpp
+++ b/src/consensus/raft_disk.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "consensus/slow_write.h"
+
 namespace sumackeel::consensus {
 
 namespace {
@@ -27,6 +29,7 @@
     raft_io_append* library_request = nullptr;
     raft_io_append_cb done = nullptr;
     LogPosition end;  // the end of the log after this append
+    net::Micros began_at = 0;
 };
 
 // The write of a snapshot that replaces the whole log.
@@ -120,6 +123,7 @@
 }
 
 void RaftDisk::on_hard_state_written(Status status) {
+    warn_if_slow("term and vote", hard_state_writer_.last_duration());
     if (status != 0) return fail(status);
     write_hard_state();
     run_deferred();
@@ -167,7 +171,7 @@
 int RaftDisk::append_now(raft_io_append* request, const raft_entry* entries, unsigned count,
                          raft_io_append_cb done) {
     const LogPosition end{entries[count - 1].term, last_index_ + count};
-    auto* append = new Append{{}, this, request, done, end};
+    auto* append = new Append{{}, this, request, done, end, loop_.clock().now()};
     append->request.data = append;
     const Status status = library_calls_.append(
         io(), &append->request, entries, count, [](raft_io_append* request_done, int result) {
@@ -186,6 +190,7 @@
 void RaftDisk::on_appended(const Append& append, Status status) {
     --appends_in_flight_;
     last_progress_at_ = loop_.clock().now();
+    warn_if_slow("entries", last_progress_at_ - append.began_at);
     if (closed_) return append.done(append.library_request, status);
     if (status != 0) return fail(status);
     recorder_.add({append.end, [request = append.library_request, done = append.done](Status result) {
--- a/tests/fleet/harness/fleet.py
+++ b/tests/fleet/harness/fleet.py
@@ -130,6 +130,9 @@
                 one.close()
         self.guard.close()
         if keep:
+            for member in self.all:
+                for line in member.warnings():
+                    print(f"{member.name}: {line}")
             print(f"files of this run are in {self.folder}")
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
--- a/tests/fleet/harness/processes.py
+++ b/tests/fleet/harness/processes.py
@@ -10,6 +10,8 @@
 from .network import CLIENTS, LOOK_EVERY_S, OPS, PEERS, STARTED_WITHIN_S, STORE, VOTES
 from wire import ops_call, settings_for
 
+WARNINGS_SHOWN = 12
+
 
 class Member:
     def __init__(self, fleet, index, name=None):
@@ -110,6 +112,13 @@
         with open(self.log, encoding="utf-8", errors="replace") as log:
             return " | ".join(log.read().splitlines()[-5:])
 
+    def warnings(self):
+        """The latest warnings and errors of its log."""
+        if not os.path.exists(self.log):
+            return []
+        with open(self.log, encoding="utf-8", errors="replace") as log:
+            return [line for line in log.read().splitlines() if re.match(r"\S+ (warn|error) ", line)][-WARNINGS_SHOWN:]
+
     def fault(self, number):
         self.faults += 1
         self.faulted = True
