Consensus: a voter starts wherever a segment of its log ends

Cause: the raft library (0.15) frees the entries of the batch before once more where the file ends before a batch does.

Change: before the library loads the log, open segments that end within a batch are filled up with zeros, which it takes for a torn write, as its unused part is zeros too; a closed one is reported as unreadable, and the log moved aside, as before.

The order of bytes on disk is as before; zeros are appended alone.

--- a/src/consensus/raft_disk.cpp
+++ b/src/consensus/raft_disk.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "base/log.h"
+#include "consensus/raft_segment.h"
 #include "consensus/slow_write.h"
 
 namespace sumackeel::consensus {
@@ -62,6 +64,7 @@
 int RaftDisk::open(const std::string& folder, raft_uv_transport* transport,
                    std::unique_ptr<base::DirectoryLock> lock) {
     state_->lock = std::move(lock);
+    directory_ = folder;
     const int result = raft_uv_init(io(), loop_.raw(), folder.c_str(), transport);
     if (result == 0) replace_calls();
     return result;
@@ -98,6 +101,11 @@
 
 int RaftDisk::load(raft_term* term, raft_id* vote, raft_snapshot** snapshot, raft_index* first,
                    raft_entry** entries, std::size_t* count) {
+    if (const std::string reason = complete_segments(directory_); !reason.empty()) {
+        log::error("consensus: segment unreadable reason={}", reason);
+        load_failed_ = true;
+        return RAFT_CORRUPT;
+    }
     const Status status = library_calls_.load(io(), term, vote, snapshot, first, entries, count);
     load_failed_ = status != 0 && status != RAFT_NOMEM;
     if (status != 0) return status;
--- a/src/consensus/raft_disk.h
+++ b/src/consensus/raft_disk.h
@@ -104,6 +104,7 @@
     net::Loop& loop_;
     std::function<void(int status)> on_failed_;
     std::shared_ptr<State> state_;
+    std::string directory_;
     raft_io library_calls_{};
     net::BackgroundTask hard_state_writer_;
     HardState unwritten_hard_state_;
