Fleet bench: a datagram is injected once the one before was counted

Change: each datagram waits until the member has counted the one before, and the bytes follow from the seed and the length alone. What the scenario checks is as it was: all 20 have to be counted, by their reasons.

--- a/tests/fleet/harness/steps/links.py
+++ b/tests/fleet/harness/steps/links.py
@@ -1,8 +1,11 @@
 """Faults of the links between processes."""
+import random
 import time
 
 from .base import StepsBase
 
+COUNTED_WITHIN_S = 5
+
 
 class LinksSteps(StepsBase):
     """Faults of the links between processes."""
@@ -37,13 +40,20 @@
                     self.fleet.relay.play_again((one.index, other.index))
 
     def inject(self, to, length, count=20):
-        """Bytes that are no datagram of the group's, at the length given."""
+        """Bytes that are no datagram of the group's, at the length given, the same at each run of a seed. Each is sent once
+        the one before was counted: a socket holds few long ones at once, and the kernel drops the rest."""
         target = self.fleet.pick(to)[0]
+
+        def counted():
+            return sum(count for name, count in target.group()["counters"].items() if name.startswith("bad_"))
+
         source = next(member for member in self.fleet.all if member is not target)
+        noise = random.Random(f"{self.fleet.seed} {length}")
         for number in range(count):
-            data = bytes(self.fleet.relay.random.randrange(256) for _ in range(length))
+            data = noise.randbytes(length)
+            before = counted()
             self.fleet.relay.inject((source.index, target.index), data if number % 2 else b"SG\x01\x01" + data)
-            time.sleep(0.005)  # a socket holds few long ones at once
+            self.eventually(COUNTED_WITHIN_S, f"{target.name} counts what was injected", lambda: counted() > before)
 
     def during(self, seconds):
         """How long the fault of the steps before lasts."""
