Consensus: a handshake between voters that is late is heard

What operators saw: where each greeting of a voter came over 1 s after its connection was begun, none ever came up, and it took no part in the log.

Cause: the handshake was ended after 1 s and another begun 0.2 s later.

Change: the library's request for a connection is served by several handshakes, one beside another each second, as the one before may be on a dead connection; five wait (base::PendingCalls), each for 10 s, and the first that is done is used. Incoming ones may take 10 s too, 30 of them at a time; those that this side has begun don't make room for them any more.

--- a/src/consensus/raft_transport.cpp
+++ b/src/consensus/raft_transport.cpp
@@ -3,6 +3,7 @@
 #include <openssl/rand.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "base/log.h"
@@ -12,8 +13,10 @@
 
 namespace {
 
-constexpr std::size_t kMaxHandshakes = 12;  // concurrently; beyond this the oldest is closed
-constexpr base::Micros kHandshakeTimeout = 1'000'000;
+// Room for all handshakes of six other voters; beyond this the oldest incoming one is closed.
+constexpr std::size_t kMaxIncomingHandshakes = 6 * base::PendingCalls::kMaxPending;
+constexpr base::Micros kHandshakeInterval = 1'000'000;  // without a result another one is begun beside it
+constexpr base::Micros kHandshakeTimeout = 10'000'000;
 
 RaftTransport& transport_of(raft_uv_transport* raw) {
     return *static_cast<RaftTransport*>(raw->impl);
@@ -21,14 +24,25 @@
 
 }  // namespace
 
+// A connection that the library has asked for. A handshake may be late, and its connection may be dead:
+// others are begun beside it, and the first that succeeds is used.
+struct RaftTransport::ConnectRequest {
+    raft_uv_connect* library_request;
+    raft_uv_connect_cb on_done;
+    sockaddr_in target;
+    base::PendingCalls handshakes;
+    base::TimerQueue::Key next_handshake;
+};
+
 // Reads exactly the bytes of the handshake, so that the Raft messages after it stay in the socket.
 struct RaftTransport::Handshake {
     RaftTransport& owner;
+    const Direction direction;
+    const base::CallId id;
+    ConnectRequest* request = nullptr;  // that it serves; null: it is incoming, or the request is finished
     uv_tcp_t* tcp = static_cast<uv_tcp_t*>(raft_malloc(sizeof(uv_tcp_t)));  // the library frees it
     uv_connect_t connecting{};
     uv_write_t writing{};
-    raft_uv_connect* request = nullptr;  // the library's; null for an incoming connection
-    raft_uv_connect_cb on_connected = nullptr;
     Greeting greeting{};
     HelloBytes hello{};
     char* read_buffer = nullptr;
@@ -38,7 +52,8 @@
     bool dropped = false;
     int drop_status = 0;
 
-    explicit Handshake(RaftTransport& transport) : owner(transport) {
+    Handshake(RaftTransport& transport, Direction towards)
+        : owner(transport), direction(towards), id(++transport.last_handshake_) {
         uv_tcp_init(owner.loop_.raw(), tcp);
         tcp->data = this;
         connecting.data = this;
@@ -74,7 +89,7 @@
         bytes_read += static_cast<std::size_t>(count);
         if (bytes_read < read_size) return;
         uv_read_stop(reinterpret_cast<uv_stream_t*>(tcp));
-        request ? on_greeting() : on_hello();
+        direction == Direction::outgoing ? on_greeting() : on_hello();
     }
 
     template <std::size_t kSize>
@@ -122,15 +137,14 @@
         uv_tcp_t* stream = release_socket();
         owner.on_accepted_(&owner.transport_, received.id, received.address.c_str(),
                            reinterpret_cast<uv_stream_t*>(stream));
-        owner.on_handshake_closed(this);
+        owner.remove(this);
     }
 
     void hand_over_outgoing() {
-        const auto callback = on_connected;
-        auto* finished = request;
-        uv_tcp_t* stream = release_socket();
-        owner.on_handshake_closed(this);
-        callback(finished, reinterpret_cast<uv_stream_t*>(stream), 0);
+        auto* const stream = reinterpret_cast<uv_stream_t*>(release_socket());
+        request->handshakes.take(id);
+        owner.finish(*request, stream, 0);
+        owner.remove(this);
     }
 
     uv_tcp_t* release_socket() {
@@ -150,11 +164,10 @@
         uv_close(reinterpret_cast<uv_handle_t*>(tcp), [](uv_handle_t* handle) {
             Handshake& self = of(handle);
             raft_free(handle);
-            const auto callback = self.on_connected;
-            auto* failed = self.request;
-            const int result = self.drop_status;
-            self.owner.on_handshake_closed(&self);
-            if (callback) callback(failed, nullptr, result);
+            ConnectRequest* const served = self.request;
+            const bool last = served && served->handshakes.take(self.id) && served->handshakes.empty();
+            if (last) self.owner.finish(*served, nullptr, self.drop_status);
+            self.owner.remove(&self);
         });
     }
 };
@@ -201,12 +214,25 @@
     return 0;
 }
 
-int RaftTransport::connect(raft_uv_connect* request, const char* address, raft_uv_connect_cb on_connected) {
+int RaftTransport::connect(raft_uv_connect* library_request, const char* address,
+                           raft_uv_connect_cb on_done) {
     sockaddr_in target{};
     if (closing_ || !net::parse_address(reachable_address_(address), target)) return RAFT_NOCONNECTION;
-    auto* handshake = new Handshake(*this);
-    handshake->request = request;
-    handshake->on_connected = on_connected;
+    requests_.push_back(
+        std::make_unique<ConnectRequest>(ConnectRequest{library_request, on_done, target, {}, {}}));
+    begin_handshake(*requests_.back());
+    return 0;
+}
+
+void RaftTransport::begin_handshake(ConnectRequest& request) {
+    const base::Micros now = loop_.clock().now();
+    request.next_handshake =
+        loop_.timers().schedule(now + kHandshakeInterval, [this, &request] { begin_handshake(request); });
+    auto* handshake = new Handshake(*this, Direction::outgoing);
+    handshake->request = &request;
+    for (const base::CallId given_up :
+         request.handshakes.add({.id = handshake->id, .begun_at = now}, base::PendingCalls::kMaxPending))
+        drop_handshake(given_up);
     const auto connected = [](uv_connect_t* connecting, int status) {
         Handshake& self = Handshake::of(connecting);
         if (self.dropped) return;
@@ -214,15 +240,32 @@
         uv_tcp_nodelay(self.tcp, 1);
         self.read(self.greeting);
     };
-    if (uv_tcp_connect(&handshake->connecting, handshake->tcp, reinterpret_cast<const sockaddr*>(&target),
-                       connected) != 0)
+    if (uv_tcp_connect(&handshake->connecting, handshake->tcp,
+                       reinterpret_cast<const sockaddr*>(&request.target), connected) != 0)
         handshake->drop(RAFT_NOCONNECTION);
-    return 0;
+}
+
+void RaftTransport::drop_handshake(base::CallId id) {
+    const auto found = std::find_if(handshakes_.begin(), handshakes_.end(),
+                                    [id](const Handshake* handshake) { return handshake->id == id; });
+    if (found == handshakes_.end()) return;
+    (*found)->request = nullptr;
+    (*found)->drop(RAFT_NOCONNECTION);
+}
+
+void RaftTransport::finish(ConnectRequest& request, uv_stream_t* stream, int status) {
+    loop_.timers().cancel(request.next_handshake);
+    for (const base::PendingCalls::Call& other : request.handshakes.take_all()) drop_handshake(other.id);
+    const auto on_done = request.on_done;
+    raft_uv_connect* const library_request = request.library_request;
+    std::erase_if(requests_, [&request](const auto& one) { return one.get() == &request; });
+    on_done(library_request, stream, status);
 }
 
 void RaftTransport::close(raft_uv_transport_close_cb on_closed) {
     closing_ = true;
     on_closed_ = on_closed;
+    for (const auto& request : requests_) loop_.timers().cancel(request->next_handshake);
     const auto open = handshakes_;
     for (Handshake* handshake : open) handshake->drop(RAFT_CANCELED);
     listener_.reset();
@@ -241,8 +284,8 @@
 void RaftTransport::on_incoming() {
     const int fd = closing_ ? -1 : listener_->accept();
     if (fd < 0) return;
-    if (handshakes_.size() >= kMaxHandshakes) handshakes_.front()->drop(RAFT_NOCONNECTION);
-    auto* handshake = new Handshake(*this);
+    make_room_for_incoming();
+    auto* handshake = new Handshake(*this, Direction::incoming);
     if (uv_tcp_open(handshake->tcp, fd) != 0) {
         ::close(fd);
         return handshake->drop(RAFT_NOCONNECTION);
@@ -250,7 +293,16 @@
     handshake->send_greeting();
 }
 
-void RaftTransport::on_handshake_closed(Handshake* handshake) {
+void RaftTransport::make_room_for_incoming() {
+    const auto is_incoming = [](const Handshake* handshake) {
+        return handshake->direction == Direction::incoming && !handshake->dropped;
+    };
+    const auto incoming = std::count_if(handshakes_.begin(), handshakes_.end(), is_incoming);
+    if (incoming < static_cast<std::ptrdiff_t>(kMaxIncomingHandshakes)) return;
+    (*std::find_if(handshakes_.begin(), handshakes_.end(), is_incoming))->drop(RAFT_NOCONNECTION);
+}
+
+void RaftTransport::remove(Handshake* handshake) {
     std::erase(handshakes_, handshake);
     delete handshake;
     if (closing_) finish_close();
--- a/src/consensus/raft_transport.h
+++ b/src/consensus/raft_transport.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/pending_calls.h"
 #include "cluster_transport/message_codec.h"
 #include "consensus/raft_library.h"
 #include "net/listener.h"
@@ -37,12 +38,18 @@
     std::uint64_t rejected() const { return rejected_; }  // connections with an invalid MAC
 
   private:
+    enum class Direction { incoming, outgoing };
     struct Handshake;  // a connection that is not authenticated yet
+    struct ConnectRequest;
     int listen(raft_uv_accept_cb on_accepted);
-    int connect(raft_uv_connect* request, const char* address, raft_uv_connect_cb on_connected);
+    int connect(raft_uv_connect* library_request, const char* address, raft_uv_connect_cb on_done);
+    void begin_handshake(ConnectRequest& request);
+    void drop_handshake(base::CallId id);
+    void finish(ConnectRequest& request, uv_stream_t* stream, int status);
     void close(raft_uv_transport_close_cb on_closed);
     void on_incoming();
-    void on_handshake_closed(Handshake* handshake);
+    void make_room_for_incoming();
+    void remove(Handshake* handshake);
     void finish_close();
 
     net::Loop& loop_;
@@ -58,6 +65,8 @@
     raft_uv_accept_cb on_accepted_ = nullptr;
     raft_uv_transport_close_cb on_closed_ = nullptr;
     std::vector<Handshake*> handshakes_;  // each deletes itself when its socket is closed or passed on
+    std::vector<std::unique_ptr<ConnectRequest>> requests_;
+    base::CallId last_handshake_ = 0;
     std::uint64_t rejected_ = 0;
     bool closing_ = false;
     bool listener_closed_ = false;
