Redis: a connection that was reset, or refused late, is made anew

Cause: on an error of a socket libuv calls back with a status and stops watching; hiredis' adapter for libuv (0.14) returns there, and the context never learns of it. A refusal on loopback is told by connect() itself, so that earlier tests passed.

Change: an adapter of our own reads from the socket then, by which hiredis finds the error and calls back. The next connection is made 0.3 s later, as before; waits that grow are not part of this.

--- a/src/store/redis_one_time_tokens.cpp
+++ b/src/store/redis_one_time_tokens.cpp
@@ -1,6 +1,5 @@
 #include "store/redis_one_time_tokens.h"
 
-#include <hiredis/adapters/libuv.h>
 #include <hiredis/async.h>
 
 #include <algorithm>
@@ -8,6 +7,7 @@
 
 #include "base/log.h"
 #include "config/config.h"
+#include "store/redis_event_adapter.h"
 
 namespace sumackeel::store {
 
@@ -50,13 +50,12 @@
 void RedisOneTimeTokens::connect() {
     connected_ = false;
     context_ = redisAsyncConnect(host_.c_str(), port_);
-    if (!context_ || context_->err) {
+    if (!context_ || context_->err || !attach_to_loop(*context_, loop_.raw())) {
         if (context_) redisAsyncFree(context_);
         context_ = nullptr;
         return on_disconnected();
     }
     context_->data = this;
-    redisLibuvAttach(context_, loop_.raw());
     redisAsyncSetConnectCallback(context_, [](const redisAsyncContext* context, int status) {
         auto* self = static_cast<RedisOneTimeTokens*>(context->data);
         self->connected_ = status == REDIS_OK;
--- a/tests/daemon/store_test.cpp
+++ b/tests/daemon/store_test.cpp
@@ -153,30 +153,48 @@
     void on_close(net::Stream& stream, net::DisconnectCause) override { std::erase(streams, &stream); }
 };
 
-}  // namespace
-
-// Guards: while Redis is down or slow it is unknown whether a link has been used, so its use is not granted.
-TEST_CASE("links for one use through Redis") {
+struct RedisLinks {
     TestLoop test_loop;
     RedisStub redis;
     std::unique_ptr<net::Listener> listener;
-    listener = std::make_unique<net::Listener>(test_loop.loop, "127.0.0.1:0", [&] {
-        redis.streams.push_back(
-            net::Stream::adopt(test_loop.loop, test_loop.budget, listener->accept(), redis));
-    });
-    store::RedisOneTimeTokens one_time(test_loop.loop, "127.0.0.1:" + std::to_string(listener->port()));
-    using core::TokenUse;
-    const auto redeem_token = [&](const std::string& name) {
-        std::optional<TokenUse> result;
-        one_time.redeem(name, 0, 60, [&](TokenUse token_use) { result = token_use; });
+    std::vector<int> sockets;  // of all connections, in their order
+    std::unique_ptr<store::RedisOneTimeTokens> one_time;
+
+    RedisLinks() {
+        listener = std::make_unique<net::Listener>(test_loop.loop, "127.0.0.1:0", [this] {
+            sockets.push_back(listener->accept());
+            redis.streams.push_back(
+                net::Stream::adopt(test_loop.loop, test_loop.budget, sockets.back(), redis));
+        });
+        one_time = std::make_unique<store::RedisOneTimeTokens>(
+            test_loop.loop, "127.0.0.1:" + std::to_string(listener->port()));
+    }
+    ~RedisLinks() { close_streams(); }
+    void close_streams() {
+        for (net::Stream* stream : std::exchange(redis.streams, {})) stream->close();
+    }
+    core::TokenUse redeem_token(const std::string& name) {
+        std::optional<core::TokenUse> result;
+        one_time->redeem(name, 0, 60, [&](core::TokenUse token_use) { result = token_use; });
         CHECK(test_loop.run_until([&] { return result.has_value(); }));
-        return result.value_or(TokenUse::unknown);
-    };
-    TokenUse first = TokenUse::unknown;
-    CHECK(test_loop.run_until([&] { return (first = redeem_token("j1")) != TokenUse::unknown; }));
-    CHECK(first == TokenUse::first);
+        return result.value_or(core::TokenUse::unknown);
+    }
+    // The first use that is not unknown, as Redis is connected by then.
+    core::TokenUse redeem_once_connected(const std::string& name) {
+        core::TokenUse use = core::TokenUse::unknown;
+        CHECK(test_loop.run_until([&] { return (use = redeem_token(name)) != core::TokenUse::unknown; }));
+        return use;
+    }
+};
+
+}  // namespace
+
+// Guards: while Redis is down or slow it is unknown whether a link has been used, so its use is not granted.
+TEST_CASE_FIXTURE(RedisLinks, "links for one use through Redis") {
+    using core::TokenUse;
+    CHECK(redeem_once_connected("j1") == TokenUse::first);
     CHECK(redeem_token("j1") == TokenUse::reused);
-    one_time.release("j1");
+    one_time->release("j1");
     CHECK(redeem_token("j1") == TokenUse::first);
     // Granted after it was refused as unknown: the link is not used up (a late grant was not heard).
     redis.loop = &test_loop.loop;
@@ -191,10 +209,19 @@
     redis.silent = true;
     CHECK(redeem_token("j2") == TokenUse::unknown);
     listener.reset();
-    for (net::Stream* stream : std::exchange(redis.streams, {})) stream->close();
+    close_streams();
     CHECK(test_loop.run_until([&] { return redeem_token("j3") == TokenUse::unknown; }));
 }
 
+// Guards against a reset that is not noticed: Redis was never connected again.
+TEST_CASE_FIXTURE(RedisLinks, "links for one use after Redis has reset the connection") {
+    CHECK(redeem_once_connected("j1") == core::TokenUse::first);
+    const linger reset{.l_onoff = 1, .l_linger = 0};
+    REQUIRE(setsockopt(sockets.front(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset) == 0);
+    close_streams();
+    CHECK(redeem_once_connected("j2") == core::TokenUse::first);
+}
+
 namespace {
 
 // A store API whose requests each take a millisecond and have a response of 100 KB, and one client.
