--- a/src/consensus/raft_segment.cpp
+++ b/src/consensus/raft_segment.cpp
@@ -1,9 +1,11 @@
 #include "consensus/raft_segment.h"
 
+#include <endian.h>
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <cstdint>
+#include <cstring>
 #include <filesystem>
 #include <system_error>
 
@@ -22,11 +24,11 @@
 constexpr std::size_t kEntrySizeOffset = 12;  // behind the term, the type and three unused bytes
 constexpr std::size_t kEntrySizeBytes = 4;
 
+// Of a number of 4 or 8 bytes.
 std::uint64_t little_endian(std::string_view bytes) {
     std::uint64_t value = 0;
-    for (auto byte = bytes.rbegin(); byte != bytes.rend(); ++byte)
-        value = value << 8 | static_cast<unsigned char>(*byte);
-    return value;
+    std::memcpy(&value, bytes.data(), bytes.size());
+    return le64toh(value);
 }
 
 // The size of the batch at the front; where its headers are cut, the size up to their end. 0: there is none.
--- a/src/daemon/admin_routes.cpp
+++ b/src/daemon/admin_routes.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::string_view kExplainPrefix = "/ops/rollout/explain/";
+constexpr std::string_view kRecoveryPath = "/ops/recovery";
 constexpr std::string_view kRecoveryGoPrefix = "/ops/recovery/go/";
 constexpr std::string_view kPurgePath = "/ops/purge";
 constexpr std::string_view kPurgePrefix = "/ops/purge/";
@@ -26,7 +27,7 @@
                                                         const admin_server::DeferredReply& respond_later) {
     Components& parts = components_;
     if (auto reply = handle_lease_query(call)) return reply;
-    if (auto reply = handle_recovery_call(call)) return reply;
+    if (is_recovery_call(call)) return handle_recovery_call(call, respond_later);
     if (parts.kv_store_service && (call.path == kPurgePath || call.path.starts_with(kPurgePrefix)))
         return parts.kv_store_service->handle_call(call, respond_later);
     if (parts.consensus_client && call.path.starts_with(kReleasePrefix))
@@ -44,17 +45,22 @@
     return explain_lease(*client, std::string(call.path.substr(kExplainPrefix.size())));
 }
 
-std::optional<admin::ApiReply> AdminRoutes::handle_recovery_call(const admin::ApiCall& call) {
-    const auto& recovery = components_.recovery;
-    if (!recovery) return std::nullopt;
-    if (call.path == "/ops/recovery" && call.method == "GET")
-        return admin::ApiReply{200, recovery->as_json(), false};
-    if (!call.path.starts_with(kRecoveryGoPrefix) || call.method != "POST") return std::nullopt;
+bool AdminRoutes::is_recovery_call(const admin::ApiCall& call) const {
+    if (!components_.recovery) return false;
+    const bool is_query = call.path == kRecoveryPath && call.method == "GET";
+    return is_query || (call.path.starts_with(kRecoveryGoPrefix) && call.method == "POST");
+}
+
+std::optional<admin::ApiReply> AdminRoutes::handle_recovery_call(
+    const admin::ApiCall& call, const admin_server::DeferredReply& respond_later) {
+    auto& recovery = *components_.recovery;
+    if (call.path == kRecoveryPath) return admin::ApiReply{200, recovery.as_json(), false};
     recovery::Phase phase{};
     if (!recovery::parse_phase(std::string(call.path.substr(kRecoveryGoPrefix.size())), phase))
         return admin::ApiReply{400, "no such stage\n", false};
-    recovery->advance_to(phase, "an operator at " + components_.cluster_transport->membership().self().name);
-    return admin::ApiReply{200, fmt::format("{}\n", recovery::name_of(phase)), false};
+    recovery.advance_to(phase, "an operator at " + components_.cluster_transport->membership().self().name);
+    return components_.durable_replies.reply_when_durable(
+        {200, fmt::format("{}\n", recovery::name_of(phase)), false}, respond_later);
 }
 
 std::optional<admin::ApiReply> AdminRoutes::handle_cluster_call(const admin::ApiCall& call) {
--- a/src/daemon/admin_routes.h
+++ b/src/daemon/admin_routes.h
@@ -23,7 +23,9 @@
 
   private:
     std::optional<admin::ApiReply> handle_lease_query(const admin::ApiCall& call) const;
-    std::optional<admin::ApiReply> handle_recovery_call(const admin::ApiCall& call);
+    bool is_recovery_call(const admin::ApiCall& call) const;
+    std::optional<admin::ApiReply> handle_recovery_call(const admin::ApiCall& call,
+                                                        const admin_server::DeferredReply& respond_later);
     std::optional<admin::ApiReply> handle_cluster_call(const admin::ApiCall& call);
     std::optional<admin::ApiReply> handle_state_call(const admin::ApiCall& call,
                                                      const admin_server::DeferredReply& respond_later);
--- a/tests/fleet/harness/processes.py
+++ b/tests/fleet/harness/processes.py
@@ -11,6 +11,7 @@
 from wire import ops_call, settings_for
 
 WARNINGS_SHOWN = 12
+NOT_KEPT = "not kept yet"  # in a reply: the disk has not answered, and a loss of power may undo the call
 
 
 class Member:
@@ -24,6 +25,7 @@
         self.inherited = None  # the clients' listening socket, handed in
         self.ops_port, self.starts = OPS, 0
         self.taken = threading.Lock()  # by whoever ends and starts it, of several
+        self.unkept = False  # its last command was answered with NOT_KEPT
         self.slow = False  # the program that it runs is one that answers late
 
     def write_files(self):
--- a/tests/fleet/harness/steps/inspection.py
+++ b/tests/fleet/harness/steps/inspection.py
@@ -6,6 +6,7 @@
 
 from .base import StepsBase
 from ..failure import Failed
+from ..processes import NOT_KEPT
 from wire import ops_call
 
 
@@ -76,3 +77,4 @@
                                   capture_output=True, timeout=20, check=False)
             if done.returncode != status or holds not in done.stdout + done.stderr:
                 raise Failed(f"{words}: status {done.returncode}, {done.stdout} {done.stderr}")
+            member.unkept = NOT_KEPT in done.stdout
