Fleet bench: a call that is not kept yet is made again

Change: a step `call` takes no reply that says so for a yes, in any scenario, and calls again within its time; drains and bans may be repeated. After that the drain has to outlive the loss of power, as before.

--- a/tests/fleet/harness/steps/leases.py
+++ b/tests/fleet/harness/steps/leases.py
@@ -6,6 +6,7 @@
 from .base import StepsBase
 from ..failure import Failed
 from ..network import LOOK_EVERY_S
+from ..processes import NOT_KEPT
 from wire import ops_call
 
 
@@ -37,12 +38,12 @@
             raise Failed(f"together: late: {answers}")
 
     def call(self, who, path, status, holds="", within=0):
-        """One operator's call, again until `within` where it is not answered so at first."""
+        """One operator's call, again until `within` where it is not answered so at first, or not kept yet."""
         def holds_now():
             member, body = self.fleet.pick(who)[0], []
             got = ops_call(member.ops_port, "POST", path, body, host=member.host)
             said = body[0].strip() if body else ""
-            return (got == status and holds in said) or f"{got} {said}"
+            return (got == status and holds in said and NOT_KEPT not in said) or f"{got} {said}"
         self.eventually(within, f"call {path}", holds_now)
 
     def leases(self, who, are, within, leader=None):
