--- a/src/store/redis_one_time_tokens.cpp
+++ b/src/store/redis_one_time_tokens.cpp
@@ -16,7 +16,10 @@
 namespace {
 
 constexpr base::Micros kReconnectInterval = 300'000;
-const std::string kKeyPrefix = "sumackeel:used:";
+
+std::string key_of(const std::string& name) {
+    return "sumackeel:used:" + name;
+}
 
 }  // namespace
 
@@ -82,7 +85,7 @@
 
 void RedisOneTimeTokens::redeem(const std::string& name, double now, double until, Done done) {
     if (!context_ || !connected_) return done(TokenUse::unknown);
-    const std::string key = kKeyPrefix + name;
+    const std::string key = key_of(name);
     const auto ms = static_cast<long long>(std::clamp(std::ceil((until - now) * 1000), 1000.0, 1e12));
     auto pending = std::make_shared<PendingCommand>();
     pending->name = name;
@@ -116,7 +119,7 @@
 // The use was refused as unknown before Redis granted it. Until it is released, Redis says that it is used.
 void RedisOneTimeTokens::release_late(const std::string& name) {
     auto released = std::make_unique<LateRelease>(LateRelease{.owner = *this, .name = name});
-    const std::string key = kKeyPrefix + name;
+    const std::string key = key_of(name);
     const int sent = redisAsyncCommand(
         context_,
         [](redisAsyncContext*, void*, void* data) {
@@ -131,7 +134,7 @@
 
 void RedisOneTimeTokens::release(const std::string& name) {
     if (!context_ || !connected_) return;  // the link stays used, which is safe
-    const std::string key = kKeyPrefix + name;
+    const std::string key = key_of(name);
     redisAsyncCommand(context_, nullptr, nullptr, "DEL %b", key.data(), key.size());
 }
 
