--- a/tests/daemon/wire.py
+++ b/tests/daemon/wire.py
@@ -53,14 +53,14 @@
     return be(len(text), 4) + text
 
 
-def dispatch(seqid, request_id, subject, kind=b"sheet", need=b"40", timeout=b"3000"):
+def dispatch(seqid, request_id, subject, kind=b"sheet", need=b"40", timeout=b"3000", content=b""):
     fields = {b"kind": kind, b"req": request_id, b"timeout": timeout, b"subject": subject,
               b"slice": b"0", b"set": b"17", b"need": need}
     body = be(0x80010001, 4) + tstr(b"dispatch") + be(seqid, 4)
     body += be(13, 1) + be(1, 2) + be(11, 1) + be(11, 1) + be(len(fields), 4)
     for key, value in fields.items():
         body += tstr(key) + tstr(value)
-    body += be(11, 1) + be(2, 2) + tstr(b"") + be(0, 1)
+    body += be(11, 1) + be(2, 2) + tstr(content) + be(0, 1)
     return be(len(body), 4) + body
 
 
