--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -102,6 +102,9 @@
     // Rate limit for cacheable requests sent directly to the origin while no cache and no parent is ready.
     // Uncacheable requests do not count against it. 0: these requests are rejected.
     double origin_only_requests_per_s = 0;
+    // Copies whose cache and fills the router keeps track of, about 350 bytes each; the least recently
+    // requested one is forgotten for another.
+    std::size_t max_tracked_copies = 60'000;
 };
 
 enum class EndpointState { ready, draining, removed };
@@ -137,6 +140,8 @@
     withheld  // not written: the endpoint or the source was drained or removed while the attempt waited
 };
 
+constexpr std::size_t kAttemptStatusCount = 10;
+
 // Whether the status guarantees, per the wire protocol, that the endpoint did not execute the request.
 inline bool proves_not_run(AttemptStatus status) {
     return status == AttemptStatus::overloaded || status == AttemptStatus::connect_failed ||
--- a/src/daemon/component_options.cpp
+++ b/src/daemon/component_options.cpp
@@ -20,6 +20,9 @@
 constexpr int kClientShareDivisor = 2;
 // Responses that clients have not read yet may use this part of the memory.
 constexpr std::size_t kUnsentMemoryDivisor = 3;
+// The router's table of copies may use this part of it.
+constexpr std::size_t kTrackedCopiesDivisor = 12;
+constexpr std::size_t kTrackedCopyBytes = 350;
 constexpr std::size_t kBytesPerMegabyte = std::size_t{1024} * 1024;
 
 // Leases and releases alone need no fresher state.
@@ -55,6 +58,9 @@
 
 routing::Settings routing_settings(const config::Config& config, const config::Operator& setup) {
     routing::Settings settings = config.site.settings;
+    settings.max_tracked_copies =
+        std::min(settings.max_tracked_copies, static_cast<std::size_t>(config.memory_mb) * kBytesPerMegabyte /
+                                                  kTrackedCopiesDivisor / kTrackedCopyBytes);
     if (setup.endpoint_snapshot)
         settings.origin_only_requests_per_s =
             setup.endpoint_snapshot->origin_per_s / std::max(1, settings.instance_count);
--- a/src/routing/fill_coalescing.cpp
+++ b/src/routing/fill_coalescing.cpp
@@ -60,7 +60,7 @@
     copy.fill_overdue_at = context_.now + static_cast<Micros>(kTimeoutMultiple * plan.expected_time);
 }
 
-std::deque<std::string> FillCoalescing::end_fill(const std::string& key, const std::string& leader) {
+std::list<std::string> FillCoalescing::end_fill(const std::string& key, const std::string& leader) {
     CachedCopy* copy = copies_.find(key);
     if (!copy || copy->leader != leader) return {};
     copy->leader.clear();
@@ -72,7 +72,7 @@
 }
 
 void FillCoalescing::restore_waiters(const std::string& key, const std::string& leader,
-                                     std::deque<std::string> waiters) {
+                                     std::list<std::string> waiters) {
     CachedCopy* copy = copies_.find(key);
     if (copy && copy->leader == leader) copy->waiters = std::move(waiters);
 }
--- a/src/routing/fill_coalescing.h
+++ b/src/routing/fill_coalescing.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
+#include <list>
 #include <string>
 
 #include "routing/bounded_map.h"
@@ -22,9 +22,10 @@
     Target* fill_cache = nullptr;
     Micros fill_started_at = 0;
     Micros fill_overdue_at = 0;
-    std::deque<std::string> waiters;  // requests that share or await the fill, in order of arrival
-    Target* holder = nullptr;         // the cache last proven to hold a copy
-    Micros holder_since = 0;          // when the attempt that proved it was sent
+    // Most copies have none, so it takes no memory while it is empty.
+    std::list<std::string> waiters;  // requests that share or await the fill, in order of arrival
+    Target* holder = nullptr;        // the cache last proven to hold a copy
+    Micros holder_since = 0;         // when the attempt that proved it was sent
     Micros last_served_at = 0;
     Micros fresh_since = 0;    // when the copy was last filled or revalidated
     DecayedMean request_rate;  // recent requests, decayed with kRequestRateTimeConstant
@@ -69,13 +70,13 @@
     void lead(const Request& request, CachedCopy& copy, const RoutePlan& plan);
 
     // Ends the fill if `leader` leads it, and returns its waiters.
-    std::deque<std::string> end_fill(const std::string& key, const std::string& leader);
+    std::list<std::string> end_fill(const std::string& key, const std::string& leader);
 
     // Sets the leader of a fill whose previous leader was cancelled.
     void set_leader(const std::string& key, const std::string& leader);
 
     // Restores the waiters if `leader` leads the fill.
-    void restore_waiters(const std::string& key, const std::string& leader, std::deque<std::string> waiters);
+    void restore_waiters(const std::string& key, const std::string& leader, std::list<std::string> waiters);
 
     // Records that the cache of a served attempt holds the copy.
     void record_served(const Request& request, const Attempt& attempt);
@@ -93,13 +94,12 @@
     void sweep();
 
   private:
-    static constexpr std::size_t kMaxCopies = 60'000;  // about 10 MB
-    static constexpr std::size_t kMaxWaiters = 512;    // per fill
+    static constexpr std::size_t kMaxWaiters = 512;  // per fill
 
     DecisionContext& context_;
     const PurgeLog& purges_;
     const Eligibility& eligibility_;
-    BoundedMap<std::string, CachedCopy> copies_{kMaxCopies};
+    BoundedMap<CachedCopy> copies_{context_.settings.max_tracked_copies};
 };
 
 }  // namespace sumackeel::routing
--- a/src/routing/purge_log.h
+++ b/src/routing/purge_log.h
@@ -34,7 +34,7 @@
     Micros last_purge(const std::string& object, int purge_group) const;
 
     const DecisionContext& context_;
-    BoundedMap<std::string, Micros> purged_at_{kMaxPurges};
+    BoundedMap<Micros> purged_at_{kMaxPurges};
 };
 
 }  // namespace sumackeel::routing
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -6,7 +6,7 @@
 #include "routing/router.h"
 
 #include <algorithm>
-#include <deque>
+#include <list>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -277,7 +277,7 @@
 
 // After the leader's client cancelled, makes the next waiter the leader; the others wait for it.
 void Router::Impl::replace_leader(const std::string& key, const std::string& leader) {
-    std::deque<std::string> waiters = fills_.end_fill(key, leader);
+    std::list<std::string> waiters = fills_.end_fill(key, leader);
     while (!waiters.empty() && !requests_.contains(waiters.front())) waiters.pop_front();
     if (waiters.empty()) return;
     const std::string next = waiters.front();
