--- a/src/admin_server/admin_server.cpp
+++ b/src/admin_server/admin_server.cpp
@@ -54,9 +54,12 @@
     http_parser parser{};
     std::string url, body;
     std::size_t received_bytes = 0;
+    base::MemoryCharge partial_memory;
     bool complete = false, answered = false;
 
-    explicit Caller(AdminServer& owner) : server(owner) {
+    explicit Caller(AdminServer& owner)
+        : server(owner),
+          partial_memory(owner.connection_manager_.memory(), base::MemoryHolder::partial_requests) {
         http_parser_init(&parser, HTTP_REQUEST);
         parser.data = this;
     }
@@ -91,6 +94,7 @@
         const auto error = HTTP_PARSER_ERRNO(&parser);
         if (error != HPE_OK && error != HPE_PAUSED)
             return send_reply(stream, {400, "the call can't be read\n"});
+        partial_memory.set(url.capacity() + body.capacity());
         if (!complete) return server.connection_manager_.set_state(*this, net::ConnectionState::receiving);
         const admin::ApiCall call{http_method_str(static_cast<http_method>(parser.method)), url, body};
         answered = true;
--- a/src/base/slot_map.h
+++ b/src/base/slot_map.h
@@ -2,6 +2,7 @@
 // that a handle kept for too long finds nothing instead of another entry.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -29,7 +30,7 @@
     Handle add(T value) {
         if (free_.empty()) {
             free_.push_back(static_cast<std::uint32_t>(slots_.size()));
-            slots_.emplace_back();
+            slots_.emplace_back().generation = first_generation_;
         }
         const std::uint32_t place = free_.back();
         free_.pop_back();
@@ -51,7 +52,7 @@
         slot.value.reset();
         ++slot.generation;
         free_.push_back(handle.slot);
-        --used_;
+        if (--used_ == 0 && slots_.size() > kMaxUnusedSlots) release_slots();
     }
 
     template <typename Each>
@@ -63,11 +64,20 @@
     std::size_t size() const { return used_; }
 
   private:
+    static constexpr std::size_t kMaxUnusedSlots = 256;
     struct Slot {
         std::optional<T> value;
         std::uint32_t generation = 0;
     };
+    // Handles given out before stay unknown: later slots begin behind all their generations.
+    void release_slots() {
+        for (const Slot& slot : slots_) first_generation_ = std::max(first_generation_, slot.generation);
+        slots_ = std::vector<Slot>();
+        free_ = std::vector<std::uint32_t>();
+    }
+
     std::vector<Slot> slots_;
+    std::uint32_t first_generation_ = 0;
     std::vector<std::uint32_t> free_;
     std::size_t used_ = 0;
 };
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -81,6 +81,7 @@
     request.request = std::move(client_request);
     request.sink = &sink;
     request.cookie = cookie;
+    charge_memory(request);
     ids_.insert(request.request.id);
     const Handle handle = requests_.add(std::move(request));
     OpenRequest& open_request = *requests_.find(handle);
@@ -252,6 +253,7 @@
     finished.cache_status = result.cache_status;
     finished.time_to_first_byte = result.time_to_first_byte;
     finished.load = result.load;
+    ++metrics_.attempts_ended[static_cast<std::size_t>(result.status)];
     deadlines_.cancel(attempt->timeout_timer);
     if (served && request && on_served_) on_served_(request->request, attempt->source, result.cache_status);
     const bool responded = served || result.status == AttemptStatus::overloaded ||
@@ -428,7 +430,7 @@
     const Micros now = clock_.now();
     const PurgeKnowledge knowledge = purge_knowledge();
     const Micros class_max_age = settings_.classes[request->request.class_index].freshness_lifetime;
-    WriteTerms terms{.allowed = true, .max_age = attempt->max_age};
+    WriteTerms terms{.allowed = true, .max_age = attempt->max_age, .body = request->request.body};
     const auto limit_to = [&](Micros limit) {
         terms.max_age = limited_age(terms.max_age, class_max_age, limit);
     };
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -16,9 +16,11 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/memory_account.h"
 #include "base/slot_map.h"
 #include "base/timer_queue.h"
 #include "core/abandoned_requests.h"
+#include "core/response_size_estimate.h"
 #include "routing/router.h"
 
 namespace sumackeel::core {
@@ -85,8 +87,9 @@
 
 // What holds for an attempt whose first byte is written now.
 struct WriteTerms {
-    bool allowed = false;  // false: its target or source may not get it any more
-    Micros max_age = 0;    // of a copy; 0: by the class
+    bool allowed = false;        // false: its target or source may not get it any more
+    Micros max_age = 0;          // of a copy; 0: by the class
+    std::string_view body = {};  // of the request; valid during the call
 };
 
 struct AttemptResult {
@@ -106,6 +109,7 @@
     // Of served requests: up to 2^i ms; the last one counts all longer ones.
     std::array<std::uint64_t, 16> latency_histogram{};
     std::uint64_t attempts = 0;                     // passed to Upstream
+    std::uint64_t attempts_ended[routing::kAttemptStatusCount] = {};  // by routing::AttemptStatus
     std::uint64_t attempts_purges_unconfirmed = 0;  // of those: by PurgeKnowledge that was not valid any more
     // The times from submission to the first attempt: their sum, and the number of requests in it.
     std::uint64_t dispatch_time_us = 0, dispatched = 0;
@@ -130,6 +134,14 @@
     Core(const routing::Settings& settings, std::uint64_t seed, Clock& clock, TimerQueue& deadlines);
 
     void attach(Upstream& upstream) { upstream_ = &upstream; }
+    // In which open requests are counted from now on.
+    void set_memory_account(base::MemoryAccount& account) { memory_ = &account; }
+    // The memory that the request takes until it is answered, with its response as far as that can be
+    // foreseen.
+    std::size_t memory_needed(const Request& request) const;
+    // The attempt's response, with a body of `bytes`, has begun to arrive, and is counted by its receiver
+    // from now on.
+    void on_response_arriving(Handle attempt, std::size_t bytes);
     // `check` is called for each submitted request. If it returns a time to retry after, the request is
     // rejected at once, without the router.
     void set_admission_check(std::function<std::optional<Micros>(const Request&)> check) {
@@ -190,6 +202,8 @@
         bool may_have_run = false;
         Micros may_have_run_since = 0;  // when the first attempt that may have run was sent
         std::vector<std::uint64_t> connections;
+        base::MemoryCharge memory;             // of the request
+        base::MemoryCharge expected_response;  // until it arrives
     };
     struct OpenAttempt {
         Handle request;
@@ -218,6 +232,7 @@
     void perform(const routing::SendGossip&) {}
     void start_attempt(const routing::Forward& forward);
     PurgeKnowledge purge_knowledge() const;
+    void charge_memory(OpenRequest& request) const;
     // The response to a request that must not reach the router; none: it may.
     std::optional<Response> immediate_response(OpenRequest& request);
     std::optional<Response> check_abandoned(OpenRequest& request);
@@ -236,6 +251,8 @@
     routing::Router router_;
     Clock& clock_;
     TimerQueue& deadlines_;
+    base::MemoryAccount* memory_ = nullptr;
+    ResponseSizeEstimate response_sizes_;
     Upstream* upstream_ = nullptr;
     SlotMap<OpenRequest> requests_;
     std::unordered_set<std::string> ids_;  // client ids of the open requests
--- a/src/daemon/admin_routes.cpp
+++ b/src/daemon/admin_routes.cpp
@@ -96,8 +96,8 @@
             .pop_caches_listed = parts.endpoint_manager->view().size(),
             .timer_count = components_.loop.timers().size(),
             .list_seq = parts.endpoint_manager->view().newest_list(),
-            .counters =
-                counters_of(parts.loop, parts.core, parts.platform_server, parts.signed_url_server.get())};
+            .counters = counters_of(parts.loop, parts.core, parts.platform_server,
+                                    parts.signed_url_server.get(), *parts.memory_monitor)};
 }
 
 }  // namespace sumackeel::daemon
--- a/src/daemon/components.cpp
+++ b/src/daemon/components.cpp
@@ -30,7 +30,7 @@
                        Hooks hooks)
     : config(configuration),
       files(std::move(read_from)),
-      socket_budget(upstream_socket_limit(configuration.sockets, setup)),
+      socket_budget(upstream_socket_limit(configuration.sockets, setup), base::MemoryHolder::unsent_requests),
       core(routing_settings(configuration, setup), configuration.seed, loop.clock(), loop.timers()),
       connection_pool(loop, socket_budget, core,
                       {.streams_per_conn = configuration.site.streams_per_conn,
@@ -46,11 +46,15 @@
                              .write_running_for = [this] { return write_running_for(); }}),
       reload(loop, files, std::move(hooks.apply_config)) {
     core.attach(connection_pool);
+    core.set_memory_account(loop.memory());
     handover.on_pass_finished([this] { durable_replies.on_write_finished(); });
     endpoint_manager =
         std::make_unique<EndpointManager>(loop, socket_budget, core, connection_pool, configuration, setup);
     if (setup.signed_url_server) make_signed_url_server(setup);
     drain_report = std::make_unique<DrainReport>(loop, platform_server, signed_url_server.get());
+    memory_monitor = std::make_unique<MemoryMonitor>(
+        loop, configuration.memory_mb,
+        has_inherited_socket() ? MemoryMonitor::Replacement::possible : MemoryMonitor::Replacement::never);
 }
 
 void Components::make_signed_url_server(const config::Operator& setup) {
@@ -100,6 +104,7 @@
 void Components::update_config(const config::Config& fresh, const config::Operator& setup) {
     socket_budget.set_limit(upstream_socket_limit(fresh.sockets, setup));
     platform_server.set_limits(platform_limits(fresh));
+    memory_monitor->set_memory_limit(fresh.memory_mb);
     if (signed_url_server && setup.signed_url_server)
         signed_url_server->update_config(*setup.signed_url_server);
     endpoint_manager->update_config(fresh, setup);
--- a/src/daemon/components.h
+++ b/src/daemon/components.h
@@ -23,6 +23,7 @@
 #include "daemon/durable_replies.h"
 #include "daemon/endpoint_manager.h"
 #include "daemon/kv_store_service.h"
+#include "daemon/memory_monitor.h"
 #include "daemon/reload.h"
 #include "net/loop.h"
 #include "platform_server/platform_server.h"
@@ -91,6 +92,7 @@
     std::unique_ptr<recovery_coordinator::RecoveryCoordinator> recovery;
     std::unique_ptr<KvStoreService> kv_store_service;
     Reload reload;
+    std::unique_ptr<MemoryMonitor> memory_monitor;
 
   private:
     void make_signed_url_server(const config::Operator& setup);
--- a/src/daemon/process_signals.cpp
+++ b/src/daemon/process_signals.cpp
@@ -5,13 +5,16 @@
 
 #include "base/system_error.h"
 #include "daemon/daemon_error.h"
+#include "net/guarded_call.h"
 
 namespace sumackeel::daemon {
 
 void ProcessSignals::start(net::Loop& loop, Handlers handlers) {
     handlers_ = std::move(handlers);
-    uv_async_init(loop.raw(), &wakeup_,
-                  [](uv_async_t* handle) { static_cast<ProcessSignals*>(handle->data)->handle_requests(); });
+    uv_async_init(loop.raw(), &wakeup_, [](uv_async_t* handle) {
+        auto* self = static_cast<ProcessSignals*>(handle->data);
+        net::guarded_call("signal", [self] { self->handle_requests(); });
+    });
     wakeup_.data = this;
     // The first signal handle of a process creates a pipe, which fails if no descriptors are left.
     const int status = base::retry_at_startup([&] { return uv_signal_init(loop.raw(), &terminate_); });
@@ -21,13 +24,17 @@
     terminate_.data = this;
     uv_signal_start(
         &terminate_,
-        [](uv_signal_t* handle, int) { static_cast<ProcessSignals*>(handle->data)->handlers_.shut_down(); },
+        [](uv_signal_t* handle, int) {
+            net::guarded_call("signal", static_cast<ProcessSignals*>(handle->data)->handlers_.shut_down);
+        },
         SIGTERM);
     uv_signal_init(loop.raw(), &hangup_);
     hangup_.data = this;
     uv_signal_start(
         &hangup_,
-        [](uv_signal_t* handle, int) { static_cast<ProcessSignals*>(handle->data)->handlers_.reload(); },
+        [](uv_signal_t* handle, int) {
+            net::guarded_call("signal", static_cast<ProcessSignals*>(handle->data)->handlers_.reload);
+        },
         SIGHUP);
     sigset_t watched;
     sigemptyset(&watched);
--- a/src/daemon/shutdown_controller.cpp
+++ b/src/daemon/shutdown_controller.cpp
@@ -23,6 +23,7 @@
     Components& parts = components_;
     started_at_ = parts.loop.clock().now();
     parts.admin_state.on_shutdown();
+    parts.memory_monitor->on_shutdown();
     parts.handover.cancel_take_over();
     applier_.apply();
     deadlines_ = shutdown_deadlines(parts.core.settings());
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -24,7 +24,12 @@
     // reaction to an earlier response that it received just before the last one.
     virtual bool overlaps_requests() const { return false; }
 
+    // Memory of the parts of requests that are not complete.
+    virtual std::size_t partial_request_bytes() const { return 0; }
+
   protected:
+    // Called when the connection, for whose partial request there was no room, may be read again.
+    virtual void on_room() {}
     // Called once, when the connection is closed or half-closed.
     virtual void on_closed() = 0;
     // Called before it is closed because a request was incomplete for too long; a last response may be
@@ -46,6 +51,10 @@
     Micros since_ = 0;                 // in this state, or since the last response was read
     Micros unread_arrived_after_ = 0;  // unread bytes arrived after this; 0: Stream::arrived_after()
     bool read_late_ = false;
+    Micros last_read_at_ = 0;                          // when bytes were last read from it
+    bool awaits_room_ = false;                         // for its partial request
+    std::size_t undelivered_ = 0;                      // bytes of responses, at the last check of its reading
+    Micros undelivered_since_ = 0;                     // as many since then
     std::list<ClientConnection*>::iterator position_;  // in its state's list
 };
 
--- a/src/net/connection_manager.cpp
+++ b/src/net/connection_manager.cpp
@@ -42,6 +42,7 @@
 // stall would seem to have arrived after it.
 Micros ClientConnection::received_at() {
     const Micros now = manager_->loop_.clock().now();
+    last_read_at_ = now;
     const Micros earliest = unread_arrived_after_ > 0 ? unread_arrived_after_ : stream_->arrived_after();
     read_late_ = now - earliest >= kReadLate;
     // Bytes that had arrived by then may be read in several iterations.
@@ -59,14 +60,16 @@
     : loop_(loop),
       timeouts_(timeouts),
       make_(std::move(make)),
-      budget_(max_connections),
+      budget_(max_connections, base::MemoryHolder::unsent_responses),
       eviction_age_(timeouts.accept_queue),
       listener_(loop, address, [this] {
           accept_queue_waiting_ = true;
           accept_waiting();
       }) {
     loop_.on_each_iteration([this, alive = std::weak_ptr<bool>(alive_)] {
-        if (!alive.expired()) closed_.clear();
+        if (alive.expired()) return;
+        closed_.clear();
+        resume_awaiting_room();
     });
     enforce_timeouts();
 }
@@ -151,7 +154,7 @@
          {ConnectionState::awaiting_request, ConnectionState::receiving, ConnectionState::idle})
         for (ClientConnection* connection : in_state(state)) {
             if (connection->since_ > before) break;
-            if (evict_if_quiet(*connection)) return true;
+            if (evict_if_quiet(*connection, CloseReason::evicted)) return true;
         }
     thread_local log::RateLimitedLogger logger;
     logger.warn("listener: no room, a connection stays in the accept queue connections={}",
@@ -386,6 +389,10 @@
 
 void ConnectionManager::enforce_timeouts() {
     const Micros now = loop_.clock().now();
+    // First, so that an exception in one check does not end all later ones.
+    loop_.timers().schedule(now + kEnforceInterval, [this, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired()) enforce_timeouts();
+    });
     const Micros reading_end = now + kReadingBudget;
     close_overdue(ConnectionState::awaiting_request, reading_end);
     close_overdue(ConnectionState::receiving, reading_end);
@@ -399,10 +406,8 @@
             evict(*connection, CloseReason::write_timeout);
     if (draining_) close_in_state(ConnectionState::idle);  // those that had unread bytes the last time
     if (drain_.stage(now) == admin::DrainStage::forcing) close_idle_after_reading(reading_end);
+    relieve_memory(now);
     accept_waiting();
-    loop_.timers().schedule(now + kEnforceInterval, [this, alive = std::weak_ptr<bool>(alive_)] {
-        if (!alive.expired()) enforce_timeouts();
-    });
 }
 
 void ConnectionManager::evict(ClientConnection& connection, CloseReason reason) {
@@ -412,9 +417,9 @@
     on_disconnect(connection);
 }
 
-bool ConnectionManager::evict_if_quiet(ClientConnection& connection) {
+bool ConnectionManager::evict_if_quiet(ClientConnection& connection, CloseReason reason) {
     if (!is_done(connection, connection.stream_->close_if_quiet())) return false;
-    evict(connection, CloseReason::evicted);
+    evict(connection, reason);
     return true;
 }
 
--- a/src/net/connection_manager.h
+++ b/src/net/connection_manager.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -48,6 +49,11 @@
     // When responses take too much memory: closes the connection whose client has not read for longest, but
     // not `keep`.
     void evict_slowest_reader(const ClientConnection& keep);
+    // Whether the connection may be read while it has a partial request. If not, its on_room() is called once
+    // it may; until then the server pauses reading. Makes room first, by closing connections whose partial
+    // requests have not grown for a while.
+    bool may_read_partial_request(ClientConnection& connection);
+    base::MemoryAccount& memory() { return loop_.memory(); }
     // Null: closed, or half-closed.
     ClientConnection* find(std::uint64_t id) const;
     // That responses hold until they are sent, over all connections.
@@ -107,8 +113,12 @@
     void retry_accept_after(Micros wait);
     void adopt(int fd);
     void enforce_timeouts();
+    void relieve_memory(Micros now);
+    void evict_stalled_readers(ConnectionState state, Micros now);
+    void evict_stalled_partial_requests(Micros now);
+    void resume_awaiting_room();
     void evict(ClientConnection& connection, CloseReason reason);
-    bool evict_if_quiet(ClientConnection& connection);
+    bool evict_if_quiet(ClientConnection& connection, CloseReason reason);
     bool close_if_quiet(ClientConnection& connection, CloseReason reason);
     void close_drained(ClientConnection& connection);
     bool is_settled(const ClientConnection& connection) const;
@@ -150,6 +160,8 @@
     DiscardMetrics discard_metrics_;
     std::uint64_t interrupted_closes_ = 0;
     EvictionAge eviction_age_;
+    std::deque<std::uint64_t> awaiting_room_;  // ids, longest waiting first
+    Micros next_partial_request_check_ = 0;
     bool accept_retry_scheduled_ = false;
     bool accept_queue_waiting_ = false;  // connections may wait in the accept queue
     Micros queued_since_ = 0;  // what waits in it arrived after this; 0: none has waited for an iteration
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -12,6 +12,7 @@
 
 #include "base/log.h"
 #include "base/system_error.h"
+#include "net/guarded_call.h"
 
 namespace sumackeel::net {
 
@@ -189,7 +190,7 @@
     uv_poll_start(poll_, UV_READABLE, [](uv_poll_t* handle, int, int) {
         auto* self = static_cast<Listener*>(handle->data);
         if (!self) return;
-        self->on_ready_();
+        guarded_call("listener", self->on_ready_);
     });
 }
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -8,8 +8,8 @@
 #include <stdexcept>
 #include <utility>
 
-#include "base/log.h"
 #include "base/system_error.h"
+#include "net/guarded_call.h"
 
 namespace sumackeel::net {
 
@@ -83,13 +83,9 @@
 }
 
 void Loop::run_timers_and_callbacks() {
-    // Called from C, so no exception may leave. A timer is off the queue before it runs.
-    try {
-        timers_.run_due(clock_.now());
-        for (const auto& callback : iteration_callbacks_) callback();
-    } catch (const std::exception& error) {
-        log::error("loop: iteration failed error={}", error.what());
-    }
+    // A timer is off the queue before it runs; those behind one that fails run in the next iteration.
+    guarded_call("timer", [this] { timers_.run_due(clock_.now()); });
+    for (const auto& callback : iteration_callbacks_) guarded_call("iteration", callback);
 }
 
 void Loop::arm_timer() {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/memory_account.h"
 #include "base/timer_queue.h"
 #include "net/read_scheduler.h"
 
@@ -47,9 +48,20 @@
     uv_loop_t* raw() { return &loop_; }
     base::Clock& clock() { return clock_; }
     base::TimerQueue& timers() { return timers_; }
+    // What all components on this loop hold.
+    base::MemoryAccount& memory() { return memory_; }
+    const base::MemoryAccount& memory() const { return memory_; }
     // Bytes read from a socket; consumed before the next read. Each loop has its own: if loops shared it,
     // bytes of one connection would be taken for another's.
     std::vector<char>& read_buffer() { return read_buffer_; }
+    // How many bytes a client's socket, or one to a server, is read at a time: the part of a message that is
+    // not complete is held, so a small one while there is no room.
+    std::size_t client_read_bytes() const {
+        return memory_.has_room_for_partial_requests() ? kReadBufferBytes : kReadBytesWithoutRoom;
+    }
+    std::size_t server_read_bytes() const {
+        return memory_.has_room_for_response(kReadBufferBytes) ? kReadBufferBytes : kReadBytesWithoutRoom;
+    }
     // Whether the stream may be read now; asked ahead of each read.
     bool may_read(ReadScheduler::Reader& reader) { return read_scheduler_.may_read(reader, monotonic_us()); }
     // Bytes that become readable in this iteration arrived after this time, at which the previous iteration
@@ -71,6 +83,7 @@
     void arm_timer();
     bool is_catching_up();
 
+    base::MemoryAccount memory_;  // first: sockets that close with the loop are still in it
     uv_loop_t loop_;
     uv_timer_t timer_;
     uv_prepare_t prepare_;
@@ -86,6 +99,7 @@
     ReadScheduler read_scheduler_;
     // One read of small requests has to take less time than ReadScheduler::kSlice.
     static constexpr std::size_t kReadBufferBytes = 16 * 1024;
+    static constexpr std::size_t kReadBytesWithoutRoom = 2 * 1024;  // a usual request without a body fits
     std::vector<char> read_buffer_ = std::vector<char>(kReadBufferBytes);
 };
 
@@ -93,7 +107,10 @@
 // new sockets are refused, open ones go on.
 class SocketBudget {
   public:
-    explicit SocketBudget(int limit) : shared_(std::make_shared<Shared>(limit)) {}
+    // `unsent`: under which writes to these sockets are counted in the loop's memory account.
+    explicit SocketBudget(int limit, base::MemoryHolder unsent = base::MemoryHolder::other)
+        : unsent_(unsent), shared_(std::make_shared<Shared>(limit)) {}
+    base::MemoryHolder unsent_holder() const { return unsent_; }
     bool acquire() {
         if (shared_->used >= shared_->limit) return false;
         ++shared_->used;
@@ -113,6 +130,7 @@
         int used = 0;
         std::ptrdiff_t write_memory = 0;
     };
+    base::MemoryHolder unsent_;
     std::shared_ptr<Shared> shared_;  // by all copies: sockets close after their owners are gone
 };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -11,6 +11,7 @@
 #include <exception>
 
 #include "base/log.h"
+#include "net/guarded_call.h"
 #include "net/receive_filter.h"
 #include "net/tcp_window.h"
 
@@ -22,6 +23,7 @@
 constexpr std::uint64_t kMaxCheckTime = 20'000;  // ns
 constexpr int kMaxChecks = 4;
 constexpr std::size_t kAllocatorOverhead = 16;  // bytes, of one allocation
+constexpr std::size_t kSocketMemory = 2'048;    // bytes, with its owner's state, tables and timers
 
 struct Write {
     uv_write_t request;
@@ -39,27 +41,40 @@
 }  // namespace
 
 Stream::Stream(Loop& loop, SocketBudget& budget, Handler& handler, ReadPriority priority)
-    : budget_(budget), handler_(&handler), reader_(priority) {
+    : budget_(budget),
+      own_memory_(loop.memory(), base::MemoryHolder::connections, kSocketMemory),
+      handler_(&handler),
+      is_client_(priority == ReadPriority::fair),
+      reader_(priority) {
     uv_tcp_init(loop.raw(), &tcp_);
     tcp_.data = this;
     connect_request_.data = this;
     shutdown_request_.data = this;
 }
 
+// For callbacks of libuv, which no exception may leave: it ends this connection.
+template <typename Call>
+void Stream::guarded(const Call& call) {
+    if (guarded_call("stream", call) || state_ == State::closed) return;
+    guarded_call("stream", [this] { disconnect(DisconnectCause::error); });
+}
+
 Stream* Stream::connect(Loop& loop, SocketBudget& budget, const sockaddr_in& to, Handler& handler,
                         int* error) {
     if (error) *error = 0;
     if (!budget.acquire()) return nullptr;
     auto* stream = new Stream(loop, budget, handler, ReadPriority::immediate);
-    const int failed =
-        uv_tcp_connect(&stream->connect_request_, &stream->tcp_, reinterpret_cast<const sockaddr*>(&to),
-                       [](uv_connect_t* request, int status) {
-                           auto* self = static_cast<Stream*>(request->data);
-                           if (self->state_ == State::closed) return;
-                           if (status != 0) return self->disconnect(DisconnectCause::connect_failed);
-                           self->start();
-                           self->handler_->on_open(*self);
-                       });
+    const int failed = uv_tcp_connect(
+        &stream->connect_request_, &stream->tcp_, reinterpret_cast<const sockaddr*>(&to),
+        [](uv_connect_t* request, int status) {
+            auto* self = static_cast<Stream*>(request->data);
+            if (self->state_ == State::closed) return;
+            if (status != 0) return self->guarded([&] { self->disconnect(DisconnectCause::connect_failed); });
+            self->guarded([&] {
+                self->start();
+                self->handler_->on_open(*self);
+            });
+        });
     if (failed == 0) return stream;
     if (error) *error = failed;
     stream->close();
@@ -98,21 +113,22 @@
     uv_read_start(
         as_stream(),
         [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
-            auto& bytes = loop_of(reinterpret_cast<uv_tcp_t&>(*handle)).read_buffer();
-            const bool may_read = static_cast<Stream*>(handle->data)->may_read();
-            *buffer = uv_buf_init(bytes.data(), may_read ? static_cast<unsigned>(bytes.size()) : 0);
+            auto* self = static_cast<Stream*>(handle->data);
+            auto& bytes = loop_of(self->tcp_).read_buffer();
+            *buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(self->may_read_bytes()));
         },
         [](uv_stream_t* handle, ssize_t count, const uv_buf_t* buffer) {
-            static_cast<Stream*>(handle->data)->on_read(count, *buffer);
+            auto* self = static_cast<Stream*>(handle->data);
+            self->guarded([&] { self->on_read(count, *buffer); });
         });
 }
 
 // A deferred read stays pending: the next poll reports the stream as readable again.
-bool Stream::may_read() {
+std::size_t Stream::may_read_bytes() {
     Loop& loop = loop_of(tcp_);
-    if (loop.may_read(reader_)) return true;
+    if (loop.may_read(reader_)) return is_client_ ? loop.client_read_bytes() : loop.server_read_bytes();
     if (!deferred_since_) deferred_since_ = loop.last_poll_at();
-    return false;
+    return 0;
 }
 
 void Stream::on_read(ssize_t count, const uv_buf_t& buffer) {
@@ -166,8 +182,10 @@
             self->account_write(-done->memory());
             delete done;
             if (self->state_ == State::closed) return;
-            if (status != 0) return self->disconnect(DisconnectCause::error);
-            if (self->state_ == State::open) self->handler_->on_write_drained(*self);
+            self->guarded([&] {
+                if (status != 0) return self->disconnect(DisconnectCause::error);
+                if (self->state_ == State::open) self->handler_->on_write_drained(*self);
+            });
         });
     if (failed != 0) {
         account_write(-write->memory());
@@ -179,6 +197,7 @@
 
 void Stream::account_write(std::ptrdiff_t change) {
     write_memory_ += static_cast<std::size_t>(change);
+    loop_of(tcp_).memory().add(budget_.unsent_holder(), change);
     budget_.write_memory(change);
 }
 
@@ -223,10 +242,10 @@
     return ioctl(descriptor(), SIOCOUTQNSD, &count) == 0 && count > 0;
 }
 
-bool Stream::has_undelivered_data() const {
+std::size_t Stream::undelivered_bytes() const {
     int unacknowledged = 0;
-    const bool known = ioctl(descriptor(), SIOCOUTQ, &unacknowledged) == 0;
-    return unsent_bytes() > 0 || (known && unacknowledged > 0);
+    const bool known = ioctl(descriptor(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
+    return unsent_bytes() + (known ? static_cast<std::size_t>(unacknowledged) : 0);
 }
 
 Micros Stream::time_since_last_byte() const {
@@ -371,8 +390,10 @@
     const int failed = uv_shutdown(&shutdown_request_, as_stream(), [](uv_shutdown_t* request, int status) {
         auto* self = static_cast<Stream*>(request->data);
         if (self->state_ == State::closed) return;
-        if (status != 0) return self->disconnect(DisconnectCause::error);
-        self->on_half_closed();
+        self->guarded([&] {
+            if (status != 0) return self->disconnect(DisconnectCause::error);
+            self->on_half_closed();
+        });
     });
     if (failed != 0) return disconnect(DisconnectCause::error);
     pause(false);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -84,8 +84,9 @@
     bool congested() const;
     // Whether the other side's system has not acknowledged all written bytes. Input on a closed socket resets
     // the connection, and such bytes are lost with it. False where the system can't tell.
-    bool has_undelivered_data() const;
-    Micros time_since_last_byte() const;  // in the system's ticks; 0 where it can't tell
+    bool has_undelivered_data() const { return undelivered_bytes() > 0; }
+    std::size_t undelivered_bytes() const;  // unsent ones, and those that are not acknowledged
+    Micros time_since_last_byte() const;    // in the system's ticks; 0 where it can't tell
     // The bytes that are read in this call of on_data() arrived after this time.
     Micros arrived_after() const;
     bool peer_has_closed() const;  // all was read, and the other side has closed
@@ -157,7 +158,7 @@
     bool half_close();
     void on_half_closed();
     std::size_t peer_room() const;
-    bool may_read();
+    std::size_t may_read_bytes();  // 0: not now
     void on_read(ssize_t count, const uv_buf_t& buffer);
     void deliver(std::string_view bytes);
     void discard(std::size_t count);
@@ -166,6 +167,8 @@
     void set_cork(bool on);
     int descriptor() const;  // -1: closed
     void account_write(std::ptrdiff_t change);
+    template <typename Call>
+    void guarded(const Call& call);
     void disconnect(DisconnectCause cause);
 
     uv_tcp_t tcp_;
@@ -173,9 +176,11 @@
     uv_shutdown_t shutdown_request_;
     SocketBudget budget_;
     std::size_t write_memory_ = 0;
+    base::MemoryCharge own_memory_;  // of the socket's state here, and its owner's
     Handler* handler_;
     State state_ = State::connecting;
     bool reading_ = false;
+    const bool is_client_;  // this side accepted the connection
     ReadScheduler::Reader reader_;
     std::optional<Micros> deferred_since_;  // unread bytes arrived after this; none: no read was deferred
     int receive_blocks_ = 0;
--- a/src/platform_server/platform_server.cpp
+++ b/src/platform_server/platform_server.cpp
@@ -25,6 +25,8 @@
 constexpr base::Micros kIdleTimeout = 5'000'000;   // clients close after 4 s themselves
 constexpr base::Micros kWriteTimeout = 5'000'000;  // a response of 240 KB takes 0.8 s at the usual rate
 constexpr base::Micros kSettleTime = 5'000;        // us; a client reacts to a response within this time
+constexpr int kShareForFurtherClients = 8;         // one part in so many
+constexpr base::Micros kRetryAfterMemoryShortage = 200'000;  // us
 constexpr int kMaxPart = 1'000'000;
 constexpr double kMaxSizeKb = 1e6;                      // KB; far above the size of any object
 constexpr base::Micros kMaxClientTimeout = 60'000'000;  // longer time-outs are invalid
@@ -64,6 +66,7 @@
     FrameReader reader;
     struct OpenCall {
         Handle entry, core_request;       // in open_requests_, and in the core
+        std::size_t memory = 0;           // of the request and its expected response
         bool rejection_pending = false;   // delayed rejection by a drain: not submitted to the core
         bool has_drain_deadline = false;  // has the drain's response deadline
     };
@@ -71,10 +74,12 @@
     std::int32_t last_seqid = 0;
     bool has_received_frame = false;  // a complete one
     bool processing_input = false;    // within on_data(): further frames may follow
-    bool has_overlapped = false;      // a request arrived while another was open
-    base::Micros last_byte_at = 0;    // when the last byte of the frame being read arrived
+    base::MemoryCharge partial_memory;
+    bool has_overlapped = false;    // a request arrived while another was open
+    base::Micros last_byte_at = 0;  // when the last byte of the frame being read arrived
 
-    explicit Client(PlatformServer& owner) : server(owner) {}
+    explicit Client(PlatformServer& owner)
+        : server(owner), partial_memory(owner.loop_.memory(), base::MemoryHolder::partial_requests) {}
 
     void on_data(net::Stream&, std::string_view bytes) override {
         last_byte_at = received_at();
@@ -89,6 +94,7 @@
             return stream() != nullptr;
         });
         processing_input = false;
+        partial_memory.set(reader.memory());
         server.send_delayed_rejections(*this);
         update_state(progress);
     }
@@ -98,7 +104,9 @@
         // Danger: while reading is paused, cancellations and disconnects go unnoticed. So the limit is twice
         // as high while requests are open; there is one, as rejections and replies to `alive` add up too.
         const std::size_t limit = server.is_over_budget() ? kMaxWriteMemoryOverBudget : kMaxWriteMemory;
-        stream()->pause(stream()->write_memory() > (open_calls.empty() ? limit : 2 * limit));
+        const bool responses_unread = stream()->write_memory() > (open_calls.empty() ? limit : 2 * limit);
+        const bool has_room = !reader.partial() || server.connection_manager_.may_read_partial_request(*this);
+        stream()->pause(responses_unread || !has_room);
         const net::ConnectionState state = !open_calls.empty()            ? net::ConnectionState::processing
                                            : stream()->unsent_bytes() > 0 ? net::ConnectionState::flushing
                                            : !has_received_frame ? net::ConnectionState::awaiting_request
@@ -106,6 +114,14 @@
                                                                  : net::ConnectionState::idle;
         server.connection_manager_.set_state(*this, state, progress);
     }
+    void on_room() override { update_state(); }
+    std::size_t partial_request_bytes() const override { return partial_memory.bytes(); }
+    // What is held for the client already, beside a partial request.
+    std::size_t held_memory() const {
+        std::size_t memory = stream()->write_memory();
+        for (const auto& [seqid, open_call] : open_calls) memory += open_call.memory;
+        return memory;
+    }
     bool overlaps_requests() const override { return has_overlapped; }
     void on_closed() override {
         for (const auto& [seqid, open_call] : open_calls) {
@@ -113,6 +129,8 @@
             server.core_.cancel(open_call.core_request);
         }
         open_calls.clear();
+        reader = {};
+        partial_memory.set(0);
     }
     // The client sends one request at a time, and no other is open. A client with overlapping requests may
     // already be sending the next one, in reaction to an earlier response.
@@ -195,21 +213,38 @@
     core::Request request;
     if (!decode_request(call, request) || core_.is_open(request.id))
         return client.stream()->write(encode_response(call.seqid, {}));
-    const bool over_budget = is_over_budget();
-    if (over_budget) connection_manager_.evict_slowest_reader(client);
-    const bool overloaded =
-        client.open_calls.size() >= kMaxOpenRequests || over_budget ||
-        client.stream()->write_memory() > kMaxWriteMemory ||
-        core_.open_requests() >= static_cast<std::size_t>(std::max(1, site_.settings.max_in_flight));
     request.received_at = client.last_byte_at;  // the time-out counts from here
-    if (overloaded || request.received_at + request.time_left <= now)
-        return client.stream()->write(
-            encode_response(call.seqid, {.status = core::ResponseStatus::rejected}));
+    const std::size_t memory = core_.memory_needed(request);
+    if (const Shortage shortage = find_shortage(client, request, memory); shortage != Shortage::none) {
+        ++rejected_counts_[static_cast<std::size_t>(shortage)];
+        const base::Micros retry_after = shortage == Shortage::memory ? kRetryAfterMemoryShortage : 0;
+        return client.stream()->write(encode_response(
+            call.seqid, {.status = core::ResponseStatus::rejected, .retry_after = retry_after}));
+    }
     if (rejecting)
         return reject_for_drain(client, call.seqid, request.received_at + request.time_left - now, now);
     const Handle entry = open_requests_.add({client.id(), call.seqid});
     const Handle core_request = core_.submit(std::move(request), *this, entry.number());
-    client.open_calls[call.seqid] = {entry, core_request};
+    client.open_calls[call.seqid] = {.entry = entry, .core_request = core_request, .memory = memory};
+}
+
+PlatformServer::Shortage PlatformServer::find_shortage(Client& client, const core::Request& request,
+                                                       std::size_t memory) {
+    const bool over_budget = is_over_budget();
+    if (over_budget) connection_manager_.evict_slowest_reader(client);
+    if (client.open_calls.size() >= kMaxOpenRequests ||
+        core_.open_requests() >= max_open_requests(client.open_calls.empty()))
+        return Shortage::open_requests;
+    if (over_budget || client.stream()->write_memory() > kMaxWriteMemory) return Shortage::unsent_responses;
+    if (request.received_at + request.time_left <= loop_.clock().now()) return Shortage::time;
+    if (!loop_.memory().admits(memory, client.held_memory())) return Shortage::memory;
+    return Shortage::none;
+}
+
+// The last of the requests that may be open are for clients that have none open.
+std::size_t PlatformServer::max_open_requests(bool client_has_none) const {
+    const int limit = std::max(1, site_.settings.max_in_flight);
+    return static_cast<std::size_t>(client_has_none ? limit : limit - limit / kShareForFurtherClients);
 }
 
 // Applies when a request arrives late in a drain: the requests open on its connection get the drain's
@@ -283,9 +318,9 @@
     Client& client = *found;
     client.open_calls.erase(seqid);
     if (client.waits_for_last_response())
-        connection_manager_.write_last_response(client, encode_response(seqid, response));
+        connection_manager_.write_last_response(client, encode_response(seqid, std::move(response)));
     else
-        client.stream()->write(encode_response(seqid, response));
+        client.stream()->write(encode_response(seqid, std::move(response)));
     send_delayed_rejections(client);
     client.update_state();
 }
--- a/src/platform_server/platform_server.h
+++ b/src/platform_server/platform_server.h
@@ -1,6 +1,8 @@
 // The server for the platform's clients: passes Thrift calls to the core as requests, and its responses back.
 #pragma once
 
+#include <array>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -50,6 +52,19 @@
     };
     const DrainMetrics& drain_metrics() const { return drain_metrics_; }
 
+    // What a request lacks that is rejected before the core sees it.
+    enum class Shortage {
+        none,
+        memory,
+        open_requests,     // as many as there may be are open, here or on the connection
+        unsent_responses,  // responses that were not read take too much memory
+        time               // it was read after the client's time-out
+    };
+    static constexpr std::size_t kShortageCount = 5;
+    std::uint64_t rejected_count(Shortage shortage) const {
+        return rejected_counts_[static_cast<std::size_t>(shortage)];
+    }
+
   private:
     struct Client;
 
@@ -60,6 +75,8 @@
     void send_delayed_rejections(Client& client);
     void end_drain();
     bool decode_request(ThriftCall& call, core::Request& request) const;
+    std::size_t max_open_requests(bool client_has_none) const;
+    Shortage find_shortage(Client& client, const core::Request& request, std::size_t memory);
     bool is_over_budget() const { return connection_manager_.write_memory() > limits_.write_memory; }
 
     core::Core& core_;
@@ -72,7 +89,8 @@
     base::SlotMap<OpenRequest> open_requests_;
     bool ready_ = false;  // the reply to `alive`; false until set_ready()
     DrainMetrics drain_metrics_;
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // checked by timers
+    std::array<std::uint64_t, kShortageCount> rejected_counts_{};  // by Shortage
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);   // checked by timers
     net::Loop& loop_;
     net::ConnectionManager connection_manager_;
 };
--- a/src/platform_server/thrift_codec.cpp
+++ b/src/platform_server/thrift_codec.cpp
@@ -22,6 +22,17 @@
                                                    // each of many clients may have a partial one buffered
 constexpr std::int32_t kMaxStringBytes = 64 * 1024;
 constexpr std::int32_t kMaxFields = 64;
+constexpr std::size_t kSmallFrameBytes = 256;  // more than one without a body
+
+constexpr std::size_t kHeaderBytes = 4;  // of a frame: its length
+
+std::size_t frame_length(std::string_view header) {
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < kHeaderBytes; ++i)
+        length = length << 8 | static_cast<unsigned char>(header[i]);
+    if (length == 0 || length > kMaxFrameBytes) throw FrameError("a frame's length can't be");
+    return length;
+}
 
 // Reads the fields of a struct; those for which `read_field` returns false are skipped.
 template <typename Read>
@@ -65,6 +76,12 @@
     out.writeMapEnd();
 }
 
+// Writes the length of a frame, without its own bytes, into the frame's first bytes.
+void fill_in_length(std::string& frame) {
+    const auto length = static_cast<std::uint32_t>(frame.size() - 4);
+    for (int i = 0; i < 4; ++i) frame[i] = static_cast<char>(length >> (24 - 8 * i));
+}
+
 std::string encode_frame(std::size_t expected_size, const std::function<void(Protocol&)>& write) {
     const auto buffer = std::make_shared<TMemoryBuffer>(static_cast<std::uint32_t>(expected_size));
     Protocol out(buffer);
@@ -72,17 +89,20 @@
     out.writeI32(0);  // the length, filled in at the end
     write(out);
     std::string frame = buffer->getBufferAsString();
-    const auto length = static_cast<std::uint32_t>(frame.size() - 4);
-    for (int i = 0; i < 4; ++i) frame[i] = static_cast<char>(length >> (24 - 8 * i));
+    fill_in_length(frame);
     return frame;
 }
 
-void write_result(Protocol& out, const std::string& body, const std::map<std::string, std::string>& fields,
-                  bool success) {
+// A result up to the bytes of its body.
+void begin_result(Protocol& out, std::size_t body_size) {
     out.writeFieldBegin("success", tp::T_STRUCT, 0);
     out.writeStructBegin("Answer");
     out.writeFieldBegin("body", tp::T_STRING, 1);
-    out.writeBinary(body);
+    out.writeI32(static_cast<std::int32_t>(body_size));
+}
+
+// The rest of it, behind its body.
+void end_result(Protocol& out, const std::map<std::string, std::string>& fields, bool success) {
     out.writeFieldBegin("fields", tp::T_MAP, 2);
     write_map(out, fields);
     out.writeFieldBegin("good", tp::T_BOOL, 3);
@@ -98,39 +118,68 @@
     out.writeFieldStop();
 }
 
+void begin_dispatch_result(Protocol& out, std::int32_t seqid) {
+    out.writeMessageBegin("dispatch", tp::T_REPLY, seqid);
+    out.writeStructBegin("dispatch_result");
+}
+
+void end_dispatch_result(Protocol& out) {
+    out.writeFieldStop();
+    out.writeStructEnd();
+    out.writeMessageEnd();
+}
+
+// What stands before and behind the body is encoded without it, as a copy would take as much memory again.
+std::string encode_served(std::int32_t seqid, std::string body) {
+    std::size_t body_at = 0;
+    const std::string around = encode_frame(kSmallFrameBytes, [&](Protocol& out) {
+        begin_dispatch_result(out, seqid);
+        begin_result(out, body.size());
+        body_at = static_cast<TMemoryBuffer&>(*out.getTransport()).available_read();
+        end_result(out, {}, true);
+        end_dispatch_result(out);
+    });
+    body.reserve(body.size() + around.size());
+    body.insert(0, around, 0, body_at);
+    body.append(around, body_at);
+    fill_in_length(body);
+    return body;
+}
+
 }  // namespace
 
+// `bytes`: of a frame that is not complete.
+void FrameReader::keep(std::string_view bytes) {
+    if (bytes.size() < kHeaderBytes) {
+        start_ = bytes;
+        return;
+    }
+    frame_ = net::PageBuffer(kHeaderBytes + frame_length(bytes));
+    frame_.append(bytes);
+}
+
 void FrameReader::read(std::string_view bytes, const std::function<bool(std::string_view)>& on_frame) {
-    constexpr std::size_t kHeaderBytes = 4;
-    const auto length_of = [](std::string_view header) {
-        std::size_t length = 0;
-        for (std::size_t i = 0; i < kHeaderBytes; ++i)
-            length = length << 8 | static_cast<unsigned char>(header[i]);
-        if (length == 0 || length > kMaxFrameBytes) throw FrameError("a frame's length can't be");
-        return length;
-    };
-    const auto fill_up_to = [&](std::size_t size) {
-        const std::size_t count = std::min(bytes.size(), size - std::min(size, partial_frame_.size()));
-        partial_frame_.append(bytes.substr(0, count));
+    if (!start_.empty()) {
+        const std::size_t count = std::min(bytes.size(), kHeaderBytes - start_.size());
+        start_.append(bytes.substr(0, count));
         bytes.remove_prefix(count);
-        return partial_frame_.size() >= size;
-    };
-    if (!partial_frame_.empty()) {
-        if (!fill_up_to(kHeaderBytes)) return;
-        const std::size_t length = length_of(partial_frame_);
-        partial_frame_.reserve(kHeaderBytes + length);
-        if (!fill_up_to(kHeaderBytes + length)) return;
-        const std::string frame = std::exchange(partial_frame_, {});
-        if (!on_frame(std::string_view(frame).substr(kHeaderBytes))) return;
+        if (start_.size() < kHeaderBytes) return;
+        keep(std::exchange(start_, {}));
+    }
+    if (frame_.size() > 0) {
+        bytes.remove_prefix(frame_.append(bytes));
+        if (!frame_.is_full()) return;
+        const net::PageBuffer frame = std::exchange(frame_, {});
+        if (!on_frame(frame.view().substr(kHeaderBytes))) return;
     }
     while (bytes.size() >= kHeaderBytes) {
-        const std::size_t length = length_of(bytes);
+        const std::size_t length = frame_length(bytes);
         if (bytes.size() < kHeaderBytes + length) break;
         const std::string_view frame = bytes.substr(kHeaderBytes, length);
         bytes.remove_prefix(kHeaderBytes + length);
         if (!on_frame(frame)) return;
     }
-    partial_frame_ = bytes;
+    if (!bytes.empty()) keep(bytes);
 }
 
 ThriftCall decode_call(std::string_view frame) {
@@ -165,16 +214,16 @@
     }
 }
 
-std::string encode_response(std::int32_t seqid, const core::Response& response) {
+std::string encode_response(std::int32_t seqid, core::Response response) {
     using core::ResponseStatus;
-    return encode_frame(response.body.size() + 256, [&](Protocol& out) {
-        out.writeMessageBegin("dispatch", tp::T_REPLY, seqid);
-        out.writeStructBegin("dispatch_result");
+    if (response.status == ResponseStatus::served) return encode_served(seqid, std::move(response.body));
+    return encode_frame(kSmallFrameBytes, [&](Protocol& out) {
+        begin_dispatch_result(out, seqid);
         std::map<std::string, std::string> fields;
-        if (response.status == ResponseStatus::served || response.status == ResponseStatus::not_modified) {
-            if (response.status == ResponseStatus::not_modified) fields["current"] = "1";
-            write_result(out, response.status == ResponseStatus::not_modified ? std::string{} : response.body,
-                         fields, true);
+        if (response.status == ResponseStatus::not_modified) {
+            fields["current"] = "1";
+            begin_result(out, 0);
+            end_result(out, fields, true);
         } else if (response.status == ResponseStatus::rejected) {
             if (response.retry_after > 0)
                 fields["holdoff"] = std::to_string((response.retry_after + 999) / 1000);
@@ -182,9 +231,7 @@
         } else {
             write_exception(out, 2, fields);
         }
-        out.writeFieldStop();
-        out.writeStructEnd();
-        out.writeMessageEnd();
+        end_dispatch_result(out);
     });
 }
 
@@ -192,7 +239,8 @@
     return encode_frame(128, [&](Protocol& out) {
         out.writeMessageBegin("alive", tp::T_REPLY, seqid);
         out.writeStructBegin("alive_result");
-        write_result(out, {}, {}, ready);
+        begin_result(out, 0);
+        end_result(out, {}, ready);
         out.writeFieldStop();
         out.writeMessageEnd();
     });
--- a/src/platform_server/thrift_codec.h
+++ b/src/platform_server/thrift_codec.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "core/core.h"
+#include "net/page_buffer.h"
 
 namespace sumackeel::platform_server {
 
@@ -34,14 +35,19 @@
     // Calls `on_frame` for each complete frame until it returns false. Throws FrameError on an invalid
     // length.
     void read(std::string_view bytes, const std::function<bool(std::string_view)>& on_frame);
-    bool partial() const { return !partial_frame_.empty(); }
+    bool partial() const { return !start_.empty() || frame_.size() > 0; }
+    std::size_t memory() const { return start_.capacity() + frame_.memory(); }
 
   private:
-    std::string partial_frame_;
+    void keep(std::string_view bytes);
+
+    std::string start_;      // of a frame whose length is not known, as its header is not complete
+    net::PageBuffer frame_;  // a frame of known length, with its header
 };
 
 ThriftCall decode_call(std::string_view frame);  // throws FrameError
-std::string encode_response(std::int32_t seqid, const core::Response& response);
+// The frame takes the place of the response's body in its memory.
+std::string encode_response(std::int32_t seqid, core::Response response);
 // `ready`: this proxy accepts requests. The platform's front end asks every 0.1 s and sends no new clients
 // after a false.
 std::string encode_alive(std::int32_t seqid, bool ready);
--- a/src/signed_url_server/signed_url_server.cpp
+++ b/src/signed_url_server/signed_url_server.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 
 #include "base/log.h"
+#include "base/resident_memory.h"
 
 namespace sumackeel::signed_url_server {
 
@@ -17,7 +18,8 @@
 namespace {
 
 constexpr std::size_t kMaxHeadBytes = 24 * 1024;
-constexpr int kMaxHeadFields = 100;  // each takes more memory than its bytes
+constexpr int kMaxHeadFields = 100;            // each takes more memory than its bytes
+constexpr std::size_t kHeadFieldMemory = 128;  // bytes, beside those of its name and value
 constexpr std::size_t kMaxBodyBytes = 48'000;
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;  // of requests sent before earlier ones are answered
 constexpr Micros kRequestTimeout = 15'000'000;         // to receive a complete request
@@ -93,8 +95,10 @@
     int limit_status = 0;           // the status if the request exceeds a limit
     bool busy = false, request_complete = false, keep_alive = true, has_received_request = false;
     Handle entry, core_request;
+    base::MemoryCharge partial_memory;
 
-    explicit Client(SignedUrlServer& owner) : server(owner) {
+    explicit Client(SignedUrlServer& owner)
+        : server(owner), partial_memory(owner.loop_.memory(), base::MemoryHolder::partial_requests) {
         http_parser_init(&parser, HTTP_REQUEST);
         parser.data = this;
     }
@@ -117,7 +121,7 @@
                 self(p).reading_value = true;
                 return self(p).append_head(self(p).value, at, n);
             };
-            s.on_headers_complete = [](http_parser* p) { return self(p).finish_header(), 0; };
+            s.on_headers_complete = [](http_parser* p) { return self(p).finish_head(); };
             s.on_body = [](http_parser* p, const char* at, std::size_t n) {
                 return self(p).append_body(at, n);
             };
@@ -150,6 +154,12 @@
         name.clear(), value.clear();
         reading_value = false;
     }
+    // A body of known length is stored without growing step by step, which leaves gaps in the heap.
+    int finish_head() {
+        finish_header();
+        if (parser.content_length <= kMaxBodyBytes) body.reserve(parser.content_length);
+        return 0;
+    }
     int append_body(const char* at, std::size_t length) {
         if (body.size() + length > kMaxBodyBytes) return limit_status = 413, -1;
         body.append(at, length);
@@ -185,6 +195,7 @@
                 return progress;
             }
             unparsed.erase(0, read);
+            if (unparsed.empty()) unparsed = {};
             if (!request_complete) return progress;
             request_complete = false;
             progress = net::Progress::request_complete;
@@ -197,7 +208,11 @@
 
     void update_state(net::Progress progress = net::Progress::none) {
         if (!stream()) return;
-        stream()->pause(exceeds_pipeline_limit());
+        partial_memory.set(unparsed.capacity() + url.capacity() + base::memory_of(body) + 2 * head_bytes +
+                           static_cast<std::size_t>(head_fields) * kHeadFieldMemory);
+        const bool partial = parser.nread > 0 || !unparsed.empty();
+        const bool has_room = !partial || server.connection_manager_.may_read_partial_request(*this);
+        stream()->pause(exceeds_pipeline_limit() || !has_room);
         const net::ConnectionState state = busy                           ? net::ConnectionState::processing
                                            : stream()->unsent_bytes() > 0 ? net::ConnectionState::flushing
                                            : !has_received_request ? net::ConnectionState::awaiting_request
@@ -206,9 +221,13 @@
                                                : net::ConnectionState::idle;
         server.connection_manager_.set_state(*this, state, progress);
     }
+    void on_room() override { update_state(); }
+    std::size_t partial_request_bytes() const override { return partial_memory.bytes(); }
     void on_closed() override {
         server.open_requests_.remove(entry);
         server.core_.cancel(core_request);
+        unparsed = {}, body = {}, headers = {};
+        partial_memory.set(0);
     }
 };
 
@@ -273,7 +292,6 @@
         if (request.idempotency_key.empty())
             return status = 400, "Idempotency-Key is missing or can't be used";
     }
-    request.body = client.body;
     return {};
 }
 
@@ -289,6 +307,7 @@
     int status = 0;
     if (const std::string error = decode_request(client, target, request, status); !error.empty())
         return send_problem(client, status, error);
+    request.body = std::move(client.body);
     std::string bearer;
     if (const auto found = client.headers.find("authorization"); found != client.headers.end())
         if (to_lower(found->second.substr(0, 7)) == "bearer ") bearer = found->second.substr(7);
@@ -325,6 +344,8 @@
     if (core_.open_requests() >= static_cast<std::size_t>(std::max(1, site_.settings.max_in_flight)) ||
         request.received_at + request.time_left <= loop_.clock().now())
         return on_response(entry.number(), {.status = ResponseStatus::rejected});
+    if (!loop_.memory().admits(core_.memory_needed(request), client.stream()->write_memory()))
+        return on_response(entry.number(), {.status = ResponseStatus::rejected});
     client.core_request = core_.submit(std::move(request), *this, entry.number());
     if (client.exceeds_pipeline_limit() ||
         connection_manager_.drain().rejects_new_requests(loop_.clock().now()))
@@ -424,19 +445,19 @@
         fmt::format(R"({{"status":{},"title":"{}","detail":"{}"}})", status, reason_phrase(status), detail)};
 }
 
-void SignedUrlServer::write(Client& client, const HttpResponse& response, bool last) {
+void SignedUrlServer::write(Client& client, HttpResponse response, bool last) {
     std::string text = fmt::format("HTTP/1.1 {} {}\r\n{}", response.status, reason_phrase(response.status),
                                    response.headers);
     if (response.status != 304) text += fmt::format("Content-Length: {}\r\n", response.body.size());
     text += "Cache-Control: private\r\n";
     text += last ? "Connection: close\r\n\r\n" : "\r\n";
-    client.stream()->write(text + response.body);
+    client.stream()->write(std::move(response.body.insert(0, text)));
 }
 
-void SignedUrlServer::send_response(Client& client, const HttpResponse& response) {
+void SignedUrlServer::send_response(Client& client, HttpResponse response) {
     if (!client.stream()) return;
     const bool last = is_last(client);
-    write(client, response, last);
+    write(client, std::move(response), last);
     client.busy = false;
     if (last)
         return connection_manager_.close(client, connection_manager_.drain().is_active()
--- a/src/signed_url_server/signed_url_server.h
+++ b/src/signed_url_server/signed_url_server.h
@@ -58,8 +58,8 @@
     void on_token_use(base::Handle entry, core::Request request, core::TokenUse use);
     void send_problem(Client& client, int status, const std::string& detail);
     HttpResponse make_problem(int status, const std::string& detail) const;
-    void write(Client& client, const HttpResponse& response, bool last);
-    void send_response(Client& client, const HttpResponse& response);
+    void write(Client& client, HttpResponse response, bool last);
+    void send_response(Client& client, HttpResponse response);
     bool is_last(const Client& client) const;
     void set_drain_deadline(Client& client);
     void schedule_drain_deadlines();
--- a/src/upstream/cache_protocol.cpp
+++ b/src/upstream/cache_protocol.cpp
@@ -15,7 +15,11 @@
 
 constexpr std::size_t kMaxHeaderSize = 1024;
 constexpr std::size_t kMaxBodySize = 240'000;
-constexpr std::size_t kCompactThreshold = 64 * 1024;
+constexpr std::size_t kMaxKeptBuffer =
+    4 * 1024;  // bytes of memory, of a connection without a partial response
+// Room behind a stored body for what servers write around it.
+constexpr std::size_t kBodySlack = 512;
+constexpr std::string_view kLineEnd = "\r\n";
 
 // In the order of CacheStatus, from CacheStatus::hit on.
 constexpr std::array<std::string_view, 10> kCacheStatusNames{
@@ -108,14 +112,15 @@
     hint(attempt_request.revalidate, "freshen");
     if (!hints.empty()) text += ",hints=" + hints;
     if (!request.client_etag.empty()) text += ",got=" + request.client_etag;
-    text += ' ' + std::to_string(request.body.size()) + "\r\n" + request.body + "\r\n";
+    text += ' ' + std::to_string(request.body.size()) + "\r\n";
 }
 
-std::string RequestEncoder::encode_at(base::Micros now, base::Micros max_age) const {
+std::string RequestEncoder::encode_at(base::Micros now, base::Micros max_age, std::string_view body) const {
     std::string text = before_limit_ + std::to_string(to_milliseconds(deadline_ - now, 1)) + before_max_age_;
     // Rounded down, so that a copy that is too old by a fraction of a millisecond is not accepted.
     if (max_age > 0) text += ",accept=" + std::to_string(to_milliseconds(max_age, 1));
-    return text + after_max_age_;
+    text.reserve(text.size() + after_max_age_.size() + body.size() + kLineEnd.size());
+    return text.append(after_max_age_).append(body).append(kLineEnd);
 }
 
 std::string encode_cancel(const std::string& id) {
@@ -123,13 +128,9 @@
 }
 
 void ResponseReader::append(std::string_view bytes) {
-    // Most of the many connections are idle, so none keeps the memory of its largest response.
-    if (position_ == buffer_.size() && buffer_.capacity() > kCompactThreshold) buffer_ = {};
-    if (position_ > kCompactThreshold || position_ >= buffer_.size()) {
-        buffer_.erase(0, position_);
-        position_ = 0;
-    }
+    buffer_.erase(0, std::exchange(position_, 0));
     buffer_ += bytes;
+    if (in_body_ && !awaits_room_) take_body_bytes();
 }
 
 bool ResponseReader::read_header() {
@@ -156,20 +157,52 @@
     const auto read = std::from_chars(words[3].data(), stop, body_length_);
     if (read.ec != std::errc{} || read.ptr != stop || body_length_ > kMaxBodySize)
         throw ProtocolError("an answer's length can't be");
-    position_ = end + 2;
+    position_ = end + kLineEnd.size();
     in_body_ = true;
+    awaits_room_ = true;
+    body_received_ = 0;
     return true;
 }
 
+// False: there is no room for the body now.
+bool ResponseReader::begin_body() {
+    const BodyHandling handling =
+        handle_body_ ? handle_body_(response_.id, body_length_) : BodyHandling::store;
+    if (handling == BodyHandling::await_room) return false;
+    awaits_room_ = false;
+    stores_body_ = handling == BodyHandling::store;
+    if (stores_body_ && body_length_ > 0) response_.result.body.reserve(body_length_ + kBodySlack);
+    take_body_bytes();
+    return true;
+}
+
+void ResponseReader::take_body_bytes() {
+    const std::size_t count = std::min(body_length_ - body_received_, buffer_.size() - position_);
+    if (stores_body_) response_.result.body.append(buffer_, position_, count);
+    body_received_ += count;
+    position_ += count;
+}
+
+void ResponseReader::discard(const std::string& id) {
+    if (!in_body_ || response_.id != id) return;
+    stores_body_ = false;
+    response_.result.body = {};
+}
+
 bool ResponseReader::next(CacheResponse& response) {
     if (!in_body_ && !read_header()) return false;
-    if (buffer_.size() - position_ < body_length_ + 2) return false;
-    if (buffer_.compare(position_ + body_length_, 2, "\r\n") != 0)
+    if (awaits_room_ && !begin_body()) return false;
+    if (body_received_ < body_length_ || buffer_.size() - position_ < kLineEnd.size()) return false;
+    if (buffer_.compare(position_, kLineEnd.size(), kLineEnd) != 0)
         throw ProtocolError("an answer's body has no end");
     response = std::move(response_);
-    response.result.body = buffer_.substr(position_, body_length_);
-    position_ += body_length_ + 2;
+    position_ += kLineEnd.size();
     in_body_ = false;
+    // Most of the many connections are idle, so none keeps the memory of its largest response.
+    if (position_ == buffer_.size() && buffer_.capacity() > kMaxKeptBuffer) {
+        buffer_ = {};
+        position_ = 0;
+    }
     return true;
 }
 
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -49,6 +49,7 @@
     sweep();
     loop_.on_each_iteration([this] {
         start_opened();
+        resume_awaiting_room();
         closed_.clear();
     });
 }
@@ -63,6 +64,22 @@
     }
 }
 
+void ConnectionPool::resume_awaiting_room() {
+    if (awaiting_room_.empty()) return;
+    for (const std::uint64_t number : std::exchange(awaiting_room_, {})) {
+        const auto found = connections_.find(number);
+        if (found == connections_.end()) continue;
+        Connection& connection = *found->second;
+        try {
+            connection.process_responses();
+        } catch (const std::exception& error) {
+            log::warn("upstream: response unreadable at={} error={}", connection.target, error.what());
+            close(connection, true);
+        }
+    }
+    core_.process_events();
+}
+
 ConnectionPool::~ConnectionPool() {
     for (auto& [number, connection] : connections_)
         if (connection->stream) connection->stream->close();
@@ -259,6 +276,8 @@
     Connection& connection = *connection_found->second;
     const OpenAttempt entry = connection.open_attempts[location.id];
     connection.open_attempts.erase(location.id);
+    connection.reader.discard(location.id);
+    connection.arriving_memory.set(connection.reader.memory());
     if (!entry.written) {
         std::erase_if(connection.queued, [&](const auto& other) { return other.id == location.id; });
         return false;
@@ -346,11 +365,13 @@
 
 void ConnectionPool::sweep() {
     const Micros now = loop_.clock().now();
+    // First, so that an exception does not end all later sweeps.
+    loop_.timers().schedule(now + kSweepInterval, [this] { sweep(); });
     std::vector<Connection*> idle, stalled;
     for (const auto& [number, connection] : connections_)
         if (connection->is_idle() && is_expired(*connection, now))
             idle.push_back(connection);
-        else if (connection->reader.has_partial_response() &&
+        else if (connection->reader.has_partial_response() && !connection->reader.awaits_room() &&
                  now - connection->last_byte_at > kMaxResponseStall)
             stalled.push_back(connection);
     for (Connection* connection : idle) close(*connection, connection->connected);
@@ -360,7 +381,6 @@
     }
     if (!stalled.empty()) core_.process_events();
     std::erase_if(targets_, [](const auto& t) { return t.second.retired && t.second.connections.empty(); });
-    loop_.timers().schedule(now + kSweepInterval, [this] { sweep(); });
 }
 
 }  // namespace sumackeel::upstream
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -70,6 +70,7 @@
     void sweep();
     void start_opened();
     void retry_connect(std::uint64_t number);
+    void resume_awaiting_room();
 
     net::Loop& loop_;
     net::SocketBudget& budget_;
@@ -83,6 +84,7 @@
         std::string id;
     };
     std::unordered_map<std::uint64_t, Location> locations_;  // by attempt
+    std::vector<std::uint64_t> awaiting_room_;               // numbers; each has a response without room
     std::vector<std::uint64_t> opened_;                      // connected in this iteration of the loop
     std::vector<std::unique_ptr<Connection>> closed_;        // destroyed at the end of the iteration
 };
--- a/src/upstream/pool_connection.cpp
+++ b/src/upstream/pool_connection.cpp
@@ -67,7 +67,7 @@
         OpenAttempt& attempt = open_attempts.at(entry.id);
         const core::WriteTerms terms = pool.core_.terms_at_write(attempt.attempt);
         if (!terms.allowed) return WriteResult::withheld;
-        const std::string text = entry.request.encode_at(now, terms.max_age);
+        const std::string text = entry.request.encode_at(now, terms.max_age, terms.body);
         if (pool.loop_.clock().now() - now > kMaxEncodeTime) continue;
         attempt.written = true;
         attempt.sent_at = now;
@@ -90,6 +90,18 @@
     last_byte_at = pool.loop_.clock().now();
     suspect = false;
     reader.append(bytes);
+    process_responses();
+}
+
+BodyHandling ConnectionPool::Connection::handle_body(const std::string& id, std::size_t size) {
+    const auto found = open_attempts.find(id);
+    if (found == open_attempts.end()) return BodyHandling::discard;  // cancelled
+    pool.core_.on_response_arriving(found->second.attempt, size);
+    if (!pool.loop_.memory().has_room_for_response(size)) return BodyHandling::await_room;
+    return BodyHandling::store;
+}
+
+void ConnectionPool::Connection::process_responses() {
     CacheResponse response;
     while (reader.next(response)) {
         const auto found = open_attempts.find(response.id);
@@ -103,6 +115,9 @@
         pool.locations_.erase(attempt.number());
         pool.core_.on_attempt_finished(attempt, std::move(response.result));
     }
+    arriving_memory.set(reader.memory());
+    if (stream) stream->pause(reader.awaits_room());
+    if (reader.awaits_room()) pool.awaiting_room_.push_back(number);
 }
 
 void ConnectionPool::Connection::on_close(net::Stream&, net::DisconnectCause cause) {
--- a/src/upstream/pool_connection.h
+++ b/src/upstream/pool_connection.h
@@ -35,12 +35,17 @@
     std::unordered_map<std::string, OpenAttempt> open_attempts;
     std::unordered_set<std::string> cancelled_ids;  // written, cancelled, and without a response so far
     ResponseReader reader;
-    Micros last_byte_at = 0;  // last byte received, or the first one sent after an idle time
+    base::MemoryCharge arriving_memory;  // of what reader holds
+    Micros last_byte_at = 0;             // last byte received, or the first one sent after an idle time
     Micros last_used_at = 0;
     base::TimerQueue::Key connect_timer;
 
     Connection(ConnectionPool& owner, std::uint64_t n, std::string to)
-        : pool(owner), number(n), target(std::move(to)) {}
+        : pool(owner),
+          number(n),
+          target(std::move(to)),
+          reader([this](const std::string& id, std::size_t size) { return handle_body(id, size); }),
+          arriving_memory(owner.loop_.memory(), base::MemoryHolder::arriving_responses) {}
 
     // Carries no attempt, and none waits for it.
     bool is_idle() const { return (connected || overdue) && open_attempts.empty(); }
@@ -49,6 +54,9 @@
     // At the end of the iteration of the loop in which it was established.
     void on_ready();
     void write_queued();
+    // Passes on the responses that are complete; not read any further while one has no room.
+    void process_responses();
+    BodyHandling handle_body(const std::string& id, std::size_t size);
     WriteResult write(const QueuedRequest& entry);
     void defer(QueuedRequest entry);
     // Of an attempt whose request was not written.
--- a/tests/compatibility/encoded_forms_test.cpp
+++ b/tests/compatibility/encoded_forms_test.cpp
@@ -176,9 +176,9 @@
     minimal.source = "s-origin", minimal.deadline = 3'000'000, minimal.request = &without_object;
     std::string bytes;
     for (const core::AttemptRequest* one : {&first, &all, &minimal})
-        bytes += upstream::RequestEncoder(*one).encode_at(500'400, one->max_age);
-    bytes +=
-        upstream::RequestEncoder(first).encode_at(2'999'999, first.max_age) + upstream::encode_cancel("a-17");
+        bytes += upstream::RequestEncoder(*one).encode_at(500'400, one->max_age, one->request->body);
+    bytes += upstream::RequestEncoder(first).encode_at(2'999'999, first.max_age, plain.body) +
+             upstream::encode_cancel("a-17");
     recorded("cache_requests.txt", bytes);
 }
 
--- a/tests/core/purge_knowledge_test.cpp
+++ b/tests/core/purge_knowledge_test.cpp
@@ -32,7 +32,7 @@
             manual_now = written_at + delay;
             const core::WriteTerms terms = core->terms_at_write(attempt.attempt);
             EXPECT_TRUE(terms.allowed);
-            written.push_back(encoder.encode_at(written_at + delay, terms.max_age));
+            written.push_back(encoder.encode_at(written_at + delay, terms.max_age, terms.body));
         }
         return written.size();
     }
