Store and cluster: what callers send is in the account of memory

A caller that is closed to make room takes its requests that were not handled along: nothing of them ran, and nobody would hear their responses. Handled lines are erased once for many: 130 KB of short lines cost some 3 GB of copies (by reading).

--- a/src/cluster_transport/exchange_stream.cpp
+++ b/src/cluster_transport/exchange_stream.cpp
@@ -13,7 +13,10 @@
 
 ClusterTransport::ExchangeStream::ExchangeStream(ClusterTransport& transport, Direction direction,
                                                  std::string peer)
-    : transport_(transport), direction_(direction), peer_(std::move(peer)) {
+    : transport_(transport),
+      direction_(direction),
+      peer_(std::move(peer)),
+      received_memory_(transport.loop_.memory(), base::MemoryHolder::other) {
     net::Loop& loop = transport_.loop_;
     timeout_ =
         loop.timers().schedule(loop.clock().now() + kExchangeTimeout, [this] { end(Outcome::failed); });
@@ -46,6 +49,8 @@
     if (ended_) return;
     transport_.metrics_.bytes_in += bytes.size();
     received_ += bytes;
+    received_memory_.set(received_.capacity());
+    if (!transport_.loop_.memory().has_room_for_response(received_.size())) return end(Outcome::failed);
     while (!ended_) {
         bool oversized = false;
         const auto bytes_of_frame = take_frame(received_, oversized);
--- a/src/cluster_transport/exchange_stream.h
+++ b/src/cluster_transport/exchange_stream.h
@@ -53,7 +53,8 @@
     net::Stream* stream_ = nullptr;
     std::string peer_;
     std::string received_;  // bytes of a frame that is not complete yet
-    CallFrame call_;        // the call received instead of an exchange
+    base::MemoryCharge received_memory_;
+    CallFrame call_;  // the call received instead of an exchange
     std::uint64_t call_number_ = 0;
     bool ended_ = false;
     std::optional<base::TimerQueue::Key> timeout_;
--- a/src/cluster_transport/outgoing_call.cpp
+++ b/src/cluster_transport/outgoing_call.cpp
@@ -13,7 +13,10 @@
 
 ClusterTransport::OutgoingCall::OutgoingCall(ClusterTransport& transport, CallFrame request,
                                              base::Micros timeout, CallCallback callback)
-    : transport_(transport), request_(std::move(request)), callback_(std::move(callback)) {
+    : transport_(transport),
+      request_(std::move(request)),
+      callback_(std::move(callback)),
+      received_memory_(transport.loop_.memory(), base::MemoryHolder::other) {
     schedule_end(transport_.loop_.clock().now() + timeout);
 }
 
@@ -55,6 +58,8 @@
 void ClusterTransport::OutgoingCall::on_data(net::Stream&, std::string_view bytes) {
     transport_.metrics_.bytes_in += bytes.size();
     received_ += bytes;
+    received_memory_.set(received_.capacity());
+    if (!transport_.loop_.memory().has_room_for_response(received_.size())) return end({});
     bool oversized = false;
     const auto frame = take_frame(received_, oversized);
     if (!frame && !oversized) return;
--- a/src/cluster_transport/outgoing_call.h
+++ b/src/cluster_transport/outgoing_call.h
@@ -41,6 +41,7 @@
     const CallFrame request_;
     std::string received_;  // bytes of a frame that is not complete yet
     CallCallback callback_;
+    base::MemoryCharge received_memory_;
     std::optional<base::TimerQueue::Key> timeout_;  // none: the call has ended
 };
 
--- a/src/store/store_api.cpp
+++ b/src/store/store_api.cpp
@@ -23,13 +23,20 @@
 struct StoreApi::Connection : net::Stream::Handler, std::enable_shared_from_this<Connection> {
     StoreApi& api;
     net::Stream* stream = nullptr;
-    std::string buffer;  // requests that were not handled yet
+    std::string buffer;        // received bytes
+    std::size_t handled = 0;   // of them, at the front
+    bool awaits_room = false;  // to read more
     std::size_t open_requests = 0;
     bool queued = false;
     base::Micros last_active_at = 0;
+    base::MemoryCharge memory;
 
-    explicit Connection(StoreApi& owner) : api(owner), last_active_at(owner.loop_.clock().now()) {}
+    explicit Connection(StoreApi& owner)
+        : api(owner),
+          last_active_at(owner.loop_.clock().now()),
+          memory(owner.loop_.memory(), base::MemoryHolder::other) {}
     void on_data(net::Stream&, std::string_view bytes) override {
+        drop_handled();
         buffer += bytes;
         last_active_at = api.loop_.clock().now();
         update();
@@ -37,21 +44,31 @@
     void on_write_drained(net::Stream&) override { update(); }
     // Queues the connection if it has a request that may be handled now, and pauses reading if it has many.
     void update() {
-        const bool full = buffer.size() > kMaxLineBytes;
+        memory.set(buffer.capacity());
+        const bool full = buffer.size() - handled > kMaxLineBytes;
         if (stream && full && !has_line()) return close();
-        if (stream) stream->pause(full);
+        awaits_room = unhandled() && !api.loop_.memory().has_room_for_partial_requests();
+        if (stream) stream->pause(full || awaits_room);
         if (may_handle_request()) api.enqueue(*this);
     }
-    bool has_line() const { return buffer.find('\n') != std::string::npos; }
+    bool unhandled() const { return handled < buffer.size(); }
+    bool has_line() const { return buffer.find('\n', handled) != std::string::npos; }
+    // Once for many lines, as all that is behind them moves.
+    void drop_handled() {
+        if (handled < buffer.size() / 2) return;
+        buffer.erase(0, std::exchange(handled, 0));
+        if (buffer.empty()) buffer = {};
+    }
     // The requests of a client that has closed the connection are handled too.
     bool may_handle_request() const {
         const bool responses_unread = stream && stream->write_memory() > kMaxUnsentMemory;
         return !responses_unread && open_requests < kMaxOpenRequests && has_line();
     }
     void handle_request() {
-        const std::size_t end = buffer.find('\n');
-        const std::string line = buffer.substr(0, end);
-        buffer.erase(0, end + 1);
+        const std::size_t end = buffer.find('\n', handled);
+        const std::string line = buffer.substr(handled, end - handled);
+        handled = end + 1;
+        drop_handled();
         ++open_requests;
         on_line(line);
     }
@@ -80,7 +97,12 @@
         update();
         api.remove(*this);
     }
+    // Its requests that were not handled yet are dropped: nothing of them ran, and nobody hears their
+    // responses.
     void close() {
+        buffer = {};
+        handled = 0;
+        memory.set(0);
         if (auto* open = std::exchange(stream, nullptr)) open->close();
         api.remove(*this);
     }
@@ -111,7 +133,11 @@
                   if (loop_.clock().now() - open_connection->last_active_at >= kIdleTimeout)
                       open_connection->close();
               });
-      }) {}
+      }) {
+    loop_.on_each_iteration([this, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired()) resume_awaiting_room();
+    });
+}
 
 StoreApi::~StoreApi() {
     alive_.reset();
@@ -119,6 +145,13 @@
         if (auto* open = std::exchange(connection->stream, nullptr)) open->close();
 }
 
+void StoreApi::resume_awaiting_room() {
+    for (std::size_t i = 0; i < connections_.size(); ++i) {
+        const std::shared_ptr<Connection> connection = connections_[i];
+        if (connection->awaits_room) connection->update();
+    }
+}
+
 void StoreApi::enqueue(Connection& connection) {
     if (std::exchange(connection.queued, true)) return;
     queue_.push_back(connection.shared_from_this());
--- a/src/store/store_api.h
+++ b/src/store/store_api.h
@@ -39,6 +39,7 @@
     void enqueue(Connection& connection);
     void schedule_handling();
     void handle_queued();
+    void resume_awaiting_room();
 
     net::Loop& loop_;
     net::SocketBudget& budget_;
