--- a/src/core/core.h
+++ b/src/core/core.h
@@ -108,7 +108,7 @@
     std::uint64_t responses[5] = {};  // by ResponseStatus
     // Of served requests: up to 2^i ms; the last one counts all longer ones.
     std::array<std::uint64_t, 16> latency_histogram{};
-    std::uint64_t attempts = 0;                     // passed to Upstream
+    std::uint64_t attempts = 0;                                       // passed to Upstream
     std::uint64_t attempts_ended[routing::kAttemptStatusCount] = {};  // by routing::AttemptStatus
     std::uint64_t attempts_purges_unconfirmed = 0;  // of those: by PurgeKnowledge that was not valid any more
     // The times from submission to the first attempt: their sum, and the number of requests in it.
