Memory: buffers of partial frames are used again, emptied texts give their memory back

And a text that was assigned an empty one kept its memory, so idle connections to caches held what their largest response had needed (ResponseReader.BodyThatNobodyWaitsForTakesNoMemory failed). Two processes of one replacement keep to the limit also where it is small: what the one that begins or ends needs is left out by the other.

--- a/src/daemon/memory_monitor.cpp
+++ b/src/daemon/memory_monitor.cpp
@@ -17,11 +17,11 @@
 constexpr std::size_t kBytesPerMegabyte = std::size_t{1024} * 1024;
 constexpr double kUsableShare = 0.8;  // of the limit; the rest is for what is not counted
 // Of that, for the process that begins or ends while another one serves.
-constexpr double kShareWhileReplacing = 1.0 / 3;
+constexpr std::size_t kDivisorWhileReplacing = 3;
 // From a process's start until the one that it replaces has ended: 6 s until it is ready, and 3.7 s.
 constexpr Micros kReplacementTime = 10'000'000;  // us
 // The account may always hold this much, however small the limit.
-constexpr std::size_t kMinRoom = 2 * kBytesPerMegabyte;
+constexpr std::size_t kMinRoom = kBytesPerMegabyte;
 // Of a process where the resident memory can't be read.
 constexpr std::size_t kUsualBase = 10 * kBytesPerMegabyte;
 // Pages of the program and of the heap that are in use without being counted.
@@ -69,14 +69,13 @@
     update_limit();
 }
 
-double MemoryMonitor::usable_share() const {
-    if (replacement_ == Replacement::never) return kUsableShare;
-    const bool beside_another = shutting_down_ || loop_.clock().now() < started_at_ + kReplacementTime;
-    return kUsableShare * (beside_another ? kShareWhileReplacing : 1 - kShareWhileReplacing);
-}
-
 std::size_t MemoryMonitor::total_limit() const {
-    return static_cast<std::size_t>(usable_share() * memory_mb_ * static_cast<double>(kBytesPerMegabyte));
+    const double megabytes = kUsableShare * memory_mb_;
+    const auto total = static_cast<std::size_t>(megabytes * static_cast<double>(kBytesPerMegabyte));
+    if (replacement_ == Replacement::never) return total;
+    const std::size_t while_replacing = std::max(total / kDivisorWhileReplacing, base_ + kMinRoom);
+    const bool beside_another = shutting_down_ || loop_.clock().now() < started_at_ + kReplacementTime;
+    return beside_another ? while_replacing : total - std::min(total, while_replacing);
 }
 
 std::size_t MemoryMonitor::unaccounted() const {
--- a/src/daemon/memory_monitor.h
+++ b/src/daemon/memory_monitor.h
@@ -30,9 +30,8 @@
     void release_unused();
     void update_limit();
     void log_pressure();
+    // Bytes that this process may have at this time.
     std::size_t total_limit() const;
-    // Of the limit, for this process at this time.
-    double usable_share() const;
     // Resident bytes that neither the process itself nor the account explains.
     std::size_t unaccounted() const;
 
--- a/src/net/page_buffer.h
+++ b/src/net/page_buffer.h
@@ -1,5 +1,5 @@
-// A buffer with pages of its own: they take memory only once they are written, and go back to the system with
-// it, whatever else the heap holds.
+// A buffer with pages of its own: they take memory only once they are written, and leave no gaps in the heap.
+// A few are kept for later buffers, the others go back to the system.
 #pragma once
 
 #include <cstddef>
@@ -9,9 +9,12 @@
 
 class PageBuffer {
   public:
+    // used_before: all pages may take memory from the start, which is worth it where most are written soon.
+    enum class Pages { fresh, used_before };
+
     PageBuffer() = default;
-    // For `capacity` bytes. Throws std::bad_alloc where the system has no memory.
-    explicit PageBuffer(std::size_t capacity);
+    // For `capacity` bytes, 64 KiB at the most. Throws std::bad_alloc beyond, or where there is no memory.
+    explicit PageBuffer(std::size_t capacity, Pages pages = Pages::fresh);
     ~PageBuffer();
     PageBuffer(PageBuffer&& other) noexcept;
     PageBuffer& operator=(PageBuffer&& other) noexcept;
@@ -29,6 +32,7 @@
     char* data_ = nullptr;
     std::size_t size_ = 0;
     std::size_t capacity_ = 0;
+    std::size_t written_ = 0;  // bytes that have pages, also by an earlier use of them
 };
 
 }  // namespace sumackeel::net
--- a/src/platform_server/platform_server.cpp
+++ b/src/platform_server/platform_server.cpp
@@ -87,12 +87,17 @@
         processing_input = true;
         auto progress = net::Progress::none;
         if (server.is_over_budget()) server.connection_manager_.evict_slowest_reader(*this);
-        reader.read(bytes, [this, &progress](std::string_view frame) {
+        const auto on_frame = [this, &progress](std::string_view frame) {
             has_received_frame = true;
             progress = net::Progress::request_complete;
             server.handle_call(*this, decode_call(frame));
             return stream() != nullptr;
-        });
+        };
+        // Pages that are in memory already cost less time, and more memory where few of them are needed.
+        const base::MemoryAccount& memory = server.loop_.memory();
+        const bool has_room = memory.has_room_for_partial_requests() && !memory.is_short();
+        reader.read(bytes, on_frame,
+                    has_room ? net::PageBuffer::Pages::used_before : net::PageBuffer::Pages::fresh);
         processing_input = false;
         partial_memory.set(reader.memory());
         server.send_delayed_rejections(*this);
--- a/src/platform_server/thrift_codec.cpp
+++ b/src/platform_server/thrift_codec.cpp
@@ -149,22 +149,23 @@
 }  // namespace
 
 // `bytes`: of a frame that is not complete.
-void FrameReader::keep(std::string_view bytes) {
+void FrameReader::keep(std::string_view bytes, net::PageBuffer::Pages pages) {
     if (bytes.size() < kHeaderBytes) {
         start_ = bytes;
         return;
     }
-    frame_ = net::PageBuffer(kHeaderBytes + frame_length(bytes));
+    frame_ = net::PageBuffer(kHeaderBytes + frame_length(bytes), pages);
     frame_.append(bytes);
 }
 
-void FrameReader::read(std::string_view bytes, const std::function<bool(std::string_view)>& on_frame) {
+void FrameReader::read(std::string_view bytes, const std::function<bool(std::string_view)>& on_frame,
+                       net::PageBuffer::Pages pages) {
     if (!start_.empty()) {
         const std::size_t count = std::min(bytes.size(), kHeaderBytes - start_.size());
         start_.append(bytes.substr(0, count));
         bytes.remove_prefix(count);
         if (start_.size() < kHeaderBytes) return;
-        keep(std::exchange(start_, {}));
+        keep(std::exchange(start_, {}), pages);
     }
     if (frame_.size() > 0) {
         bytes.remove_prefix(frame_.append(bytes));
@@ -179,7 +180,7 @@
         bytes.remove_prefix(kHeaderBytes + length);
         if (!on_frame(frame)) return;
     }
-    if (!bytes.empty()) keep(bytes);
+    if (!bytes.empty()) keep(bytes, pages);
 }
 
 ThriftCall decode_call(std::string_view frame) {
--- a/src/platform_server/thrift_codec.h
+++ b/src/platform_server/thrift_codec.h
@@ -34,12 +34,14 @@
   public:
     // Calls `on_frame` for each complete frame until it returns false. Throws FrameError on an invalid
     // length.
-    void read(std::string_view bytes, const std::function<bool(std::string_view)>& on_frame);
+    // `pages`: of the buffer for a partial frame.
+    void read(std::string_view bytes, const std::function<bool(std::string_view)>& on_frame,
+              net::PageBuffer::Pages pages = net::PageBuffer::Pages::fresh);
     bool partial() const { return !start_.empty() || frame_.size() > 0; }
     std::size_t memory() const { return start_.capacity() + frame_.memory(); }
 
   private:
-    void keep(std::string_view bytes);
+    void keep(std::string_view bytes, net::PageBuffer::Pages pages);
 
     std::string start_;      // of a frame whose length is not known, as its header is not complete
     net::PageBuffer frame_;  // a frame of known length, with its header
--- a/src/routing/bounded_map.h
+++ b/src/routing/bounded_map.h
@@ -58,14 +58,14 @@
     static std::string_view key_of(const Position& position) { return position->key; }
     // Positions are found by their keys, so that each key is kept once.
     struct Hash {
-        using is_transparent = void;
+        using is_transparent = void;  // NOLINT(readability-identifier-naming): the standard library's
         template <typename Any>
         std::size_t operator()(const Any& any) const {
             return std::hash<std::string_view>{}(key_of(any));
         }
     };
     struct Equal {
-        using is_transparent = void;
+        using is_transparent = void;  // NOLINT(readability-identifier-naming): the standard library's
         template <typename Left, typename Right>
         bool operator()(const Left& left, const Right& right) const {
             return key_of(left) == key_of(right);
--- a/src/signed_url_server/signed_url_server.cpp
+++ b/src/signed_url_server/signed_url_server.cpp
@@ -195,7 +195,7 @@
                 return progress;
             }
             unparsed.erase(0, read);
-            if (unparsed.empty()) unparsed = {};
+            if (unparsed.empty()) base::release(unparsed);
             if (!request_complete) return progress;
             request_complete = false;
             progress = net::Progress::request_complete;
@@ -226,7 +226,9 @@
     void on_closed() override {
         server.open_requests_.remove(entry);
         server.core_.cancel(core_request);
-        unparsed = {}, body = {}, headers = {};
+        base::release(unparsed);
+        base::release(body);
+        headers.clear();
         partial_memory.set(0);
     }
 };
--- a/src/store/store_api.cpp
+++ b/src/store/store_api.cpp
@@ -5,6 +5,7 @@
 
 #include "base/json_line.h"
 #include "base/log.h"
+#include "base/resident_memory.h"
 #include "config/config.h"
 
 namespace sumackeel::store {
@@ -57,7 +58,7 @@
     void drop_handled() {
         if (handled < buffer.size() / 2) return;
         buffer.erase(0, std::exchange(handled, 0));
-        if (buffer.empty()) buffer = {};
+        if (buffer.empty()) base::release(buffer);
     }
     // The requests of a client that has closed the connection are handled too.
     bool may_handle_request() const {
@@ -100,7 +101,7 @@
     // Its requests that were not handled yet are dropped: nothing of them ran, and nobody hears their
     // responses.
     void close() {
-        buffer = {};
+        base::release(buffer);
         handled = 0;
         memory.set(0);
         if (auto* open = std::exchange(stream, nullptr)) open->close();
@@ -146,10 +147,9 @@
 }
 
 void StoreApi::resume_awaiting_room() {
-    for (std::size_t i = 0; i < connections_.size(); ++i) {
-        const std::shared_ptr<Connection> connection = connections_[i];
+    const auto connections = connections_;  // one that is closed leaves the list
+    for (const std::shared_ptr<Connection>& connection : connections)
         if (connection->awaits_room) connection->update();
-    }
 }
 
 void StoreApi::enqueue(Connection& connection) {
--- a/src/upstream/cache_protocol.cpp
+++ b/src/upstream/cache_protocol.cpp
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <vector>
 
+#include "base/resident_memory.h"
+
 namespace sumackeel::upstream {
 
 using routing::AttemptStatus;
@@ -186,7 +188,7 @@
 void ResponseReader::discard(const std::string& id) {
     if (!in_body_ || response_.id != id) return;
     stores_body_ = false;
-    response_.result.body = {};
+    base::release(response_.result.body);
 }
 
 bool ResponseReader::next(CacheResponse& response) {
@@ -200,7 +202,7 @@
     in_body_ = false;
     // Most of the many connections are idle, so none keeps the memory of its largest response.
     if (position_ == buffer_.size() && buffer_.capacity() > kMaxKeptBuffer) {
-        buffer_ = {};
+        base::release(buffer_);
         position_ = 0;
     }
     return true;
