Fleet tests: damage to a voter's log is done to a file, not to a log that was moved aside

Trace: the kill came once the cut segment was closed, so the log was moved aside, as docs/incidents/2026-12-06-segment-cut-within-a-batch.md says, and the newest entry of the folder was that directory.

--- a/tests/fleet/harness/steps/consensus.py
+++ b/tests/fleet/harness/steps/consensus.py
@@ -29,6 +29,7 @@
             folder = os.path.join(member.folder, "agreed")
             names = [name for name in os.listdir(folder) if not name.startswith("metadata")]
             paths = [os.path.join(folder, name) for name in names]
+            paths = [path for path in paths if os.path.isfile(path)]  # not a log that was moved aside
             if with_entries:
                 paths = [path for path in paths if written_bytes(path) > 0]
             path = max(paths, key=lambda at: (os.path.getmtime(at), at))
