--- a/src/daemon/memory_monitor.cpp
+++ b/src/daemon/memory_monitor.cpp
@@ -57,6 +57,10 @@
     if (total_limit() < base_ + kMinRoom)
         log::warn("memory: limit too small memory_mb={} process_bytes={}", memory_mb, base_);
     check();
+    // No timer of its own: the loop wakes often enough for the connections' timeouts.
+    loop_.on_each_iteration([this, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired() && loop_.clock().now() >= next_check_at_) check();
+    });
 }
 
 void MemoryMonitor::set_memory_limit(int memory_mb) {
@@ -90,10 +94,7 @@
     log_pressure();
     const base::MemoryAccount& memory = loop_.memory();
     const bool idle = unaccounted() == 0 && memory.used() < memory.limit() / kIdleShare;
-    loop_.timers().schedule(loop_.clock().now() + (idle ? kIdleCheckInterval : kCheckInterval),
-                            [this, alive = std::weak_ptr<bool>(alive_)] {
-                                if (!alive.expired()) check();
-                            });
+    next_check_at_ = loop_.clock().now() + (idle ? kIdleCheckInterval : kCheckInterval);
 }
 
 // Going through the heap takes time, so it is done less often where it frees little.
--- a/src/daemon/memory_monitor.h
+++ b/src/daemon/memory_monitor.h
@@ -42,12 +42,13 @@
     bool shutting_down_ = false;
     std::size_t base_ = 0;  // bytes resident at the start
     std::size_t resident_ = 0;
+    base::Micros next_check_at_ = 0;
     base::Micros next_trim_at_ = 0;
     base::Micros trim_interval_;
     std::uint64_t trims_ = 0;
     bool under_pressure_ = false;
     std::size_t most_used_ = 0;                                   // since the pressure began
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // checked by timers
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // checked by callbacks
 };
 
 }  // namespace sumackeel::daemon
