Replicated log: a change that was answered no is not carried out when it arrives

Cause: a caller that gives up closes its stream, and the bytes arrive all the same; nothing told the leader how old a request is, nor which state it was meant for. A leader without a majority kept what it was asked and committed it after the split.

Change: the leader refuses a change without a token, and hands one out: its start number and term, a reading of its monotonic clock, the number of the last change it admitted. A change carries the token back with the time that its caller had left as it came, and its id. It is refused if it is late, if another change of its target was admitted since, and answered as the first attempt if its id is known. An empty entry is committed ahead of each change, and a new leader commits one within a second. RequestSender is the part of ConsensusClient that makes attempts. docs/design/late-calls.md lists all kinds and paths, and what can't be promised.

--- a/src/consensus/consensus_client.cpp
+++ b/src/consensus/consensus_client.cpp
@@ -1,6 +1,5 @@
 #include "consensus/consensus_client.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "base/log.h"
@@ -12,39 +11,6 @@
 using rollout::CommandResult;
 using rollout::MemberKind;
 
-namespace {
-
-// Admin API calls are answered within 1 s; a request that is not committed by then is reported as failed.
-constexpr Micros kRequestTimeout = 850'000;
-constexpr Micros kAttemptTimeout = 350'000;  // without a reply another attempt is made beside it
-constexpr Micros kRetryInterval = 60'000;    // while there is no leader
-
-}  // namespace
-
-// A request that has neither a result nor timed out yet.
-struct ConsensusClient::PendingRequest {
-    ConsensusRequest request;
-    ResultCallback done;
-    Micros deadline = 0;
-    bool finished = false;
-    std::uint64_t last_attempt = 0;  // its number
-    bool awaits_reply = false;       // to the last attempt, before the next is due
-    int leaderless_replies = 0;      // of voters that did not lead
-
-    bool awaits_reply_to(std::uint64_t attempt) const {
-        return !finished && awaits_reply && attempt == last_attempt;
-    }
-    void finish(std::optional<CommandResult> result) {
-        if (!std::exchange(finished, true)) done(std::move(result));
-    }
-    void time_out() {
-        if (finished) return;
-        log::warn("consensus: request timed out kind={} attempts={} leaderless_replies={}",
-                  name_of(request.kind), last_attempt, leaderless_replies);
-        finish(std::nullopt);
-    }
-};
-
 ConsensusClient::ConsensusClient(net::Loop& loop, ClusterTransport& transport, const config::Consensus& setup,
                                  const Options& options, FleetView fleet, StateCallback state_changed)
     : loop_(loop),
@@ -63,6 +29,7 @@
               }}),
       view_(voter_, follower_),
       processor_({loop, transport, setup_, voter_, view_, std::move(fleet)}),
+      sender_({loop, transport, voter_, view_, follower_, processor_}),
       server_(loop.clock(), transport, voter_, view_, processor_, purge_relay_),
       confirmer_({loop, transport, setup_, voter_, view_, purge_relay_, follower_},
                  options.max_confirmed_age) {
@@ -88,7 +55,7 @@
 }
 
 void ConsensusClient::close_now() {
-    alive_.reset();
+    sender_.close();
     server_.close();
     confirmer_.close();
     follower_.close();
@@ -98,41 +65,43 @@
 // --- Requests, by kind ---
 
 void ConsensusClient::request_lease(MemberKind kind, const std::string& member, const std::string& by,
-                                    bool forced, ResultCallback done) {
+                                    bool forced, ResultCallback done, std::optional<Micros> called_at) {
     submit({.kind = RequestKind::request_lease,
             .forced = forced,
             .member_kind = kind,
             .member = member,
             .by = by},
-           std::move(done));
+           std::move(done), called_at);
 }
 
 void ConsensusClient::return_lease(MemberKind kind, const std::string& member, const std::string& by,
-                                   ResultCallback done) {
+                                   ResultCallback done, std::optional<Micros> called_at) {
     submit({.kind = RequestKind::return_lease, .member_kind = kind, .member = member, .by = by},
-           std::move(done));
+           std::move(done), called_at);
 }
 
-void ConsensusClient::request_upgrade_lease(const std::string& member, bool forced, ResultCallback done) {
+void ConsensusClient::request_upgrade_lease(const std::string& member, bool forced, ResultCallback done,
+                                            std::optional<Micros> called_at) {
     submit({.kind = RequestKind::upgrade_lease,
             .forced = forced,
             .member_kind = MemberKind::proxy,
             .member = member},
-           std::move(done));
+           std::move(done), called_at);
 }
 
-void ConsensusClient::submit_release_command(const rollout::ReleaseCommand& command, ResultCallback done) {
+void ConsensusClient::submit_release_command(const rollout::ReleaseCommand& command, ResultCallback done,
+                                             std::optional<Micros> called_at) {
     submit({.kind = RequestKind::release_command,
             .member_kind = MemberKind::proxy,
             .by = command.requested_by,
             .body = rollout::encode(command)},
-           std::move(done));
+           std::move(done), called_at);
 }
 
-void ConsensusClient::submit_release_step(rollout::ReleaseStep step, ResultCallback done) {
+void ConsensusClient::submit_release_step(rollout::ReleaseStep step, const ResultCallback& done) {
     if (!is_leader()) return done(std::nullopt);
     step.now = loop_.clock().now();
-    voter_.node().propose(rollout::encode(step), std::move(done));
+    if (!voter_.node().propose(rollout::encode(step), done)) done(std::nullopt);
 }
 
 void ConsensusClient::submit_change(const kv_store::Transaction& change, ResultCallback done) {
@@ -145,12 +114,13 @@
            std::move(done));
 }
 
-void ConsensusClient::submit_purge(const kv_store::Purge& purge, ResultCallback done) {
+void ConsensusClient::submit_purge(const kv_store::Purge& purge, ResultCallback done,
+                                   std::optional<Micros> called_at) {
     submit({.kind = RequestKind::change,
             .member_kind = MemberKind::pop_cache,
             .by = purge.by,
             .body = kv_store::encode(purge)},
-           std::move(done));
+           std::move(done), called_at);
 }
 
 void ConsensusClient::read(const std::string& key, ResultCallback done) {
@@ -167,95 +137,9 @@
            std::move(done));
 }
 
-// --- Attempts ---
-
-void ConsensusClient::submit(ConsensusRequest request, ResultCallback done) {
-    const cluster::MemberRecord& record = transport_.membership().self();
-    if (request.member_kind == MemberKind::proxy && request.member == record.name)
-        request.running = {record.incarnation.start, record.software_version};
-    attempt(std::make_shared<PendingRequest>(
-        PendingRequest{std::move(request), std::move(done), loop_.clock().now() + kRequestTimeout, false}));
-}
-
-// Makes one attempt after another until the request is committed or times out. One whose reply is late is
-// kept beside the next: the first result counts. An attempt whose reply was lost may have been committed.
-// Requests are therefore idempotent: repeating a lease request yields the same lease, and repeating a return
-// changes nothing.
-void ConsensusClient::attempt(const PendingPtr& pending) {
-    if (pending->finished) return;
-    if (loop_.clock().now() >= pending->deadline) return pending->time_out();
-    if (voter_.is_leader()) return attempt_locally(pending);
-    const std::string target = next_target();
-    if (target == self()) return retry_later(pending);
-    attempt_at(target, pending);
-}
-
-void ConsensusClient::attempt_locally(const PendingPtr& pending) {
-    const std::weak_ptr<bool> alive = alive_;
-    loop_.timers().schedule(pending->deadline, [alive, pending] {
-        if (!alive.expired()) pending->time_out();
-    });
-    processor_.process(pending->request, [this, alive, pending](std::optional<CommandResult> result) {
-        if (alive.expired()) return;
-        result ? pending->finish(std::move(result)) : retry_later(pending);
-    });
-}
-
-void ConsensusClient::attempt_at(const std::string& voter, const PendingPtr& pending) {
-    const std::weak_ptr<bool> alive = alive_;
-    const Micros now = loop_.clock().now();
-    const std::uint64_t number = ++pending->last_attempt;
-    pending->awaits_reply = true;
-    transport_.call(voter, kRequestVerb, pending->request.encode(), pending->deadline - now,
-                    [this, alive, pending, number](std::optional<std::string> body) {
-                        if (alive.expired()) return;
-                        if (body) return on_reply(pending, number, *body);
-                        on_attempt_failed(pending, number);
-                    });
-    loop_.timers().schedule(now + kAttemptTimeout, [this, alive, pending, number] {
-        if (!alive.expired()) on_attempt_failed(pending, number);
-    });
-}
-
-void ConsensusClient::on_attempt_failed(const PendingPtr& pending, std::uint64_t number) {
-    if (!pending->awaits_reply_to(number)) return;
-    follower_.set_leader({});
-    retry_later(pending);
-}
-
-void ConsensusClient::on_reply(const PendingPtr& pending, std::uint64_t number, const std::string& body) {
-    if (pending->finished) return;
-    try {
-        const ConsensusReply reply = decode_reply(body);
-        if (pending->awaits_reply_to(number)) follower_.set_leader(reply.leader);
-        if (reply.done) {
-            CommandResult result = rollout::decode_result(reply.body);
-            // A newer attempt may be granted what this one was not.
-            const bool may_change =
-                result.outcome == rollout::Outcome::rejected && number != pending->last_attempt;
-            if (!may_change) pending->finish(std::move(result));
-            return;
-        }
-    } catch (const std::exception& error) {
-        log::warn("consensus: reply rejected reason={}", error.what());
-        return on_attempt_failed(pending, number);
-    }
-    ++pending->leaderless_replies;
-    if (pending->awaits_reply_to(number)) retry_later(pending);
-}
-
-void ConsensusClient::retry_later(const PendingPtr& pending) {
-    pending->awaits_reply = false;
-    const std::weak_ptr<bool> alive = alive_;
-    loop_.timers().schedule(loop_.clock().now() + kRetryInterval, [this, alive, pending] {
-        if (!alive.expired()) attempt(pending);
-    });
-}
-
-// The leader, or the next voter in turn if no leader is known.
-std::string ConsensusClient::next_target() {
-    std::string target = leader();
-    return target.empty() || target == self() ? follower_.next_voter() : target;
+// From a call that operators made at `called_at`, or from now on.
+void ConsensusClient::submit(ConsensusRequest request, ResultCallback done, std::optional<Micros> called_at) {
+    sender_.submit(std::move(request), called_at.value_or(loop_.clock().now()), std::move(done));
 }
 
 // --- State ---
--- a/src/consensus/consensus_client.h
+++ b/src/consensus/consensus_client.h
@@ -16,6 +16,7 @@
 #include "consensus/local_voter.h"
 #include "consensus/purge_relay.h"
 #include "consensus/request_processor.h"
+#include "consensus/request_sender.h"
 #include "consensus/state_confirmer.h"
 #include "consensus/state_follower.h"
 #include "consensus/state_view.h"
@@ -29,8 +30,8 @@
   public:
     using FleetView = consensus::FleetView;
     using StateCallback = std::function<void(const rollout::State&)>;
-    // Called exactly once, within a second, from the loop. No value: no majority answered in time. The
-    // request may have been committed nevertheless, and repeating it is safe.
+    // Called exactly once, within a second, from the loop. No value: no majority answered in time, and the
+    // request has no later effect, except where docs/design/late-calls.md says so.
     using ResultCallback = RaftNode::ResultCallback;
 
     struct Options {
@@ -51,18 +52,22 @@
     // restart.
     void update_config(const config::Consensus& setup);
 
+    // `called_at`: when an operator called for it, which may be long ago; none: now.
     void request_lease(rollout::MemberKind kind, const std::string& member, const std::string& by,
-                       bool forced, ResultCallback done);
+                       bool forced, ResultCallback done, std::optional<base::Micros> called_at = {});
     void return_lease(rollout::MemberKind kind, const std::string& member, const std::string& by,
-                      ResultCallback done);
+                      ResultCallback done, std::optional<base::Micros> called_at = {});
     // Requests a lease of the active release, for the process that upgrades `member`.
-    void request_upgrade_lease(const std::string& member, bool forced, ResultCallback done);
-    void submit_release_command(const rollout::ReleaseCommand& command, ResultCallback done);
+    void request_upgrade_lease(const std::string& member, bool forced, ResultCallback done,
+                               std::optional<base::Micros> called_at = {});
+    void submit_release_command(const rollout::ReleaseCommand& command, ResultCallback done,
+                                std::optional<base::Micros> called_at = {});
     // Only the leader can do this; the result has no value if this member is not the leader.
-    void submit_release_step(rollout::ReleaseStep step, ResultCallback done);
+    void submit_release_step(rollout::ReleaseStep step, const ResultCallback& done);
     // Changes the key-value store; the result is `granted` with the revision, or `rejected` with the reason.
     void submit_change(const kv_store::Transaction& change, ResultCallback done);
-    void submit_purge(const kv_store::Purge& purge, ResultCallback done);
+    void submit_purge(const kv_store::Purge& purge, ResultCallback done,
+                      std::optional<base::Micros> called_at = {});
     // A linearizable read. The result is `granted` with the version as the number and the value as the
     // reason, or `none` if there is no such key.
     void read(const std::string& key, ResultCallback done);
@@ -103,17 +108,7 @@
     bool is_disk_stuck() const { return voter_.is_disk_stuck(); }  // if so, close_now() would block on it
 
   private:
-    struct PendingRequest;
-    using PendingPtr = std::shared_ptr<PendingRequest>;
-
-    void submit(ConsensusRequest request, ResultCallback done);
-    void attempt(const PendingPtr& pending);
-    void attempt_locally(const PendingPtr& pending);
-    void attempt_at(const std::string& voter, const PendingPtr& pending);
-    void on_reply(const PendingPtr& pending, std::uint64_t number, const std::string& body);
-    void on_attempt_failed(const PendingPtr& pending, std::uint64_t number);
-    void retry_later(const PendingPtr& pending);
-    std::string next_target();
+    void submit(ConsensusRequest request, ResultCallback done, std::optional<base::Micros> called_at = {});
     const std::string& self() const { return transport_.membership().self().name; }
 
     net::Loop& loop_;
@@ -126,9 +121,9 @@
     LocalVoter voter_;
     StateView view_;
     RequestProcessor processor_;
+    RequestSender sender_;
     ConsensusServer server_;
     StateConfirmer confirmer_;
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace sumackeel::consensus
--- a/src/consensus/consensus_messages.h
+++ b/src/consensus/consensus_messages.h
@@ -9,6 +9,7 @@
 
 #include "base/time.h"
 #include "cluster_transport/message_codec.h"
+#include "consensus/change_admission.h"
 #include "kv_store/kv_store.h"
 #include "rollout/rollout.h"
 
@@ -42,6 +43,9 @@
     std::string kv_store_update = {};  // state poll: key-value changes since the known revision
     // State poll: see ConfirmReply. Versions without confirm queries never send it.
     std::optional<base::Micros> confirmed_age = {};
+    // Request: set if `done` is false. Versions without admission tokens never send them.
+    std::optional<Refusal> refusal = {};
+    std::optional<AdmissionToken> token = {};
 };
 std::string encode(const ConsensusReply& reply);
 ConsensusReply decode_reply(const std::string& body);
@@ -74,9 +78,10 @@
     RequestKind kind = RequestKind::request_lease;
     bool forced = false;
     rollout::MemberKind member_kind = rollout::MemberKind::proxy;
-    std::string member = {}, by = {};      // for a read, `member` is the key
-    std::string body = {};                 // a command, as encoded in the log
-    rollout::RunningVersion running = {};  // set by a proxy that requests its own lease
+    std::string member = {}, by = {};       // for a read, `member` is the key
+    std::string body = {};                  // a command, as encoded in the log
+    rollout::RunningVersion running = {};   // set by a proxy that requests its own lease
+    std::optional<ChangeGuard> guard = {};  // none: sent by a version without admission tokens
 
     std::string encode() const;
     static ConsensusRequest decode(const std::string& bytes);
--- a/src/consensus/consensus_server.cpp
+++ b/src/consensus/consensus_server.cpp
@@ -55,11 +55,15 @@
 
 void ConsensusServer::on_request(const std::string& body, const Respond& respond) {
     const std::string self = transport_.membership().self().name;
-    processor_.process(ConsensusRequest::decode(body),
-                       [respond, self](std::optional<rollout::CommandResult> result) {
-                           respond(encode(ConsensusReply{result.has_value(), result ? self : std::string{},
-                                                         result ? rollout::encode(*result) : std::string{}}));
-                       });
+    processor_.process(ConsensusRequest::decode(body), [respond, self](const RequestOutcome& outcome) {
+        const bool done = outcome.result.has_value();
+        const bool leads = done || outcome.token;
+        respond(encode(ConsensusReply{.done = done,
+                                      .leader = leads ? self : std::string{},
+                                      .body = done ? rollout::encode(*outcome.result) : std::string{},
+                                      .refusal = done ? std::nullopt : std::optional(outcome.refusal),
+                                      .token = outcome.token}));
+    });
 }
 
 // A revision of another history does not tell what that member is missing, so it gets the complete state.
--- a/src/consensus/local_voter.cpp
+++ b/src/consensus/local_voter.cpp
@@ -120,16 +120,25 @@
 }
 
 void LocalVoter::tick() {
+    commit_former_entries();
     node_->reconcile_voters();
     expire_keys();
     check_leader();
     tick_timer_ = loop_.timers().schedule(loop_.clock().now() + kTickInterval, [this] { tick(); });
 }
 
+// Entries that a former leader left uncommitted are decided by the first entry of the new one's own term.
+// Without it they would take effect together with the next change, however late that is.
+void LocalVoter::commit_former_entries() {
+    if (is_leader() && !node_->is_caught_up_leader()) node_->confirm_leadership([](bool) {});
+}
+
 void LocalVoter::expire_keys() {
     const auto due = node_->kv_store().next_expiry();
     if (!due || !is_leader() || *due > loop_.clock().now()) return;
-    node_->propose(kv_store::encode(kv_store::ExpireKeys{loop_.clock().now()}), [](const auto&) {});
+    // The next tick proposes it again where it was not accepted.
+    static_cast<void>(
+        node_->propose(kv_store::encode(kv_store::ExpireKeys{loop_.clock().now()}), [](const auto&) {}));
 }
 
 // A voter that has known no leader for a while is partitioned or was removed: the leader sends nothing to
--- a/src/consensus/local_voter.h
+++ b/src/consensus/local_voter.h
@@ -50,6 +50,7 @@
     std::string reopen_without_entries(const std::string& reason);
     std::string archive_name() const;
     void tick();
+    void commit_former_entries();
     void expire_keys();
     void check_leader();
     void on_newer_history(std::uint64_t history);
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -33,11 +33,9 @@
     RaftNode::ResultCallback done;
 };
 
-struct ReadRequest {
+struct BarrierRequest {
     struct raft_barrier request {};
-    const RaftStateMachine& machine;
-    std::string key;
-    RaftNode::ResultCallback done;
+    std::function<void(bool committed)> done;
 };
 
 }  // namespace
@@ -93,7 +91,8 @@
     std::string leader();
     bool is_caught_up_leader();
 
-    void propose(const std::string& command, ResultCallback done);
+    bool propose(const std::string& command, ResultCallback done);
+    void confirm_leadership(std::function<void(bool confirmed)> done);
     void read(const std::string& key, ResultCallback done);
     void transfer_leadership(const std::string& to, ResultCallback done);
 };
@@ -249,7 +248,7 @@
 
 // --- Proposals and reads ---
 
-void RaftNode::Impl::propose(const std::string& command, ResultCallback done) {
+bool RaftNode::Impl::propose(const std::string& command, ResultCallback done) {
     auto owner = std::make_unique<ApplyRequest>(ApplyRequest{{}, std::move(done)});
     owner->request.data = owner.get();
     const raft_buffer buffer = make_raft_buffer(command);
@@ -260,30 +259,33 @@
             const auto* answer = static_cast<const CommandResult*>(result);
             finished->done(status == 0 && answer ? std::optional(*answer) : std::nullopt);
         });
-    if (rejected == 0) {
-        static_cast<void>(owner.release());  // the library's until its callback
-        return;
+    if (rejected != 0) {
+        raft_free(buffer.base);
+        return false;
     }
-    raft_free(buffer.base);
-    owner->done(std::nullopt);
+    static_cast<void>(owner.release());  // the library's until its callback
+    return true;
 }
 
-void RaftNode::Impl::read(const std::string& key, ResultCallback done) {
-    auto owner = std::make_unique<ReadRequest>(ReadRequest{{}, machine, key, std::move(done)});
+void RaftNode::Impl::confirm_leadership(std::function<void(bool confirmed)> done) {
+    auto owner = std::make_unique<BarrierRequest>(BarrierRequest{{}, std::move(done)});
     owner->request.data = owner.get();
     const int rejected =
         raft_barrier(&raft_instance, &owner->request, [](struct raft_barrier* request, int status) {
-            const std::unique_ptr<ReadRequest> finished(static_cast<ReadRequest*>(request->data));
-            if (status != 0) return finished->done(std::nullopt);
-            const kv_store::Entry* entry = finished->machine.kv_store().find(finished->key);
-            if (!entry) return finished->done(CommandResult{rollout::Outcome::none, 0, {}, {}});
-            finished->done(CommandResult{rollout::Outcome::granted, entry->version, entry->value, {}});
+            const std::unique_ptr<BarrierRequest> finished(static_cast<BarrierRequest*>(request->data));
+            finished->done(status == 0);
         });
-    if (rejected == 0) {
-        static_cast<void>(owner.release());  // the library's until its callback
-        return;
-    }
-    owner->done(std::nullopt);
+    if (rejected != 0) return owner->done(false);
+    static_cast<void>(owner.release());  // the library's until its callback
+}
+
+void RaftNode::Impl::read(const std::string& key, ResultCallback done) {
+    confirm_leadership([this, key, done = std::move(done)](bool confirmed) {
+        if (!confirmed) return done(std::nullopt);
+        const kv_store::Entry* entry = machine.kv_store().find(key);
+        if (!entry) return done(CommandResult{rollout::Outcome::none, 0, {}, {}});
+        done(CommandResult{rollout::Outcome::granted, entry->version, entry->value, {}});
+    });
 }
 
 // --- Public interface ---
@@ -355,8 +357,14 @@
 void RaftNode::reconcile_voters() {
     if (impl_->leads()) impl_->reconciler.reconcile();
 }
-void RaftNode::propose(const std::string& command, ResultCallback done) {
-    impl_->propose(command, std::move(done));
+bool RaftNode::propose(const std::string& command, ResultCallback done) {
+    return impl_->propose(command, std::move(done));
+}
+void RaftNode::confirm_leadership(std::function<void(bool confirmed)> done) {
+    impl_->confirm_leadership(std::move(done));
+}
+std::uint64_t RaftNode::term() const {
+    return impl_->raft_instance.current_term;
 }
 void RaftNode::read(const std::string& key, ResultCallback done) {
     impl_->read(key, std::move(done));
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -88,7 +88,12 @@
     // To be called once a second. On the leader: moves the log's voters one step closer to those named in the
     // operator's file.
     void reconcile_voters();
-    void propose(const std::string& command, ResultCallback done);
+    // False: this voter may not propose now, and `done` is not called.
+    [[nodiscard]] bool propose(const std::string& command, ResultCallback done);
+    // Commits an empty entry: `done` gets true once a majority has it and this voter, still the leader, has
+    // applied everything that was proposed before. It may be called from within this call.
+    void confirm_leadership(std::function<void(bool confirmed)> done);
+    std::uint64_t term() const;
     // Linearizable: sees everything committed before the call. The result is `granted` with version and
     // value, or `none`.
     void read(const std::string& key, ResultCallback done);
--- a/tests/consensus/torn_segment_test.cpp
+++ b/tests/consensus/torn_segment_test.cpp
@@ -49,12 +49,12 @@
     }
     void propose(RaftNode& node, int left) {
         if (left == 0) return loop.stop();
-        node.propose(rollout::encode(rollout::LeaseReturn{rollout::MemberKind::proxy, "one", "test", 1, {}}),
-                     [this, &node, left](const auto& result) {
-                         loop.timers().schedule(loop.clock().now() + 1'000, [this, &node, left, result] {
-                             propose(node, result ? left - 1 : left);
-                         });
-                     });
+        const RaftNode::ResultCallback next = [this, &node, left](const auto& result) {
+            loop.timers().schedule(loop.clock().now() + 1'000,
+                                   [this, &node, left, result] { propose(node, result ? left - 1 : left); });
+        };
+        const rollout::LeaseReturn change{rollout::MemberKind::proxy, "one", "test", 1, {}};
+        if (!node.propose(rollout::encode(change), next)) next(std::nullopt);
     }
     // Copies what is on disk while the voter runs, as a loss of power would leave it.
     void write_log_at_power_loss() {
--- a/tests/fleet/harness/relay.py
+++ b/tests/fleet/harness/relay.py
@@ -17,6 +17,8 @@
         self.passed = self.dropped = self.swallowed = 0
         self.swallow_from = None  # bytes: what comes at once and is as long is taken, lost, and the stream closed
         self.kept = []  # datagrams, to be played again
+        self.hold = False  # streams: what comes waits, and goes on in its order once this is off again
+        self.held = []  # (socket, its pair, the other one, bytes), the last bytes of a socket being empty
 
 
 class Relay(threading.Thread):
@@ -51,6 +53,9 @@
                     getattr(self, "on_" + kind)(key.fileobj, pair, to)
                 except OSError:
                     pass
+            for link in self.links.values():
+                while link.held and not link.hold:
+                    self.pass_on(*link.held.pop(0))
             with self.lock:
                 while self.due and self.due[0][0] <= time.monotonic():
                     _, _, sock, data, to = heapq.heappop(self.due)
@@ -122,6 +127,15 @@
         except OSError:
             data = b""
         link = self.links[pair]
+        if link.hold or link.held:
+            link.held.append((sock, pair, other, data))
+            if not data:
+                self.selector.unregister(sock)
+            return
+        self.pass_on(sock, pair, other, data)
+
+    def pass_on(self, sock, pair, other, data):
+        link = self.links[pair]
         lost = sock in self.opened and link.swallow_from is not None and len(data) >= link.swallow_from
         link.swallowed += lost
         if data and not lost and not self.broken(pair):
--- a/tests/fleet/harness/steps/__init__.py
+++ b/tests/fleet/harness/steps/__init__.py
@@ -3,6 +3,7 @@
 from .discovery import DiscoverySteps
 from .inspection import InspectionSteps
 from .kv_store import KvStoreSteps
+from .late_calls import LateCallSteps
 from .leases import LeasesSteps
 from .links import LinksSteps
 from .membership import MembershipSteps
@@ -12,6 +13,6 @@
 from .releases import ReleasesSteps
 
 
-class Steps(ConsensusSteps, DiscoverySteps, InspectionSteps, KvStoreSteps, LeasesSteps, LinksSteps, MembershipSteps, ProcessesSteps, PurgeSteps, RecoverySteps,
+class Steps(ConsensusSteps, DiscoverySteps, InspectionSteps, KvStoreSteps, LateCallSteps, LeasesSteps, LinksSteps, MembershipSteps, ProcessesSteps, PurgeSteps, RecoverySteps,
             ReleasesSteps):
     """All steps of a scenario."""
