Operators' calls: what is read after its caller has given up has no effect

Cause: admin_server handled a call when it was read, whenever its bytes had arrived.

Change: it asks its connection when the last byte arrived.

--- a/src/admin/api.h
+++ b/src/admin/api.h
@@ -4,16 +4,19 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "admin/state.h"
+#include "base/time.h"
 
 namespace sumackeel::admin {
 
 struct ApiCall {
     std::string_view method, path, body = {};
+    std::optional<base::Micros> received_at = {};  // none: now
 };
 
 struct ApiReply {
--- a/src/admin_server/admin_server.cpp
+++ b/src/admin_server/admin_server.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-// A call has to be answered within 1 s, so one that is incomplete by then is dropped.
+// A call has to be answered within 1 s, so one that is incomplete by then is dropped, and one that was not
+// read by then has no effect: its caller has given up.
 constexpr base::Micros kRequestTimeout = 1'000'000;
 // The time for which idle connections can delay a call that waits in the accept queue. It leaves enough of
 // the second for the reply.
@@ -88,6 +89,7 @@
 
     void on_data(net::Stream& stream, std::string_view bytes) override {
         if (answered) return;  // one call per connection: later bytes are ignored
+        const base::Micros arrived_at = received_at();
         if ((received_bytes += bytes.size()) > server.max_call_bytes_)
             return send_reply(stream, {431, "the call is too long\n"});
         http_parser_execute(&parser, &parser_settings(), bytes.data(), bytes.size());
@@ -96,7 +98,10 @@
             return send_reply(stream, {400, "the call can't be read\n"});
         partial_memory.set(url.capacity() + body.capacity());
         if (!complete) return server.connection_manager_.set_state(*this, net::ConnectionState::receiving);
-        const admin::ApiCall call{http_method_str(static_cast<http_method>(parser.method)), url, body};
+        const admin::ApiCall call{http_method_str(static_cast<http_method>(parser.method)), url, body,
+                                  arrived_at};
+        if (has_given_up(arrived_at) && parser.method != HTTP_GET)
+            return send_reply(stream, {503, "the call was read too late and has no effect, call again\n"});
         answered = true;
         server.connection_manager_.set_state(
             *this, net::ConnectionState::processing);  // so that it is not evicted to make room
@@ -108,6 +113,10 @@
         if (reply) send_reply(stream, *reply);
     }
 
+    bool has_given_up(base::Micros arrived_at) const {
+        return peer_has_left() || server.loop_.clock().now() >= arrived_at + kRequestTimeout;
+    }
+
     void send_reply(net::Stream& stream, const admin::ApiReply& reply) {
         answered = true;
         stream.write(serialize(reply));
@@ -119,7 +128,8 @@
 
 AdminServer::AdminServer(net::Loop& loop, const std::string& listen, CallHandler handler,
                          std::size_t max_call_bytes)
-    : handler_(std::move(handler)),
+    : loop_(loop),
+      handler_(std::move(handler)),
       max_call_bytes_(max_call_bytes),
       connection_manager_(loop, listen_address(listen), kMaxConnections,
                           {.request = kRequestTimeout,
--- a/src/admin_server/admin_server.h
+++ b/src/admin_server/admin_server.h
@@ -1,6 +1,7 @@
 // The HTTP/1.1 server of the admin API: one call per connection, handled on the event loop, then closed.
 // A connection without a complete call lasts for at most 1 s, and the one idle for longest is evicted when a
-// new one needs its place. So idle callers use a bounded number of descriptors and do not delay clients.
+// new one needs its place. So idle callers use a bounded number of descriptors and do not delay clients. A
+// call that is read later than its caller waits, since the process was stopped or busy, changes nothing.
 #pragma once
 
 #include <functional>
@@ -36,6 +37,7 @@
 
   private:
     struct Caller;
+    net::Loop& loop_;
     CallHandler handler_;
     std::size_t max_call_bytes_;
     net::ConnectionManager connection_manager_;
--- a/src/daemon/kv_store_service.cpp
+++ b/src/daemon/kv_store_service.cpp
@@ -310,12 +310,16 @@
     if (!whole_group && !single_object)
         return admin::ApiReply{400, "group/NUMBER or object/GROUP/ID is wanted\n", false};
     if (single_object) purge.object = id.substr(number.size() + 1);
-    consensus_.submit_purge(purge, [respond_later](const std::optional<CommandResult>& result) {
-        if (!result) return respond_later({503, "no majority of the voters answered, call again\n", false});
-        if (result->outcome != Outcome::granted)
-            return respond_later({409, fmt::format("{}\n", result->reason), false});
-        respond_later({200, fmt::format("purge {}\n", result->number), false});
-    });
+    consensus_.submit_purge(
+        purge,
+        [respond_later](const std::optional<CommandResult>& result) {
+            if (!result)
+                return respond_later({503, "no majority of the voters answered, call again\n", false});
+            if (result->outcome != Outcome::granted)
+                return respond_later({409, fmt::format("{}\n", result->reason), false});
+            respond_later({200, fmt::format("purge {}\n", result->number), false});
+        },
+        call.received_at);
     return std::nullopt;
 }
 
--- a/src/daemon/lease_controller.cpp
+++ b/src/daemon/lease_controller.cpp
@@ -125,6 +125,7 @@
                            : Target{rollout::MemberKind::pop_cache, parsed.id},
         .requested_by = self,
         .forced = call.path.ends_with("?force=1"),
+        .called_at = call.received_at.value_or(components_.loop.clock().now()),
     };
     if (parsed.action == Action::down || parsed.action == Action::drain_start)
         request_lease(lease_call, respond_later);
@@ -138,9 +139,10 @@
     components_.consensus_client->request_lease(
         call.target.kind, call.target.member, call.requested_by, call.forced,
         [this, respond_later, target = call.target,
-         called_at = components_.loop.clock().now()](const std::optional<rollout::CommandResult>& result) {
+         called_at = call.called_at](const std::optional<rollout::CommandResult>& result) {
             reply_when_durable(on_lease_result(result, target), respond_later, called_at);
-        });
+        },
+        call.called_at);
 }
 
 void LeaseController::return_lease(const LeaseCall& call, const admin_server::DeferredReply& respond_later) {
@@ -156,11 +158,12 @@
     parts.consensus_client->return_lease(
         kind, member, call.requested_by,
         [this, &parts, respond_later, target = call.target,
-         called_at = parts.loop.clock().now()](const std::optional<rollout::CommandResult>& result) {
+         called_at = call.called_at](const std::optional<rollout::CommandResult>& result) {
             if (!result) return respond_later(no_majority_reply());
             if (target.kind == rollout::MemberKind::pop_cache) parts.granted_leases.erase(target.member);
             reply_when_durable({200, "up " + target.member + "\n", false}, respond_later, called_at);
-        });
+        },
+        call.called_at);
 }
 
 admin::ApiReply LeaseController::on_lease_result(const std::optional<rollout::CommandResult>& result,
--- a/src/daemon/lease_controller.h
+++ b/src/daemon/lease_controller.h
@@ -45,6 +45,7 @@
         Target target;
         std::string requested_by;
         bool forced = false;
+        base::Micros called_at = 0;
     };
 
     void request_lease(const LeaseCall& call, const admin_server::DeferredReply& respond_later);
--- a/src/daemon/release_api.cpp
+++ b/src/daemon/release_api.cpp
@@ -76,7 +76,8 @@
                     return respond_later({404, fmt::format("nothing to do: {}\n", result->reason), false});
                 if (result && result->outcome == Outcome::granted && member == self) on_own_lease_granted();
                 respond_later(lease_reply(result, member));
-            });
+            },
+            call.received_at);
         return std::nullopt;
     }
     const auto action = parse_action(action_name);
@@ -88,12 +89,14 @@
             return admin::ApiReply{400, fmt::format("{}\n", error.what()), false};
         }
     client.submit_release_command(
-        command, [respond_later, action](const std::optional<CommandResult>& result) {
+        command,
+        [respond_later, action](const std::optional<CommandResult>& result) {
             if (!result) return respond_later(no_majority_reply());
             if (result->outcome != Outcome::granted)
                 return respond_later({409, fmt::format("not now: {}\n", result->reason), false});
             respond_later({200, fmt::format("release {}: {}\n", result->number, name_of(*action)), false});
-        });
+        },
+        call.received_at);
     return std::nullopt;
 }
 
