Store API: a change that is read after its client has given up is not made

Callers saw: a client of the store's API waits 3 s; a member that was stopped for longer set or removed the key when it ran again, after other changes of that key were answered `done`.

Cause: a change had its 0.85 s from when it was handled, whenever its bytes had arrived.

Change: it has them from the arrival of the last byte that was read with it, by the system (TCP_INFO). What waits because the member itself makes its client wait counts from when it is read, as before.

--- a/src/consensus/consensus_client.cpp
+++ b/src/consensus/consensus_client.cpp
@@ -104,14 +104,15 @@
     if (!voter_.node().propose(rollout::encode(step), done)) done(std::nullopt);
 }
 
-void ConsensusClient::submit_change(const kv_store::Transaction& change, ResultCallback done) {
+void ConsensusClient::submit_change(const kv_store::Transaction& change, ResultCallback done,
+                                    std::optional<Micros> called_at) {
     if (std::string error = kv_store::validate(change); !error.empty())
         return done(CommandResult{rollout::Outcome::rejected, 0, std::move(error), {}});
     submit({.kind = RequestKind::change,
             .member_kind = MemberKind::pop_cache,
             .by = change.by,
             .body = kv_store::encode(change)},
-           std::move(done));
+           std::move(done), called_at);
 }
 
 void ConsensusClient::submit_purge(const kv_store::Purge& purge, ResultCallback done,
--- a/src/consensus/consensus_client.h
+++ b/src/consensus/consensus_client.h
@@ -65,7 +65,8 @@
     // Only the leader can do this; the result has no value if this member is not the leader.
     void submit_release_step(rollout::ReleaseStep step, const ResultCallback& done);
     // Changes the key-value store; the result is `granted` with the revision, or `rejected` with the reason.
-    void submit_change(const kv_store::Transaction& change, ResultCallback done);
+    void submit_change(const kv_store::Transaction& change, ResultCallback done,
+                       std::optional<base::Micros> called_at = {});
     void submit_purge(const kv_store::Purge& purge, ResultCallback done,
                       std::optional<base::Micros> called_at = {});
     // A linearizable read. The result is `granted` with the version as the number and the value as the
--- a/src/daemon/kv_store_service.cpp
+++ b/src/daemon/kv_store_service.cpp
@@ -97,10 +97,10 @@
       max_confirmed_age_(purges.max_confirmed_age),
       replicator_(loop, client, transport.membership().self().name,
                   {.retention = purges.retention, .on_purge = std::move(purges.on_purge)}),
-      api_(loop, sockets, setup.listen,
-           [this](const Json::Value& request, const store::StoreApi::Answer& respond) {
-               handle_request(request, respond);
-           }) {
+      api_(
+          loop, sockets, setup.listen,
+          [this](const Json::Value& request, base::Micros received_at,
+                 const store::StoreApi::Answer& respond) { handle_request(request, received_at, respond); }) {
     consensus_.on_kv_store_change([this] { on_log_changed(); });
     transport_.on_call(kRevisionCall, [this](const std::string&, const std::string&, const std::string&,
                                              const cluster_transport::ClusterTransport::Respond& respond) {
@@ -176,10 +176,11 @@
     });
 }
 
-void KvStoreService::handle_request(const Json::Value& request, const store::StoreApi::Answer& respond) {
+void KvStoreService::handle_request(const Json::Value& request, base::Micros received_at,
+                                    const store::StoreApi::Answer& respond) {
     if (request.isMember("promote")) return promote(respond);
     if (request.isMember("list")) return respond(list_json(text_field(request, "list")));
-    if (!request.isMember("get")) return change(request, respond);
+    if (!request.isMember("get")) return change(request, received_at, respond);
     const std::string key = text_field(request, "get");
     if (request["sure"].asBool()) return read_from_majority(key, respond);
     respond(local_json(key));
@@ -225,10 +226,11 @@
     });
 }
 
-void KvStoreService::change(const Json::Value& request, const store::StoreApi::Answer& respond) {
+void KvStoreService::change(const Json::Value& request, base::Micros received_at,
+                            const store::StoreApi::Answer& respond) {
     consensus_.submit_change(
         {{requested_operation(request)}, transport_.membership().self().name, 0},
-        [respond](const std::optional<CommandResult>& result) { respond(change_json(result)); });
+        [respond](const std::optional<CommandResult>& result) { respond(change_json(result)); }, received_at);
 }
 
 // Imports the old store once, on the member that was its primary. The import marker is written together with
--- a/src/daemon/kv_store_service.h
+++ b/src/daemon/kv_store_service.h
@@ -53,12 +53,13 @@
     int port() const { return api_.port(); }
 
   private:
-    void handle_request(const Json::Value& request, const store::StoreApi::Answer& respond);
+    void handle_request(const Json::Value& request, base::Micros received_at,
+                        const store::StoreApi::Answer& respond);
     void promote(const store::StoreApi::Answer& respond);
     Json::Value list_json(const std::string& prefix) const;
     Json::Value local_json(const std::string& key) const;
     void read_from_majority(const std::string& key, const store::StoreApi::Answer& respond);
-    void change(const Json::Value& request, const store::StoreApi::Answer& respond);
+    void change(const Json::Value& request, base::Micros received_at, const store::StoreApi::Answer& respond);
     void on_log_changed();
     void import_legacy_store();
     void import_next_batch();
--- a/src/store/store_api.cpp
+++ b/src/store/store_api.cpp
@@ -24,9 +24,11 @@
 struct StoreApi::Connection : net::Stream::Handler, std::enable_shared_from_this<Connection> {
     StoreApi& api;
     net::Stream* stream = nullptr;
-    std::string buffer;        // received bytes
-    std::size_t handled = 0;   // of them, at the front
-    bool awaits_room = false;  // to read more
+    std::string buffer;            // received bytes
+    std::size_t handled = 0;       // of them, at the front
+    bool awaits_room = false;      // to read more
+    bool kept_waiting = false;     // bytes may be unread since reading was paused
+    base::Micros received_at = 0;  // when the last of the bytes in `buffer` arrived
     std::size_t open_requests = 0;
     bool queued = false;
     base::Micros last_active_at = 0;
@@ -40,6 +42,8 @@
         drop_handled();
         buffer += bytes;
         last_active_at = api.loop_.clock().now();
+        received_at = last_active_at - (kept_waiting ? 0 : stream->time_since_last_byte());
+        kept_waiting = kept_waiting && stream->has_unread_data();
         update();
     }
     void on_write_drained(net::Stream&) override { update(); }
@@ -49,6 +53,7 @@
         const bool full = buffer.size() - handled > kMaxLineBytes;
         if (stream && full && !has_line()) return close();
         awaits_room = unhandled() && !api.loop_.memory().has_room_for_partial_requests();
+        kept_waiting = kept_waiting || full || awaits_room;
         if (stream) stream->pause(full || awaits_room);
         if (may_handle_request()) api.enqueue(*this);
     }
@@ -81,7 +86,7 @@
         try {
             const Json::Value value = config::parse(line, "store");
             if (!value.isObject()) throw config::ConfigError("no object");
-            api.handle_request_(value, respond);
+            api.handle_request_(value, received_at, respond);
         } catch (const std::exception& error) {
             Json::Value rejection;
             rejection["refused"] = error.what();
--- a/src/store/store_api.h
+++ b/src/store/store_api.h
@@ -23,7 +23,9 @@
 class StoreApi {
   public:
     using Answer = std::function<void(const Json::Value&)>;  // does nothing if the client has disconnected
-    using RequestHandler = std::function<void(const Json::Value& request, const Answer& respond)>;
+    // `received_at`: when the request arrived. That is long ago if the process was stopped meanwhile.
+    using RequestHandler =
+        std::function<void(const Json::Value& request, base::Micros received_at, const Answer& respond)>;
 
     // Throws if `listen` can't be used.
     StoreApi(net::Loop& loop, net::SocketBudget& budget, const std::string& listen,
--- a/tests/daemon/store_test.cpp
+++ b/tests/daemon/store_test.cpp
@@ -257,7 +257,7 @@
     bool responding;
     std::size_t handled = 0;
     store::StoreApi api{test_loop.loop, test_loop.budget, "127.0.0.1:0",
-                        [this](const Json::Value&, const store::StoreApi::Answer& respond) {
+                        [this](const Json::Value&, base::Micros, const store::StoreApi::Answer& respond) {
                             const std::uint64_t end = uv_hrtime() + 1'000'000;
                             while (uv_hrtime() < end) continue;
                             ++handled;
