--- a/tests/daemon/descriptors_test.py
+++ b/tests/daemon/descriptors_test.py
@@ -17,16 +17,11 @@
 import threading
 import time
 
-from wire import BOUND_S, alive_good, cache_box, dispatch, listening, reply_place, reserved_port, settings_for
+from wire import BOUND_S, alive_good, cache_box, dispatch, fail, listening, reply_place, reserved_port, settings_for
 
 SOCKETS, CROWD, GRACE_S = 128, 400, 2.0
 
 
-def fail(text):
-    print(f"FAIL: {text}\n0 passed, 1 failed")
-    sys.exit(1)
-
-
 def change_log(at, event, called):
     """Listens at an address that refused so far, and tells one event to each that calls."""
     listener = socket.socket()
--- a/tests/daemon/start_test.py
+++ b/tests/daemon/start_test.py
@@ -17,16 +17,11 @@
 import threading
 import time
 
-from wire import BOUND_S, alive_good, listening, reserved_port, settings_for
+from wire import BOUND_S, alive_good, fail, listening, reserved_port, settings_for
 
 PROCESSES, READY_OF_THEM, READY_WITHIN_S = 10, 9, 10
 
 
-def fail(text):
-    print(f"FAIL: {text}\n0 passed, 1 failed")
-    sys.exit(1)
-
-
 def held_in_its_start(program, folder, told):
     """Starts the program on a FIFO, sends `told` while it waits there, lets it go on; the process and its log."""
     fifo, log = os.path.join(folder, f"config-{told}"), os.path.join(folder, f"log-{told}")
--- a/tests/daemon/wire.py
+++ b/tests/daemon/wire.py
@@ -7,6 +7,7 @@
 import select
 import socket
 import struct
+import sys
 import threading
 import time
 
@@ -138,6 +139,12 @@
         return False
 
 
+def fail(text):
+    """Ends the test."""
+    print(f"FAIL: {text}\n0 passed, 1 failed")
+    sys.exit(1)
+
+
 def ops_call(port, method, path, body=None, host="127.0.0.1", bound=BOUND_S):
     """The status, 0 where nobody answers; what was answered goes into the list `body`."""
     try:
