Late calls: what the last read found; a certain refusal says so, nothing stays open

Found by reading, none by a failing run. A voter that does not lead now says `not_leading` in its refusal: until now its caller had to count the attempt as undecided and could not go on at the next leader. A request whose command can't be encoded (of a newer version, say) is refused once it was joined, in place of staying in OpenChanges for good. A purge of the origin whose leader lost its leadership is repeated by its sender, as before. The comment of needs_guard said the opposite.

--- a/src/consensus/consensus_server.cpp
+++ b/src/consensus/consensus_server.cpp
@@ -41,7 +41,9 @@
 void ConsensusServer::on_call(const std::string& from, const std::string& verb, const std::string& body,
                               const Respond& respond) {
     const std::string leader = own_leader();
-    const auto reject = [&] { respond(encode(ConsensusReply{false, leader, {}})); };
+    const auto reject = [&] {
+        respond(encode(ConsensusReply{.leader = leader, .body = {}, .refusal = Refusal::not_leading}));
+    };
     if (!voter_.votes()) return reject();
     try {
         if (verb == kStateVerb) return respond(state_reply(decode_known_revision(body)));
--- a/src/consensus/request_processor.cpp
+++ b/src/consensus/request_processor.cpp
@@ -3,8 +3,11 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
+#include "base/log.h"
+
 namespace sumackeel::consensus {
 
 using base::Micros;
@@ -22,7 +25,7 @@
     return kind == RequestKind::request_lease || kind == RequestKind::upgrade_lease;
 }
 
-// What a request without side effects returned; none: the caller may ask again.
+// What a request returned that may be repeated; none: the caller may ask again.
 RequestOutcome outcome_of(const std::optional<CommandResult>& result) {
     return result ? RequestOutcome::of(*result) : RequestOutcome::refused(Refusal::not_leading);
 }
@@ -73,10 +76,9 @@
 
 // A purge that a change log told of: repeated it is recognized, and late it only drops copies.
 void RequestProcessor::propose_repeatable(const ConsensusRequest& request, const Callback& done) {
-    const bool proposed = context_.voter.node().propose(encode_command(request), [done](const auto& result) {
-        done(result ? RequestOutcome::of(*result) : RequestOutcome::refused(Refusal::undecided));
-    });
-    if (!proposed) done(RequestOutcome::refused(Refusal::not_leading));
+    const bool proposed = context_.voter.node().propose(
+        encode_command(request), [done](const auto& result) { done(outcome_of(result)); });
+    if (!proposed) done(outcome_of(std::nullopt));
 }
 
 void RequestProcessor::process_change(const ConsensusRequest& request, const ChangeGuard& guard,
@@ -129,7 +131,14 @@
     if (admission_.is_superseded(target, *guard.token))
         return finish(refused_with_token(Refusal::superseded), false);
     if (const auto result = result_without_change(request)) return finish(RequestOutcome::of(*result), false);
-    const bool proposed = node.propose(encode_command(request), [finish](const auto& result) {
+    std::string command;
+    try {
+        command = encode_command(request);
+    } catch (const std::exception& error) {
+        log::warn("consensus: request rejected kind={} reason={}", name_of(request.kind), error.what());
+        return finish(RequestOutcome::refused(Refusal::not_leading), false);
+    }
+    const bool proposed = node.propose(command, [finish](const auto& result) {
         finish(result ? RequestOutcome::of(*result) : RequestOutcome::refused(Refusal::undecided), true);
     });
     if (!proposed) return finish(RequestOutcome::refused(Refusal::not_leading), false);
--- a/src/consensus/request_sender.cpp
+++ b/src/consensus/request_sender.cpp
@@ -15,7 +15,7 @@
 constexpr Micros kAttemptTimeout = 350'000;  // without a reply another attempt is made beside it
 constexpr Micros kRetryInterval = 60'000;    // while there is no leader
 
-// Whether it may be carried out late or twice: a read, and a purge of the origin, have no guard.
+// False for what may be carried out late or twice: a read, and a purge of the origin.
 bool needs_guard(const ConsensusRequest& request) {
     if (request.kind == RequestKind::read) return false;
     return request.kind != RequestKind::change || !kv_store::purge_of_origin(request.body);
